Set down the folders, the core types and the two kinds of plumbing

Cause: an empty repository. The shape (vertical slices, actors with mailboxes, immutable values, variants with visitors) has to be there before the first duty. Change: core (ids, resources, time, outcomes, mailboxes, log), rpc (Cap'n Proto inside the Asio loop) and http (Beast behind plain values). Conclusion: one thread, one loop, no shared state.

--- /dev/null
+++ b/cmake/include_lint.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Fails if a decision source (<slice>/src/decisions/*.cpp) includes, directly or through other headers, a header of a
+# codec or of sockets.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+includes=()
+for slice in */include; do includes+=("-I$slice" "-I${slice%/include}/src"); done
+failed=0
+checked=0
+for source in */src/decisions/*.cpp; do
+  checked=$((checked + 1))
+  found=$(g++ -std=c++20 -M "${includes[@]}" "$source" | tr ' \\' '\n\n' | grep -E '/(capnp|kj|boost/asio|boost/beast|boost/json)/' | head -3 || true)
+  [ -z "$found" ] || { echo "$source includes a codec or socket header:"; echo "$found"; failed=1; }
+done
+[ "$checked" -gt 0 ] || { echo "no decision sources found"; exit 1; }
+[ "$failed" = 0 ] && echo "include check: $checked decision sources, clean" >&2
+exit $failed
--- /dev/null
+++ b/core/include/persimmondoor/core/Text.h
@@ -0,0 +1,35 @@
+/// Joins texts and numbers, for error messages. Abseil's packaged build has a string view of its own; this adapts
+/// the standard one to it.
+///
+/// \code
+/// return absl::NotFoundError(concat("no worker ", worker.value()));
+/// \endcode
+#pragma once
+
+#include <absl/strings/str_cat.h>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace persimmondoor {
+
+/// The same bytes as a view of Abseil's.
+inline absl::string_view toAbseil(std::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
+/// The joined text of all `parts`: strings, string views and numbers.
+template <typename... Parts>
+std::string concat(const Parts&... parts)
+{
+    auto adapt = []<typename Part>(const Part& part) -> absl::AlphaNum {
+        if constexpr (std::is_convertible_v<const Part&, std::string_view>)
+            return toAbseil(part);
+        else
+            return part;
+    };
+    return absl::StrCat(adapt(parts)...);
+}
+
+} // namespace persimmondoor
--- /dev/null
+++ b/core/src/EasyLogging.cpp
@@ -0,0 +1,2 @@
+// Compiles the packaged source of easylogging++.
+#include <easylogging++.cc> // NOLINT(bugprone-suspicious-include)
--- /dev/null
+++ b/http/src/Client.cpp
@@ -0,0 +1,109 @@
+#include "persimmondoor/http/Client.h"
+
+#include "Convert.h"
+#include "persimmondoor/core/Coroutine.h"
+
+#include "persimmondoor/core/Text.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace persimmondoor::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+// Largest answer read from a server.
+static constexpr uint64_t answerBodyLimitBytes = 64 * 1024 * 1024;
+
+struct Connection::State {
+    explicit State(const asio::any_io_executor& executor)
+        : stream_(executor)
+    {
+    }
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    bool reusable_ { true };
+};
+
+static absl::Status describe(std::string_view step, const boost::system::error_code& error)
+{
+    if (error == beast::error::timeout)
+        return absl::DeadlineExceededError(concat(step, ": timeout"));
+    return absl::UnavailableError(concat(step, ": ", error.message()));
+}
+
+Connection::Connection(std::unique_ptr<State> state)
+    : state_(std::move(state))
+{
+}
+
+Connection::~Connection() = default;
+
+asio::awaitable<absl::StatusOr<std::shared_ptr<Connection>>> Connection::connect(asio::any_io_executor executor, Address address, Duration limit)
+{
+    auto state = std::make_unique<State>(executor);
+    asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip()), address.port());
+    boost::system::error_code error;
+    state->stream_.expires_after(limit);
+    co_await state->stream_.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return describe(concat("connect to ", address.text()), error);
+    state->stream_.socket().set_option(asio::ip::tcp::no_delay(true));
+    co_return std::shared_ptr<Connection>(new Connection(std::move(state)));
+}
+
+asio::awaitable<ExchangeOutcome> Connection::exchange(Request request, Duration limit)
+{
+    bool isHead = request.method_ == "HEAD";
+    BeastRequest message = toBeast(std::move(request));
+    state_->reusable_ = false;
+    state_->stream_.expires_after(limit);
+    boost::system::error_code error;
+    co_await beast::http::async_write(state_->stream_, message, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        close();
+        co_return ExchangeFailure { true, describe("write", error) };
+    }
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.body_limit(answerBodyLimitBytes);
+    parser.skip(isHead);
+    co_await beast::http::async_read(state_->stream_, state_->buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        close();
+        co_return ExchangeFailure { true, describe("read", error) };
+    }
+    // Bytes beyond the answer belong to no request of this connection.
+    state_->reusable_ = parser.get().keep_alive() && state_->buffer_.size() == 0;
+    state_->stream_.expires_never();
+    if (!state_->reusable_)
+        close();
+    co_return fromBeast(parser.release());
+}
+
+bool Connection::isReusable() const
+{
+    return state_->reusable_;
+}
+
+void Connection::close()
+{
+    state_->reusable_ = false;
+    state_->stream_.close();
+}
+
+asio::awaitable<ExchangeOutcome> exchangeOnce(asio::any_io_executor executor, Address address, Request request, Duration limit)
+{
+    auto connection = co_await Connection::connect(executor, std::move(address), limit);
+    if (!connection.ok())
+        co_return ExchangeFailure { false, connection.status() };
+    co_return co_await (*connection)->exchange(std::move(request), limit);
+}
+
+} // namespace persimmondoor::http
--- /dev/null
+++ b/http/src/Convert.h
@@ -0,0 +1,21 @@
+// Converts between the plain HTTP values and those of Beast.
+#pragma once
+
+#include "persimmondoor/http/Message.h"
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace persimmondoor::http {
+
+using BeastRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using BeastResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+Request fromBeast(BeastRequest&&);
+Response fromBeast(BeastResponse&&);
+BeastRequest toBeast(Request&&);
+// `keepAlive` tells the client whether the connection stays open.
+BeastResponse toBeast(Response&&, bool keepAlive);
+
+} // namespace persimmondoor::http
--- /dev/null
+++ b/http/src/Server.cpp
@@ -0,0 +1,185 @@
+#include "persimmondoor/http/Server.h"
+
+#include "Convert.h"
+#include "persimmondoor/core/Coroutine.h"
+
+#include "persimmondoor/core/Text.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <set>
+
+namespace persimmondoor::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+// One accepted connection.
+struct Session {
+    explicit Session(asio::ip::tcp::socket socket)
+        : stream_(std::move(socket))
+    {
+    }
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    bool idle_ { true };
+};
+
+struct Server::State {
+    State(asio::ip::tcp::acceptor acceptor, Limits limits, Handler handler)
+        : acceptor_(std::move(acceptor))
+        , local_(acceptor_.local_endpoint())
+        , limits_(limits)
+        , handler_(std::move(handler))
+    {
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    asio::ip::tcp::endpoint local_;
+    Limits limits_;
+    Handler handler_;
+    std::set<std::shared_ptr<Session>> sessions_;
+    size_t inFlight_ { 0 };
+    bool stopping_ { false };
+};
+
+namespace {
+
+    asio::awaitable<bool> writeResponse(std::shared_ptr<Session> session, Response response, bool keepAlive)
+    {
+        BeastResponse message = toBeast(std::move(response), keepAlive);
+        boost::system::error_code error;
+        co_await beast::http::async_write(session->stream_, message, asio::redirect_error(asio::use_awaitable, error));
+        co_return !error;
+    }
+
+    Response responseToBadRead(const boost::system::error_code& error, const Limits& limits)
+    {
+        if (error == beast::http::error::body_limit)
+            return errorResponse(413, "too-large", concat("the body exceeds ", limits.bodyBytes_, " bytes"));
+        if (error == beast::http::error::header_limit)
+            return errorResponse(413, "too-large", concat("the header exceeds ", limits.headerBytes_, " bytes"));
+        return errorResponse(400, "malformed-request", error.message());
+    }
+
+    bool isProtocolError(const boost::system::error_code& error)
+    {
+        return error && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message
+            && error.category() == make_error_code(beast::http::error::bad_target).category();
+    }
+
+} // namespace
+
+// Reads one request, calls the handler and answers. Returns whether another may follow.
+template <typename State>
+static asio::awaitable<bool> serveOne(std::shared_ptr<State> state, std::shared_ptr<Session> session)
+{
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.body_limit(state->limits_.bodyBytes_);
+    parser.header_limit(static_cast<std::uint32_t>(state->limits_.headerBytes_));
+    session->stream_.expires_after(state->limits_.idleTimeout_);
+    boost::system::error_code error;
+    co_await beast::http::async_read(session->stream_, session->buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    session->stream_.expires_never();
+    if (isProtocolError(error)) {
+        co_await writeResponse(session, responseToBadRead(error, state->limits_), false);
+        co_return false;
+    }
+    if (error)
+        co_return false;
+    bool keepAlive = parser.get().keep_alive();
+    session->idle_ = false;
+    ++state->inFlight_;
+    Response response = co_await state->handler_(fromBeast(parser.release()));
+    keepAlive = keepAlive && !state->stopping_;
+    bool written = co_await writeResponse(session, std::move(response), keepAlive);
+    --state->inFlight_;
+    session->idle_ = true;
+    co_return written&& keepAlive;
+}
+
+template <typename State>
+static asio::awaitable<void> serveSession(std::shared_ptr<State> state, std::shared_ptr<Session> session)
+{
+    while (co_await serveOne(state, session)) {
+    }
+    boost::system::error_code ignored;
+    session->stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored); // NOLINT(bugprone-unused-return-value)
+    state->sessions_.erase(session);
+}
+
+template <typename State>
+static asio::awaitable<void> acceptSessions(std::shared_ptr<State> state)
+{
+    while (state->acceptor_.is_open()) {
+        asio::ip::tcp::socket socket = co_await state->acceptor_.async_accept(asio::use_awaitable);
+        socket.set_option(asio::ip::tcp::no_delay(true));
+        auto session = std::make_shared<Session>(std::move(socket));
+        state->sessions_.insert(session);
+        spawn(state->acceptor_.get_executor(), "http session", serveSession(state, session));
+    }
+}
+
+Server::Server(std::shared_ptr<State> state)
+    : state_(std::move(state))
+{
+}
+
+Server::~Server()
+{
+    close();
+}
+
+absl::StatusOr<std::unique_ptr<Server>> Server::listen(const asio::any_io_executor& executor, const Address& address, Limits limits, Handler handler)
+{
+    asio::ip::tcp::acceptor acceptor(executor);
+    asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip()), address.port());
+    try {
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen();
+    } catch (const boost::system::system_error& error) {
+        return absl::UnavailableError(concat("cannot listen on ", address.text(), ": ", error.what()));
+    }
+    auto state = std::make_shared<State>(std::move(acceptor), limits, std::move(handler));
+    spawn(executor, "http server", acceptSessions(state));
+    return std::unique_ptr<Server>(new Server(std::move(state)));
+}
+
+Address Server::address() const
+{
+    return *Address::parse(concat(state_->local_.address().to_string(), ":", state_->local_.port()));
+}
+
+void Server::stopAccepting()
+{
+    state_->stopping_ = true;
+    boost::system::error_code ignored;
+    state_->acceptor_.close(ignored); // NOLINT(bugprone-unused-return-value)
+    for (const std::shared_ptr<Session>& session : state_->sessions_) {
+        if (session->idle_)
+            session->stream_.cancel();
+    }
+}
+
+size_t Server::inFlight() const
+{
+    return state_->inFlight_;
+}
+
+void Server::close()
+{
+    stopAccepting();
+    for (const std::shared_ptr<Session>& session : state_->sessions_)
+        session->stream_.close();
+}
+
+} // namespace persimmondoor::http
--- /dev/null
+++ b/rpc/include/persimmondoor/rpc/Server.h
@@ -0,0 +1,45 @@
+/// Accepts connections of other processes and offers interfaces on them, by name.
+///
+/// \code
+/// rpc::Interfaces interfaces;
+/// interfaces.add("admission", kj::heap<AdmissionServer>(gate));
+/// absl::StatusOr<std::unique_ptr<rpc::Server>> server = rpc::Server::listen(executor, address, std::move(interfaces));
+/// \endcode
+#pragma once
+
+#include "persimmondoor/core/Address.h"
+
+#include <absl/status/statusor.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <capnp/capability.h>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace persimmondoor::rpc {
+
+/// The interfaces that a process serves.
+class Interfaces {
+public:
+    void add(std::string name, capnp::Capability::Client client) { clients_.insert_or_assign(std::move(name), kj::mv(client)); }
+    /// \return the interface, or a broken capability that names what is missing.
+    capnp::Capability::Client find(const std::string& name) const;
+
+private:
+    mutable std::map<std::string, capnp::Capability::Client> clients_;
+};
+
+class Server {
+public:
+    /// Listens on `address`; port 0 picks a free one.
+    /// \return the server, or Unavailable with the system's reason.
+    static absl::StatusOr<std::unique_ptr<Server>> listen(const boost::asio::any_io_executor&, const Address&, Interfaces);
+
+    virtual ~Server() noexcept(false) = default;
+    /// Where the server listens.
+    virtual Address address() const = 0;
+    /// Stops accepting and closes all connections.
+    virtual void close() = 0;
+};
+
+} // namespace persimmondoor::rpc
--- /dev/null
+++ b/rpc/src/SocketStream.h
@@ -0,0 +1,39 @@
+// Presents an Asio TCP socket as a stream of Cap'n Proto.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <kj/async-io.h>
+#include <memory>
+
+namespace persimmondoor::rpc {
+
+// Bytes that went through one stream.
+struct StreamBytes {
+    uint64_t sent_ { 0 };
+    uint64_t received_ { 0 };
+    bool operator==(const StreamBytes&) const = default;
+};
+
+class SocketStream final : public kj::AsyncIoStream {
+public:
+    explicit SocketStream(boost::asio::ip::tcp::socket);
+    ~SocketStream() noexcept(false);
+
+    kj::Promise<size_t> read(void* buffer, size_t minimumBytes, size_t maximumBytes) override;
+    kj::Promise<size_t> tryRead(void* buffer, size_t minimumBytes, size_t maximumBytes) override;
+    kj::Promise<void> write(const void* buffer, size_t size) override;
+    kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override;
+    kj::Promise<void> whenWriteDisconnected() override { return kj::NEVER_DONE; }
+    void shutdownWrite() override;
+    void abortRead() override;
+
+private:
+    // Shared with the handlers of operations in flight.
+    std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
+};
+
+// Bytes of all streams of this thread, for measurements.
+StreamBytes& threadStreamBytes();
+
+} // namespace persimmondoor::rpc
