--- /dev/null
+++ b/admission/include/persimmondoor/admission/Request.h
@@ -0,0 +1,45 @@
+/// A caller's request on its way to a service instance, and the answer on its way back.
+///
+/// \code
+/// ServiceRequest request { .id_ = RequestId::of("r-1"), .service_ = ServiceName::of("packs") };
+/// \endcode
+#pragma once
+
+#include "persimmondoor/core/Ids.h"
+#include "persimmondoor/core/Outcome.h"
+#include "persimmondoor/core/Tier.h"
+#include "persimmondoor/core/Time.h"
+
+namespace persimmondoor::admission {
+
+struct ServiceRequest {
+    RequestId id_;
+    ServiceName service_;
+    EndpointName endpoint_;
+    Tier tier_ { Tier::Trial };
+    /// May run more than once without harm.
+    bool idempotent_ { false };
+    /// Time left until the caller's deadline. A span, as clocks are never compared across hosts.
+    Duration timeLeft_ { 0 };
+    std::string method_;
+    std::string target_;
+    std::vector<HeaderField> headers_;
+    std::string body_;
+    bool operator==(const ServiceRequest&) const = default;
+};
+
+/// An endpoint's load at the time of an answer.
+struct EndpointLoad {
+    uint32_t running_ { 0 };
+    uint32_t queued_ { 0 };
+    uint32_t slots_ { 0 };
+    auto operator<=>(const EndpointLoad&) const = default;
+};
+
+struct ServiceAnswer {
+    RequestOutcome outcome_;
+    EndpointLoad load_;
+    bool operator==(const ServiceAnswer&) const = default;
+};
+
+} // namespace persimmondoor::admission
--- /dev/null
+++ b/membership/include/persimmondoor/membership/ViewActor.h
@@ -0,0 +1,36 @@
+/// The actor that owns an entry's view of the workers and tells a listener what changes.
+///
+/// \code
+/// ViewActor view(executor, clock, [router](const ViewAction& action) { router.post(action); });
+/// view.announce(announcement);
+/// \endcode
+#pragma once
+
+#include "persimmondoor/core/Mailbox.h"
+#include "persimmondoor/membership/View.h"
+#include "persimmondoor/rpc/Server.h"
+
+#include <functional>
+
+namespace persimmondoor::membership {
+
+using ViewListener = std::function<void(const ViewAction&)>;
+
+class ViewActor {
+public:
+    /// Starts the actor on `executor`.
+    ViewActor(const boost::asio::any_io_executor& executor, Clock clock, ViewListener listener);
+
+    /// Takes an announcement in; if the mailbox is full it is dropped, as the next one repeats it.
+    void announce(Announcement) const;
+    /// Ends the actor.
+    void stop() const { mailbox_.close(); }
+
+private:
+    Mailbox<ViewMessage> mailbox_;
+};
+
+/// Offers the view to agents under the name "membership".
+void offerMembership(rpc::Interfaces&, ViewActor);
+
+} // namespace persimmondoor::membership
--- /dev/null
+++ b/membership/src/Announcer.cpp
@@ -0,0 +1,66 @@
+#include "persimmondoor/membership/Announcer.h"
+
+#include "Codec.h"
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
+#include "persimmondoor/rpc/Call.h"
+#include "persimmondoor/rpc/Link.h"
+
+namespace persimmondoor::membership {
+
+namespace asio = boost::asio;
+
+static constexpr size_t mailboxCapacity = 16;
+static constexpr Duration announceTimeout = std::chrono::seconds(1);
+
+static asio::awaitable<void> announceTo(rpc::Link link, Announcement announcement)
+{
+    auto found = co_await link.find("membership");
+    if (!found.ok()) {
+        logDebug("membership.entry_unreachable", { { "entry", link.address().text() }, { "error", std::string(found.status().message()) } });
+        co_return;
+    }
+    auto request = found->castAs<wire::Membership>().announceRequest();
+    encode(announcement, request.initAnnouncement());
+    auto answer = co_await rpc::call(
+        request.send(), [](auto&) { return true; }, announceTimeout);
+    if (!answer.ok())
+        logDebug("membership.announce_failed", { { "entry", link.address().text() }, { "error", std::string(answer.status().message()) } });
+}
+
+Announcer::Announcer(const asio::any_io_executor& executor, std::vector<Address> entries, Announcement announcement)
+    : mailbox_(executor, mailboxCapacity)
+{
+    spawn(executor, "announcer", run(mailbox_, std::move(entries), std::move(announcement)));
+    spawn(executor, "announcer tick", tick(mailbox_));
+}
+
+void Announcer::leave() const
+{
+    mailbox_.tryPost(Leave {});
+}
+
+asio::awaitable<void> Announcer::run(Mailbox<Message> mailbox, std::vector<Address> entries, Announcement announcement)
+{
+    asio::any_io_executor executor = co_await asio::this_coro::executor;
+    std::vector<rpc::Link> links;
+    links.reserve(entries.size());
+    for (Address& entry : entries)
+        links.emplace_back(executor, std::move(entry));
+    for (;;) {
+        for (const rpc::Link& link : links)
+            spawn(executor, "announce", announceTo(link, announcement));
+        Message message = co_await mailbox.receive();
+        announcement.leaving_ = announcement.leaving_ || std::holds_alternative<Leave>(message);
+        announcement.sequence_ = announcement.sequence_.next();
+    }
+}
+
+asio::awaitable<void> Announcer::tick(Mailbox<Message> mailbox)
+{
+    do
+        co_await sleepFor(announceInterval);
+    while (mailbox.tryPost(Due {}));
+}
+
+} // namespace persimmondoor::membership
--- /dev/null
+++ b/routing/include/persimmondoor/routing/HTTPFront.h
@@ -0,0 +1,32 @@
+/// Callers' HTTP interface: `/services/<service>/<path>` is sent to an endpoint of that service. Any other encoding
+/// of requests can stand beside it and use the same router.
+///
+/// | outcome | status | `Persimmondoor-Outcome` |
+/// | --- | --- | --- |
+/// | done | that of the service instance | `done` |
+/// | not run | 503, or 400 for a malformed request | `not-run`, with `Persimmondoor-Reason` |
+/// | unknown | 504 | `unknown` |
+///
+/// \code
+/// auto server = http::Server::listen(executor, address, limits, makeHTTPFront(name, router));
+/// \endcode
+#pragma once
+
+#include "persimmondoor/http/Server.h"
+#include "persimmondoor/routing/RouterActor.h"
+
+namespace persimmondoor::routing {
+
+/// Path below which services are found.
+inline constexpr std::string_view servicesPath = "/services/";
+/// Request header: time until the caller's deadline, in milliseconds.
+inline constexpr std::string_view deadlineHeader = "Persimmondoor-Deadline-Ms";
+/// Response header: done, not-run or unknown.
+inline constexpr std::string_view outcomeHeader = "Persimmondoor-Outcome";
+/// Response header: why a request was not run.
+inline constexpr std::string_view reasonHeader = "Persimmondoor-Reason";
+
+/// \param process the entry's name, a part of the request ids that it gives out.
+http::Handler makeHTTPFront(ProcessName process, RouterActor router);
+
+} // namespace persimmondoor::routing
--- /dev/null
+++ b/routing/src/HTTPFront.cpp
@@ -0,0 +1,89 @@
+#include "persimmondoor/routing/HTTPFront.h"
+
+#include "persimmondoor/core/Text.h"
+#include "persimmondoor/core/Visitor.h"
+#include "persimmondoor/http/Routes.h"
+
+#include <absl/strings/numbers.h>
+#include <memory>
+
+namespace persimmondoor::routing {
+
+namespace asio = boost::asio;
+
+static constexpr int64_t maximumDeadlineMilliseconds = 600'000;
+
+static bool isIdempotent(const std::string& method)
+{
+    return method != "POST" && method != "PATCH";
+}
+
+static http::Response withOutcome(http::Response response, std::string outcome)
+{
+    response.headers_.push_back({ std::string(outcomeHeader), std::move(outcome) });
+    return response;
+}
+
+static http::Response toResponse(RequestOutcome outcome)
+{
+    return std::visit(Visitor {
+                          [](Done& done) { return withOutcome({ done.status_, std::move(done.headers_), std::move(done.body_) }, "done"); },
+                          [](NotRun& notRun) {
+                              int status = notRun.reason_ == NotRunReason::BadRequest ? 400 : 503;
+                              http::Response response = http::errorResponse(status, describe(notRun.reason_), notRun.detail_);
+                              response.headers_.push_back({ std::string(reasonHeader), std::string(describe(notRun.reason_)) });
+                              return withOutcome(std::move(response), "not-run");
+                          },
+                          [](Unknown& unknown) { return withOutcome(http::errorResponse(504, "unknown", unknown.detail_), "unknown"); },
+                      },
+        outcome);
+}
+
+static absl::StatusOr<Duration> readDeadline(const http::Request& request)
+{
+    auto header = http::findHeader(request.headers_, deadlineHeader);
+    if (!header)
+        return Duration(0);
+    int64_t milliseconds = 0;
+    if (!absl::SimpleAtoi(*header, &milliseconds) || milliseconds < 1 || milliseconds > maximumDeadlineMilliseconds)
+        return absl::InvalidArgumentError(concat(deadlineHeader, " must be from 1 to ", maximumDeadlineMilliseconds));
+    return std::chrono::milliseconds(milliseconds);
+}
+
+static absl::StatusOr<admission::ServiceRequest> toServiceRequest(http::Request request, RequestId id)
+{
+    std::string_view below = request.target_;
+    if (!below.starts_with(servicesPath))
+        return absl::InvalidArgumentError(concat("the path must start with ", servicesPath));
+    below.remove_prefix(servicesPath.size());
+    size_t end = std::min(below.find('/'), below.find('?'));
+    auto service = ServiceName::create(std::string(below.substr(0, end)));
+    auto deadline = readDeadline(request);
+    for (const absl::Status& status : { service.status(), deadline.status() }) {
+        if (!status.ok())
+            return status;
+    }
+    std::string_view rest = end >= below.size() ? std::string_view() : below.substr(end);
+    std::string target = rest.starts_with('/') ? std::string(rest) : concat("/", rest);
+    bool idempotent = isIdempotent(request.method_);
+    return admission::ServiceRequest { std::move(id), *service, {}, Tier::Trial, idempotent, *deadline, std::move(request.method_), std::move(target),
+        std::move(request.headers_), std::move(request.body_) };
+}
+
+static asio::awaitable<http::Response> serve(RouterActor router, http::Request request, RequestId id)
+{
+    auto serviceRequest = toServiceRequest(std::move(request), std::move(id));
+    if (!serviceRequest.ok())
+        co_return toResponse(NotRun { NotRunReason::BadRequest, std::string(serviceRequest.status().message()) });
+    co_return toResponse(co_await router.route(*std::move(serviceRequest)));
+}
+
+http::Handler makeHTTPFront(ProcessName process, RouterActor router)
+{
+    // Tells apart the request ids of two lives of one entry.
+    std::string prefix = concat(process.value(), "-", wallMilliseconds(), "-");
+    auto requests = std::make_shared<uint64_t>(0);
+    return [=](http::Request request) { return serve(router, std::move(request), RequestId::of(concat(prefix, ++*requests))); };
+}
+
+} // namespace persimmondoor::routing
