--- /dev/null
+++ b/app/include/persimmondoor/app/Standins.h
@@ -0,0 +1,36 @@
+/// Stand-ins of what surrounds the system, for trials and tests: service instances that echo what they are sent.
+///
+/// \code
+/// absl::StatusOr<std::unique_ptr<Standins>> standins = Standins::start(executor, site);
+/// settings::Site resolved = (*standins)->site();
+/// \endcode
+#pragma once
+
+#include "persimmondoor/http/Server.h"
+#include "persimmondoor/settings/Site.h"
+
+#include <memory>
+#include <vector>
+
+namespace persimmondoor::app {
+
+class Standins {
+public:
+    /// Starts one service instance for each endpoint of the site.
+    /// \return the stand-ins, or Unavailable if an address cannot be listened on.
+    static absl::StatusOr<std::unique_ptr<Standins>> start(const boost::asio::any_io_executor&, settings::Site);
+
+    /// The site with the addresses where the stand-ins listen in fact.
+    const settings::Site& site() const { return site_; }
+
+private:
+    explicit Standins(settings::Site site)
+        : site_(std::move(site))
+    {
+    }
+
+    settings::Site site_;
+    std::vector<std::unique_ptr<http::Server>> servers_;
+};
+
+} // namespace persimmondoor::app
--- /dev/null
+++ b/app/src/Options.cpp
@@ -0,0 +1,66 @@
+#include "Options.h"
+
+#include "persimmondoor/core/Text.h"
+
+#include <cxxopts.hpp>
+#include <fstream>
+#include <sstream>
+
+namespace persimmondoor::app {
+
+static absl::StatusOr<std::string> readFile(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf()))
+        return absl::NotFoundError(concat("cannot read ", path));
+    return text.str();
+}
+
+static cxxopts::Options daemonFlags(const std::string& subcommand)
+{
+    cxxopts::Options flags("persimmondoor " + subcommand);
+    auto add = flags.add_options();
+    add("settings", "site file, in JSON", cxxopts::value<std::string>());
+    add("name", "name of this process in the site file", cxxopts::value<std::string>()->default_value(""));
+    add("log-level", "debug, info, warning or error", cxxopts::value<std::string>()->default_value("warning"));
+    add("shutdown-limit-ms", "longest wait for requests in flight at a shutdown", cxxopts::value<int64_t>()->default_value("10000"));
+    return flags;
+}
+
+static absl::StatusOr<DaemonOptions> toOptions(const cxxopts::ParseResult& result)
+{
+    if (result.count("settings") == 0)
+        return absl::InvalidArgumentError("--settings is missing");
+    DaemonOptions options;
+    options.settingsPath_ = result["settings"].as<std::string>();
+    options.name_ = result["name"].as<std::string>();
+    options.shutdownLimit_ = std::chrono::milliseconds(result["shutdown-limit-ms"].as<int64_t>());
+    if (absl::Status status = parseLogLevel(result["log-level"].as<std::string>(), options.logLevel_); !status.ok())
+        return status;
+    auto text = readFile(options.settingsPath_);
+    if (!text.ok())
+        return text.status();
+    auto site = settings::parseSite(*text);
+    if (!site.ok())
+        return site.status();
+    options.site_ = *std::move(site);
+    return options;
+}
+
+absl::StatusOr<DaemonOptions> readDaemonOptions(const std::string& subcommand, std::vector<std::string> arguments)
+{
+    std::vector<const char*> pointers { "persimmondoor" };
+    for (const std::string& argument : arguments)
+        pointers.push_back(argument.c_str());
+    try {
+        cxxopts::ParseResult result = daemonFlags(subcommand).parse(static_cast<int>(pointers.size()), pointers.data());
+        if (!result.unmatched().empty())
+            return absl::InvalidArgumentError(concat("unknown argument ", result.unmatched().front()));
+        return toOptions(result);
+    } catch (const cxxopts::exceptions::exception& error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+} // namespace persimmondoor::app
--- /dev/null
+++ b/app/standin/main.cpp
@@ -0,0 +1,6 @@
+#include "persimmondoor/app/Main.h"
+
+int main(int argc, char** argv)
+{
+    return persimmondoor::app::runStandins(argc, argv);
+}
