--- a/build.sh
+++ b/build.sh
@@ -29,7 +29,7 @@
 build() {
   install_packages
   cmake -S . -B "$build_dir" -G Ninja -DCMAKE_BUILD_TYPE=Release >&2
-  ninja -C "$build_dir" >&2
+  ninja -C "$build_dir" -j "${BUILD_JOBS:-$(nproc)}" >&2
 }
 
 sources() { git ls-files -co --exclude-standard -- '*.cpp' '*.h' | grep -v '/generated/' | while read -r file; do [ -e "$file" ] && echo "$file"; done; }
