Make admission right under failing service instances

Cause: a request past its deadline freed its slot while the instance was still busy with it; a repeated id could run again after its first run; an end of an exchange was lost when the mailbox was full; an answer without a length passed as whole; a stray answer on an idle connection became that of the next request; a reason out of range was cast into the enum.

--- a/admission/include/persimmondoor/admission/GateActor.h
+++ b/admission/include/persimmondoor/admission/GateActor.h
@@ -26,10 +26,14 @@
     /// \return its handle, or InvalidArgument as `Gate::create`.
     static absl::StatusOr<GateActor> create(const boost::asio::any_io_executor& executor, Clock clock, const std::vector<LocalEndpoint>& endpoints);
 
-    /// Serves `request`; a full mailbox gives "not run".
+    /// Serves `request`; a full mailbox gives "not run". Cancelling the coroutine takes the request out of the queue; one
+    /// that was handed over keeps its slot until the service instance is done with it.
     boost::asio::awaitable<ServiceAnswer> serve(ServiceRequest) const;
-    /// Refuses everything new and returns when what was handed over has finished.
-    boost::asio::awaitable<void> drain() const;
+    /// Refuses everything new and returns when what was taken in has finished, or after `limit`.
+    /// \return the number of requests that wait or run still.
+    boost::asio::awaitable<size_t> drain(Duration limit) const;
+    /// Load of one endpoint.
+    boost::asio::awaitable<EndpointLoad> load(EndpointName) const;
     /// Ends the actor.
     void stop() const { mailbox_.close(); }
 
@@ -38,7 +42,12 @@
         ServiceRequest request_;
         Reply<ServiceAnswer> reply_;
     };
-    /// The exchange with the service instance has ended.
+    /// The sender of a request no longer waits. Lost if the mailbox is full; the deadline then frees the request.
+    struct Cancel {
+        RequestId id_;
+    };
+    /// The exchange with the service instance has ended. Never lost: the exchange waits for room in the mailbox, and
+    /// there are at most as many exchanges as slots.
     struct ExchangeEnded {
         RequestId id_;
         RequestOutcome outcome_;
@@ -47,9 +56,17 @@
     struct Tick {
     };
     struct Drain {
-        Reply<bool> drained_;
+        Duration limit_;
+        Reply<size_t> left_;
+    };
+    /// The time that a drain may take is over.
+    struct DrainEnded {
+    };
+    struct AskLoad {
+        EndpointName endpoint_;
+        Reply<EndpointLoad> reply_;
     };
-    using Message = std::variant<Serve, ExchangeEnded, Tick, Drain>;
+    using Message = std::variant<Serve, Cancel, ExchangeEnded, Tick, Drain, DrainEnded, AskLoad>;
 
 private:
     explicit GateActor(Mailbox<Message> mailbox)
--- a/admission/include/persimmondoor/admission/Request.h
+++ b/admission/include/persimmondoor/admission/Request.h
@@ -12,6 +12,13 @@
 
 namespace persimmondoor::admission {
 
+/// Header field that tells a service instance the request's id. An instance that repeats it in its answer lets a
+/// crossed answer be detected.
+inline constexpr std::string_view requestIdHeader = "Persimmondoor-Request-Id";
+
+/// Longest time that a request may take.
+inline constexpr Duration maximumTimeLeft = std::chrono::minutes(10);
+
 struct ServiceRequest {
     RequestId id_;
     ServiceName service_;
--- a/admission/src/BackendPool.cpp
+++ b/admission/src/BackendPool.cpp
@@ -1,26 +1,61 @@
 #include "BackendPool.h"
 
+#include "persimmondoor/admission/Request.h"
+#include "persimmondoor/core/Invariant.h"
+
+#include <algorithm>
+
 namespace persimmondoor::admission {
 
 namespace asio = boost::asio;
 
-asio::awaitable<http::ExchangeOutcome> BackendPool::exchange(http::Request request, Duration limit)
+// Longest wait for an endpoint on this host to accept a connection.
+static constexpr Duration connectLimit = std::chrono::milliseconds(500);
+
+static void setRequestId(http::Request& request, const RequestId& id)
 {
-    std::shared_ptr<http::Connection> connection;
-    while (!connection && !idle_.empty()) {
-        if (idle_.back()->isReusable())
-            connection = idle_.back();
+    std::erase_if(request.headers_, [](const HeaderField& field) { return http::findHeader({ field }, requestIdHeader).has_value(); });
+    request.headers_.push_back({ std::string(requestIdHeader), id.value() });
+}
+
+static bool answersAnotherRequest(const http::ExchangeOutcome& outcome, const RequestId& id)
+{
+    const auto* response = std::get_if<http::Response>(&outcome);
+    if (!response)
+        return false;
+    auto answered = http::findHeader(response->headers_, requestIdHeader);
+    return answered && *answered != id.value();
+}
+
+asio::awaitable<absl::StatusOr<std::shared_ptr<http::Connection>>> BackendPool::take(Duration limit)
+{
+    while (!idle_.empty()) {
+        std::shared_ptr<http::Connection> connection = std::move(idle_.back());
         idle_.pop_back();
+        if (connection->isReusable())
+            co_return connection;
+    }
+    co_return co_await http::Connection::connect(executor_, address_, std::min(limit, connectLimit));
+}
+
+asio::awaitable<http::ExchangeOutcome> BackendPool::exchange(RequestId id, http::Request request, Duration limit)
+{
+    ++inUse_;
+    assertInvariant(inUse_ <= connections_, "an endpoint's connections are within its limit");
+    setRequestId(request, id);
+    auto connection = co_await take(limit);
+    if (!connection.ok()) {
+        --inUse_;
+        co_return http::ExchangeFailure { false, connection.status() };
     }
-    if (!connection) {
-        auto made = co_await http::Connection::connect(executor_, address_, limit);
-        if (!made.ok())
-            co_return http::ExchangeFailure { false, made.status() };
-        connection = *made;
+    http::ExchangeOutcome outcome = co_await (*connection)->exchange(std::move(request), limit);
+    --inUse_;
+    if (answersAnotherRequest(outcome, id)) {
+        (*connection)->close();
+        co_return http::ExchangeFailure { true, absl::DataLossError("the answer belongs to another request") };
     }
-    http::ExchangeOutcome outcome = co_await connection->exchange(std::move(request), limit);
-    if (connection->isReusable())
-        idle_.push_back(std::move(connection));
+    if ((*connection)->isReusable())
+        idle_.push_back(*std::move(connection));
     co_return outcome;
 }
 
--- a/admission/src/Codec.cpp
+++ b/admission/src/Codec.cpp
@@ -2,6 +2,8 @@
 
 #include "persimmondoor/core/Visitor.h"
 
+#include <algorithm>
+
 namespace persimmondoor::admission {
 
 static void encodeHeaders(const std::vector<HeaderField>& headers, capnp::List<wire::Header>::Builder wire)
@@ -53,8 +55,11 @@
         if (!status.ok())
             return status;
     }
+    if (wire.getMethod().size() == 0 || wire.getTarget().size() == 0)
+        return absl::InvalidArgumentError("a request needs a method and a target");
+    Duration timeLeft = std::clamp(Duration(wire.getTimeLeft()), Duration(0), maximumTimeLeft);
     return ServiceRequest { *id, *service, *endpoint, wire.getTrial() ? Tier::Trial : Tier::Paying, wire.getIdempotent(),
-        Duration(wire.getTimeLeft()), wire.getMethod().cStr(), wire.getTarget().cStr(), decodeHeaders(wire.getHeaders()), fromData(wire.getBody()) };
+        timeLeft, wire.getMethod().cStr(), wire.getTarget().cStr(), decodeHeaders(wire.getHeaders()), fromData(wire.getBody()) };
 }
 
 void encode(const ServiceAnswer& answer, wire::Answer::Builder wire)
@@ -80,12 +85,24 @@
         answer.outcome_);
 }
 
+static NotRunReason decodeReason(uint16_t reason)
+{
+    return reason < static_cast<uint16_t>(NotRunReason::Unspecified) ? static_cast<NotRunReason>(reason) : NotRunReason::Unspecified;
+}
+
+static bool isHTTPStatus(uint16_t status)
+{
+    return status >= 100 && status <= 999;
+}
+
 static RequestOutcome decodeOutcome(wire::Answer::Reader wire)
 {
+    if (wire.isDone() && !isHTTPStatus(wire.getDone().getStatus()))
+        return Unknown { "the answer's status is not one of HTTP" };
     if (wire.isDone())
         return Done { wire.getDone().getStatus(), decodeHeaders(wire.getDone().getHeaders()), fromData(wire.getDone().getBody()) };
     if (wire.isNotRun())
-        return NotRun { static_cast<NotRunReason>(wire.getNotRun().getReason()), wire.getNotRun().getNotRunDetail().cStr() };
+        return NotRun { decodeReason(wire.getNotRun().getReason()), wire.getNotRun().getNotRunDetail().cStr() };
     return Unknown { wire.isUnknown() ? wire.getUnknown().getUnknownDetail().cStr() : "answer of an unknown kind" };
 }
 
--- a/admission/src/GateActor.cpp
+++ b/admission/src/GateActor.cpp
@@ -5,6 +5,7 @@
 #include "persimmondoor/core/Visitor.h"
 
 #include <boost/asio/this_coro.hpp>
+#include <boost/system/system_error.hpp>
 #include <map>
 #include <optional>
 
@@ -14,6 +15,8 @@
 
 static constexpr size_t mailboxCapacity = 4096;
 static constexpr Duration deadlineCheckInterval = std::chrono::milliseconds(20);
+// Beyond its deadline, a request may keep its slot for this long while the service instance is busy with it.
+static constexpr Duration abandonedSlotLimit = std::chrono::seconds(5);
 
 namespace {
 
@@ -33,7 +36,7 @@
             , mailbox_(std::move(mailbox))
         {
             for (const LocalEndpoint& endpoint : endpoints)
-                pools_.emplace(endpoint.capacity_.endpoint_, std::make_shared<BackendPool>(executor_, endpoint.address_));
+                pools_.emplace(endpoint.capacity_.endpoint_, std::make_shared<BackendPool>(executor_, endpoint.address_, endpoint.capacity_.connections_));
         }
 
         asio::awaitable<void> run(std::shared_ptr<GateLoop> self)
@@ -41,6 +44,7 @@
             for (;;) {
                 GateActor::Message message = co_await mailbox_.receive();
                 std::visit([&](auto& alternative) { self->handle(alternative); }, message);
+                self->reportDrained(false);
             }
         }
 
@@ -49,23 +53,29 @@
         {
             Instant deadline = now(clock_) + message.request_.timeLeft_;
             Arrived arrived { message.request_.id_, message.request_.endpoint_, message.request_.tier_, deadline };
-            if (pending_.contains(arrived.id_)) {
-                message.reply_.send({ NotRun { NotRunReason::DuplicateRequest, "the request is already here" }, gate_.load(arrived.endpoint_) });
+            std::vector<GateAction> actions = step(arrived);
+            if (!actions.empty() && std::holds_alternative<AnswerRepeat>(actions.front())) {
+                message.reply_.send({ Unknown { "a request of this id was taken in before" }, gate_.load(arrived.endpoint_) });
                 return;
             }
-            pending_.emplace(arrived.id_, Pending { std::move(message.request_), message.reply_, deadline });
-            apply(arrived);
+            pending_.insert_or_assign(arrived.id_, Pending { std::move(message.request_), message.reply_, deadline });
+            perform(actions);
             startTicks();
         }
 
+        void handle(const GateActor::Cancel& message)
+        {
+            apply(Cancelled { message.id_ });
+            pending_.erase(message.id_);
+        }
+
         void handle(GateActor::ExchangeEnded& message)
         {
-            apply(Finished { message.id_ });
+            apply(Finished { message.id_, !std::holds_alternative<NotRun>(message.outcome_) });
             answer(message.id_, std::move(message.outcome_));
-            reportDrained();
         }
 
-        void handle(GateActor::Tick&)
+        void handle(const GateActor::Tick&)
         {
             ticking_ = false;
             apply(DeadlinesChecked {});
@@ -74,42 +84,68 @@
 
         void handle(GateActor::Drain& message)
         {
-            drained_ = message.drained_;
+            drains_.push_back(message.left_);
             apply(DrainBegan {});
-            reportDrained();
+            spawn(executor_, "gate drain", postLater(mailbox_, GateActor::DrainEnded {}, message.limit_));
         }
 
-        void apply(const GateMessage& message)
+        void handle(const GateActor::DrainEnded&) { reportDrained(true); }
+
+        void handle(GateActor::AskLoad& message) { message.reply_.send(gate_.load(message.endpoint_)); }
+
+        std::vector<GateAction> step(const GateMessage& message)
         {
             GateDecision decision = decide(std::move(gate_), message, now(clock_));
             gate_ = std::move(decision.state_);
-            for (const GateAction& action : decision.actions_)
+            return std::move(decision.actions_);
+        }
+
+        void apply(const GateMessage& message) { perform(step(message)); }
+
+        void perform(const std::vector<GateAction>& actions)
+        {
+            for (const GateAction& action : actions)
                 std::visit([this](const auto& alternative) { perform(alternative); }, action);
         }
 
         void perform(const HandOver& action)
         {
-            spawn(executor_, "exchange", exchange(action.id_, pools_.at(action.endpoint_), pending_.at(action.id_)));
+            Pending& pending = pending_.at(action.id_);
+            ServiceRequest& request = pending.request_;
+            Duration limit = pending.deadline_ - now(clock_) + abandonedSlotLimit;
+            http::Request message { std::move(request.method_), std::move(request.target_), std::move(request.headers_), std::move(request.body_) };
+            spawn(executor_, "exchange", exchange(mailbox_, action.id_, pools_.at(action.endpoint_), std::move(message), limit));
         }
 
         void perform(const Refuse& action) { answer(action.id_, NotRun { action.reason_, "" }); }
 
+        void perform(const Abandon& action) { answer(action.id_, Unknown { "no answer from the service instance before the deadline" }); }
+
+        // The sender of a repeat is answered where its message is handled.
+        void perform(const AnswerRepeat&) { }
+
+        // Sends the answer, unless the sender has had one or has left.
         void answer(const RequestId& id, RequestOutcome outcome)
         {
             auto found = pending_.find(id);
+            if (found == pending_.end())
+                return;
             EndpointLoad load = gate_.load(found->second.request_.endpoint_);
             found->second.reply_.send({ std::move(outcome), load });
             pending_.erase(found);
         }
 
-        asio::awaitable<void> exchange(RequestId id, std::shared_ptr<BackendPool> pool, Pending pending)
+        static asio::awaitable<void> exchange(Mailbox<GateActor::Message> mailbox, RequestId id, std::shared_ptr<BackendPool> pool, http::Request message, Duration limit)
         {
-            Mailbox<GateActor::Message> mailbox = mailbox_;
-            Duration limit = pending.deadline_ - now(clock_);
-            ServiceRequest& request = pending.request_;
-            http::Request message { std::move(request.method_), std::move(request.target_), std::move(request.headers_), std::move(request.body_) };
-            http::ExchangeOutcome outcome = co_await pool->exchange(std::move(message), limit);
-            mailbox.tryPost(GateActor::ExchangeEnded { std::move(id), std::visit([](auto& alternative) { return toOutcome(alternative); }, outcome) });
+            http::ExchangeOutcome outcome = http::ExchangeFailure { true, absl::InternalError("the exchange failed") };
+            try {
+                outcome = co_await pool->exchange(id, std::move(message), limit);
+            } catch (const std::exception& failure) {
+                outcome = http::ExchangeFailure { true, absl::InternalError(failure.what()) };
+            }
+            RequestOutcome result = std::visit([](auto& alternative) { return toOutcome(alternative); }, outcome);
+            GateActor::Message ended = GateActor::ExchangeEnded { std::move(id), std::move(result) };
+            co_await mailbox.post(std::move(ended));
         }
 
         static RequestOutcome toOutcome(http::Response& response)
@@ -131,21 +167,23 @@
             if (ticking_ || pending_.empty())
                 return;
             ticking_ = true;
-            spawn(executor_, "gate tick", tick(mailbox_));
+            spawn(executor_, "gate tick", postLater(mailbox_, GateActor::Tick {}, deadlineCheckInterval));
         }
 
-        static asio::awaitable<void> tick(Mailbox<GateActor::Message> mailbox)
+        // Never loses the message: it waits for room.
+        static asio::awaitable<void> postLater(Mailbox<GateActor::Message> mailbox, GateActor::Message message, Duration delay)
         {
-            co_await sleepFor(deadlineCheckInterval);
-            mailbox.tryPost(GateActor::Tick {});
+            co_await sleepFor(delay);
+            co_await mailbox.post(std::move(message));
         }
 
-        void reportDrained()
+        void reportDrained(bool timeIsOver)
         {
-            if (drained_ && pending_.empty()) {
-                drained_->send(true);
-                drained_.reset();
-            }
+            if (!timeIsOver && gate_.held() > 0)
+                return;
+            for (const Reply<size_t>& left : drains_)
+                left.send(gate_.held());
+            drains_.clear();
         }
 
         asio::any_io_executor executor_;
@@ -154,7 +192,7 @@
         Mailbox<GateActor::Message> mailbox_;
         std::map<EndpointName, std::shared_ptr<BackendPool>> pools_;
         std::map<RequestId, Pending> pending_;
-        std::optional<Reply<bool>> drained_;
+        std::vector<Reply<size_t>> drains_;
         bool ticking_ { false };
     };
 
@@ -178,18 +216,39 @@
 asio::awaitable<ServiceAnswer> GateActor::serve(ServiceRequest request) const
 {
     Mailbox<Message> mailbox = mailbox_;
+    RequestId id = request.id_;
     Reply<ServiceAnswer> reply(co_await asio::this_coro::executor);
     if (!mailbox.tryPost(Serve { std::move(request), reply }))
         co_return ServiceAnswer { NotRun { NotRunReason::QueueFull, "the agent's mailbox is full" }, {} };
-    co_return co_await reply.receive();
+    try {
+        co_return co_await reply.receive();
+    } catch (const boost::system::system_error&) {
+        // The sender stopped waiting.
+        mailbox.tryPost(Cancel { std::move(id) });
+        throw;
+    }
+}
+
+asio::awaitable<size_t> GateActor::drain(Duration limit) const
+{
+    Mailbox<Message> mailbox = mailbox_;
+    Reply<size_t> left(co_await asio::this_coro::executor);
+    Message message = Drain { limit, left };
+    bool posted = co_await mailbox.post(std::move(message));
+    if (!posted)
+        co_return 0;
+    co_return co_await left.receive();
 }
 
-asio::awaitable<void> GateActor::drain() const
+asio::awaitable<EndpointLoad> GateActor::load(EndpointName endpoint) const
 {
     Mailbox<Message> mailbox = mailbox_;
-    Reply<bool> drained(co_await asio::this_coro::executor);
-    if (mailbox.tryPost(Drain { drained }))
-        co_await drained.receive();
+    Reply<EndpointLoad> reply(co_await asio::this_coro::executor);
+    Message message = AskLoad { std::move(endpoint), reply };
+    bool posted = co_await mailbox.post(std::move(message));
+    if (!posted)
+        co_return EndpointLoad {};
+    co_return co_await reply.receive();
 }
 
 } // namespace persimmondoor::admission
--- a/admission/src/Remote.cpp
+++ b/admission/src/Remote.cpp
@@ -28,7 +28,9 @@
                 encode({ NotRun { NotRunReason::BadRequest, std::string(request.status().message()) }, {} }, context.getResults().initAnswer());
                 return kj::READY_NOW;
             }
-            return rpc::promiseOf(executor_, run(gate_, *std::move(request), context));
+            // A caller that gave up frees what its request holds here.
+            context.allowCancellation();
+            return rpc::cancellablePromiseOf(executor_, run(gate_, *std::move(request), context));
         }
 
     private:
--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -50,18 +50,11 @@
     return std::unique_ptr<Agent>(new Agent(*std::move(gate), std::move(announcer), *std::move(server)));
 }
 
-static asio::awaitable<absl::StatusOr<bool>> drain(admission::GateActor gate)
-{
-    co_await gate.drain();
-    co_return true;
-}
-
 asio::awaitable<void> Agent::shutDown(Duration limit)
 {
     announcer_.leave();
-    auto drained = co_await withTimeout(drain(gate_), limit);
-    if (!drained.ok())
-        logWarning("agent.cut_off_requests", { { "error", std::string(drained.status().message()) } });
+    size_t left = co_await gate_.drain(limit);
+    logInfo("agent.stopped", { { "requests_cut_off", std::to_string(left) } });
     server_->close();
     announcer_.stop();
     gate_.stop();
--- a/core/include/persimmondoor/core/Mailbox.h
+++ b/core/include/persimmondoor/core/Mailbox.h
@@ -12,6 +12,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cstddef>
 #include <memory>
@@ -33,6 +34,17 @@
     /// \return false if the mailbox is full or closed; the message is then dropped.
     bool tryPost(Message message) const { return channel_->try_send(boost::system::error_code(), std::move(message)); }
 
+    /// Appends `message`, waiting for room; for messages that must not be lost.
+    /// \return false if the mailbox is closed.
+    boost::asio::awaitable<bool> post(Message message) const
+    {
+        std::shared_ptr<Channel> channel = channel_;
+        boost::system::error_code error;
+        std::optional<Message> held(std::move(message));
+        co_await channel->async_send(boost::system::error_code(), std::move(held), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        co_return !error;
+    }
+
     /// Waits for the next message.
     /// \throws boost::system::system_error when the mailbox is closed; it ends the actor's coroutine.
     boost::asio::awaitable<Message> receive() const
--- a/core/include/persimmondoor/core/Outcome.h
+++ b/core/include/persimmondoor/core/Outcome.h
@@ -34,7 +34,9 @@
     Unreachable,
     StoreUnavailable,
     DuplicateRequest,
-    BadRequest };
+    BadRequest,
+    /// Given by a peer of another version, with a reason unknown here. Stays last.
+    Unspecified };
 
 /// Stable text of a reason, as used in headers and logs.
 std::string_view describe(NotRunReason reason);
--- a/core/src/Outcome.cpp
+++ b/core/src/Outcome.cpp
@@ -21,6 +21,8 @@
         return "duplicate-request";
     case NotRunReason::BadRequest:
         return "bad-request";
+    case NotRunReason::Unspecified:
+        return "unspecified";
     }
     return "unspecified";
 }
--- a/http/include/persimmondoor/http/Client.h
+++ b/http/include/persimmondoor/http/Client.h
@@ -35,11 +35,12 @@
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
 
-    /// Sends `request` and reads the whole answer. After a failure or a time-out the connection is closed, so that a
-    /// late answer can never be taken for that of a later request.
+    /// Sends `request` and reads the whole answer, at most 64 MiB of body. After a failure or a time-out the connection
+    /// is closed, so that a late answer can never be taken for that of a later request. An answer that states no length
+    /// is a failure: its end could not be told from a lost connection.
     boost::asio::awaitable<ExchangeOutcome> exchange(Request, Duration limit);
 
-    /// True if another exchange may follow.
+    /// True if another exchange may follow: the peer has neither closed the connection nor sent a byte beyond the answer.
     bool isReusable() const;
     /// Closes the connection; an exchange under way fails.
     void close();
--- a/http/include/persimmondoor/http/Server.h
+++ b/http/include/persimmondoor/http/Server.h
@@ -24,6 +24,8 @@
     size_t headerBytes_ { 16 * 1024 };
     size_t bodyBytes_ { 4 * 1024 * 1024 };
     Duration idleTimeout_ { std::chrono::seconds(60) };
+    /// Cancels the handler of a client that closes its connection, or its sending side, before the answer.
+    bool cancelsForGoneClients_ { false };
     bool operator==(const Limits&) const = default;
 };
 
--- a/http/src/Client.cpp
+++ b/http/src/Client.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -66,18 +67,22 @@
     state_->reusable_ = false;
     state_->stream_.expires_after(limit);
     boost::system::error_code error;
-    co_await beast::http::async_write(state_->stream_, message, asio::redirect_error(asio::use_awaitable, error));
+    size_t written = co_await beast::http::async_write(state_->stream_, message, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         close();
-        co_return ExchangeFailure { true, describe("write", error) };
+        co_return ExchangeFailure { written > 0, describe("write", error) };
     }
     beast::http::response_parser<beast::http::string_body> parser;
     parser.body_limit(answerBodyLimitBytes);
     parser.skip(isHead);
-    co_await beast::http::async_read(state_->stream_, state_->buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    co_await beast::http::async_read_header(state_->stream_, state_->buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (!error && parser.need_eof() && !parser.is_done())
+        error = beast::http::error::need_more;
+    if (!error)
+        co_await beast::http::async_read(state_->stream_, state_->buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         close();
-        co_return ExchangeFailure { true, describe("read", error) };
+        co_return ExchangeFailure { true, error == beast::http::error::need_more ? absl::DataLossError("the answer states no length") : describe("read", error) };
     }
     // Bytes beyond the answer belong to no request of this connection.
     state_->reusable_ = parser.get().keep_alive() && state_->buffer_.size() == 0;
@@ -87,9 +92,19 @@
     co_return fromBeast(parser.release());
 }
 
+// True if the peer has closed the connection or sent something that nobody asked for.
+static bool hasStrayInput(asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error); // NOLINT(bugprone-unused-return-value)
+    return error != asio::error::would_block;
+}
+
 bool Connection::isReusable() const
 {
-    return state_->reusable_;
+    return state_->reusable_ && !hasStrayInput(state_->stream_.socket());
 }
 
 void Connection::close()
--- a/http/src/Server.cpp
+++ b/http/src/Server.cpp
@@ -4,8 +4,11 @@
 #include "persimmondoor/core/Coroutine.h"
 
 #include "persimmondoor/core/Text.h"
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -13,6 +16,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <optional>
 #include <set>
 
 namespace persimmondoor::http {
@@ -77,6 +81,48 @@
 
 } // namespace
 
+// Calls the handler; one that fails is an answer of its own.
+static asio::awaitable<Response> callHandler(Handler handler, Request request)
+{
+    std::string error;
+    try {
+        co_return co_await handler(std::move(request));
+    } catch (const std::exception& failure) {
+        error = failure.what();
+    }
+    co_return errorResponse(500, "internal", error);
+}
+
+// Returns when the client has closed its connection or its sending side; waits for good if it sends its next request.
+static asio::awaitable<void> waitUntilGone(std::shared_ptr<Session> session)
+{
+    asio::ip::tcp::socket& socket = session->stream_.socket();
+    boost::system::error_code error;
+    co_await socket.async_wait(asio::socket_base::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return;
+    char byte = 0;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error); // NOLINT(bugprone-unused-return-value)
+    if (error)
+        co_return;
+    asio::steady_timer never(co_await asio::this_coro::executor, asio::steady_timer::time_point::max());
+    co_await never.async_wait(asio::redirect_error(asio::use_awaitable, error));
+}
+
+// Returns the answer, or nothing if the client has gone.
+template <typename State>
+static asio::awaitable<std::optional<Response>> handle(std::shared_ptr<State> state, std::shared_ptr<Session> session, Request request)
+{
+    using namespace asio::experimental::awaitable_operators;
+    if (!state->limits_.cancelsForGoneClients_)
+        co_return co_await callHandler(state->handler_, std::move(request));
+    auto first = co_await (callHandler(state->handler_, std::move(request)) || waitUntilGone(session));
+    if (first.index() == 0)
+        co_return std::get<0>(std::move(first));
+    co_return std::nullopt;
+}
+
 // Reads one request, calls the handler and answers. Returns whether another may follow.
 template <typename State>
 static asio::awaitable<bool> serveOne(std::shared_ptr<State> state, std::shared_ptr<Session> session)
@@ -97,9 +143,9 @@
     bool keepAlive = parser.get().keep_alive();
     session->idle_ = false;
     ++state->inFlight_;
-    Response response = co_await state->handler_(fromBeast(parser.release()));
-    keepAlive = keepAlive && !state->stopping_;
-    bool written = co_await writeResponse(session, std::move(response), keepAlive);
+    std::optional<Response> response = co_await handle(state, session, fromBeast(parser.release()));
+    keepAlive = keepAlive && !state->stopping_ && response;
+    bool written = response && co_await writeResponse(session, *std::move(response), keepAlive);
     --state->inFlight_;
     session->idle_ = true;
     co_return written&& keepAlive;
--- a/rpc/include/persimmondoor/rpc/Call.h
+++ b/rpc/include/persimmondoor/rpc/Call.h
@@ -44,4 +44,7 @@
 /// Runs `body` on `executor` and gives a promise of its end, for the methods of a server.
 kj::Promise<void> promiseOf(const boost::asio::any_io_executor& executor, boost::asio::awaitable<void> body);
 
+/// As `promiseOf`, but `body` is cancelled when the promise is dropped, as when the caller of a method gave up.
+kj::Promise<void> cancellablePromiseOf(const boost::asio::any_io_executor& executor, boost::asio::awaitable<void> body);
+
 } // namespace persimmondoor::rpc
--- a/rpc/src/Call.cpp
+++ b/rpc/src/Call.cpp
@@ -1,5 +1,8 @@
 #include "persimmondoor/rpc/Call.h"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+
 namespace persimmondoor::rpc {
 
 absl::Status toStatus(const kj::Exception& error)
@@ -33,4 +36,52 @@
     return kj::mv(pair.promise);
 }
 
+namespace {
+
+    // A coroutine that runs on behalf of a promise.
+    struct Run {
+        boost::asio::cancellation_signal signal_;
+        bool ended_ { false };
+    };
+
+    // Marks the end of the run, also when the loop is destroyed with the coroutine in it.
+    class EndMark {
+    public:
+        explicit EndMark(std::shared_ptr<Run> run)
+            : run_(std::move(run))
+        {
+        }
+        EndMark(EndMark&&) = default;
+        EndMark& operator=(EndMark&&) = default;
+        EndMark(const EndMark&) = delete;
+        EndMark& operator=(const EndMark&) = delete;
+        ~EndMark()
+        {
+            if (run_)
+                run_->ended_ = true;
+        }
+
+    private:
+        std::shared_ptr<Run> run_;
+    };
+
+} // namespace
+
+kj::Promise<void> cancellablePromiseOf(const boost::asio::any_io_executor& executor, boost::asio::awaitable<void> body)
+{
+    auto run = std::make_shared<Run>();
+    auto pair = kj::newPromiseAndFulfiller<void>();
+    auto onEnd = [mark = EndMark(run), fulfiller = kj::mv(pair.fulfiller)](const std::exception_ptr& error) mutable {
+        if (error)
+            fulfiller->reject(describeFailure(error));
+        else
+            fulfiller->fulfill();
+    };
+    boost::asio::co_spawn(executor, std::move(body), boost::asio::bind_cancellation_slot(run->signal_.slot(), std::move(onEnd)));
+    return pair.promise.attach(kj::defer([run] {
+        if (!run->ended_)
+            run->signal_.emit(boost::asio::cancellation_type::terminal);
+    }));
+}
+
 } // namespace persimmondoor::rpc
