Route by latency and load, with retry budget, ejection and cancellation

Cause: the router knew only two random choices: it sent to dead and leaving endpoints again, never tried again, and flooded the first endpoint that a cold entry heard of. Change: choosers are alternatives of a variant; the router decides retries (not-run, or idempotent), from a budget, in another failure domain; takes failing endpoints out, half of a service's at most; stops trial before paying at full endpoints; a caller that goes away is cancelled down to the agent's queue. GET /v1/endpoints. Headers Persimmondoor-Tier and Persimmondoor-Idempotent.

--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -3,6 +3,7 @@
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/http/Routes.h"
+#include "persimmondoor/routing/EndpointsRoute.h"
 #include "persimmondoor/routing/HTTPFront.h"
 
 namespace persimmondoor::app {
@@ -27,9 +28,23 @@
     }
 }
 
-static http::Routes operatorsRoutes()
+static asio::awaitable<void> tellRouter(routing::RouterActor router, membership::ViewAction action)
+{
+    routing::RouterMessage message = std::visit([](auto& alternative) { return routing::RouterMessage(std::move(alternative)); }, action);
+    co_await router.learnSurely(std::move(message));
+}
+
+static http::Limits callersLimits()
+{
+    http::Limits limits;
+    limits.cancelsForGoneClients_ = true;
+    return limits;
+}
+
+static http::Routes operatorsRoutes(const routing::RouterActor& router)
 {
     http::Routes routes;
+    routing::offerEndpoints(routes, router);
     routes.add("GET", "/v1/health", [](http::Request) -> asio::awaitable<http::Response> { co_return http::jsonResponse(200, "{\"healthy\":true}\n"); });
     return routes;
 }
@@ -37,15 +52,13 @@
 absl::StatusOr<std::unique_ptr<Entry>> Entry::start(const asio::any_io_executor& executor, const settings::Site& site, const settings::EntrySite& self)
 {
     Clock clock = SteadyClock();
-    routing::RouterActor router(executor, clock, static_cast<uint32_t>(wallMilliseconds()));
+    routing::RouterActor router(executor, clock, routing::RouterOptions { static_cast<uint32_t>(wallMilliseconds()), routing::LeastExpectedTime {} });
     learnServices(router, site);
-    membership::ViewActor view(executor, clock, [router](const membership::ViewAction& action) {
-        std::visit([&](const auto& alternative) { router.learn(alternative); }, action);
-    });
+    membership::ViewActor view(executor, clock, [router](membership::ViewAction action) { return tellRouter(router, std::move(action)); });
     auto entry = std::unique_ptr<Entry>(new Entry(self, router, view));
 
-    auto callers = http::Server::listen(executor, self.http_, {}, routing::makeHTTPFront(self.name_, router));
-    auto operators = http::Server::listen(executor, self.operators_, {}, operatorsRoutes().handler());
+    auto callers = http::Server::listen(executor, self.http_, callersLimits(), routing::makeHTTPFront(self.name_, router));
+    auto operators = http::Server::listen(executor, self.operators_, {}, operatorsRoutes(router).handler());
     rpc::Interfaces interfaces;
     membership::offerMembership(interfaces, view);
     auto peers = rpc::Server::listen(executor, self.rpc_, std::move(interfaces));
--- a/membership/include/persimmondoor/membership/ViewActor.h
+++ b/membership/include/persimmondoor/membership/ViewActor.h
@@ -1,7 +1,7 @@
 /// The actor that owns an entry's view of the workers and tells a listener what changes.
 ///
 /// \code
-/// ViewActor view(executor, clock, [router](const ViewAction& action) { router.post(action); });
+/// ViewActor view(executor, clock, [router](ViewAction action) { return tell(router, action); });
 /// view.announce(announcement);
 /// \endcode
 #pragma once
@@ -14,7 +14,8 @@
 
 namespace persimmondoor::membership {
 
-using ViewListener = std::function<void(const ViewAction&)>;
+/// Takes a change in; the view goes on when the returned coroutine ends, so that no change is lost.
+using ViewListener = std::function<boost::asio::awaitable<void>(ViewAction)>;
 
 class ViewActor {
 public:
--- a/membership/src/Announcer.cpp
+++ b/membership/src/Announcer.cpp
@@ -58,9 +58,12 @@
 
 asio::awaitable<void> Announcer::tick(Mailbox<Message> mailbox)
 {
-    do
+    bool open = true;
+    while (open) {
         co_await sleepFor(announceInterval);
-    while (mailbox.tryPost(Due {}));
+        Message due = Due {};
+        open = co_await mailbox.post(std::move(due));
+    }
 }
 
 } // namespace persimmondoor::membership
--- a/membership/src/ViewActor.cpp
+++ b/membership/src/ViewActor.cpp
@@ -20,15 +20,18 @@
         ViewDecision decision = decide(std::move(state), message, now(clock));
         state = std::move(decision.state_);
         for (const ViewAction& action : decision.actions_)
-            listener(action);
+            co_await listener(action);
     }
 }
 
 static asio::awaitable<void> sweep(Mailbox<ViewMessage> mailbox)
 {
-    do
+    bool open = true;
+    while (open) {
         co_await sleepFor(sweepInterval);
-    while (mailbox.tryPost(Swept {}));
+        ViewMessage due = Swept {};
+        open = co_await mailbox.post(std::move(due));
+    }
 }
 
 ViewActor::ViewActor(const asio::any_io_executor& executor, Clock clock, ViewListener listener)
--- a/routing/include/persimmondoor/routing/HTTPFront.h
+++ b/routing/include/persimmondoor/routing/HTTPFront.h
@@ -21,6 +21,11 @@
 inline constexpr std::string_view servicesPath = "/services/";
 /// Request header: time until the caller's deadline, in milliseconds.
 inline constexpr std::string_view deadlineHeader = "Persimmondoor-Deadline-Ms";
+/// Request header: `trial` lets the request go behind others of its service; `paying` changes nothing.
+inline constexpr std::string_view tierHeader = "Persimmondoor-Tier";
+/// Request header: `true` or `false`, whether the request may run more than once without harm. Without it, POST and
+/// PATCH may not and all other methods may.
+inline constexpr std::string_view idempotentHeader = "Persimmondoor-Idempotent";
 /// Response header: done, not-run or unknown.
 inline constexpr std::string_view outcomeHeader = "Persimmondoor-Outcome";
 /// Response header: why a request was not run.
--- a/routing/src/HTTPFront.cpp
+++ b/routing/src/HTTPFront.cpp
@@ -13,9 +13,24 @@
 
 static constexpr int64_t maximumDeadlineMilliseconds = 600'000;
 
-static bool isIdempotent(const std::string& method)
+static absl::StatusOr<bool> readIdempotent(const http::Request& request)
 {
-    return method != "POST" && method != "PATCH";
+    auto header = http::findHeader(request.headers_, idempotentHeader);
+    if (!header)
+        return request.method_ != "POST" && request.method_ != "PATCH";
+    if (*header != "true" && *header != "false")
+        return absl::InvalidArgumentError(concat(idempotentHeader, " must be true or false"));
+    return *header == "true";
+}
+
+static absl::StatusOr<Tier> readTier(const http::Request& request)
+{
+    std::string tier = http::findHeader(request.headers_, tierHeader).value_or(std::string(describe(Tier::Paying)));
+    if (tier == describe(Tier::Paying))
+        return Tier::Paying;
+    if (tier == describe(Tier::Trial))
+        return Tier::Trial;
+    return absl::InvalidArgumentError(concat(tierHeader, " must be paying or trial"));
 }
 
 static http::Response withOutcome(http::Response response, std::string outcome)
@@ -59,14 +74,15 @@
     size_t end = std::min(below.find('/'), below.find('?'));
     auto service = ServiceName::create(std::string(below.substr(0, end)));
     auto deadline = readDeadline(request);
-    for (const absl::Status& status : { service.status(), deadline.status() }) {
+    auto idempotent = readIdempotent(request);
+    auto tier = readTier(request);
+    for (const absl::Status& status : { service.status(), deadline.status(), idempotent.status(), tier.status() }) {
         if (!status.ok())
             return status;
     }
     std::string_view rest = end >= below.size() ? std::string_view() : below.substr(end);
     std::string target = rest.starts_with('/') ? std::string(rest) : concat("/", rest);
-    bool idempotent = isIdempotent(request.method_);
-    return admission::ServiceRequest { std::move(id), *service, {}, Tier::Trial, idempotent, *deadline, std::move(request.method_), std::move(target),
+    return admission::ServiceRequest { std::move(id), *service, {}, *tier, *idempotent, *deadline, std::move(request.method_), std::move(target),
         std::move(request.headers_), std::move(request.body_) };
 }
 
--- a/routing/src/decisions/Router.cpp
+++ b/routing/src/decisions/Router.cpp
@@ -1,25 +1,47 @@
 #include "persimmondoor/routing/Router.h"
 
+#include "Ejection.h"
 #include "persimmondoor/core/Text.h"
 
 #include <algorithm>
 
 namespace persimmondoor::routing {
 
+std::map<EndpointName, Candidate> Router::candidates() const
+{
+    std::map<EndpointName, Candidate> result;
+    for (const auto& [service, pool] : pools_) {
+        for (const Candidate& candidate : pool.candidates_)
+            result.emplace(candidate.offer_.endpoint_, candidate);
+    }
+    return result;
+}
+
 struct RouterRules {
     static void apply(RouterDecision& decision, const ServiceDefined& message, Instant)
     {
-        decision.state_.services_.insert_or_assign(message.service_, message);
+        poolOf(decision.state_, message.service_).definition_ = message;
     }
 
+    static void apply(RouterDecision& decision, const ServiceRemoved& message, Instant)
+    {
+        poolOf(decision.state_, message.service_).definition_.reset();
+    }
+
+    // What was learned of an endpoint stays while its worker is in the same life.
     static void apply(RouterDecision& decision, const membership::WorkerUp& message, Instant)
     {
         Router& router = decision.state_;
         const membership::Announcement& announcement = message.announcement_;
-        removeWorker(router, announcement.worker_);
+        std::vector<Candidate> before = removeWorker(router, announcement.worker_);
         for (const membership::EndpointOffer& offer : announcement.endpoints_) {
-            router.candidates_.insert_or_assign(offer.endpoint_, Candidate { announcement.worker_, offer, announcement.domain_, announcement.rpcAddress_, 0, { 0, 0, offer.slots_ } });
-            router.endpointsOfService_[offer.service_].push_back(offer.endpoint_);
+            Candidate fresh { announcement.worker_, offer, announcement.domain_, announcement.rpcAddress_, announcement.incarnation_, 0, {}, {}, {}, {}, 0, 0, {}, false };
+            auto known = std::find_if(before.begin(), before.end(), [&](const Candidate& one) { return one.offer_.endpoint_ == offer.endpoint_; });
+            if (known != before.end() && known->incarnation_ == announcement.incarnation_)
+                fresh = withOffer(*known, fresh);
+            std::vector<Candidate>& candidates = poolOf(router, offer.service_).candidates_;
+            std::erase_if(candidates, [&](const Candidate& one) { return one.offer_.endpoint_ == offer.endpoint_; });
+            candidates.push_back(std::move(fresh));
         }
     }
 
@@ -28,56 +50,167 @@
         removeWorker(decision.state_, message.worker_);
     }
 
-    static void apply(RouterDecision& decision, const Route& message, Instant)
+    static void apply(RouterDecision& decision, const Route& message, Instant now)
+    {
+        Router& router = decision.state_;
+        auto reject = [&](NotRunReason reason, std::string detail) { decision.actions_.emplace_back(Reject { message.id_, reason, std::move(detail) }); };
+        auto pool = router.pools_.find(message.service_);
+        if (pool == router.pools_.end() || !pool->second.definition_)
+            return reject(NotRunReason::NoEndpoint, concat("no service ", message.service_.value()));
+        if (router.requests_.contains(message.id_))
+            return reject(NotRunReason::DuplicateRequest, "a request of this id is under way");
+        const ServiceDefined& service = *pool->second.definition_;
+        Duration timeLeft = message.timeLeft_ == Duration(0) ? service.deadline_ : message.timeLeft_;
+        Router::Request request { message.service_, std::max(service.tier_, message.tier_), message.idempotent_, now + timeLeft, 0, false, {}, {}, {}, {} };
+        pool->second.budget_ = pool->second.budget_.afterRequest();
+        if (timeLeft <= Duration(0))
+            return reject(NotRunReason::Deadline, "no time left");
+        if (pool->second.candidates_.empty())
+            return reject(NotRunReason::NoEndpoint, concat("no endpoint of service ", message.service_.value()));
+        if (!send(decision, pool->second, message.id_, request, now))
+            return reject(NotRunReason::QueueFull, "every endpoint is full or out of service");
+        router.requests_.emplace(message.id_, std::move(request));
+    }
+
+    static void apply(RouterDecision& decision, const Answered& message, Instant now)
     {
         Router& router = decision.state_;
-        auto service = router.services_.find(message.service_);
-        auto reject = [&](std::string detail) { decision.actions_.emplace_back(Reject { message.id_, NotRunReason::NoEndpoint, std::move(detail) }); };
-        if (service == router.services_.end())
-            return reject(concat("no service ", message.service_.value()));
-        auto endpoints = router.endpointsOfService_.find(message.service_);
-        if (endpoints == router.endpointsOfService_.end() || endpoints->second.empty())
-            return reject(concat("no endpoint of service ", message.service_.value()));
-        Candidate& chosen = choose(router, endpoints->second);
-        ++chosen.inFlight_;
-        decision.actions_.emplace_back(SendTo { message.id_, chosen.worker_, chosen.offer_.endpoint_, chosen.agent_, service->second.tier_, service->second.deadline_ });
-    }
-
-    static void apply(RouterDecision& decision, const Answered& message, Instant)
-    {
-        auto found = decision.state_.candidates_.find(message.endpoint_);
-        if (found == decision.state_.candidates_.end())
+        auto found = router.requests_.find(message.id_);
+        if (found == router.requests_.end())
             return;
-        Candidate& candidate = found->second;
-        candidate.inFlight_ -= std::min(candidate.inFlight_, 1U);
-        candidate.load_ = message.load_;
+        Router::Request& request = found->second;
+        Router::Pool& pool = poolOf(router, request.service_);
+        learn(pool, request, message, now);
+        request.mayHaveRun_ = request.mayHaveRun_ || message.kind_ == AnswerKind::Unknown;
+        if (mayRetry(pool, request, message, now) && send(decision, pool, message.id_, request, now)) {
+            if (!isFree(message))
+                pool.budget_ = pool.budget_.afterRetry();
+            return;
+        }
+        decision.actions_.emplace_back(Deliver { message.id_, request.mayHaveRun_ });
+        router.requests_.erase(found);
+    }
+
+    static void apply(RouterDecision& decision, const Forgotten& message, Instant)
+    {
+        Router& router = decision.state_;
+        auto found = router.requests_.find(message.id_);
+        if (found == router.requests_.end())
+            return;
+        if (Candidate* candidate = currentCandidate(poolOf(router, found->second.service_), found->second))
+            candidate->inFlight_ -= std::min(candidate->inFlight_, 1U);
+        router.requests_.erase(found);
     }
 
 private:
-    static void removeWorker(Router& router, const WorkerName& worker)
+    static Router::Pool& poolOf(Router& router, const ServiceName& service)
+    {
+        return router.pools_.try_emplace(service, Router::Pool { {}, {}, router.options_.chooser_, {} }).first->second;
+    }
+
+    static std::vector<Candidate> removeWorker(Router& router, const WorkerName& worker)
+    {
+        std::vector<Candidate> removed;
+        for (auto& [service, pool] : router.pools_) {
+            std::erase_if(pool.candidates_, [&](const Candidate& one) {
+                if (one.worker_ != worker)
+                    return false;
+                removed.push_back(one);
+                return true;
+            });
+        }
+        return removed;
+    }
+
+    static Candidate withOffer(const Candidate& known, const Candidate& announced)
+    {
+        Candidate next = known;
+        next.offer_ = announced.offer_;
+        next.domain_ = announced.domain_;
+        next.agent_ = announced.agent_;
+        return next;
+    }
+
+    // Chooses an endpoint, outside the failure domain of the attempt before if there is one.
+    static Candidate* chooseFor(Router& router, Router::Pool& pool, const Router::Request& request, Instant now)
+    {
+        auto isOpen = [&](const Candidate& one) {
+            return isInService(one, now) && one.knownLoad(now) < one.loadLimit(request.tier_) && one.offer_.endpoint_ != request.endpoint_;
+        };
+        if (request.attempts_ == 0)
+            return choose(pool.chooser_, router.random_, pool.candidates_, isOpen, now);
+        auto isOpenElsewhere = [&](const Candidate& one) { return one.domain_ != request.domain_ && isOpen(one); };
+        Candidate* elsewhere = choose(pool.chooser_, router.random_, pool.candidates_, isOpenElsewhere, now);
+        return elsewhere ? elsewhere : choose(pool.chooser_, router.random_, pool.candidates_, isOpen, now);
+    }
+
+    static bool send(RouterDecision& decision, Router::Pool& pool, const RequestId& id, Router::Request& request, Instant now)
+    {
+        Candidate* chosen = chooseFor(decision.state_, pool, request, now);
+        if (!chosen)
+            return false;
+        ++chosen->inFlight_;
+        ++request.attempts_;
+        request.endpoint_ = chosen->offer_.endpoint_;
+        request.domain_ = chosen->domain_;
+        request.incarnation_ = chosen->incarnation_;
+        request.sentAt_ = now;
+        decision.actions_.emplace_back(SendTo { id, chosen->worker_, request.endpoint_, chosen->agent_, request.tier_, request.deadline_ - now });
+        return true;
+    }
+
+    // The endpoint of the current attempt, or null if it has left or its worker is in another life.
+    static Candidate* currentCandidate(Router::Pool& pool, const Router::Request& request)
+    {
+        auto found = std::find_if(pool.candidates_.begin(), pool.candidates_.end(), [&](const Candidate& one) { return one.offer_.endpoint_ == request.endpoint_; });
+        return found != pool.candidates_.end() && found->incarnation_ == request.incarnation_ ? &*found : nullptr;
+    }
+
+    static void learn(Router::Pool& pool, const Router::Request& request, const Answered& message, Instant now)
+    {
+        Candidate* candidate = currentCandidate(pool, request);
+        if (!candidate)
+            return;
+        candidate->inFlight_ -= std::min(candidate->inFlight_, 1U);
+        if (message.load_.slots_ > 0) {
+            candidate->load_ = message.load_;
+            candidate->loadAt_ = now;
+        }
+        if (message.kind_ == AnswerKind::Done)
+            *candidate = withSuccess(candidate->withLatency(now - request.sentAt_, now));
+        if (message.kind_ == AnswerKind::NotRun && message.reason_ == NotRunReason::Draining)
+            candidate->draining_ = true;
+        if (isFailure(pool, request, message, now))
+            countFailure(*candidate, pool.candidates_, now);
+    }
+
+    // A time-out counts against the endpoint only if it had as much time as the service's own deadline gives, so that
+    // callers with short deadlines cannot take endpoints out.
+    static bool isFailure(const Router::Pool& pool, const Router::Request& request, const Answered& message, Instant now)
     {
-        std::erase_if(router.candidates_, [&](const auto& item) {
-            if (item.second.worker_ != worker)
-                return false;
-            std::erase(router.endpointsOfService_[item.second.offer_.service_], item.first);
-            return true;
-        });
+        if (message.kind_ == AnswerKind::NotRun)
+            return message.reason_ == NotRunReason::Unreachable;
+        if (message.kind_ != AnswerKind::Unknown)
+            return false;
+        bool timedOut = now >= request.deadline_;
+        return !timedOut || !pool.definition_ || now - request.sentAt_ >= pool.definition_->deadline_;
     }
 
-    // The power of two choices: M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 12(10), 2001.
-    static Candidate& choose(Router& router, const std::vector<EndpointName>& endpoints)
+    // What an agent that leaves refuses is tried elsewhere without cost to the budget: it is no sign of overload.
+    static bool isFree(const Answered& message)
     {
-        std::uniform_int_distribution<size_t> any(0, endpoints.size() - 1);
-        Candidate& first = router.candidates_.at(endpoints[any(router.random_)]);
-        Candidate& second = router.candidates_.at(endpoints[any(router.random_)]);
-        return cost(second) < cost(first) ? second : first;
+        return message.kind_ == AnswerKind::NotRun && message.reason_ == NotRunReason::Draining;
     }
 
-    // Requests at the endpoint for each of its slots: those of this entry, or those of all entries if more.
-    static double cost(const Candidate& candidate)
+    static bool mayRetry(const Router::Pool& pool, const Router::Request& request, const Answered& message, Instant now)
     {
-        uint32_t known = std::max(candidate.inFlight_, candidate.load_.running_ + candidate.load_.queued_);
-        return static_cast<double>(known) / std::max(1U, candidate.offer_.slots_);
+        if (message.kind_ == AnswerKind::Done || request.attempts_ >= maximumAttempts || now >= request.deadline_)
+            return false;
+        if (message.kind_ == AnswerKind::NotRun && message.reason_ == NotRunReason::BadRequest)
+            return false;
+        if (message.kind_ == AnswerKind::Unknown && !request.idempotent_)
+            return false;
+        return isFree(message) || pool.budget_.allowsRetry();
     }
 };
 
