--- /dev/null
+++ b/placement/include/persimmondoor/placement/Offer.h
@@ -0,0 +1,102 @@
+/// What a worker's agent offers to a placement, and what a task asks of one.
+///
+/// \code
+/// Offer offer { worker, domain, rack, capacity, free, running, pressure, true };
+/// PlacementRequest request { task, team, { Tier::Paying, Urgency::Urgent }, resources };
+/// request.constraint_ = Spread { GroupLevel::Domain, 1 };
+/// \endcode
+#pragma once
+
+#include "persimmondoor/core/Ids.h"
+#include "persimmondoor/core/Resources.h"
+#include "persimmondoor/core/Tier.h"
+
+#include <set>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace persimmondoor::placement {
+
+/// One agent's answer to a probe.
+struct Offer {
+    WorkerName worker_;
+    FailureDomainName domain_;
+    RackName rack_;
+    Resources capacity_;
+    Resources free_;
+    /// Tasks that run there.
+    uint32_t running_ { 0 };
+    /// Share of the room for batch tasks that the latency-critical services there want back, 0 (none) to 1 (all).
+    double pressure_ { 0 };
+    /// False while the agent drains or protects its services.
+    bool accepting_ { false };
+    bool operator==(const Offer&) const = default;
+};
+
+/// Urgent tasks go before normal ones of the same tier.
+enum class Urgency { Urgent,
+    Normal };
+
+/// Order of the queue: paying before trial, then urgent before normal.
+struct Priority {
+    Tier tier_ { Tier::Trial };
+    Urgency urgency_ { Urgency::Normal };
+    auto operator<=>(const Priority&) const = default;
+};
+
+/// Groups of workers that a constraint speaks of. `Cell` is all of them.
+enum class GroupLevel { Worker,
+    Rack,
+    Domain,
+    Cell };
+
+/// Stable text of a level.
+std::string_view describe(GroupLevel level);
+
+/// The task may run anywhere.
+struct Unconstrained {
+    auto operator<=>(const Unconstrained&) const = default;
+};
+
+/// At most `maximumPerGroup_` tasks of the job in one worker, rack or domain.
+struct Spread {
+    GroupLevel level_ { GroupLevel::Worker };
+    uint32_t maximumPerGroup_ { 1 };
+    auto operator<=>(const Spread&) const = default;
+};
+
+/// All tasks of the job start together or none, within one worker, rack, domain or anywhere in the cell.
+struct Gang {
+    GroupLevel within_ { GroupLevel::Cell };
+    auto operator<=>(const Gang&) const = default;
+};
+
+using Constraint = std::variant<Unconstrained, Spread, Gang>;
+
+/// Where a task runs or shall run.
+struct Site {
+    WorkerName worker_;
+    RackName rack_;
+    FailureDomainName domain_;
+    auto operator<=>(const Site&) const = default;
+};
+
+struct PlacementRequest {
+    TaskId task_;
+    TeamName team_;
+    Priority priority_;
+    Resources resources_;
+    Constraint constraint_ { Unconstrained {} };
+    /// Where tasks of the same job run already; `Spread` counts them.
+    std::vector<Site> siblings_;
+    /// Failure domains that operators have taken out of service.
+    std::set<FailureDomainName> closedDomains_;
+    /// Workers in quarantine, and those at which this task has failed before.
+    std::set<WorkerName> avoidedWorkers_;
+    /// Breaks ties between equal offers; the same seed gives the same choice.
+    uint64_t seed_ { 0 };
+    bool operator==(const PlacementRequest&) const = default;
+};
+
+} // namespace persimmondoor::placement
--- /dev/null
+++ b/placement/include/persimmondoor/placement/Sampling.h
@@ -0,0 +1,60 @@
+/// Plans which agents to probe for a task: a bounded random sample, aimed by a small digest of each failure domain.
+///
+/// \code
+/// SamplePlan plan = planSample(request, defaultSampleSize, domains);
+/// \endcode
+#pragma once
+
+#include "persimmondoor/placement/Offer.h"
+
+#include <array>
+
+namespace persimmondoor::placement {
+
+/// Agents probed for one task, where nothing else is asked.
+inline constexpr uint32_t defaultSampleSize = 12;
+
+/// Counts of a domain's workers by their free processors, as shares in 1/255: 20 bytes on the wire.
+class DomainDigest {
+public:
+    /// Upper bounds of the bands, in thousandths of a core; the last band has none.
+    static constexpr std::array<int64_t, 7> bandMilliCores { 500, 1'000, 2'000, 4'000, 8'000, 16'000, 32'000 };
+
+    /// Summarises the offers of one domain.
+    static DomainDigest create(const std::vector<Offer>& offers);
+    /// A digest of which nothing is known; every worker may fit.
+    static DomainDigest unknown() { return {}; }
+
+    /// Estimated share of the domain's workers at which `resources` fit, at least 1/255.
+    double fittingShare(const Resources& resources) const;
+    bool operator==(const DomainDigest&) const = default;
+
+private:
+    std::array<uint8_t, bandMilliCores.size() + 1> plain_ {};
+    /// Workers with a free accelerator.
+    std::array<uint8_t, bandMilliCores.size() + 1> accelerated_ {};
+    bool known_ { false };
+};
+
+/// The workers of one failure domain, from membership.
+struct DomainWorkers {
+    FailureDomainName domain_;
+    std::vector<WorkerName> workers_;
+    DomainDigest digest_;
+    bool operator==(const DomainWorkers&) const = default;
+};
+
+struct DomainSample {
+    FailureDomainName domain_;
+    std::vector<WorkerName> workers_;
+    auto operator<=>(const DomainSample&) const = default;
+};
+
+using SamplePlan = std::vector<DomainSample>;
+
+/// Chooses at most `size` workers, without closed domains and avoided workers. Each open domain gets probes in
+/// proportion to its workers that probably fit, and, while `size` allows, at least one.
+/// \return samples of different domains; the same request and domains give the same plan.
+SamplePlan planSample(const PlacementRequest& request, uint32_t size, const std::vector<DomainWorkers>& domains);
+
+} // namespace persimmondoor::placement
