--- a/placement/include/persimmondoor/placement/Choice.h
+++ b/placement/include/persimmondoor/placement/Choice.h
@@ -23,6 +23,7 @@
     SpreadLimit,
     GangIncomplete,
     QuotaExceeded,
+    MayNotPreempt,
     NeverFits };
 
 /// Stable text of a reason, as used in answers and logs.
@@ -46,8 +47,8 @@
 using PlacementChoice = std::variant<Placed, NotPlaced>;
 
 /// Chooses the best offer that fits `request`. In this order an offer is better that: leaves free accelerators to tasks
-/// that need them; has fewer siblings in its domain and rack; has a lower pressure (in steps of a tenth); is left with
-/// less room (best fit). Equal offers are told apart by `seed_`.
+/// that need them; has fewer siblings in the group that a `Spread` names; has a lower pressure (in steps of a tenth);
+/// is left with less room (best fit). Equal offers are told apart by `seed_`.
 /// \return the site, or the most frequent reason among the offers.
 PlacementChoice choosePlacement(const PlacementRequest& request, const std::vector<Offer>& offers);
 
--- a/placement/include/persimmondoor/placement/Preemption.h
+++ b/placement/include/persimmondoor/placement/Preemption.h
@@ -36,14 +36,17 @@
 
 using PreemptionChoice = std::variant<Preemption, NotPlaced>;
 
-/// Longest time to write a checkpoint that is counted as lost, for each victim.
+/// Time to write a checkpoint and to start again from it, counted as lost for each victim.
 inline constexpr Duration checkpointCost = std::chrono::seconds(2);
+/// A checkpoint may fail; this share of the work since the last one counts as lost, in percent.
+inline constexpr int64_t checkpointRiskPercent = 5;
 /// Most tasks that are stopped for one.
 inline constexpr size_t maximumVictims = 16;
 
 /// Finds the worker at which stopping trial tasks loses the least work. Only paying requests preempt, and only trial
-/// tasks are stopped. A task that is about to finish counts at least as much as waiting for it would cost.
-/// \return the proposal, or the reason why none is possible.
+/// tasks are stopped. Victims are chosen greedily by lost work, among equals the one with the longest run time left;
+/// those that turn out not to be needed are dropped again.
+/// \return the proposal, without victims if the task fits already, or the reason why none is possible.
 PreemptionChoice proposePreemption(const PlacementRequest& request, const std::vector<Offer>& offers, const std::vector<RunningTask>& running);
 
 } // namespace persimmondoor::placement
--- a/placement/include/persimmondoor/placement/Sampling.h
+++ b/placement/include/persimmondoor/placement/Sampling.h
@@ -52,8 +52,9 @@
 
 using SamplePlan = std::vector<DomainSample>;
 
-/// Chooses at most `size` workers, without closed domains and avoided workers. Each open domain gets probes in
-/// proportion to its workers that probably fit, and, while `size` allows, at least one.
+/// Chooses at most `size` workers, without closed domains and avoided workers. A domain's expected number of probes is
+/// proportional to its workers that probably fit (systematic sampling with a random start, Madow 1949); within a domain
+/// each worker is equally likely. For a gang within a worker, a rack or a domain, all probes go to one domain.
 /// \return samples of different domains; the same request and domains give the same plan.
 SamplePlan planSample(const PlacementRequest& request, uint32_t size, const std::vector<DomainWorkers>& domains);
 
--- /dev/null
+++ b/placement/src/decisions/Preemption.cpp
@@ -0,0 +1,110 @@
+#include "persimmondoor/placement/Preemption.h"
+
+#include "Fitting.h"
+#include "Random.h"
+
+#include <algorithm>
+
+namespace persimmondoor::placement {
+
+static constexpr int64_t percent = 100;
+
+static Duration lostWork(const RunningTask& task)
+{
+    if (!task.canCheckpoint_)
+        return task.sinceCheckpoint_;
+    return checkpointCost + task.sinceCheckpoint_ * checkpointRiskPercent / percent;
+}
+
+// Least lost work first; among equals the longest run time left.
+static bool isBetterVictim(const RunningTask* left, const RunningTask* right)
+{
+    return std::tuple(lostWork(*left), -left->remaining_, left->task_) < std::tuple(lostWork(*right), -right->remaining_, right->task_);
+}
+
+// True if stopping `task` helps with a part that is short.
+static bool reducesDeficit(const RunningTask& task, const Resources& deficit)
+{
+    return deficit - task.resources_ != deficit;
+}
+
+// Drops victims, the costliest first, that the rest can do without.
+static void dropNeedless(std::vector<const RunningTask*>& victims, const Resources& deficit)
+{
+    for (size_t index = victims.size(); index-- > 0;) {
+        Resources rest;
+        for (size_t other = 0; other < victims.size(); ++other) {
+            if (other != index)
+                rest = rest + victims[other]->resources_;
+        }
+        if (deficit.fitsIn(rest))
+            victims.erase(victims.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+}
+
+// Victims whose resources cover `deficit`, or none if that is not possible.
+static std::vector<const RunningTask*> chooseVictims(std::vector<const RunningTask*> candidates, const Resources& deficit)
+{
+    std::sort(candidates.begin(), candidates.end(), isBetterVictim);
+    std::vector<const RunningTask*> victims;
+    Resources left = deficit;
+    for (const RunningTask* candidate : candidates) {
+        if (left == Resources())
+            break;
+        if (!reducesDeficit(*candidate, left))
+            continue;
+        victims.push_back(candidate);
+        left = left - candidate->resources_;
+    }
+    if (left != Resources())
+        return {};
+    dropNeedless(victims, deficit);
+    return victims;
+}
+
+static Preemption describePreemption(const Offer& offer, const std::vector<const RunningTask*>& victims)
+{
+    Preemption preemption { siteOf(offer), {}, Duration(0) };
+    for (const RunningTask* victim : victims) {
+        preemption.victims_.push_back(victim->task_);
+        preemption.lostWork_ += lostWork(*victim);
+    }
+    return preemption;
+}
+
+PreemptionChoice proposePreemption(const PlacementRequest& request, const std::vector<Offer>& offers, const std::vector<RunningTask>& running)
+{
+    if (request.priority_.tier_ != Tier::Paying)
+        return NotPlaced { request.task_, WaitReason::MayNotPreempt, "only paying tasks preempt" };
+    std::map<WorkerName, std::vector<const RunningTask*>> trialTasks;
+    for (const RunningTask& task : running) {
+        if (task.tier_ == Tier::Trial)
+            trialTasks[task.worker_].push_back(&task);
+    }
+    auto siblings = countSiblings(request);
+    Refusals refusals;
+    using Candidate = std::tuple<Duration, size_t, uint64_t, Preemption>;
+    std::optional<Candidate> best;
+    for (const Offer& offer : offers) {
+        if (auto refusal = refusalBesidesResources(request, offer, siblings)) {
+            refusals.add(*refusal);
+            continue;
+        }
+        Resources deficit = request.resources_ - offer.free_;
+        std::vector<const RunningTask*> victims = chooseVictims(trialTasks[offer.worker_], deficit);
+        if ((victims.empty() && deficit != Resources()) || victims.size() > maximumVictims) {
+            refusals.add(missingResource(request.resources_, offer.free_).value_or(WaitReason::Processors));
+            continue;
+        }
+        Preemption preemption = describePreemption(offer, victims);
+        Candidate candidate { preemption.lostWork_, victims.size(), hashOf(offer.worker_.value(), request.seed_), std::move(preemption) };
+        auto rank = [](const Candidate& item) { return std::tuple(std::get<0>(item), std::get<1>(item), std::get<2>(item)); };
+        if (!best || rank(candidate) < rank(*best))
+            best = std::move(candidate);
+    }
+    if (best)
+        return std::get<Preemption>(*best);
+    return refusals.summary(request.task_);
+}
+
+} // namespace persimmondoor::placement
