--- a/routing/include/persimmondoor/routing/Chooser.h
+++ b/routing/include/persimmondoor/routing/Chooser.h
@@ -52,8 +52,8 @@
     uint32_t knownLoad(Instant now) const;
     /// Requests that may be at the endpoint before this entry sends no more of that tier.
     uint32_t loadLimit(Tier) const;
-    /// The candidate after an answer that took `sample`. A rise counts at once, a fall gradually (the "peak EWMA" of
-    /// Finagle's load balancer).
+    /// The candidate after an answer that took `sample`: an exponentially weighted mean, whose older part also fades with
+    /// the time without answers.
     Candidate withLatency(Duration sample, Instant now) const;
 };
 
--- a/routing/src/decisions/Chooser.cpp
+++ b/routing/src/decisions/Chooser.cpp
@@ -9,8 +9,8 @@
 // Requests for each slot that may be at an endpoint before this entry sends no more: paying ones go on longer.
 static constexpr uint32_t payingLoadPerSlot = 5;
 static constexpr uint32_t trialLoadPerSlot = 2;
-// Share of a fall in latency that one answer counts for, as a divisor.
-static constexpr int64_t latencySmoothing = 8;
+// Share that one answer has in the smoothed latency, as a divisor.
+static constexpr int64_t latencySmoothing = 16;
 // Random draws for one of the two choices before all candidates are looked at.
 static constexpr int drawsPerChoice = 4;
 // Halvings after which a latency counts as none.
@@ -37,7 +37,7 @@
 {
     Candidate next = *this;
     Duration before = decayed(latency_, now - latencyAt_);
-    next.latency_ = sample >= before ? sample : before + (sample - before) / latencySmoothing;
+    next.latency_ = before == Duration(0) ? sample : before + (sample - before) / latencySmoothing;
     next.latencyAt_ = now;
     return next;
 }
