--- /dev/null
+++ b/bench/capacity/Measure.cpp
@@ -0,0 +1,15 @@
+#include "Measure.h"
+
+namespace persimmondoor::capacity {
+
+Slopes measureAll()
+{
+    Slopes all;
+    for (Slopes (*measure)() : { measureEntry, measureSystem }) {
+        Slopes part = measure();
+        all.insert(all.end(), part.begin(), part.end());
+    }
+    return all;
+}
+
+} // namespace persimmondoor::capacity
--- /dev/null
+++ b/bench/capacity/Measure.h
@@ -0,0 +1,17 @@
+// The measurements behind docs/CAPACITY.md.
+#pragma once
+
+#include "Slope.h"
+
+namespace persimmondoor::capacity {
+
+// An entry: memory of its view and router against workers, processor time of announcements and of routing.
+Slopes measureEntry();
+
+// Entries and agents running in this process: bytes, processor time and memory against the number of agents.
+Slopes measureSystem();
+
+// All of them, in the order of the page.
+Slopes measureAll();
+
+} // namespace persimmondoor::capacity
--- /dev/null
+++ b/bench/capacity/Meter.h
@@ -0,0 +1,19 @@
+// Reads what this process has used so far.
+#pragma once
+
+#include "persimmondoor/core/Time.h"
+
+#include <cstdint>
+
+namespace persimmondoor::capacity {
+
+// Processor time of this thread, in microseconds.
+double threadMicroseconds();
+
+// Bytes in use on the heap.
+double heapBytes();
+
+// Resident memory of this process, in bytes.
+double residentBytes();
+
+} // namespace persimmondoor::capacity
