Serve the platform's stand-ins over HTTP and reach them as the platform

Cause: entries and agents had no way to the table service, and there was no object store or worker interface. In http, a response with noAnswerStatus closes the connection unanswered, which the stand-ins need to lose a reply.

--- a/app/include/persimmondoor/app/Standins.h
+++ b/app/include/persimmondoor/app/Standins.h
@@ -1,4 +1,5 @@
-/// Stand-ins of what surrounds the system, for trials and tests: service instances that echo what they are sent.
+/// Stand-ins of what surrounds the system, for trials and tests: the platform's services, and service instances that
+/// echo what they are sent.
 ///
 /// \code
 /// absl::StatusOr<std::unique_ptr<Standins>> standins = Standins::start(executor, site);
@@ -7,6 +8,7 @@
 #pragma once
 
 #include "persimmondoor/http/Server.h"
+#include "persimmondoor/platform/StandinServer.h"
 #include "persimmondoor/settings/Site.h"
 
 #include <memory>
@@ -16,7 +18,7 @@
 
 class Standins {
 public:
-    /// Starts one service instance for each endpoint of the site.
+    /// Starts the platform's services and one service instance for each endpoint of the site.
     /// \return the stand-ins, or Unavailable if an address cannot be listened on.
     static absl::StatusOr<std::unique_ptr<Standins>> start(const boost::asio::any_io_executor&, settings::Site);
 
@@ -30,6 +32,7 @@
     }
 
     settings::Site site_;
+    platform::PlatformStandins platform_ = platform::PlatformStandins::create(SteadyClock());
     std::vector<std::unique_ptr<http::Server>> servers_;
 };
 
--- a/app/src/Main.cpp
+++ b/app/src/Main.cpp
@@ -51,7 +51,7 @@
             for (const settings::EndpointSite& endpoint : worker.endpoints_)
                 services[endpoint.name_.value()] = endpoint.address_.text();
         }
-        ready["standins"] = json::object { { "services", services } };
+        ready["standins"] = json::object { { "platform", daemon.standins_->site().platform_.text() }, { "services", services } };
     }
     return ready;
 }
--- a/app/src/Standins.cpp
+++ b/app/src/Standins.cpp
@@ -27,6 +27,13 @@
             standins->servers_.push_back(*std::move(server));
         }
     }
+    for (const settings::WorkerSite& worker : standins->site_.workers_)
+        standins->platform_.workers_.add(worker.name_, worker.resources_);
+    auto server = platform::serveStandins(executor, standins->site_.platform_, standins->platform_);
+    if (!server.ok())
+        return server.status();
+    standins->site_.platform_ = (*server)->address();
+    standins->servers_.push_back(*std::move(server));
     return standins;
 }
 
--- a/http/include/persimmondoor/http/Server.h
+++ b/http/include/persimmondoor/http/Server.h
@@ -27,6 +27,9 @@
     bool operator==(const Limits&) const = default;
 };
 
+/// Status of a response that is not sent: the connection is closed without an answer, as by a server that died.
+inline constexpr int noAnswerStatus = 0;
+
 using Handler = std::function<boost::asio::awaitable<Response>(Request)>;
 
 class Server {
--- a/http/src/Server.cpp
+++ b/http/src/Server.cpp
@@ -99,7 +99,7 @@
     ++state->inFlight_;
     Response response = co_await state->handler_(fromBeast(parser.release()));
     keepAlive = keepAlive && !state->stopping_;
-    bool written = co_await writeResponse(session, std::move(response), keepAlive);
+    bool written = response.status_ != noAnswerStatus && co_await writeResponse(session, std::move(response), keepAlive);
     --state->inFlight_;
     session->idle_ = true;
     co_return written&& keepAlive;
