--- a/placement/include/persimmondoor/placement/Sampling.h
+++ b/placement/include/persimmondoor/placement/Sampling.h
@@ -50,6 +50,17 @@
     auto operator<=>(const DomainSample&) const = default;
 };
 
+/// Probes that should find room, on average.
+inline constexpr double wantedFits = 4;
+/// Bounds of an adapted sample.
+inline constexpr uint32_t minimumSampleSize = 4;
+inline constexpr uint32_t maximumSampleSize = 48;
+
+/// Size of a sample in which `wantedFits` workers are expected to have room, by the digests of the open domains: small
+/// tasks get small samples, large ones large samples.
+/// \return between `minimumSampleSize` and `maximumSampleSize`.
+uint32_t adaptSampleSize(const PlacementRequest& request, const std::vector<DomainWorkers>& domains);
+
 using SamplePlan = std::vector<DomainSample>;
 
 /// Chooses at most `size` workers, without closed domains and avoided workers. A domain's expected number of probes is
--- a/placement/src/decisions/Choice.cpp
+++ b/placement/src/decisions/Choice.cpp
@@ -134,6 +134,7 @@
     for (const auto& [name, group] : byName)
         byHash.emplace(hashOf(name, seed), group);
     std::vector<Group> groups;
+    groups.reserve(byHash.size());
     for (auto& [hash, group] : byHash)
         groups.push_back(std::move(group));
     return groups;
--- a/placement/src/decisions/Quota.cpp
+++ b/placement/src/decisions/Quota.cpp
@@ -52,11 +52,13 @@
     if (found == reservations_.end())
         return;
     const Reservation& reservation = found->second;
-    Resources& held = used_.at(reservation.team_);
+    Resources held = used(reservation.team_);
     assertInvariant(reservation.resources_.fitsIn(held), "a team holds at least its reservations");
     held = held - reservation.resources_;
     if (held == Resources())
         used_.erase(reservation.team_);
+    else
+        used_[reservation.team_] = held;
     reservations_.erase(found);
 }
 
--- a/placement/src/decisions/Sampling.cpp
+++ b/placement/src/decisions/Sampling.cpp
@@ -55,6 +55,34 @@
     return std::clamp(sum, 1.0, fullShare) / fullShare;
 }
 
+// Expected number of workers with room in each domain.
+static std::vector<double> weigh(const PlacementRequest& request, const std::vector<DomainWorkers>& domains)
+{
+    std::vector<double> weights;
+    weights.reserve(domains.size());
+    for (const DomainWorkers& domain : domains) {
+        bool open = !request.closedDomains_.contains(domain.domain_);
+        weights.push_back(open ? static_cast<double>(domain.workers_.size()) * domain.digest_.fittingShare(request.resources_) : 0);
+    }
+    return weights;
+}
+
+uint32_t adaptSampleSize(const PlacementRequest& request, const std::vector<DomainWorkers>& domains)
+{
+    std::vector<double> weights = weigh(request, domains);
+    // Probes go to domains in proportion to their weights, so the share that finds room is the weighted mean.
+    double total = 0;
+    double fits = 0;
+    for (size_t index = 0; index < domains.size(); ++index) {
+        total += weights[index];
+        fits += weights[index] * domains[index].digest_.fittingShare(request.resources_);
+    }
+    if (total <= 0 || fits <= 0)
+        return minimumSampleSize;
+    double size = std::clamp(std::ceil(wantedFits * total / fits), double { minimumSampleSize }, double { maximumSampleSize });
+    return static_cast<uint32_t>(size);
+}
+
 // Picks up to `count` different workers that are not avoided.
 static std::vector<WorkerName> pickWorkers(const DomainWorkers& domain, size_t count, const std::set<WorkerName>& avoided, Random& random)
 {
@@ -107,19 +135,29 @@
 SamplePlan planSample(const PlacementRequest& request, uint32_t size, const std::vector<DomainWorkers>& domains)
 {
     Random random(hashOf(request.task_.value(), request.seed_));
-    std::vector<double> weights;
-    for (const DomainWorkers& domain : domains) {
-        bool open = !request.closedDomains_.contains(domain.domain_);
-        weights.push_back(open ? static_cast<double>(domain.workers_.size()) * domain.digest_.fittingShare(request.resources_) : 0);
-    }
+    std::vector<double> weights = weigh(request, domains);
     std::vector<size_t> probes = staysInOneDomain(request.constraint_) ? concentrateProbes(weights, size, random) : shareProbes(weights, size, random);
-    SamplePlan plan;
+    std::vector<std::vector<WorkerName>> picks(domains.size());
+    size_t missing = 0;
     for (size_t index = 0; index < domains.size(); ++index) {
-        if (probes[index] == 0)
+        picks[index] = pickWorkers(domains[index], probes[index], request.avoidedWorkers_, random);
+        missing += probes[index] - picks[index].size();
+    }
+    // Probes that found no worker go to other domains; those of a gang that stays in one domain only all together.
+    bool together = staysInOneDomain(request.constraint_);
+    bool mayMove = !together || missing == size;
+    for (size_t index = 0; mayMove && index < domains.size() && missing > 0; ++index) {
+        if (weights[index] <= 0)
             continue;
-        std::vector<WorkerName> workers = pickWorkers(domains[index], probes[index], request.avoidedWorkers_, random);
-        if (!workers.empty())
-            plan.push_back({ domains[index].domain_, std::move(workers) });
+        std::vector<WorkerName> more = pickWorkers(domains[index], picks[index].size() + missing, request.avoidedWorkers_, random);
+        missing -= more.size() - picks[index].size();
+        picks[index] = std::move(more);
+        mayMove = !together || picks[index].empty();
+    }
+    SamplePlan plan;
+    for (size_t index = 0; index < domains.size(); ++index) {
+        if (!picks[index].empty())
+            plan.push_back({ domains[index].domain_, std::move(picks[index]) });
     }
     return plan;
 }
--- a/placement/tests/LedgerTest.cpp
+++ b/placement/tests/LedgerTest.cpp
@@ -44,6 +44,16 @@
     BOOST_TEST(!quotas.reserve(team, TaskId::of("v"), resources(1, 0)));
 }
 
+BOOST_AUTO_TEST_CASE(reservation_of_nothing_is_released_like_any_other)
+{
+    QuotaLedger quotas = QuotaLedger::create({ { team, resources(4, 16) } });
+    BOOST_TEST(quotas.reserve(team, TaskId::of("empty"), Resources()));
+    BOOST_TEST(quotas.reserve(team, TaskId::of("t"), resources(1, 1)));
+    quotas.release(TaskId::of("t"));
+    quotas.release(TaskId::of("empty"));
+    BOOST_TEST(quotas.reservations() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(any_order_of_reserve_and_release_keeps_the_quota)
 {
     bool holds = rc::check("quota is never exceeded", [] {
--- a/placement/tests/SamplingTest.cpp
+++ b/placement/tests/SamplingTest.cpp
@@ -58,6 +58,15 @@
     BOOST_TEST(half > 10 * full);
 }
 
+BOOST_AUTO_TEST_CASE(sample_grows_as_room_gets_rare)
+{
+    PlacementRequest wanted = request("t", resources(4, 4));
+    BOOST_TEST(adaptSampleSize(wanted, { domain("a", 100, digestOf(0, 100)) }) == minimumSampleSize);
+    BOOST_TEST(adaptSampleSize(wanted, { domain("a", 100, digestOf(75, 25)) }) >= 4 * minimumSampleSize - 1);
+    BOOST_TEST(adaptSampleSize(wanted, { domain("a", 100, digestOf(100, 0)) }) == maximumSampleSize);
+    BOOST_TEST(adaptSampleSize(wanted, {}) == minimumSampleSize);
+}
+
 BOOST_AUTO_TEST_CASE(gang_within_a_domain_probes_one_domain)
 {
     PlacementRequest wanted = request("t", resources(4, 4));
@@ -67,6 +76,16 @@
     BOOST_TEST(plan[0].workers_.size() == 8U);
 }
 
+BOOST_AUTO_TEST_CASE(probes_of_a_domain_with_avoided_workers_only_go_elsewhere)
+{
+    PlacementRequest wanted = request("t", resources(4, 4));
+    wanted.avoidedWorkers_ = { WorkerName::of("a-0") };
+    for (uint64_t seed = 0; seed < 20; ++seed) {
+        wanted.seed_ = seed;
+        BOOST_TEST(probesIn(planSample(wanted, 1, { domain("a", 1), domain("b", 1) }), "b") == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(sample_is_bounded_distinct_open_and_repeatable)
 {
     bool holds = rc::check("sample is bounded, distinct, open and repeatable", [] {
