Learn slowdowns by pair and load band, and guard a worker's services

Pure decisions: a Kalman filter for each service and load band, a plan that shares processors among batch tasks, and the policies none, uncontrolled, fixed threshold and learned.

--- /dev/null
+++ b/colocation/src/decisions/Guard.cpp
@@ -0,0 +1,208 @@
+#include "persimmondoor/colocation/Guard.h"
+
+#include "FixedRules.h"
+#include "LearnedRules.h"
+#include "persimmondoor/core/Text.h"
+#include "persimmondoor/core/Visitor.h"
+
+#include <algorithm>
+
+namespace persimmondoor::colocation {
+
+/// Moments kept for each service, and the least time between two: 32 s in all.
+static constexpr size_t maximumMoments = 64;
+static constexpr Duration momentPeriod = std::chrono::milliseconds(500);
+static constexpr Duration longestLag = std::chrono::seconds(30);
+static constexpr double useGain = 0.2;
+static constexpr double tailGain = 0.2;
+/// Share of the lag that is kept when a measurement comes with a shorter one.
+static constexpr double lagRetention = 0.95;
+/// Loads below tell nothing of the processors used by each request.
+static constexpr double leastLoadForUse = 0.05;
+/// A share must have been in force for this long before a measurement tells the use at it.
+static constexpr Duration shareSettling = std::chrono::seconds(2);
+
+std::string_view describe(Cause cause)
+{
+    switch (cause) {
+    case Cause::LoadRose:
+        return "load rose";
+    case Cause::TaskArrived:
+        return "task arrived";
+    case Cause::Measurement:
+        return "measurement";
+    case Cause::Recovery:
+        break;
+    }
+    return "recovery";
+}
+
+absl::StatusOr<Guard> Guard::create(const GuardSettings& settings)
+{
+    if (!(settings.cores_ > 0))
+        return absl::InvalidArgumentError("a worker has processors");
+    Guard guard;
+    guard.settings_ = settings;
+    for (const ServiceName& service : settings.services_) {
+        if (!guard.services_.emplace(service, GuardedService {}).second)
+            return absl::InvalidArgumentError(concat("service ", service.value(), " is named twice"));
+    }
+    return guard;
+}
+
+bool Guard::admits(const TaskClassName& taskClass, Tier tier, double cores) const
+{
+    return std::visit(Visitor {
+                          [&](const NoColocation&) { return services_.empty(); },
+                          [](const Uncontrolled&) { return true; },
+                          [&](const FixedThreshold&) { return accepting_; },
+                          [&](const Learned& policy) { return LearnedRules::admits(*this, policy, taskClass, tier, cores); },
+                      },
+        settings_.policy_);
+}
+
+double Guard::pressure() const
+{
+    if (const auto* policy = std::get_if<Learned>(&settings_.policy_))
+        return std::clamp(LearnedRules::makePlan(*this, *policy).pressure(), 0.0, 1.0);
+    return accepting_ ? 0 : 1;
+}
+
+double Guard::share(const TaskId& task) const
+{
+    auto found = tasks_.find(task);
+    return found == tasks_.end() ? 1 : found->second.share_;
+}
+
+struct GuardRules {
+    static void apply(GuardDecision& decision, const TaskStarted& message, Instant now)
+    {
+        Guard& guard = decision.state_;
+        GuardedTask task { message.class_, message.tier_, message.cores_, 1, now, now, now, message.runTime_, message.canCheckpoint_, false };
+        if (!guard.tasks_.emplace(message.task_, task).second)
+            return;
+        if (const auto* policy = std::get_if<Learned>(&guard.settings_.policy_))
+            LearnedRules::placeStarted(decision, *policy, message.task_, now);
+    }
+
+    static void apply(GuardDecision& decision, const TaskEnded& message, Instant)
+    {
+        decision.state_.tasks_.erase(message.task_);
+    }
+
+    static void apply(GuardDecision& decision, const TaskCheckpointed& message, Instant now)
+    {
+        auto found = decision.state_.tasks_.find(message.task_);
+        if (found != decision.state_.tasks_.end())
+            found->second.checkpointedAt_ = now;
+    }
+
+    static void apply(GuardDecision& decision, const LoadSeen& message, Instant now)
+    {
+        Guard& guard = decision.state_;
+        auto found = guard.services_.find(message.service_);
+        if (found == guard.services_.end())
+            return;
+        GuardedService& service = found->second;
+        service.load_ = std::max(0.0, message.load_);
+        service.forecast_.observe(service.load_, now);
+        remember(guard, service, now);
+        if (const auto* policy = std::get_if<Learned>(&guard.settings_.policy_))
+            LearnedRules::act(decision, *policy, now);
+    }
+
+    static void apply(GuardDecision& decision, const Measured& message, Instant now)
+    {
+        Guard& guard = decision.state_;
+        auto found = guard.services_.find(message.service_);
+        if (found == guard.services_.end() || message.measuredAt_ > now || message.measuredAt_ <= found->second.measuredAt_ || !(message.tail_ > 0))
+            return;
+        GuardedService& service = found->second;
+        service.measuredAt_ = message.measuredAt_;
+        service.lastTail_ = message.tail_;
+        service.smoothedTail_ += (service.smoothedTail_ > 0 ? tailGain : 1) * (message.tail_ - service.smoothedTail_);
+        learnLag(guard, now - message.measuredAt_);
+        learnUses(guard, message);
+        learnSlowdown(decision, service, message);
+        if (const auto* policy = std::get_if<FixedThreshold>(&guard.settings_.policy_))
+            FixedRules::act(decision, *policy, service, message.service_, now);
+    }
+
+    static void apply(GuardDecision& decision, const ModelPublished& message, Instant)
+    {
+        auto found = decision.state_.services_.find(message.service_);
+        if (found != decision.state_.services_.end())
+            found->second.model_ = message.model_;
+    }
+
+private:
+    static void remember(Guard& guard, GuardedService& service, Instant now)
+    {
+        if (!service.history_.empty() && now - service.history_.back().at_ < momentPeriod)
+            return;
+        Moment moment { now, service.load_, 0, {} };
+        double busy = 0;
+        for (const auto& [name, each] : guard.services_)
+            busy += each.load_ * each.coresPerLoad_;
+        std::map<TaskClassName, double> shares;
+        for (const auto& [name, task] : guard.tasks_) {
+            double use = task.fullUse_ * task.share_;
+            shares[task.class_] += use / guard.settings_.cores_;
+            busy += use;
+        }
+        moment.saturation_ = busy / guard.settings_.cores_;
+        for (const auto& [taskClass, share] : shares)
+            moment.exposures_.push_back({ taskClass, share });
+        service.history_.push_back(std::move(moment));
+        if (service.history_.size() > maximumMoments)
+            service.history_.pop_front();
+    }
+
+    static void learnLag(Guard& guard, Duration lag)
+    {
+        auto kept = Duration(static_cast<int64_t>(static_cast<double>(guard.lag_.count()) * lagRetention));
+        guard.lag_ = std::min(longestLag, std::max(lag, kept));
+    }
+
+    static void learnUses(Guard& guard, const Measured& message)
+    {
+        for (const TaskUse& use : message.uses_) {
+            auto found = guard.tasks_.find(use.task_);
+            if (found == guard.tasks_.end() || message.measuredAt_ - found->second.shareChangedAt_ < shareSettling)
+                continue;
+            GuardedTask& task = found->second;
+            task.fullUse_ += useGain * (use.cores_ / task.share_ - task.fullUse_);
+        }
+    }
+
+    static const Moment* momentAt(const GuardedService& service, Instant at)
+    {
+        auto later = std::find_if(service.history_.begin(), service.history_.end(), [&](const Moment& moment) { return moment.at_ > at; });
+        return later == service.history_.begin() ? nullptr : &*std::prev(later);
+    }
+
+    static void learnSlowdown(GuardDecision& decision, GuardedService& service, const Measured& message)
+    {
+        if (!std::holds_alternative<Learned>(decision.state_.settings_.policy_))
+            return;
+        const Moment* moment = momentAt(service, message.measuredAt_);
+        if (!moment)
+            return;
+        if (moment->load_ >= leastLoadForUse) {
+            double coresPerLoad = message.cores_ / moment->load_;
+            service.coresPerLoad_ += (service.coresPerLoad_ > 0 ? useGain : 1) * (coresPerLoad - service.coresPerLoad_);
+        }
+        Observation observation { message.measuredAt_, moment->load_, moment->saturation_, moment->exposures_, message.tail_ };
+        service.model_.observe(observation);
+        decision.actions_.emplace_back(Observed { message.service_, std::move(observation) });
+    }
+};
+
+GuardDecision decide(Guard state, const GuardMessage& message, Instant now)
+{
+    GuardDecision decision { std::move(state), {} };
+    std::visit([&](const auto& alternative) { GuardRules::apply(decision, alternative, now); }, message);
+    return decision;
+}
+
+} // namespace persimmondoor::colocation
--- /dev/null
+++ b/colocation/src/decisions/Policy.cpp
@@ -0,0 +1,40 @@
+#include "persimmondoor/colocation/Policy.h"
+
+namespace persimmondoor::colocation {
+
+static constexpr double loosestTarget = 1.09;
+static constexpr double targetRange = 0.04;
+static constexpr double leastCaution = 0.2;
+static constexpr double cautionRange = 0.5;
+static constexpr double mostEvictionsPerHour = 6;
+
+absl::StatusOr<Learned> Learned::create(const Weights& weights)
+{
+    bool valid = weights.tail_ >= 0 && weights.throughput_ >= 0 && weights.evictions_ >= 0;
+    if (!valid || weights.tail_ + weights.throughput_ + weights.evictions_ <= 0)
+        return absl::InvalidArgumentError("weights must not be negative, and at least one above zero");
+    return Learned(weights);
+}
+
+double Learned::tailShare() const
+{
+    return weights_.tail_ / (weights_.tail_ + weights_.throughput_ + weights_.evictions_);
+}
+
+double Learned::target() const
+{
+    return loosestTarget - targetRange * tailShare();
+}
+
+double Learned::caution() const
+{
+    return leastCaution + cautionRange * tailShare();
+}
+
+double Learned::evictionsPerHour() const
+{
+    double sum = weights_.tail_ + weights_.throughput_ + weights_.evictions_;
+    return mostEvictionsPerHour * (1 - weights_.evictions_ / sum);
+}
+
+} // namespace persimmondoor::colocation
--- /dev/null
+++ b/colocation/src/decisions/SlowdownModel.cpp
@@ -0,0 +1,243 @@
+#include "persimmondoor/colocation/SlowdownModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace persimmondoor::colocation {
+
+static constexpr size_t baselineIndex = 0;
+static constexpr size_t slopeIndex = 1;
+static constexpr size_t saturationIndex = 2;
+static constexpr size_t firstClassIndex = 3;
+
+static constexpr std::array<double, loadBands> bandCentres { 0.2, 0.475, 0.725, 1.0 };
+
+// Prior of each feature, in units of the first tail measured.
+static constexpr Estimate baselinePrior { 1.0, 0.3 };
+static constexpr Estimate slopePrior { 0.5, 0.5 };
+static constexpr Estimate saturationPrior { 1.0, 1.0 };
+/// Variance that a band takes over from its neighbour is raised by this share of the prior's.
+static constexpr double takeoverShare = 0.1;
+/// Growth of a class's variance by time, per second: a deviation of 0.1 after about 20 minutes.
+static constexpr double classDriftPerSecond = 1e-5;
+static constexpr double baselineDriftPerSecond = 1e-7;
+/// Share of a new squared residual in the noise estimate.
+static constexpr double noiseGain = 0.005;
+static constexpr double minimumNoise = 1e-4;
+/// A residual counts at most as this many standard deviations.
+static constexpr double residualLimit = 3;
+static constexpr double minimumBaseline = 1e-6;
+static constexpr double microsecondsPerSecond = 1e6;
+
+size_t loadBandOf(double load)
+{
+    return static_cast<size_t>(std::upper_bound(loadBandBounds.begin(), loadBandBounds.end(), load) - loadBandBounds.begin());
+}
+
+static double square(double value)
+{
+    return value * value;
+}
+
+static Estimate priorOf(size_t index)
+{
+    switch (index) {
+    case baselineIndex:
+        return baselinePrior;
+    case slopeIndex:
+        return slopePrior;
+    case saturationIndex:
+        return saturationPrior;
+    default:
+        return SlowdownModel::unseenHarm;
+    }
+}
+
+SlowdownModel::Band SlowdownModel::priorBand() const
+{
+    Band band;
+    for (size_t index = 0; index < features; ++index) {
+        band.means_[index] = priorOf(index).mean_;
+        band.covariance_[index][index] = square(priorOf(index).deviation_);
+    }
+    return band;
+}
+
+const SlowdownModel::Band* SlowdownModel::nearestBand(double load) const
+{
+    size_t wanted = loadBandOf(load);
+    const Band* best = nullptr;
+    size_t bestDistance = loadBands;
+    for (size_t index = 0; index < loadBands; ++index) {
+        size_t distance = index > wanted ? index - wanted : wanted - index;
+        if (bands_[index].observations_ > 0 && distance < bestDistance) {
+            best = &bands_[index];
+            bestDistance = distance;
+        }
+    }
+    return best;
+}
+
+// A band that is entered for the first time starts from its nearest neighbour, with more uncertainty.
+SlowdownModel::Band SlowdownModel::startBand(size_t band) const
+{
+    const Band* neighbour = nearestBand(bandCentres[band]);
+    if (!neighbour)
+        return priorBand();
+    Band result = *neighbour;
+    size_t from = static_cast<size_t>(neighbour - bands_.data());
+    result.means_[baselineIndex] += result.means_[slopeIndex] * (bandCentres[band] - bandCentres[from]);
+    for (size_t index = 0; index < features; ++index)
+        result.covariance_[index][index] += takeoverShare * square(priorOf(index).deviation_);
+    result.observations_ = 0;
+    return result;
+}
+
+size_t SlowdownModel::claimSlot(const TaskClassName& taskClass, Instant at)
+{
+    auto found = slots_.find(taskClass);
+    if (found != slots_.end()) {
+        found->second.seenAt_ = at;
+        return found->second.index_;
+    }
+    size_t index = firstClassIndex + slots_.size();
+    if (slots_.size() == maximumClasses) {
+        auto older = [](const auto& left, const auto& right) { return left.second.seenAt_ < right.second.seenAt_; };
+        auto oldest = std::min_element(slots_.begin(), slots_.end(), older);
+        index = oldest->second.index_;
+        slots_.erase(oldest);
+        resetSlot(index);
+    }
+    slots_.emplace(taskClass, Slot { index, at });
+    return index;
+}
+
+void SlowdownModel::resetSlot(size_t index)
+{
+    for (Band& band : bands_) {
+        for (size_t other = 0; other < features; ++other) {
+            band.covariance_[index][other] = 0;
+            band.covariance_[other][index] = 0;
+        }
+        band.means_[index] = priorOf(index).mean_;
+        band.covariance_[index][index] = square(priorOf(index).deviation_);
+    }
+}
+
+SlowdownModel::Vector SlowdownModel::inputOf(double load, double saturation, const std::vector<Exposure>& exposures) const
+{
+    Vector input {};
+    input[baselineIndex] = 1;
+    input[slopeIndex] = load - bandCentres[loadBandOf(load)];
+    input[saturationIndex] = std::max(0.0, saturation - saturationKnee);
+    for (const Exposure& exposure : exposures) {
+        auto slot = slots_.find(exposure.class_);
+        if (slot != slots_.end())
+            input[slot->second.index_] += exposure.share_;
+    }
+    return input;
+}
+
+void SlowdownModel::drift(Band& band, Instant at)
+{
+    double seconds = std::max(0.0, static_cast<double>((at - band.updatedAt_).count()) / microsecondsPerSecond);
+    if (band.observations_ == 0)
+        seconds = 0;
+    for (size_t index = 0; index < features; ++index) {
+        double perSecond = index < saturationIndex ? baselineDriftPerSecond : classDriftPerSecond;
+        double most = square(priorOf(index).deviation_);
+        double& variance = band.covariance_[index][index];
+        variance = std::max(variance, std::min(most, variance + seconds * perSecond));
+    }
+    band.updatedAt_ = std::max(band.updatedAt_, at);
+}
+
+void SlowdownModel::update(Band& band, const Vector& input, double relativeTail)
+{
+    Vector gain {};
+    double expected = 0;
+    double spread = 0;
+    for (size_t row = 0; row < features; ++row) {
+        for (size_t column = 0; column < features; ++column)
+            gain[row] += band.covariance_[row][column] * input[column];
+        expected += band.means_[row] * input[row];
+        spread += gain[row] * input[row];
+    }
+    double noise = noise_ * square(std::max(expected, minimumBaseline));
+    double variance = spread + noise;
+    double limit = residualLimit * std::sqrt(variance);
+    double residual = std::clamp(relativeTail - expected, -limit, limit);
+    for (size_t row = 0; row < features; ++row) {
+        band.means_[row] += gain[row] / variance * residual;
+        for (size_t column = 0; column < features; ++column)
+            band.covariance_[row][column] -= gain[row] * gain[column] / variance;
+    }
+    double relativeResidual = square(residual) / square(std::max(expected, minimumBaseline));
+    noise_ = std::max(minimumNoise, noise_ + noiseGain * (relativeResidual - noise_));
+}
+
+void SlowdownModel::observe(const Observation& observation)
+{
+    if (!(observation.tail_ > 0))
+        return;
+    if (scale_ <= 0)
+        scale_ = observation.tail_;
+    for (const Exposure& exposure : observation.exposures_)
+        claimSlot(exposure.class_, observation.measuredAt_);
+    size_t index = loadBandOf(observation.load_);
+    if (bands_[index].observations_ == 0)
+        bands_[index] = startBand(index);
+    Band& band = bands_[index];
+    drift(band, observation.measuredAt_);
+    update(band, inputOf(observation.load_, observation.saturation_, observation.exposures_), observation.tail_ / scale_);
+    ++band.observations_;
+    ++observations_;
+}
+
+double SlowdownModel::baseline(double load) const
+{
+    const Band* known = nearestBand(load);
+    if (!known)
+        return 0;
+    size_t index = static_cast<size_t>(known - bands_.data());
+    double relative = known->means_[baselineIndex] + known->means_[slopeIndex] * (load - bandCentres[index]);
+    return scale_ * std::max(relative, minimumBaseline);
+}
+
+Estimate SlowdownModel::harm(const TaskClassName& taskClass, double load) const
+{
+    auto slot = slots_.find(taskClass);
+    const Band* known = nearestBand(load);
+    if (slot == slots_.end() || !known)
+        return unseenHarm;
+    size_t index = slot->second.index_;
+    double base = baseline(load) / scale_;
+    return { std::max(0.0, known->means_[index] / base), std::sqrt(std::max(0.0, known->covariance_[index][index])) / base };
+}
+
+Estimate SlowdownModel::saturationHarm(double load) const
+{
+    const Band* known = nearestBand(load);
+    if (!known)
+        return saturationPrior;
+    double base = baseline(load) / scale_;
+    return { std::max(0.0, known->means_[saturationIndex] / base), std::sqrt(std::max(0.0, known->covariance_[saturationIndex][saturationIndex])) / base };
+}
+
+Estimate SlowdownModel::slowdown(double load, double saturation, const std::vector<Exposure>& exposures) const
+{
+    Estimate result { 1, 0 };
+    double above = std::max(0.0, saturation - saturationKnee);
+    Estimate saturated = saturationHarm(load);
+    result.mean_ += above * saturated.mean_;
+    result.deviation_ = square(above * saturated.deviation_);
+    for (const Exposure& exposure : exposures) {
+        Estimate each = harm(exposure.class_, load);
+        result.mean_ += exposure.share_ * each.mean_;
+        result.deviation_ += square(exposure.share_ * each.deviation_);
+    }
+    result.deviation_ = std::sqrt(result.deviation_);
+    return result;
+}
+
+} // namespace persimmondoor::colocation
