--- /dev/null
+++ b/jobs/src/Wire.h
@@ -0,0 +1,90 @@
+// Small parts of the encoding that journal, snapshots and requests share.
+#pragma once
+
+#include "Jobs.capnp.h"
+#include "persimmondoor/jobs/Record.h"
+
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+namespace persimmondoor::jobs {
+
+inline std::string textOf(capnp::Text::Reader text)
+{
+    return { text.begin(), text.size() };
+}
+
+// Names that were checked when they were written; anything else is damaged data.
+template <typename NameType>
+NameType nameOf(capnp::Text::Reader text)
+{
+    auto name = NameType::create(textOf(text));
+    KJ_REQUIRE(name.ok() || text.size() == 0, "a name is valid");
+    return name.ok() ? *name : NameType();
+}
+
+template <typename Enumeration>
+Enumeration enumerationOf(uint16_t value, Enumeration last)
+{
+    KJ_REQUIRE(value <= static_cast<uint16_t>(last), "a known value");
+    return static_cast<Enumeration>(value);
+}
+
+inline std::string pack(capnp::MessageBuilder& message)
+{
+    kj::VectorOutputStream output;
+    capnp::writePackedMessage(output, message);
+    auto bytes = output.getArray();
+    return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
+// Runs `read` on the root of a packed message.
+template <typename Root, typename Read>
+auto unpack(const std::string& bytes, Read read) -> absl::StatusOr<std::invoke_result_t<Read, typename Root::Reader>>
+{
+    absl::StatusOr<std::invoke_result_t<Read, typename Root::Reader>> result = absl::DataLossError("not read");
+    auto failure = kj::runCatchingExceptions([&] {
+        kj::ArrayInputStream input(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+        // A snapshot may be far larger than the default limit for messages of strangers.
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = uint64_t(1) << 32;
+        capnp::PackedMessageReader reader(input, options);
+        result = read(reader.getRoot<Root>());
+    });
+    KJ_IF_MAYBE (error, failure)
+        return absl::DataLossError(error->getDescription().cStr());
+    return result;
+}
+
+// As `unpack`'s check, for the parts of a message that is open already.
+template <typename Read>
+auto checked(Read read) -> absl::StatusOr<std::invoke_result_t<Read>>
+{
+    absl::StatusOr<std::invoke_result_t<Read>> result = absl::InvalidArgumentError("not read");
+    auto failure = kj::runCatchingExceptions([&] { result = read(); });
+    KJ_IF_MAYBE (error, failure)
+        return absl::InvalidArgumentError(error->getDescription().cStr());
+    return result;
+}
+
+inline void encodeNames(const std::vector<WorkerName>& names, capnp::List<capnp::Text>::Builder wire)
+{
+    for (unsigned index = 0; index < wire.size(); ++index)
+        wire.set(index, names[index].value());
+}
+
+inline std::vector<WorkerName> decodeNames(capnp::List<capnp::Text>::Reader wire)
+{
+    std::vector<WorkerName> names;
+    for (auto name : wire)
+        names.push_back(nameOf<WorkerName>(name));
+    return names;
+}
+
+void encode(const placement::Site&, wire::Site::Builder);
+placement::Site readSite(wire::Site::Reader);
+// Throws a kj::Exception for invalid data.
+JobSpec readSpec(wire::Spec::Reader);
+
+} // namespace persimmondoor::jobs
