--- a/http/src/Server.cpp
+++ b/http/src/Server.cpp
@@ -145,7 +145,7 @@
     ++state->inFlight_;
     std::optional<Response> response = co_await handle(state, session, fromBeast(parser.release()));
     keepAlive = keepAlive && !state->stopping_ && response;
-    bool written = response && co_await writeResponse(session, *std::move(response), keepAlive);
+    bool written = response && response->status_ != noAnswerStatus && co_await writeResponse(session, *std::move(response), keepAlive);
     --state->inFlight_;
     session->idle_ = true;
     co_return written&& keepAlive;
