--- a/routing/src/ClaimsActor.cpp
+++ b/routing/src/ClaimsActor.cpp
@@ -15,6 +15,8 @@
 static constexpr size_t mailboxCapacity = 4096;
 // Transactions tried for one batch while replies are lost.
 static constexpr int batchAttempts = 4;
+// Transactions tried for one batch in all: each conflict decides one change at least, unless its row changes again.
+static constexpr size_t maximumRounds = 2 * claimsPerBatch;
 // Time beyond its deadline in which the reply to a claim may still arrive.
 static constexpr Duration replyGrace = std::chrono::milliseconds(100);
 static constexpr Duration sweepInterval = std::chrono::seconds(5);
@@ -41,25 +43,33 @@
 
         asio::awaitable<void> write()
         {
-            int attempts = 0;
-            while (!changes_.empty() && attempts < batchAttempts) {
+            int lostReplies = 0;
+            for (size_t round = 0; round < maximumRounds && !changes_.empty() && lostReplies < batchAttempts; ++round) {
                 platform::CommitOutcome outcome = co_await platform::commit(table_, transaction());
-                if (const auto* committed = std::get_if<platform::Committed>(&outcome))
-                    co_await succeedAll(committed->version_);
-                else if (const auto* conflict = std::get_if<platform::Conflict>(&outcome))
-                    co_await resolve({ conflict->key_ });
-                else if (const auto* unavailable = std::get_if<platform::Unavailable>(&outcome))
-                    failAll(unavailable->detail_);
-                else {
-                    // Nothing is assumed of a lost reply: the rows tell.
-                    ++attempts;
-                    co_await resolve(keys());
-                }
+                if (std::holds_alternative<platform::ReplyLost>(outcome))
+                    ++lostReplies;
+                co_await take(std::move(outcome));
             }
             failAll("no reply from the table service");
         }
 
     private:
+        asio::awaitable<void> take(platform::CommitOutcome outcome)
+        {
+            std::vector<std::string> undecided;
+            if (const auto* committed = std::get_if<platform::Committed>(&outcome))
+                co_await succeedAll(committed->version_);
+            if (const auto* unavailable = std::get_if<platform::Unavailable>(&outcome))
+                failAll(unavailable->detail_);
+            if (const auto* conflict = std::get_if<platform::Conflict>(&outcome))
+                undecided.push_back(conflict->key_);
+            // Nothing is assumed of a lost reply: the rows tell.
+            if (std::holds_alternative<platform::ReplyLost>(outcome))
+                undecided = keys();
+            if (!undecided.empty())
+                co_await resolve(std::move(undecided));
+        }
+
         platform::Transaction transaction() const
         {
             platform::Transaction result;
@@ -97,7 +107,9 @@
                 co_return;
             }
             change.reply_.send(storeFailed("the table service is too slow for the deadline"));
-            platform::Transaction giveBack { { { change.order_.key_, version } }, { platform::Erase { change.order_.key_ } } };
+            platform::Transaction giveBack;
+            giveBack.conditions_.push_back({ change.order_.key_, version });
+            giveBack.writes_.emplace_back(platform::Erase { change.order_.key_ });
             co_await platform::commit(table_, std::move(giveBack));
         }
 
@@ -311,22 +323,25 @@
 
 asio::awaitable<ClaimVerdict> ClaimsActor::make(ClaimOrder order, Duration limit) const
 {
+    Reply<ClaimVerdict> reply(co_await asio::this_coro::executor);
     ClaimRow row { order.claimant_, order.digest_, wallMilliseconds(), ClaimState::Open, {} };
-    Change claim { Kind::Make, std::move(order), platform::RowVersion(), encodeClaim(row), now(clock_) + limit, Reply<ClaimVerdict>(co_await asio::this_coro::executor) };
+    Change claim { Kind::Make, std::move(order), platform::RowVersion(), encodeClaim(row), now(clock_) + limit, reply };
     co_return co_await change(std::move(claim));
 }
 
 asio::awaitable<void> ClaimsActor::keep(ClaimOrder order, platform::RowVersion version, Done answer) const
 {
+    Reply<ClaimVerdict> reply(co_await asio::this_coro::executor);
     std::string value = encodeClaim(withAnswer(order, answer, wallMilliseconds()));
-    Change kept { Kind::Keep, std::move(order), version, std::move(value), now(clock_) + claimTimeout, Reply<ClaimVerdict>(co_await asio::this_coro::executor) };
+    Change kept { Kind::Keep, std::move(order), version, std::move(value), now(clock_) + claimTimeout, reply };
     if (!mailbox_.tryPost(std::move(kept)))
         logWarning("claims.answer_not_kept", {});
 }
 
 asio::awaitable<void> ClaimsActor::release(ClaimOrder order, platform::RowVersion version) const
 {
-    Change given { Kind::Release, std::move(order), version, "", now(clock_) + claimTimeout, Reply<ClaimVerdict>(co_await asio::this_coro::executor) };
+    Reply<ClaimVerdict> reply(co_await asio::this_coro::executor);
+    Change given { Kind::Release, std::move(order), version, "", now(clock_) + claimTimeout, reply };
     ClaimVerdict verdict = co_await change(std::move(given));
     if (!std::holds_alternative<ClaimMade>(verdict))
         logWarning("claims.not_released", {});
@@ -353,7 +368,8 @@
 
 static asio::awaitable<void> runAndReply(ClaimsActor claims, RouterActor router, admission::ServiceRequest request, ClaimOrder order, Reply<RequestOutcome> reply)
 {
-    reply.send(co_await runClaimed(std::move(claims), std::move(router), std::move(request), std::move(order)));
+    RequestOutcome outcome = co_await runClaimed(std::move(claims), std::move(router), std::move(request), std::move(order));
+    reply.send(std::move(outcome));
 }
 
 asio::awaitable<RequestOutcome> routeClaimed(ClaimsActor claims, RouterActor router, admission::ServiceRequest request, std::string key)
