Own partitions by epoch rows: claim, heartbeat, take over, spread, give back

Cause: nothing decided which process owns a job partition. Change: pure decisions and an actor. A candidate watches a heartbeat unchanged for a whole lease by its own clock with the store up, and its claim has conditions on the partition, on the old heartbeat, which it erases, and on its own. Lost replies are read back. Shares are evened out by giving back.

--- a/leases/include/persimmondoor/leases/Ownership.h
+++ b/leases/include/persimmondoor/leases/Ownership.h
@@ -38,23 +38,33 @@
     uint32_t partitionCount_ { defaultPartitionCount };
     /// Time without a heartbeat after which an owner is deposed.
     Duration lease_ { std::chrono::seconds(10) };
-    /// Time between two heartbeats, and between two looks at the rows.
+    /// Time between two heartbeats, and between two reads of the rows.
     Duration interval_ { std::chrono::seconds(3) };
     /// Time for which an owner may renew task leases without a heartbeat.
     Duration horizon_ { std::chrono::minutes(15) };
-    /// Processes that may want partitions; spreads the first heartbeats of a large cell over time.
+    /// Processes that may want partitions. Those that own none read the rows the less often the more there are.
     uint32_t candidates_ { 1 };
     bool operator==(const OwnershipSettings&) const = default;
+
+    /// Settings for a cell of so many processes: the fewer, the shorter the lease, as heartbeats are store writes.
+    static OwnershipSettings forCell(ProcessName process, Incarnation incarnation, Address address, uint32_t processes);
 };
 
+/// Reads a second that all processes without a partition cause together, at most, while nothing happens.
+inline constexpr int64_t idleReadsPerSecond = 100;
+/// Part of the lease and of the horizon that an owner leaves unused, as clocks of hosts differ in rate.
+inline constexpr int64_t clockAllowanceDivisor = 10;
+/// Partitions claimed in one step, at most.
+inline constexpr size_t claimsPerStep = 32;
+
 /// This process owns the partition now. A journal transaction carries a condition that the row `partitionKey()` has
 /// `version_`.
 struct Gained {
     PartitionNumber partition_;
     Epoch epoch_;
     platform::RowVersion version_;
-    /// For how long, from now on, tasks on a worker that can't be reached may still run under an earlier owner's
-    /// renewals. Zero if there was no earlier owner.
+    /// For how long, from now on, an earlier owner may still renew leases of tasks on a worker that this owner can't
+    /// reach. Zero if there was none, or if it gave the partition back.
     Duration horizon_ { 0 };
     auto operator<=>(const Gained&) const = default;
 };
@@ -85,7 +95,10 @@
     Incarnation incarnation_;
     Address address_;
     Epoch epoch_;
+    /// How long after its last heartbeat the owner may renew task leases.
     Duration horizon_ { 0 };
+    /// How long after the epoch began an owner before may have renewed task leases.
+    Duration inheritedHorizon_ { 0 };
     auto operator<=>(const PartitionRow&) const = default;
 };
 
@@ -123,12 +136,18 @@
     auto operator<=>(const ClaimEnded&) const = default;
 };
 
-/// Give every partition back.
+/// A transaction that gives partitions back has ended.
+struct GiveBackEnded {
+    platform::CommitOutcome outcome_;
+    auto operator<=>(const GiveBackEnded&) const = default;
+};
+
+/// Give every partition back, for good.
 struct GiveBackAsked {
     auto operator<=>(const GiveBackAsked&) const = default;
 };
 
-using OwnershipMessage = std::variant<StepDue, RowsRead, ReadFailed, HeartbeatEnded, ClaimEnded, GiveBackAsked>;
+using OwnershipMessage = std::variant<StepDue, RowsRead, ReadFailed, HeartbeatEnded, ClaimEnded, GiveBackEnded, GiveBackAsked>;
 
 /// Write the heartbeat; answer with HeartbeatEnded.
 struct WriteHeartbeat {
@@ -148,7 +167,7 @@
     auto operator<=>(const Claim&) const = default;
 };
 
-/// Write rows of partitions that are given back. Its outcome is seen at the next read.
+/// Write the rows of partitions that are given back; answer with GiveBackEnded.
 struct GiveBack {
     platform::Transaction transaction_;
     auto operator<=>(const GiveBack&) const = default;
@@ -166,21 +185,33 @@
 struct Holding {
     Epoch epoch_;
     platform::RowVersion version_;
+    /// When the partition was gained, and how long from then an earlier owner may have renewed task leases.
+    Instant since_;
+    Duration inheritedHorizon_ { 0 };
     auto operator<=>(const Holding&) const = default;
 };
 
-/// What was last seen of another owner's heartbeat.
+/// A claim whose outcome is not known.
+struct PendingClaim {
+    Epoch epoch_;
+    Duration horizon_ { 0 };
+    auto operator<=>(const PendingClaim&) const = default;
+};
+
+/// What was last seen of a heartbeat of another life.
 struct Watched {
     platform::RowVersion version_;
     Incarnation incarnation_;
-    /// When this version was first seen, by this process's clock.
+    /// Since when this version has been seen without a break, by this process's clock.
     Instant since_;
+    /// The same version was seen before the latest break.
+    bool stale_ { false };
     auto operator<=>(const Watched&) const = default;
 };
 
 class Ownership {
 public:
-    /// \return the state of a process that owns nothing, or InvalidArgument for settings that can't work: no
+    /// \return the state of a process that owns nothing, or InvalidArgument for settings that can't work: no name or
     /// partition, an interval of over a third of the lease, a horizon shorter than the lease.
     static absl::StatusOr<Ownership> create(const OwnershipSettings&);
 
@@ -188,10 +219,15 @@
     const OwnershipSettings& settings() const { return settings_; }
     /// True while no other process can have become owner of what this one holds.
     bool isLeaseValid(Instant now) const { return leaseUntil_ && now < *leaseUntil_; }
+    /// Time from one step to the next.
+    Duration pace() const;
+    /// True once everything was given back for good.
+    bool hasLeft() const { return leaving_ && !registered_; }
     bool operator==(const Ownership&) const = default;
 
 private:
     friend struct OwnershipRules;
+    friend struct BalanceRules;
     explicit Ownership(OwnershipSettings settings)
         : settings_(std::move(settings))
     {
@@ -199,17 +235,23 @@
 
     OwnershipSettings settings_;
     std::map<PartitionNumber, Holding> holdings_;
+    std::map<PartitionNumber, PendingClaim> claims_;
     std::map<ProcessName, Watched> owners_;
-    /// Number of the latest heartbeat sent and when; its version if its reply came.
+    std::optional<Instant> lastRead_;
+    /// Number of the latest heartbeat and when it was sent.
     uint64_t heartbeat_ { 0 };
-    std::optional<Instant> heartbeatSent_;
+    Instant heartbeatSent_;
+    /// Version of the own heartbeat's row, as far as known.
     platform::RowVersion heartbeatVersion_;
     std::optional<Instant> leaseUntil_;
     std::optional<Instant> horizonUntil_;
     bool registered_ { false };
     bool leaving_ { false };
-    uint64_t steps_ { 0 };
-    uint64_t idleSteps_ { 0 };
+    /// Another owner's end is suspected, or partitions are free.
+    bool alert_ { false };
+    uint64_t reads_ { 0 };
+    /// Reads since this registered process last held a partition.
+    uint64_t readsIdle_ { 0 };
 };
 
 struct OwnershipDecision {
--- a/leases/include/persimmondoor/leases/OwnershipActor.h
+++ b/leases/include/persimmondoor/leases/OwnershipActor.h
@@ -1,7 +1,7 @@
 /// The actor in each entry and agent that claims, renews and gives back job partitions.
 ///
 /// \code
-/// OwnershipActor ownership = OwnershipActor::create(executor, clock, table, { self, address }, [jobs](const OwnershipChange& change) { jobs.learn(change); });
+/// OwnershipActor ownership = *OwnershipActor::create(executor, clock, table, settings, [jobs](const OwnershipChange& change) { jobs.learn(change); });
 /// co_await ownership.giveBack();
 /// \endcode
 #pragma once
@@ -20,7 +20,8 @@
 class OwnershipActor {
 public:
     /// Starts the actor on `executor`.
-    static OwnershipActor create(const boost::asio::any_io_executor& executor, Clock clock, platform::TableClient table, OwnershipSettings settings, OwnershipListener listener);
+    /// \return its handle, or InvalidArgument as `Ownership::create`.
+    static absl::StatusOr<OwnershipActor> create(const boost::asio::any_io_executor& executor, Clock clock, platform::TableClient table, OwnershipSettings settings, OwnershipListener listener);
 
     /// Gives every partition back and ends. The listener hears of each loss before its row is written. With the store
     /// down it ends after a few tries; the partitions are then taken over when the lease has lapsed.
--- /dev/null
+++ b/leases/src/OwnershipActor.cpp
@@ -0,0 +1,202 @@
+#include "persimmondoor/leases/OwnershipActor.h"
+
+#include "Rows.h"
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
+#include "persimmondoor/core/Visitor.h"
+
+#include <boost/asio/this_coro.hpp>
+#include <deque>
+
+namespace persimmondoor::leases {
+
+namespace asio = boost::asio;
+
+static constexpr size_t mailboxCapacity = 16;
+static constexpr size_t rowsPerScan = 1000;
+static constexpr int giveBackTries = 3;
+static constexpr Duration giveBackRetryInterval = std::chrono::milliseconds(300);
+
+// Reads all rows of a prefix, page by page.
+static asio::awaitable<absl::StatusOr<std::vector<platform::Row>>> readAll(platform::TableClient table, std::string prefix)
+{
+    std::vector<platform::Row> all;
+    for (;;) {
+        platform::Scan range { prefix, all.empty() ? "" : all.back().key_, rowsPerScan };
+        auto page = co_await platform::scan(table, std::move(range));
+        if (!page.ok())
+            co_return page.status();
+        bool last = page->size() < rowsPerScan;
+        all.insert(all.end(), std::make_move_iterator(page->begin()), std::make_move_iterator(page->end()));
+        if (last)
+            co_return all;
+    }
+}
+
+static void logMalformedRows(const std::vector<platform::Row>& partitions)
+{
+    for (const platform::Row& row : partitions) {
+        if (!decodePartitionRow(row.value_).ok())
+            logError("ownership.malformed_row", { { "key", row.key_ } });
+    }
+}
+
+static asio::awaitable<OwnershipMessage> readRows(platform::TableClient table)
+{
+    auto partitions = co_await readAll(table, std::string(partitionPrefix));
+    if (!partitions.ok())
+        co_return ReadFailed {};
+    logMalformedRows(*partitions);
+    auto owners = co_await readAll(table, std::string(ownerPrefix));
+    if (!owners.ok())
+        co_return ReadFailed {};
+    co_return RowsRead { *std::move(partitions), *std::move(owners) };
+}
+
+static asio::awaitable<void> tick(Mailbox<OwnershipActor::Message> mailbox, Duration wait)
+{
+    co_await sleepFor(wait);
+    mailbox.tryPost(OwnershipActor::Tick {});
+}
+
+static platform::Transaction transactionOf(const OwnershipAction& action)
+{
+    return std::visit(Visitor {
+                          [](const WriteHeartbeat& write) { return write.transaction_; },
+                          [](const Claim& claim) { return claim.transaction_; },
+                          [](const GiveBack& giveBack) { return giveBack.transaction_; },
+                          [](const auto&) { return platform::Transaction(); },
+                      },
+        action);
+}
+
+static OwnershipMessage messageOf(const OwnershipAction& action, platform::CommitOutcome outcome)
+{
+    if (const auto* claim = std::get_if<Claim>(&action))
+        return ClaimEnded { claim->partition_, std::move(outcome) };
+    if (std::holds_alternative<GiveBack>(action))
+        return GiveBackEnded { std::move(outcome) };
+    return HeartbeatEnded { std::move(outcome) };
+}
+
+namespace {
+
+    class OwnershipLoop {
+    public:
+        OwnershipLoop(asio::any_io_executor executor, Clock clock, platform::TableClient table, Ownership state, OwnershipListener listener, Mailbox<OwnershipActor::Message> mailbox)
+            : executor_(std::move(executor))
+            , clock_(std::move(clock))
+            , table_(std::move(table))
+            , state_(std::move(state))
+            , listener_(std::move(listener))
+            , mailbox_(std::move(mailbox))
+        {
+        }
+
+        asio::awaitable<void> run(std::shared_ptr<OwnershipLoop> self)
+        {
+            // Messages have names: the compiler destroys a braced argument of an awaited call twice.
+            const OwnershipMessage due = StepDue {};
+            co_await self->step(due);
+            for (;;) {
+                spawn(executor_, "ownership tick", tick(mailbox_, state_.pace()));
+                OwnershipActor::Message message = co_await mailbox_.receive();
+                if (auto* giveBack = std::get_if<OwnershipActor::GiveBack>(&message)) {
+                    co_await self->leave();
+                    giveBack->done_.send(true);
+                    co_return;
+                }
+                co_await self->step(due);
+            }
+        }
+
+    private:
+        // Decides on `message` and on the outcomes of all actions that follow from it, one after the other.
+        asio::awaitable<void> step(OwnershipMessage message)
+        {
+            std::deque<OwnershipAction> actions;
+            for (;;) {
+                OwnershipDecision decision = decide(std::move(state_), message, now(clock_));
+                state_ = std::move(decision.state_);
+                actions.insert(actions.end(), std::make_move_iterator(decision.actions_.begin()), std::make_move_iterator(decision.actions_.end()));
+                while (!actions.empty() && std::holds_alternative<Tell>(actions.front())) {
+                    tell(std::get<Tell>(actions.front()).change_);
+                    actions.pop_front();
+                }
+                if (actions.empty())
+                    co_return;
+                OwnershipAction action = std::move(actions.front());
+                actions.pop_front();
+                message = co_await perform(std::move(action));
+            }
+        }
+
+        asio::awaitable<OwnershipMessage> perform(OwnershipAction action)
+        {
+            if (std::holds_alternative<ReadRows>(action))
+                co_return co_await readRows(table_);
+            if (auto* giveBack = std::get_if<GiveBack>(&action))
+                lastGiveBack_ = giveBack->transaction_;
+            platform::CommitOutcome outcome = co_await platform::commit(table_, transactionOf(action));
+            co_return messageOf(action, std::move(outcome));
+        }
+
+        asio::awaitable<void> leave()
+        {
+            OwnershipMessage asked = GiveBackAsked {};
+            co_await step(std::move(asked));
+            for (int tries = 1; tries < giveBackTries && !state_.hasLeft(); ++tries) {
+                co_await sleepFor(giveBackRetryInterval);
+                platform::CommitOutcome outcome = co_await platform::commit(table_, lastGiveBack_);
+                OwnershipMessage ended = GiveBackEnded { std::move(outcome) };
+                co_await step(std::move(ended));
+            }
+            if (!state_.hasLeft())
+                logWarning("ownership.not_given_back", { { "process", state_.settings().process_.value() } });
+        }
+
+        void tell(const OwnershipChange& change)
+        {
+            std::visit(Visitor {
+                           [](const Gained& gained) {
+                               logInfo("ownership.gained", { { "partition", std::to_string(gained.partition_.value()) }, { "epoch", std::to_string(gained.epoch_.value()) } });
+                           },
+                           [](const Lost& lost) { logInfo("ownership.lost", { { "partition", std::to_string(lost.partition_.value()) } }); },
+                           [](const Extended&) {},
+                       },
+                change);
+            listener_(change);
+        }
+
+        asio::any_io_executor executor_;
+        Clock clock_;
+        platform::TableClient table_;
+        Ownership state_;
+        OwnershipListener listener_;
+        Mailbox<OwnershipActor::Message> mailbox_;
+        platform::Transaction lastGiveBack_;
+    };
+
+} // namespace
+
+absl::StatusOr<OwnershipActor> OwnershipActor::create(const asio::any_io_executor& executor, Clock clock, platform::TableClient table, OwnershipSettings settings, OwnershipListener listener)
+{
+    auto state = Ownership::create(settings);
+    if (!state.ok())
+        return state.status();
+    Mailbox<Message> mailbox(executor, mailboxCapacity);
+    auto loop = std::make_shared<OwnershipLoop>(executor, std::move(clock), std::move(table), *std::move(state), std::move(listener), mailbox);
+    spawn(executor, "ownership", loop->run(loop));
+    return OwnershipActor(std::move(mailbox));
+}
+
+asio::awaitable<void> OwnershipActor::giveBack() const
+{
+    Mailbox<Message> mailbox = mailbox_;
+    Reply<bool> done(co_await asio::this_coro::executor);
+    if (mailbox.tryPost(GiveBack { done }))
+        co_await done.receive();
+    mailbox.close();
+}
+
+} // namespace persimmondoor::leases
