Host tasks: ledger, fencing, stamps, once-only start, leases, events

Cause: agents could not start tasks. Change: slice hosting. The ledger holds what the agent promised, from before the launch until the worker reports the end; it is read from the worker after a restart. Orders are fenced by epoch, attempt and the agent's own stamp; leases count from the stamp. Events wait until acknowledged.

--- a/hosting/include/persimmondoor/hosting/Messages.h
+++ b/hosting/include/persimmondoor/hosting/Messages.h
@@ -194,12 +194,12 @@
     Stamp stamp_;
     /// False if the stamp in the renewal was not of this agent's life.
     bool renewed_ { false };
-    std::vector<HostEvent> events_;
+    std::vector<HostEvent> events_ {};
     /// More events wait than fit in one answer.
     bool moreEvents_ { false };
     uint64_t digest_ { 0 };
     /// The attempts of the partition that run here, if the digests differ.
-    std::vector<TaskAttempt> running_;
+    std::vector<TaskAttempt> running_ {};
     bool operator==(const RenewalAnswer&) const = default;
 };
 
--- /dev/null
+++ b/hosting/src/decisions/Ledger.cpp
@@ -0,0 +1,266 @@
+#include "Ledger.h"
+
+#include "../Label.h"
+#include "persimmondoor/core/Visitor.h"
+
+#include <algorithm>
+
+namespace persimmondoor::hosting {
+
+using platform::TaskReport;
+using platform::TaskState;
+
+void ReportRules::record(HostDecision& decision, const TaskId& id, const HostedTask& task, TaskEvent event)
+{
+    Host& host = decision.state_;
+    host.lastSequence_ = host.lastSequence_.next();
+    host.events_[task.partition_].push_back({ host.lastSequence_, { id, task.attempt_ }, std::move(event) });
+}
+
+void ReportRules::fence(Host& host, const TaskAttempt& task, AttemptFence::Past past, Instant now)
+{
+    AttemptFence& known = host.fences_[task.task_];
+    if (task.attempt_ < known.attempt_)
+        return;
+    known = { task.attempt_, past, now + stampLifetime, known.unacknowledgedEnds_ };
+}
+
+void ReportRules::recordEnd(HostDecision& decision, const TaskId& id, const HostedTask& task, TaskEvent event, Instant now)
+{
+    record(decision, id, task, std::move(event));
+    fence(decision.state_, { id, task.attempt_ }, AttemptFence::Past::Started, now);
+    ++decision.state_.fences_.at(id).unacknowledgedEnds_;
+}
+
+void ReportRules::remove(HostDecision& decision, const TaskId& id)
+{
+    Host& host = decision.state_;
+    auto found = host.tasks_.find(id);
+    host.committed_ = host.committed_ - found->second.resources_;
+    host.tasks_.erase(found);
+}
+
+// The worker is known to run the task.
+void ReportRules::launched(HostDecision& decision, const TaskId& id)
+{
+    HostedTask& task = decision.state_.tasks_.at(id);
+    if (task.phase_ != TaskPhase::Launching)
+        return;
+    task.phase_ = TaskPhase::Running;
+    task.launch_.reset();
+    task.busy_ = false;
+    record(decision, id, task, TaskStarted {});
+    for (CallNumber call : task.callers_)
+        decision.actions_.emplace_back(AnswerStart { call, Started {} });
+    task.callers_.clear();
+    if (task.stopAfterLaunch_)
+        beginStop(decision, id, *task.stopAfterLaunch_);
+}
+
+void ReportRules::apply(HostDecision& decision, const LaunchEnded& message, Instant now)
+{
+    Host& host = decision.state_;
+    auto found = host.tasks_.find(message.task_.task_);
+    if (found == host.tasks_.end() || found->second.attempt_ != message.task_.attempt_ || found->second.phase_ != TaskPhase::Launching)
+        return;
+    HostedTask& task = found->second;
+    task.busy_ = false;
+    const TaskId id = message.task_.task_;
+    std::visit(Visitor {
+                   [&](const platform::Launched&) { launched(decision, id); },
+                   // The task itself is at fault: it counts as started and failed, so that it is not tried for ever.
+                   [&](const platform::LaunchRefused& refused) {
+                       launched(decision, id);
+                       recordEnd(decision, id, host.tasks_.at(id), TaskFailed { refused.detail_ }, now);
+                       remove(decision, id);
+                   },
+                   [&](const platform::Unavailable& down) {
+                       for (CallNumber call : task.callers_)
+                           decision.actions_.emplace_back(AnswerStart { call, StartRefused { StartRefusal::WorkerUnavailable, down.detail_ } });
+                       // Nothing was started, so the same attempt may be tried again, unless it was to be stopped.
+                       bool stopped = task.stopAfterLaunch_.has_value();
+                       if (stopped)
+                           recordEnd(decision, id, task, TaskStopped {}, now);
+                       remove(decision, id);
+                       AttemptFence& fence = host.fences_[id];
+                       fence.past_ = stopped ? AttemptFence::Past::NeverStart : AttemptFence::Past::Open;
+                   },
+                   // Tried again when time has passed; a launch is idempotent.
+                   [](const platform::ReplyLost&) {},
+               },
+        message.outcome_);
+}
+
+void ReportRules::beginStop(HostDecision& decision, const TaskId& id, StopKind kind)
+{
+    HostedTask& task = decision.state_.tasks_.at(id);
+    switch (task.phase_) {
+    case TaskPhase::Launching:
+        task.stopAfterLaunch_ = kind;
+        return;
+    case TaskPhase::Stopping:
+        return;
+    case TaskPhase::Checkpointing:
+        if (kind == StopKind::Checkpoint)
+            return;
+        break;
+    case TaskPhase::Running:
+        break;
+    }
+    task.phase_ = kind == StopKind::Checkpoint ? TaskPhase::Checkpointing : TaskPhase::Stopping;
+    task.busy_ = false;
+    continueStop(decision, id);
+}
+
+void ReportRules::continueStop(HostDecision& decision, const TaskId& id)
+{
+    HostedTask& task = decision.state_.tasks_.at(id);
+    if (task.busy_)
+        return;
+    if (task.phase_ == TaskPhase::Checkpointing && task.checkpointTries_ >= checkpointTries)
+        task.phase_ = TaskPhase::Stopping;
+    task.busy_ = true;
+    if (task.phase_ == TaskPhase::Checkpointing) {
+        ++task.checkpointTries_;
+        decision.actions_.emplace_back(CheckpointTask { { id, task.attempt_ } });
+    } else
+        decision.actions_.emplace_back(StopTask { { id, task.attempt_ } });
+}
+
+void ReportRules::learnCheckpoint(HostDecision& decision, const TaskId& id, HostedTask& task, const std::string& reference)
+{
+    if (reference.empty() || reference == task.checkpoint_)
+        return;
+    task.checkpoint_ = reference;
+    record(decision, id, task, TaskCheckpointed { reference });
+}
+
+void ReportRules::apply(HostDecision& decision, const CheckpointEnded& message, Instant)
+{
+    auto found = decision.state_.tasks_.find(message.task_.task_);
+    if (found == decision.state_.tasks_.end() || found->second.attempt_ != message.task_.attempt_)
+        return;
+    HostedTask& task = found->second;
+    if (message.reference_)
+        learnCheckpoint(decision, found->first, task, *message.reference_);
+    if (task.phase_ != TaskPhase::Checkpointing)
+        return;
+    task.busy_ = false;
+    if (!message.reference_)
+        return;
+    task.phase_ = TaskPhase::Stopping;
+    continueStop(decision, message.task_.task_);
+}
+
+void ReportRules::apply(HostDecision& decision, const StopEnded& message, Instant now)
+{
+    auto found = decision.state_.tasks_.find(message.task_.task_);
+    if (found == decision.state_.tasks_.end() || found->second.attempt_ != message.task_.attempt_)
+        return;
+    HostedTask& task = found->second;
+    // A launch whose outcome is not known is stopped again until the worker reports its end or denies knowing it.
+    task.busy_ = message.answer_ == StopAnswer::Done && task.phase_ != TaskPhase::Launching;
+    // The end is taken from the worker's report, unless the worker has never known the task.
+    if (message.answer_ != StopAnswer::UnknownTask)
+        return;
+    for (CallNumber call : task.callers_)
+        decision.actions_.emplace_back(AnswerStart { call, StartRefused { StartRefusal::WorkerUnavailable, "stopped before it was launched" } });
+    recordEnd(decision, message.task_.task_, task, task.lapsing_ ? TaskEvent(TaskLeaseLapsed {}) : TaskEvent(TaskStopped {}), now);
+    remove(decision, message.task_.task_);
+}
+
+void ReportRules::adopt(HostDecision& decision, const TaskReport& report, PartitionNumber partition, Instant now)
+{
+    Host& host = decision.state_;
+    HostedTask task { report.task_.attempt_, partition, report.resources_, TaskPhase::Running, report.leaseLeft_, now + report.leaseLeft_ };
+    host.committed_ = host.committed_ + task.resources_;
+    host.tasks_.emplace(report.task_.task_, std::move(task));
+    fence(host, report.task_, AttemptFence::Past::Started, now);
+}
+
+void ReportRules::applyRunning(HostDecision& decision, const TaskReport& report, Instant now)
+{
+    Host& host = decision.state_;
+    const TaskId& id = report.task_.task_;
+    auto found = host.tasks_.find(id);
+    auto fence = host.fences_.find(id);
+    bool fenced = fence != host.fences_.end() && (report.task_.attempt_ < fence->second.attempt_ || (report.task_.attempt_ == fence->second.attempt_ && fence->second.past_ == AttemptFence::Past::NeverStart));
+    if (found == host.tasks_.end() && !fenced)
+        adopt(decision, report, decodeLabel(report.label_).value_or(PartitionNumber(std::numeric_limits<uint64_t>::max())), now);
+    else if (found == host.tasks_.end() || found->second.attempt_ != report.task_.attempt_) {
+        decision.actions_.emplace_back(StopTask { report.task_ });
+        return;
+    }
+    launched(decision, id);
+    learnCheckpoint(decision, id, host.tasks_.at(id), report.checkpoint_);
+}
+
+TaskEvent ReportRules::toEvent(const TaskReport& report, bool lapsing)
+{
+    switch (report.state_) {
+    case TaskState::Finished:
+        return TaskFinished { report.exitCode_, report.result_ };
+    case TaskState::Failed:
+        return TaskFailed { report.result_ };
+    case TaskState::LeaseLapsed:
+        return TaskLeaseLapsed {};
+    case TaskState::Running:
+    case TaskState::Stopped:
+        break;
+    }
+    return lapsing ? TaskEvent(TaskLeaseLapsed {}) : TaskEvent(TaskStopped {});
+}
+
+void ReportRules::applyEnded(HostDecision& decision, const TaskReport& report, Instant now)
+{
+    Host& host = decision.state_;
+    const TaskId& id = report.task_.task_;
+    auto found = host.tasks_.find(id);
+    bool hosted = found != host.tasks_.end() && found->second.attempt_ == report.task_.attempt_;
+    if (hosted) {
+        launched(decision, id);
+        learnCheckpoint(decision, id, found->second, report.checkpoint_);
+        recordEnd(decision, id, found->second, toEvent(report, found->second.lapsing_), now);
+        remove(decision, id);
+    } else if (!host.known_) {
+        // It ended before this life of the agent, or the owner has not acknowledged the end.
+        HostedTask task { report.task_.attempt_, decodeLabel(report.label_).value_or(PartitionNumber(std::numeric_limits<uint64_t>::max())) };
+        learnCheckpoint(decision, id, task, report.checkpoint_);
+        recordEnd(decision, id, task, toEvent(report, false), now);
+    }
+}
+
+// A worker that was set up anew has lost its tasks.
+void ReportRules::loseTasksOfEarlierLife(HostDecision& decision, const platform::WorkerReport& report, Instant now)
+{
+    Host& host = decision.state_;
+    bool sameLife = report.incarnation_ == host.workerIncarnation_;
+    host.workerIncarnation_ = report.incarnation_;
+    if (!host.known_ || sameLife)
+        return;
+    std::vector<TaskId> lost;
+    for (const auto& [id, task] : host.tasks_) {
+        TaskAttempt attempt { id, task.attempt_ };
+        bool reported = std::any_of(report.tasks_.begin(), report.tasks_.end(), [&](const TaskReport& item) { return item.task_ == attempt; });
+        if (!reported && task.phase_ != TaskPhase::Launching)
+            lost.push_back(id);
+    }
+    for (const TaskId& id : lost) {
+        recordEnd(decision, id, host.tasks_.at(id), TaskFailed { "the worker was restarted" }, now);
+        remove(decision, id);
+    }
+}
+
+void ReportRules::apply(HostDecision& decision, const Reported& message, Instant now)
+{
+    loseTasksOfEarlierLife(decision, message.report_, now);
+    for (const TaskReport& report : message.report_.tasks_) {
+        if (report.state_ == TaskState::Running)
+            applyRunning(decision, report, now);
+        else
+            applyEnded(decision, report, now);
+    }
+    decision.state_.known_ = true;
+}
+
+} // namespace persimmondoor::hosting
