--- a/jobs/include/persimmondoor/jobs/Ledger.h
+++ b/jobs/include/persimmondoor/jobs/Ledger.h
@@ -2,7 +2,7 @@
 /// ledger, at the owner as at a successor that recovers it.
 ///
 /// \code
-/// Applied applied = apply(Ledger(), { JobSubmitted { spec, 0 } });
+/// Applied applied = applyRecords(Ledger(), { JobSubmitted { spec, 0 } });
 /// applied.ledger_.find(spec.id_)->live_;
 /// \endcode
 #pragma once
@@ -92,7 +92,7 @@
 };
 
 /// Applies durable records in their order.
-Applied apply(Ledger, const std::vector<Record>&);
+Applied applyRecords(Ledger, const std::vector<Record>&);
 
 /// Notes what an agent has said of an attempt that the ledger holds: that it runs, or was told to stop. Such notes are
 /// not durable; a successor learns them from agents again. A note on another attempt changes nothing.
--- /dev/null
+++ b/jobs/src/Store.cpp
@@ -0,0 +1,88 @@
+#include "Store.h"
+
+#include "persimmondoor/core/Text.h"
+#include "persimmondoor/leases/Ownership.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace persimmondoor::jobs {
+
+std::string journalPrefix(PartitionNumber partition)
+{
+    return concat("journal/", partition.value(), "/");
+}
+
+std::string journalKey(PartitionNumber partition, Sequence sequence)
+{
+    // Zero-padded, so that the order of keys is that of sequences.
+    std::string digits = std::to_string(sequence.value());
+    return concat(journalPrefix(partition), std::string(20 - digits.size(), '0'), digits);
+}
+
+std::string snapshotKey(PartitionNumber partition)
+{
+    return concat("snapshot/", partition.value());
+}
+
+std::string snapshotObject(PartitionNumber partition, Epoch epoch, Sequence through)
+{
+    return concat("jobs/", partition.value(), "/", through.value(), "-", epoch.value());
+}
+
+std::string domainKey(const FailureDomainName& domain)
+{
+    return concat(domainPrefix, domain.value());
+}
+
+platform::Transaction batchTransaction(PartitionNumber partition, platform::RowVersion fence, const CommitBatch& commit)
+{
+    std::string row = journalKey(partition, commit.batch_.sequence_);
+    platform::Transaction transaction { { { row, platform::RowVersion() }, { leases::partitionKey(partition), fence } }, { platform::Put { row, encode(commit.batch_) } } };
+    for (const auto& [domain, version] : commit.domains_)
+        transaction.conditions_.push_back({ domainKey(domain), version });
+    return transaction;
+}
+
+platform::Transaction cutTransaction(PartitionNumber partition, platform::RowVersion fence, const SnapshotRow& snapshot, Sequence first)
+{
+    platform::Transaction transaction { { { leases::partitionKey(partition), fence } }, { platform::Put { snapshotKey(partition), encode(snapshot) } } };
+    uint64_t end = std::min(snapshot.through_.value() + 1, first.value() + maximumRowsCut);
+    for (uint64_t sequence = first.value(); sequence < end; ++sequence)
+        transaction.writes_.emplace_back(platform::Erase { journalKey(partition, Sequence(sequence)) });
+    return transaction;
+}
+
+std::vector<DomainState> readDomains(const std::vector<platform::Row>& rows)
+{
+    std::vector<DomainState> domains;
+    for (const platform::Row& row : rows) {
+        auto name = FailureDomainName::create(row.key_.substr(std::min(row.key_.size(), domainPrefix.size())));
+        if (!name.ok())
+            continue;
+        auto value = decodeDomainRow(row.value_);
+        domains.push_back({ *name, value.ok() && value->inService_, row.version_ });
+    }
+    return domains;
+}
+
+absl::StatusOr<Recovered> replay(Ledger snapshot, Sequence through, const std::vector<platform::Row>& journal)
+{
+    Recovered recovered { std::move(snapshot), through.next(), 0 };
+    for (const platform::Row& row : journal) {
+        auto batch = decodeBatch(row.value_);
+        if (!batch.ok())
+            return absl::DataLossError(concat(row.key_, ": ", std::string(batch.status().message())));
+        // Rows that the snapshot holds may be left from a cut that was broken off.
+        if (batch->sequence_ < recovered.next_)
+            continue;
+        if (batch->sequence_ != recovered.next_)
+            return absl::DataLossError(concat(row.key_, ": batch ", recovered.next_.value(), " is missing"));
+        recovered.ledger_ = applyRecords(std::move(recovered.ledger_), batch->records_).ledger_;
+        recovered.next_ = recovered.next_.next();
+        ++recovered.batches_;
+    }
+    return recovered;
+}
+
+} // namespace persimmondoor::jobs
--- a/jobs/src/decisions/Durability.cpp
+++ b/jobs/src/decisions/Durability.cpp
@@ -54,7 +54,7 @@
 
 void OwnerRules::makeDurable(const Batch& batch)
 {
-    Applied applied = apply(std::move(owner_.ledger_), batch.records_);
+    Applied applied = applyRecords(std::move(owner_.ledger_), batch.records_);
     owner_.ledger_ = std::move(applied.ledger_);
     ++owner_.identity_.batchesSinceSnapshot_;
     for (const LedgerEffect& effect : applied.effects_)
--- a/jobs/src/decisions/Hosts.cpp
+++ b/jobs/src/decisions/Hosts.cpp
@@ -128,7 +128,7 @@
             continue;
         // All events up to the answer are known here, so that an attempt that was gone before has no end to tell.
         if (run.goneAt_ && message.sentAt_ >= *run.goneAt_ && !message.answer_.moreEvents_)
-            release(key, attempt, ReleaseCause::LeaseLapsed, "");
+            release(key, attempt, ReleaseCause::Stopped, "");
         else if (!run.stopSentAt_)
             stop(key, hosting::StopKind::Stop);
     }
--- a/jobs/src/decisions/Ledger.cpp
+++ b/jobs/src/decisions/Ledger.cpp
@@ -265,7 +265,7 @@
     }
 };
 
-Applied apply(Ledger ledger, const std::vector<Record>& records)
+Applied applyRecords(Ledger ledger, const std::vector<Record>& records)
 {
     Applied applied { std::move(ledger), {} };
     LedgerRules rules { applied.ledger_, applied.effects_ };
