--- a/core/include/persimmondoor/core/Mailbox.h
+++ b/core/include/persimmondoor/core/Mailbox.h
@@ -54,6 +54,9 @@
         co_return *std::move(message);
     }
 
+    /// False once the mailbox was closed.
+    bool isOpen() const { return channel_->is_open(); }
+
     /// Ends the actor: a waiting `receive` fails, later messages are refused.
     void close() const
     {
--- a/jobs/include/persimmondoor/jobs/Job.h
+++ b/jobs/include/persimmondoor/jobs/Job.h
@@ -30,6 +30,12 @@
 /// Workers remembered for the failures of a task or job.
 inline constexpr size_t maximumWorkersRemembered = 8;
 
+/// The id of a team's job: "<team>:<name>". Agents know tasks by it, so that it is unique in the cell.
+/// \return the id, or InvalidArgument.
+absl::StatusOr<JobId> jobId(const TeamName& team, std::string_view name);
+/// \return the team of a job, or InvalidArgument for an id that `jobId` does not give.
+absl::StatusOr<TeamName> teamOf(const JobId&);
+
 /// What a client submits. Immutable once it is in the journal.
 struct JobSpec {
     JobId id_;
--- a/jobs/include/persimmondoor/jobs/OwnerMessages.h
+++ b/jobs/include/persimmondoor/jobs/OwnerMessages.h
@@ -9,6 +9,8 @@
 #include "persimmondoor/jobs/Journal.h"
 #include "persimmondoor/platform/Table.h"
 
+#include <map>
+
 namespace persimmondoor::jobs {
 
 /// Numbers a request whose answer may take a while.
--- /dev/null
+++ b/jobs/src/Front.cpp
@@ -0,0 +1,132 @@
+#include "persimmondoor/jobs/Front.h"
+
+#include "Codec.h"
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Text.h"
+#include "persimmondoor/rpc/Call.h"
+
+namespace persimmondoor::jobs {
+
+namespace asio = boost::asio;
+
+// While a partition changes hands its owner is looked for again, at this interval and for this long.
+static constexpr Duration searchInterval = std::chrono::milliseconds(300);
+static constexpr int searches = 10;
+// Time beyond the owner's own limit in which its answer may still arrive.
+static constexpr Duration answerGrace = std::chrono::seconds(1);
+// Partitions that one team's jobs are spread over.
+static constexpr uint32_t sharesOfTeam = 1;
+
+struct JobsFront::State {
+    asio::any_io_executor executor_;
+    platform::TableClient table_;
+    JobsActor jobs_;
+    uint32_t partitionCount_ { 0 };
+    std::set<FailureDomainName> domains_;
+    std::map<Address, rpc::Link> links_;
+};
+
+JobsFront::JobsFront(asio::any_io_executor executor, platform::TableClient table, JobsActor jobs, uint32_t partitionCount, std::set<FailureDomainName> domains)
+    : state_(std::make_shared<State>(State { std::move(executor), std::move(table), std::move(jobs), partitionCount, std::move(domains), {} }))
+{
+}
+
+PartitionNumber JobsFront::partitionOf(const TeamName& team, const JobId& job) const
+{
+    return jobs::partitionOf(team, job, state_->partitionCount_, sharesOfTeam);
+}
+
+uint32_t JobsFront::partitionCount() const
+{
+    return state_->partitionCount_;
+}
+
+platform::TableClient JobsFront::table() const
+{
+    return state_->table_;
+}
+
+const std::set<FailureDomainName>& JobsFront::domains() const
+{
+    return state_->domains_;
+}
+
+static asio::awaitable<JobsAnswer> askAt(rpc::Link link, PartitionNumber partition, JobsRequest request)
+{
+    auto found = co_await link.find("jobs");
+    // Nothing was sent.
+    if (!found.ok())
+        co_return NotOwner {};
+    auto call = found->castAs<wire::Jobs>().askRequest();
+    call.setPartition(partition.value());
+    encode(request, call.initRequest());
+    auto answer = co_await rpc::call(
+        call.send(), [](auto& response) { return decode(response.getAnswer()); }, requestTimeout + answerGrace);
+    co_return answer.ok() ? *std::move(answer) : JobsAnswer(OutcomeUnknown {});
+}
+
+asio::awaitable<JobsAnswer> JobsFront::ask(PartitionNumber partition, JobsRequest request) const
+{
+    std::shared_ptr<State> state = state_;
+    std::string reason = "the partition has no owner at present";
+    for (int attempt = 0; attempt < searches; ++attempt) {
+        JobsAnswer here = co_await state->jobs_.ask(partition, request);
+        if (!std::holds_alternative<NotOwner>(here))
+            co_return here;
+        std::vector<std::string> keys { leases::partitionKey(partition) };
+        auto rows = co_await platform::read(state->table_, std::move(keys));
+        if (!rows.ok())
+            co_return NotAccepted { concat("the partition's owner is not known: ", std::string(rows.status().message())) };
+        auto row = leases::decodePartitionRow(rows->front().value_);
+        if (rows->front().version_ != platform::RowVersion() && row.ok() && !row->owner_.empty()) {
+            rpc::Link link = state->links_.try_emplace(row->address_, state->executor_, row->address_).first->second;
+            JobsAnswer there = co_await askAt(link, partition, request);
+            if (!std::holds_alternative<NotOwner>(there))
+                co_return there;
+        }
+        co_await sleepFor(searchInterval);
+    }
+    co_return NotAccepted { std::move(reason) };
+}
+
+namespace {
+
+    class JobsServer final : public wire::Jobs::Server {
+    public:
+        JobsServer(asio::any_io_executor executor, JobsActor jobs)
+            : executor_(std::move(executor))
+            , jobs_(std::move(jobs))
+        {
+        }
+
+        kj::Promise<void> ask(AskContext context) override
+        {
+            PartitionNumber partition(context.getParams().getPartition());
+            auto request = decode(context.getParams().getRequest());
+            context.releaseParams();
+            if (!request.ok()) {
+                encode(JobsAnswer(NotAccepted { std::string(request.status().message()) }), context.getResults().initAnswer());
+                return kj::READY_NOW;
+            }
+            return rpc::promiseOf(executor_, run(jobs_, partition, *std::move(request), context));
+        }
+
+    private:
+        static asio::awaitable<void> run(JobsActor jobs, PartitionNumber partition, JobsRequest request, AskContext context)
+        {
+            JobsAnswer answer = co_await jobs.ask(partition, std::move(request));
+            encode(answer, context.getResults().initAnswer());
+        }
+
+        asio::any_io_executor executor_;
+        JobsActor jobs_;
+    };
+
+} // namespace
+
+void offerJobs(rpc::Interfaces& interfaces, const asio::any_io_executor& executor, JobsActor jobs)
+{
+    interfaces.add("jobs", kj::heap<JobsServer>(executor, std::move(jobs)));
+}
+
+} // namespace persimmondoor::jobs
--- /dev/null
+++ b/jobs/src/StoreEffects.cpp
@@ -0,0 +1,167 @@
+#include "Effects.h"
+#include "Store.h"
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
+#include "persimmondoor/core/Visitor.h"
+
+namespace persimmondoor::jobs {
+
+namespace asio = boost::asio;
+
+static constexpr Duration recoveryRetryDelay = std::chrono::milliseconds(500);
+static constexpr Duration fullMailboxDelay = std::chrono::milliseconds(10);
+static constexpr size_t rowsAtOnce = 500;
+
+asio::awaitable<void> postSurely(JobsMailbox mailbox, JobsActor::Message message)
+{
+    while (!mailbox.tryPost(message) && mailbox.isOpen())
+        co_await sleepFor(fullMailboxDelay);
+}
+
+static asio::awaitable<void> tell(JobsMailbox mailbox, Holding holding, OwnerMessage message)
+{
+    co_await postSurely(std::move(mailbox), JobsActor::ForOwner { holding.partition_, holding.epoch_, std::move(message) });
+}
+
+static asio::awaitable<absl::StatusOr<std::vector<platform::Row>>> scanAll(platform::TableClient table, std::string prefix)
+{
+    std::vector<platform::Row> rows;
+    platform::Scan range { std::move(prefix), "", rowsAtOnce };
+    while (true) {
+        auto part = co_await platform::scan(table, range);
+        if (!part.ok())
+            co_return part.status();
+        rows.insert(rows.end(), part->begin(), part->end());
+        if (part->size() < rowsAtOnce)
+            co_return rows;
+        range.after_ = part->back().key_;
+    }
+}
+
+static asio::awaitable<absl::StatusOr<RecoveredPartition>> recoverOnce(platform::TableClient table, platform::ObjectClient objects, PartitionNumber partition)
+{
+    std::vector<std::string> keys { snapshotKey(partition) };
+    auto rows = co_await platform::read(table, std::move(keys));
+    if (!rows.ok())
+        co_return rows.status();
+    Ledger ledger;
+    Sequence through;
+    if (rows->front().version_ != platform::RowVersion()) {
+        auto snapshot = decodeSnapshotRow(rows->front().value_);
+        if (!snapshot.ok())
+            co_return snapshot.status();
+        auto bytes = co_await platform::getObject(objects, snapshot->object_);
+        if (!bytes.ok())
+            co_return bytes.status();
+        auto decoded = decodeSnapshot(*bytes);
+        if (!decoded.ok())
+            co_return decoded.status();
+        ledger = *std::move(decoded);
+        through = snapshot->through_;
+    }
+    auto journal = co_await scanAll(table, journalPrefix(partition));
+    if (!journal.ok())
+        co_return journal.status();
+    auto recovered = replay(std::move(ledger), through, *journal);
+    if (!recovered.ok())
+        co_return recovered.status();
+    co_return RecoveredPartition { std::move(recovered->ledger_), recovered->next_, recovered->batches_ };
+}
+
+asio::awaitable<void> recoverPartition(JobsMailbox mailbox, platform::TableClient table, platform::ObjectClient objects, Holding holding)
+{
+    while (mailbox.isOpen()) {
+        auto recovered = co_await recoverOnce(table, objects, holding.partition_);
+        if (recovered.ok()) {
+            co_await postSurely(mailbox, JobsActor::Recovery { holding.partition_, holding.epoch_, *std::move(recovered) });
+            co_return;
+        }
+        logWarning("jobs.recovery_failed", { { "partition", std::to_string(holding.partition_.value()) }, { "error", std::string(recovered.status().message()) } });
+        co_await sleepFor(recoveryRetryDelay);
+    }
+}
+
+asio::awaitable<void> commitBatch(JobsMailbox mailbox, platform::TableClient table, Holding holding, CommitBatch commit)
+{
+    Sequence sequence = commit.batch_.sequence_;
+    platform::CommitOutcome outcome = co_await platform::commit(table, batchTransaction(holding.partition_, holding.fence_, commit));
+    JournalMessage message = std::visit(Visitor {
+                                            [&](const platform::Committed&) -> JournalMessage { return BatchWritten { sequence }; },
+                                            [&](const platform::Unavailable&) -> JournalMessage { return BatchRefused { sequence }; },
+                                            [&](const auto&) -> JournalMessage { return BatchUncertain { sequence }; },
+                                        },
+        outcome);
+    co_await tell(mailbox, holding, JournalAnswered { std::move(message) });
+}
+
+asio::awaitable<void> readBack(JobsMailbox mailbox, platform::TableClient table, Holding holding, Sequence sequence)
+{
+    std::vector<std::string> keys { journalKey(holding.partition_, sequence), leases::partitionKey(holding.partition_) };
+    auto rows = co_await platform::read(table, std::move(keys));
+    auto domainRows = co_await scanAll(table, std::string(domainPrefix));
+    if (!rows.ok() || !domainRows.ok()) {
+        co_await tell(mailbox, holding, JournalAnswered { ReadBackFailed { sequence } });
+        co_return;
+    }
+    BatchReadBack answer { sequence, (*rows)[1].version_ == holding.fence_, std::nullopt, {} };
+    if ((*rows)[0].version_ != platform::RowVersion()) {
+        auto batch = decodeBatch((*rows)[0].value_);
+        if (!batch.ok()) {
+            logError("jobs.journal_damaged", { { "row", (*rows)[0].key_ }, { "error", std::string(batch.status().message()) } });
+            co_await tell(mailbox, holding, JournalAnswered { ReadBackFailed { sequence } });
+            co_return;
+        }
+        answer.row_ = *std::move(batch);
+    }
+    std::vector<DomainState> domains = readDomains(*domainRows);
+    for (const DomainState& domain : domains) {
+        if (!domain.inService_)
+            answer.closedDomains_.insert(domain.domain_);
+    }
+    co_await tell(mailbox, holding, DomainsRead { std::move(domains) });
+    co_await tell(mailbox, holding, JournalAnswered { std::move(answer) });
+}
+
+asio::awaitable<void> readDomainRows(JobsMailbox mailbox, platform::TableClient table)
+{
+    auto rows = co_await scanAll(table, std::string(domainPrefix));
+    if (rows.ok())
+        co_await postSurely(mailbox, JobsActor::DomainsSeen { readDomains(*rows) });
+}
+
+// Names the snapshot in the table and erases the journal that it holds, some rows at a time.
+static asio::awaitable<bool> cutJournal(platform::TableClient table, Holding holding, SnapshotRow snapshot)
+{
+    auto rows = co_await scanAll(table, journalPrefix(holding.partition_));
+    if (!rows.ok())
+        co_return false;
+    Sequence first = snapshot.through_.next();
+    for (const platform::Row& row : *rows) {
+        auto batch = decodeBatch(row.value_);
+        first = std::min(first, batch.ok() ? batch->sequence_ : first);
+    }
+    do {
+        platform::CommitOutcome outcome = co_await platform::commit(table, cutTransaction(holding.partition_, holding.fence_, snapshot, first));
+        if (!std::holds_alternative<platform::Committed>(outcome))
+            co_return false;
+        first = Sequence(first.value() + maximumRowsCut);
+    } while (first <= snapshot.through_);
+    co_return true;
+}
+
+asio::awaitable<void> storeSnapshot(JobsMailbox mailbox, platform::TableClient table, platform::ObjectClient objects, Holding holding, Sequence through, std::string bytes)
+{
+    std::vector<std::string> keys { snapshotKey(holding.partition_) };
+    auto former = co_await platform::read(table, std::move(keys));
+    std::string object = snapshotObject(holding.partition_, holding.epoch_, through);
+    absl::Status status = co_await platform::putObject(objects, object, std::move(bytes));
+    bool stored = former.ok() && status.ok() && co_await cutJournal(table, holding, SnapshotRow { object, through });
+    if (stored && former->front().version_ != platform::RowVersion()) {
+        auto old = decodeSnapshotRow(former->front().value_);
+        if (old.ok() && old->object_ != object)
+            co_await platform::removeObject(objects, old->object_);
+    }
+    co_await tell(mailbox, holding, SnapshotStored { through, stored });
+}
+
+} // namespace persimmondoor::jobs
--- a/jobs/src/decisions/Job.cpp
+++ b/jobs/src/decisions/Job.cpp
@@ -11,8 +11,10 @@
 {
     if (spec.id_.empty() || spec.id_.value().size() > maximumJobIdBytes || spec.id_.value().find('/') != std::string::npos)
         return absl::InvalidArgumentError(concat("id: 1 to ", maximumJobIdBytes, " bytes without '/'"));
-    if (spec.team_.empty() || spec.team_.value().find('/') != std::string::npos)
-        return absl::InvalidArgumentError("team: must be given, without '/'");
+    if (spec.team_.empty() || spec.team_.value().find_first_of("/:") != std::string::npos)
+        return absl::InvalidArgumentError("team: must be given, without '/' and ':'");
+    if (!spec.id_.value().starts_with(spec.team_.value() + ":"))
+        return absl::InvalidArgumentError("id: must start with the team's name and ':'");
     if (spec.command_.empty() || spec.command_.size() > maximumCommandBytes)
         return absl::InvalidArgumentError(concat("command: 1 to ", maximumCommandBytes, " bytes"));
     if (spec.taskCount_ == 0 || spec.taskCount_ > maximumTasks)
@@ -24,6 +26,19 @@
     return absl::OkStatus();
 }
 
+absl::StatusOr<JobId> jobId(const TeamName& team, std::string_view name)
+{
+    return JobId::create(concat(team.value(), ":", name));
+}
+
+absl::StatusOr<TeamName> teamOf(const JobId& id)
+{
+    size_t colon = id.value().find(':');
+    if (colon == std::string::npos)
+        return absl::InvalidArgumentError("a job's id is TEAM:NAME");
+    return TeamName::create(id.value().substr(0, colon));
+}
+
 TaskId taskId(const TaskKey& key)
 {
     return TaskId::of(concat(key.job_.value(), "/", key.index_));
