Add the operators' command line

Cause: operators had no command; other slices need a place for their verbs. Sources one folder below src are found by the build.

--- a/app/src/Main.cpp
+++ b/app/src/Main.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/app/Main.h"
 
 #include "Options.h"
+#include "ctl/Ctl.h"
 #include "persimmondoor/app/Agent.h"
 #include "persimmondoor/app/Entry.h"
 #include "persimmondoor/app/Standins.h"
@@ -168,7 +169,8 @@
     return Success;
 }
 
-static constexpr std::string_view usageText = "usage: persimmondoor entry|agent|local --settings FILE [--name NAME] [--log-level LEVEL]\n";
+static constexpr std::string_view usageText = "usage: persimmondoor entry|agent|local --settings FILE [--name NAME] [--log-level LEVEL]\n"
+                                              "       persimmondoor ctl VERB ... [--entry IP:PORT]... [--json] [--token TOKEN]\n";
 
 int runProgram(int argc, char** argv)
 {
@@ -180,6 +182,8 @@
         return runDaemon(subcommand, arguments, startAgent);
     if (subcommand == "local")
         return runDaemon(subcommand, arguments, startLocal);
+    if (subcommand == "ctl")
+        return ctl::runCtl(arguments);
     std::cerr << usageText;
     return Usage;
 }
--- a/cmake/Slice.cmake
+++ b/cmake/Slice.cmake
@@ -5,7 +5,7 @@
 function(add_slice name)
   cmake_parse_arguments(ARG "" "" "SLICES;LIBRARIES" ${ARGN})
   set(root ${CMAKE_SOURCE_DIR}/${name})
-  file(GLOB sources CONFIGURE_DEPENDS ${root}/src/*.cpp ${root}/src/decisions/*.cpp)
+  file(GLOB sources CONFIGURE_DEPENDS ${root}/src/*.cpp ${root}/src/*/*.cpp)
   file(GLOB generated CONFIGURE_DEPENDS ${root}/generated/*.c++)
   set(dependencies ${ARG_LIBRARIES})
   foreach(slice ${ARG_SLICES})
