--- a/http/include/persimmondoor/http/Server.h
+++ b/http/include/persimmondoor/http/Server.h
@@ -24,9 +24,14 @@
     size_t headerBytes_ { 16 * 1024 };
     size_t bodyBytes_ { 4 * 1024 * 1024 };
     Duration idleTimeout_ { std::chrono::seconds(60) };
+    /// Cancels the handler of a client that closes its connection, or its sending side, before the answer.
+    bool cancelsForGoneClients_ { false };
     bool operator==(const Limits&) const = default;
 };
 
+/// Status of a response that is not sent: the connection is closed without an answer, as by a server that died.
+inline constexpr int noAnswerStatus = 0;
+
 using Handler = std::function<boost::asio::awaitable<Response>(Request)>;
 
 class Server {
