--- a/colocation/include/persimmondoor/colocation/SlowdownModel.h
+++ b/colocation/include/persimmondoor/colocation/SlowdownModel.h
@@ -106,6 +106,8 @@
     Band priorBand() const;
     Band startBand(size_t band) const;
     const Band* nearestBand(double load) const;
+    double baselineOf(size_t band, double load) const;
+    Estimate coefficient(size_t index, double load) const;
     void drift(Band& band, Instant at);
     void update(Band& band, const Vector& input, double relativeTail);
     size_t claimSlot(const TaskClassName& taskClass, Instant at);
--- a/colocation/src/decisions/LearnedPlan.cpp
+++ b/colocation/src/decisions/LearnedPlan.cpp
@@ -18,7 +18,7 @@
 
 void Plan::addService(ServiceOutlook service)
 {
-    service.saturationHarm_ = service.state_->model_.saturationHarm(service.loadAhead_);
+    service.saturationHarm_ = service.state_->model_.saturationHarm(service.load_);
     services_.push_back(std::move(service));
 }
 
@@ -26,7 +26,7 @@
 {
     TaskOutlook outlook { task, taskClass, tier, fullUse, share, {}, 0 };
     for (const ServiceOutlook& service : services_) {
-        Estimate harm = service.state_->model_.harm(taskClass, service.loadAhead_);
+        Estimate harm = service.state_->model_.harm(taskClass, service.load_);
         outlook.harms_.push_back(harm.mean_ + caution_ * harm.deviation_);
         outlook.worstHarm_ = std::max(outlook.worstHarm_, outlook.harms_.back());
     }
--- a/colocation/src/decisions/LearnedRules.cpp
+++ b/colocation/src/decisions/LearnedRules.cpp
@@ -66,7 +66,7 @@
     explanation.measuredTail_ = service.state_->lastTail_;
     explanation.load_ = service.load_;
     explanation.loadAhead_ = service.loadAhead_;
-    explanation.baseline_ = service.state_->model_.baseline(service.loadAhead_);
+    explanation.baseline_ = service.state_->model_.baseline(service.load_);
     std::vector<Exposure> exposures;
     double busy = service.cores_;
     for (const TaskOutlook& task : plan.tasks()) {
@@ -74,9 +74,9 @@
         exposures.push_back({ task.class_, use / guard.settings_.cores_ });
         busy += use;
     }
-    explanation.slowdown_ = service.state_->model_.slowdown(service.loadAhead_, busy / guard.settings_.cores_, exposures);
+    explanation.slowdown_ = service.state_->model_.slowdown(service.load_, busy / guard.settings_.cores_, exposures);
     for (const TaskOutlook& task : plan.tasks())
-        explanation.compared_.push_back({ task.task_, task.class_, service.state_->model_.harm(task.class_, service.loadAhead_), task.share_, task.share_, Duration(0) });
+        explanation.compared_.push_back({ task.task_, task.class_, service.state_->model_.harm(task.class_, service.load_), task.share_, task.share_, Duration(0) });
     return explanation;
 }
 
--- a/colocation/src/decisions/SlowdownModel.cpp
+++ b/colocation/src/decisions/SlowdownModel.cpp
@@ -27,6 +27,7 @@
 /// A residual counts at most as this many standard deviations.
 static constexpr double residualLimit = 3;
 static constexpr double minimumBaseline = 1e-6;
+static constexpr double minimumVariance = 1e-9;
 static constexpr double microsecondsPerSecond = 1e6;
 
 size_t loadBandOf(double load)
@@ -194,34 +195,59 @@
     ++observations_;
 }
 
+double SlowdownModel::baselineOf(size_t band, double load) const
+{
+    const Vector& means = bands_[band].means_;
+    return std::max(minimumBaseline, means[baselineIndex] + means[slopeIndex] * (load - bandCentres[band]));
+}
+
 double SlowdownModel::baseline(double load) const
 {
     const Band* known = nearestBand(load);
-    if (!known)
-        return 0;
-    size_t index = static_cast<size_t>(known - bands_.data());
-    double relative = known->means_[baselineIndex] + known->means_[slopeIndex] * (load - bandCentres[index]);
-    return scale_ * std::max(relative, minimumBaseline);
+    return known ? scale_ * baselineOf(static_cast<size_t>(known - bands_.data()), load) : 0;
 }
 
-Estimate SlowdownModel::harm(const TaskClassName& taskClass, double load) const
+// Mean of the estimates of the two bands whose centres enclose `load`, weighted by nearness and by certainty.
+Estimate SlowdownModel::coefficient(size_t index, double load) const
 {
-    auto slot = slots_.find(taskClass);
+    auto above = static_cast<size_t>(std::upper_bound(bandCentres.begin(), bandCentres.end(), load) - bandCentres.begin());
+    size_t upper = std::min(above, loadBands - 1);
+    size_t lower = above == 0 ? 0 : above - 1;
+    double distance = bandCentres[upper] - bandCentres[lower];
+    double nearUpper = distance > 0 ? (load - bandCentres[lower]) / distance : 0;
+    double weights = 0;
+    double mean = 0;
+    double variance = 0;
+    auto add = [&](size_t band, double nearness) {
+        if (bands_[band].observations_ == 0 || nearness <= 0)
+            return;
+        double base = baselineOf(band, load);
+        double own = std::max(minimumVariance, bands_[band].covariance_[index][index]) / square(base);
+        double weight = nearness / own;
+        weights += weight;
+        mean += weight * std::max(0.0, bands_[band].means_[index] / base);
+        variance += weight * own;
+    };
+    add(upper, nearUpper);
+    add(lower, 1 - nearUpper);
+    if (weights > 0)
+        return { mean / weights, std::sqrt(variance / weights) };
     const Band* known = nearestBand(load);
-    if (slot == slots_.end() || !known)
-        return unseenHarm;
-    size_t index = slot->second.index_;
+    if (!known)
+        return priorOf(index);
     double base = baseline(load) / scale_;
     return { std::max(0.0, known->means_[index] / base), std::sqrt(std::max(0.0, known->covariance_[index][index])) / base };
 }
 
+Estimate SlowdownModel::harm(const TaskClassName& taskClass, double load) const
+{
+    auto slot = slots_.find(taskClass);
+    return slot == slots_.end() ? unseenHarm : coefficient(slot->second.index_, load);
+}
+
 Estimate SlowdownModel::saturationHarm(double load) const
 {
-    const Band* known = nearestBand(load);
-    if (!known)
-        return saturationPrior;
-    double base = baseline(load) / scale_;
-    return { std::max(0.0, known->means_[saturationIndex] / base), std::sqrt(std::max(0.0, known->covariance_[saturationIndex][saturationIndex])) / base };
+    return coefficient(saturationIndex, load);
 }
 
 Estimate SlowdownModel::slowdown(double load, double saturation, const std::vector<Exposure>& exposures) const
