--- a/bench/capacity/Measure.h
+++ b/bench/capacity/Measure.h
@@ -8,6 +8,13 @@
 // An entry: memory of its view and router against workers, processor time of announcements and of routing.
 Slopes measureEntry();
 
+// The owner of a job partition: memory, snapshot and recovery against live tasks; journal bytes and processor time
+// against starts, each with the end of the task.
+Slopes measureOwner();
+
+// An agent's host: bytes on the wire of probes, starts and renewals.
+Slopes measureHost();
+
 // Entries and agents running in this process: bytes, processor time and memory against the number of agents.
 Slopes measureSystem();
 
