Host tasks in the agents

Agents reach the platform at the site's address, in local as well, and offer hosting on their RPC address.

--- a/app/include/persimmondoor/app/Agent.h
+++ b/app/include/persimmondoor/app/Agent.h
@@ -1,4 +1,4 @@
-/// One agent: announces its worker, guards its endpoints and serves requests for them.
+/// One agent: announces its worker, guards its endpoints and serves requests for them, and hosts tasks.
 ///
 /// \code
 /// absl::StatusOr<std::unique_ptr<Agent>> agent = Agent::start(executor, site, workerSite);
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "persimmondoor/admission/GateActor.h"
+#include "persimmondoor/hosting/HostActor.h"
 #include "persimmondoor/membership/Announcer.h"
 #include "persimmondoor/rpc/Server.h"
 #include "persimmondoor/settings/Site.h"
@@ -27,9 +28,10 @@
     boost::asio::awaitable<void> shutDown(Duration limit);
 
 private:
-    Agent(admission::GateActor, membership::Announcer, std::unique_ptr<rpc::Server>);
+    Agent(admission::GateActor, hosting::HostActor, membership::Announcer, std::unique_ptr<rpc::Server>);
 
     admission::GateActor gate_;
+    hosting::HostActor host_;
     membership::Announcer announcer_;
     std::unique_ptr<rpc::Server> server_;
 };
--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -1,5 +1,6 @@
 #include "persimmondoor/app/Agent.h"
 
+#include "Hosting.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 
@@ -7,8 +8,9 @@
 
 namespace asio = boost::asio;
 
-Agent::Agent(admission::GateActor gate, membership::Announcer announcer, std::unique_ptr<rpc::Server> server)
+Agent::Agent(admission::GateActor gate, hosting::HostActor host, membership::Announcer announcer, std::unique_ptr<rpc::Server> server)
     : gate_(std::move(gate))
+    , host_(std::move(host))
     , announcer_(std::move(announcer))
     , server_(std::move(server))
 {
@@ -22,13 +24,11 @@
     return endpoints;
 }
 
-static membership::Announcement firstAnnouncement(const settings::WorkerSite& self, const Address& address)
+static membership::Announcement firstAnnouncement(const settings::WorkerSite& self, Incarnation incarnation, const Address& address)
 {
     std::vector<membership::EndpointOffer> offers;
     for (const settings::EndpointSite& endpoint : self.endpoints_)
         offers.push_back({ endpoint.name_, endpoint.service_, endpoint.team_, endpoint.slots_, endpoint.connections_ });
-    // Hosts keep nothing, so the time of the start numbers the lives of an agent.
-    Incarnation incarnation(static_cast<uint64_t>(wallMilliseconds()));
     return { self.name_, self.domain_, self.rack_, incarnation, Sequence(1), address, std::move(offers), false };
 }
 
@@ -37,26 +37,32 @@
     auto gate = admission::GateActor::create(executor, SteadyClock(), localEndpoints(self));
     if (!gate.ok())
         return gate.status();
+    // Hosts keep nothing, so the time of the start numbers the lives of an agent.
+    Incarnation incarnation(static_cast<uint64_t>(wallMilliseconds()));
     rpc::Interfaces interfaces;
     admission::offerAdmission(interfaces, executor, *gate);
+    auto host = startHosting(executor, self, incarnation, platform::connectPlatform(executor, site.platform_), interfaces);
     auto server = rpc::Server::listen(executor, self.rpc_, std::move(interfaces));
     if (!server.ok())
         return server.status();
     std::vector<Address> entries;
     for (const settings::EntrySite& entry : site.entries_)
         entries.push_back(entry.rpc_);
-    membership::Announcer announcer(executor, std::move(entries), firstAnnouncement(self, (*server)->address()));
+    membership::Announcer announcer(executor, std::move(entries), firstAnnouncement(self, incarnation, (*server)->address()));
     logInfo("agent.started", { { "worker", self.name_.value() }, { "rpc", (*server)->address().text() } });
-    return std::unique_ptr<Agent>(new Agent(*std::move(gate), std::move(announcer), *std::move(server)));
+    return std::unique_ptr<Agent>(new Agent(*std::move(gate), std::move(host), std::move(announcer), *std::move(server)));
 }
 
 asio::awaitable<void> Agent::shutDown(Duration limit)
 {
     announcer_.leave();
     size_t left = co_await gate_.drain(limit);
+    // Tasks run on under their leases while the agent is replaced.
+    co_await host_.drain();
     logInfo("agent.stopped", { { "requests_cut_off", std::to_string(left) } });
     server_->close();
     announcer_.stop();
+    host_.end();
     gate_.stop();
 }
 
--- /dev/null
+++ b/app/src/Hosting.h
@@ -0,0 +1,13 @@
+// The agent's part that hosts tasks.
+#pragma once
+
+#include "persimmondoor/hosting/HostActor.h"
+#include "persimmondoor/platform/PlatformClients.h"
+#include "persimmondoor/settings/Site.h"
+
+namespace persimmondoor::app {
+
+// Starts the ledger of a worker's tasks and offers it on `interfaces`.
+hosting::HostActor startHosting(const boost::asio::any_io_executor&, const settings::WorkerSite&, Incarnation, const platform::PlatformClients&, rpc::Interfaces&);
+
+} // namespace persimmondoor::app
