--- /dev/null
+++ b/bench/leases/Leases.cpp
@@ -0,0 +1,210 @@
+// Partition ownership by the pure decisions over a table: store writes and reads a second at rest, the time without an
+// owner after a crash, and, for several renewal horizons, the longest store outage that running tasks survive and the
+// delay until tasks of a doubly failed host (its owner and itself) may run again.
+//
+// bench_leases
+
+#include "persimmondoor/leases/Ownership.h"
+#include "persimmondoor/platform/TableState.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+
+using namespace persimmondoor;
+using namespace persimmondoor::leases;
+
+namespace {
+
+constexpr Duration second = std::chrono::seconds(1);
+constexpr Duration tick = std::chrono::milliseconds(100);
+
+struct Process {
+    Ownership state_;
+    Instant nextStep_;
+    bool crashed_ { false };
+    std::map<PartitionNumber, Gained> held_;
+    Instant horizonUntil_;
+};
+
+// Processes that act at once, over a table that may be down.
+class Cell {
+public:
+    Cell(uint32_t processes, const OwnershipSettings& settings)
+    {
+        for (uint32_t index = 0; index < processes; ++index) {
+            OwnershipSettings own = settings;
+            own.process_ = ProcessName::of("process-" + std::to_string(index));
+            own.incarnation_ = Incarnation(1);
+            own.address_ = *Address::parse("127.0.0.1:7000");
+            own.candidates_ = processes;
+            // Starts are spread over one interval, as those of hosts are.
+            processes_.push_back({ *Ownership::create(own), now_ + settings.interval_ * index / processes, false, {}, {} });
+        }
+    }
+
+    void pass(Duration time)
+    {
+        for (Instant end = now_ + time; now_ < end; now_ = now_ + tick) {
+            for (Process& process : processes_) {
+                if (process.crashed_ || now_ < process.nextStep_)
+                    continue;
+                deliver(process, StepDue {});
+                process.nextStep_ = now_ + process.state_.pace();
+            }
+        }
+    }
+
+    size_t owned()
+    {
+        size_t count = 0;
+        for (const Process& process : processes_)
+            count += process.crashed_ ? 0 : process.held_.size();
+        return count;
+    }
+
+    std::vector<Process> processes_;
+    platform::TableState table_;
+    bool down_ { false };
+    Instant now_;
+
+private:
+    void deliver(Process& process, const OwnershipMessage& first)
+    {
+        std::deque<OwnershipMessage> messages { first };
+        while (!messages.empty()) {
+            OwnershipDecision decision = decide(std::move(process.state_), messages.front(), now_);
+            messages.pop_front();
+            process.state_ = std::move(decision.state_);
+            for (const OwnershipAction& action : decision.actions_)
+                perform(process, action, messages);
+        }
+    }
+
+    platform::CommitOutcome commit(const platform::Transaction& transaction)
+    {
+        if (down_)
+            return platform::Unavailable {};
+        return table_.apply(transaction);
+    }
+
+    void perform(Process& process, const OwnershipAction& action, std::deque<OwnershipMessage>& messages)
+    {
+        if (const auto* write = std::get_if<WriteHeartbeat>(&action))
+            messages.emplace_back(HeartbeatEnded { commit(write->transaction_) });
+        else if (const auto* claim = std::get_if<Claim>(&action))
+            messages.emplace_back(ClaimEnded { claim->partition_, commit(claim->transaction_) });
+        else if (const auto* giveBack = std::get_if<GiveBack>(&action))
+            messages.emplace_back(GiveBackEnded { commit(giveBack->transaction_) });
+        else if (const auto* tell = std::get_if<Tell>(&action))
+            learn(process, tell->change_);
+        else if (down_)
+            messages.emplace_back(ReadFailed {});
+        else
+            messages.emplace_back(RowsRead { table_.scan({ "partition/", "", 1000 }), table_.scan({ "owner/", "", 1000 }) });
+    }
+
+    static void learn(Process& process, const OwnershipChange& change)
+    {
+        if (const auto* gained = std::get_if<Gained>(&change))
+            process.held_.insert_or_assign(gained->partition_, *gained);
+        else if (const auto* lost = std::get_if<Lost>(&change))
+            process.held_.erase(lost->partition_);
+        else
+            process.horizonUntil_ = std::get<Extended>(change).horizonUntil_;
+    }
+};
+
+double seconds(Duration duration)
+{
+    return static_cast<double>(duration.count()) / 1e6;
+}
+
+OwnershipSettings settingsFor(uint32_t processes, uint32_t partitions)
+{
+    OwnershipSettings settings = OwnershipSettings::forCell(ProcessName::of("p"), Incarnation(1), Address(), processes);
+    settings.partitionCount_ = partitions;
+    return settings;
+}
+
+void measureRate(uint32_t processes, uint32_t partitions)
+{
+    Cell cell(processes, settingsFor(processes, partitions));
+    cell.pass(120 * second);
+    size_t owned = cell.owned();
+    platform::TableCounts before = cell.table_.counts();
+    cell.pass(300 * second);
+    platform::TableCounts after = cell.table_.counts();
+    size_t owners = 0;
+    size_t most = 0;
+    for (const Process& process : cell.processes_) {
+        owners += process.held_.empty() ? 0 : 1;
+        most = std::max(most, process.held_.size());
+    }
+    std::printf("%9u %10u %6zu %6zu %11zu %12.1f %11.1f %14.0f\n", processes, partitions, owned, owners, most, static_cast<double>(after.transactions_ - before.transactions_) / 300,
+        static_cast<double>(after.reads_ - before.reads_) / 300, static_cast<double>(after.bytesWritten_ - before.bytesWritten_) / 300);
+}
+
+void measureTakeover(uint32_t processes, uint32_t partitions)
+{
+    Cell cell(processes, settingsFor(processes, partitions));
+    cell.pass(120 * second);
+    Process& victim = cell.processes_.front();
+    for (Process& process : cell.processes_) {
+        if (process.held_.size() > victim.held_.size())
+            std::swap(process, victim);
+    }
+    size_t lost = victim.held_.size();
+    victim.crashed_ = true;
+    Instant crash = cell.now_;
+    while (cell.owned() < partitions && cell.now_ - crash < 300 * second)
+        cell.pass(tick);
+    std::printf("%9u %10u %10zu %18.1f\n", processes, partitions, lost, seconds(cell.now_ - crash));
+}
+
+void measureHorizon(Duration horizon)
+{
+    OwnershipSettings settings = settingsFor(4, 8);
+    settings.horizon_ = horizon;
+    Cell outage(4, settings);
+    outage.pass(60 * second);
+    outage.down_ = true;
+    Instant begin = outage.now_;
+    Instant earliest = outage.processes_.front().horizonUntil_;
+    for (const Process& process : outage.processes_)
+        earliest = std::min(earliest, process.horizonUntil_);
+    outage.pass(earliest - begin + second);
+    Duration survived = earliest - begin;
+
+    Cell crash(4, settings);
+    crash.pass(60 * second);
+    crash.processes_.front().crashed_ = true;
+    Instant crashed = crash.now_;
+    while (crash.owned() < 8)
+        crash.pass(tick);
+    Duration inherited(0);
+    for (const Process& process : crash.processes_) {
+        for (const auto& [partition, gained] : process.held_)
+            inherited = std::max(inherited, process.crashed_ ? Duration(0) : gained.horizon_);
+    }
+    std::printf("%9.0f %28.0f %35.0f\n", seconds(horizon), seconds(survived), seconds(crash.now_ - crashed + inherited));
+}
+
+} // namespace
+
+int main()
+{
+    std::puts("at rest\nprocesses partitions  owned owners most of one writes/s     reads/s written bytes/s");
+    measureRate(13, 64);
+    measureRate(100, 64);
+    measureRate(1000, 64);
+    measureRate(1000, 300);
+    std::puts("\none owner crashes\nprocesses partitions  partitions of it  owned again after s");
+    measureTakeover(13, 64);
+    measureTakeover(100, 64);
+    measureTakeover(1000, 300);
+    std::puts("\nhorizon s  outage survived by tasks, s  tasks of a doubly failed host, after s");
+    for (int minutes : { 1, 5, 15, 60 })
+        measureHorizon(std::chrono::minutes(minutes));
+    return 0;
+}
