--- a/colocation/include/persimmondoor/colocation/SlowdownModel.h
+++ b/colocation/include/persimmondoor/colocation/SlowdownModel.h
@@ -64,7 +64,7 @@
     /// Baseline, load within the band, saturation, classes.
     static constexpr size_t features = maximumClasses + 3;
     /// Slowdown by a class never seen if it had all processors of the worker: mean and deviation.
-    static constexpr Estimate unseenHarm { 0.6, 0.6 };
+    static constexpr Estimate unseenHarm { 0.4, 0.5 };
     /// Processors in use above which saturation is taken to slow the service down.
     static constexpr double saturationKnee = 0.7;
 
@@ -106,6 +106,8 @@
     Band priorBand() const;
     Band startBand(size_t band) const;
     const Band* nearestBand(double load) const;
+    double baselineOf(size_t band, double load) const;
+    Estimate coefficient(size_t index, double load) const;
     void drift(Band& band, Instant at);
     void update(Band& band, const Vector& input, double relativeTail);
     size_t claimSlot(const TaskClassName& taskClass, Instant at);
--- a/routing/src/HTTPFront.cpp
+++ b/routing/src/HTTPFront.cpp
@@ -86,20 +86,30 @@
         std::move(request.headers_), std::move(request.body_) };
 }
 
-static asio::awaitable<http::Response> serve(RouterActor router, http::Request request, RequestId id)
+static asio::awaitable<RequestOutcome> route(RouterActor router, std::optional<ClaimsActor> claims, admission::ServiceRequest request)
+{
+    auto key = http::findHeader(request.headers_, idempotencyKeyHeader);
+    if (!key || request.idempotent_)
+        co_return co_await router.route(std::move(request));
+    if (!claims)
+        co_return NotRun { NotRunReason::StoreUnavailable, "this entry keeps no idempotency keys" };
+    co_return co_await routeClaimed(*std::move(claims), std::move(router), std::move(request), *std::move(key));
+}
+
+static asio::awaitable<http::Response> serve(RouterActor router, std::optional<ClaimsActor> claims, http::Request request, RequestId id)
 {
     auto serviceRequest = toServiceRequest(std::move(request), std::move(id));
     if (!serviceRequest.ok())
         co_return toResponse(NotRun { NotRunReason::BadRequest, std::string(serviceRequest.status().message()) });
-    co_return toResponse(co_await router.route(*std::move(serviceRequest)));
+    co_return toResponse(co_await route(std::move(router), std::move(claims), *std::move(serviceRequest)));
 }
 
-http::Handler makeHTTPFront(ProcessName process, RouterActor router)
+http::Handler makeHTTPFront(ProcessName process, RouterActor router, std::optional<ClaimsActor> claims)
 {
     // Tells apart the request ids of two lives of one entry.
     std::string prefix = concat(process.value(), "-", wallMilliseconds(), "-");
     auto requests = std::make_shared<uint64_t>(0);
-    return [=](http::Request request) { return serve(router, std::move(request), RequestId::of(concat(prefix, ++*requests))); };
+    return [=](http::Request request) { return serve(router, claims, std::move(request), RequestId::of(concat(prefix, ++*requests))); };
 }
 
 } // namespace persimmondoor::routing
