Announce changes only, with keepalives that fit a node's bytes

Cause: each agent sent its whole announcement each second to each entry: 6,300 agents x 456 bytes = 2.9 MB/s at an entry, for 4 KB/s allowed. A cold entry knew nothing until each agent came by. Change: an agent announces itself whole once and when an entry asks, and sends keepalives at the interval that the entry gives: a second in a small cell, and so long at many workers that all keepalives stay within 3,000 B/s. Sequence numbers follow the time, so that the knowledge of two entries compares. An entry keeps its peers' addresses. Conclusion: 6,300 workers give a keepalive interval of 630 s; until then a silent host is found by the failures of requests sent to it.

--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -45,7 +45,7 @@
     std::vector<Address> entries;
     for (const settings::EntrySite& entry : site.entries_)
         entries.push_back(entry.rpc_);
-    membership::Announcer announcer(executor, std::move(entries), firstAnnouncement(self, (*server)->address()));
+    membership::Announcer announcer(executor, entries, firstAnnouncement(self, (*server)->address()));
     logInfo("agent.started", { { "worker", self.name_.value() }, { "rpc", (*server)->address().text() } });
     return std::unique_ptr<Agent>(new Agent(*std::move(gate), std::move(announcer), *std::move(server)));
 }
--- a/membership/include/persimmondoor/membership/Announcer.h
+++ b/membership/include/persimmondoor/membership/Announcer.h
@@ -1,4 +1,5 @@
-/// The actor beside a worker that announces it to every entry, again and again.
+/// The actor beside a worker that announces it to every entry: whole at first and when an entry asks for it, and by a
+/// small keepalive at the interval that the entry gives.
 ///
 /// \code
 /// Announcer announcer(executor, entryAddresses, announcement);
@@ -14,20 +15,19 @@
 
 namespace persimmondoor::membership {
 
-/// Time between two announcements of an unchanged worker.
-inline constexpr Duration announceInterval = std::chrono::seconds(1);
+/// Time until an entry that could not be reached is tried again.
+inline constexpr Duration announceRetryInterval = std::chrono::seconds(1);
 
 class Announcer {
 public:
-    /// Starts the actor. `announcement` is sent with rising sequence numbers.
-    Announcer(const boost::asio::any_io_executor& executor, std::vector<Address> entries, Announcement announcement);
+    /// Starts one actor for each entry. `announcement` is sent with sequence numbers that rise with the time.
+    Announcer(const boost::asio::any_io_executor& executor, const std::vector<Address>& entries, const Announcement& announcement);
 
-    /// Announces from now on that the worker is leaving.
+    /// Announces at once, and from now on, that the worker is leaving.
     void leave() const;
-    /// Ends the actor.
-    void stop() const { mailbox_.close(); }
+    /// Ends the actors.
+    void stop() const;
 
-private:
     struct Due {
         auto operator<=>(const Due&) const = default;
     };
@@ -36,10 +36,8 @@
     };
     using Message = std::variant<Due, Leave>;
 
-    static boost::asio::awaitable<void> run(Mailbox<Message>, std::vector<Address> entries, Announcement);
-    static boost::asio::awaitable<void> tick(Mailbox<Message>);
-
-    Mailbox<Message> mailbox_;
+private:
+    std::vector<Mailbox<Message>> mailboxes_;
 };
 
 } // namespace persimmondoor::membership
--- a/membership/include/persimmondoor/membership/ViewActor.h
+++ b/membership/include/persimmondoor/membership/ViewActor.h
@@ -17,21 +17,63 @@
 /// Takes a change in; the view goes on when the returned coroutine ends, so that no change is lost.
 using ViewListener = std::function<boost::asio::awaitable<void>(ViewAction)>;
 
+/// What an agent is told after an announcement or a keepalive.
+struct ViewAnswer {
+    /// False if the entry needs the whole announcement.
+    bool isKnown_ { false };
+    /// Time until the next keepalive.
+    Duration interval_ { 0 };
+    auto operator<=>(const ViewAnswer&) const = default;
+};
+
+/// The changes of an entry's view after a version.
+struct ViewChanges {
+    /// Tells the versions of two lives of an entry apart.
+    uint64_t life_ { 0 };
+    uint64_t version_ { 0 };
+    std::vector<Learned> members_;
+    auto operator<=>(const ViewChanges&) const = default;
+};
+
 class ViewActor {
 public:
     /// Starts the actor on `executor`.
     ViewActor(const boost::asio::any_io_executor& executor, Clock clock, ViewListener listener);
 
-    /// Takes an announcement in; if the mailbox is full it is dropped, as the next one repeats it.
-    void announce(Announcement) const;
+    /// Takes a message in and waits until it has been.
+    /// \return what the agent is told; if the mailbox is full the message is dropped and the agent tries again.
+    boost::asio::awaitable<ViewAnswer> tell(ViewMessage, WorkerName, Incarnation) const;
+    /// Gives what changed after `version` of the actor's life `life`, or all.
+    boost::asio::awaitable<ViewChanges> changes(uint64_t life, uint64_t version) const;
+    /// Takes a message in, waiting for room.
+    boost::asio::awaitable<void> learn(ViewMessage) const;
+    const boost::asio::any_io_executor& executor() const { return executor_; }
     /// Ends the actor.
     void stop() const { mailbox_.close(); }
 
+    /// A message of an agent with the way back.
+    struct Tell {
+        ViewMessage message_;
+        WorkerName worker_;
+        Incarnation incarnation_;
+        Reply<ViewAnswer> reply_;
+    };
+    struct AskChanges {
+        uint64_t life_ { 0 };
+        uint64_t version_ { 0 };
+        Reply<ViewChanges> reply_;
+    };
+    using Message = std::variant<ViewMessage, Tell, AskChanges>;
+
 private:
-    Mailbox<ViewMessage> mailbox_;
+    boost::asio::any_io_executor executor_;
+    Mailbox<Message> mailbox_;
 };
 
-/// Offers the view to agents under the name "membership".
+/// Offers the view to agents and other entries under the name "membership".
 void offerMembership(rpc::Interfaces&, ViewActor);
 
+/// Has a cold entry learn the members, with their tombstones, from its peers: each is asked until it has answered once.
+void learnFromPeers(ViewActor, const std::vector<Address>& peers);
+
 } // namespace persimmondoor::membership
--- a/membership/schema/Membership.capnp
+++ b/membership/schema/Membership.capnp
@@ -21,7 +21,25 @@
   leaving @7 :Bool;
 }
 
-# Served by entries, called by agents.
+# A worker as one entry knows it, for another entry. A worker that is not present is a tombstone.
+struct Member {
+  announcement @0 :Announcement;
+  present @1 :Bool;
+}
+
+# What an agent is told after each message.
+struct Answer {
+  # False if the entry needs the whole announcement.
+  known @0 :Bool;
+  # Time until the next keepalive, in milliseconds.
+  intervalMilliseconds @1 :UInt32;
+}
+
+# Served by entries, called by agents and by other entries.
 interface Membership {
-  announce @0 (announcement :Announcement) -> ();
+  announce @0 (announcement :Announcement) -> (answer :Answer);
+  keepAlive @1 (worker :Text, incarnation :UInt64, sequence :UInt64) -> (answer :Answer);
+  # The members that changed after a version; version 0 gives all. `life` tells the versions of two lives of an entry
+  # apart: if it is not the entry's own, all members are given.
+  changes @2 (life :UInt64, after :UInt64) -> (life :UInt64, version :UInt64, members :List(Member));
 }
--- a/membership/src/Announcer.cpp
+++ b/membership/src/Announcer.cpp
@@ -6,6 +6,8 @@
 #include "persimmondoor/rpc/Call.h"
 #include "persimmondoor/rpc/Link.h"
 
+#include <algorithm>
+
 namespace persimmondoor::membership {
 
 namespace asio = boost::asio;
@@ -13,57 +15,119 @@
 static constexpr size_t mailboxCapacity = 16;
 static constexpr Duration announceTimeout = std::chrono::seconds(1);
 
-static asio::awaitable<void> announceTo(rpc::Link link, Announcement announcement)
+static asio::awaitable<absl::StatusOr<ViewAnswer>> announceTo(rpc::Link link, Announcement announcement)
 {
     auto found = co_await link.find("membership");
-    if (!found.ok()) {
-        logDebug("membership.entry_unreachable", { { "entry", link.address().text() }, { "error", std::string(found.status().message()) } });
-        co_return;
-    }
+    if (!found.ok())
+        co_return found.status();
     auto request = found->castAs<wire::Membership>().announceRequest();
     encode(announcement, request.initAnnouncement());
-    auto answer = co_await rpc::call(
-        request.send(), [](auto&) { return true; }, announceTimeout);
-    if (!answer.ok())
-        logDebug("membership.announce_failed", { { "entry", link.address().text() }, { "error", std::string(answer.status().message()) } });
+    co_return co_await rpc::call(
+        request.send(), [](auto& response) { return decode(response.getAnswer()); }, announceTimeout);
 }
 
-Announcer::Announcer(const asio::any_io_executor& executor, std::vector<Address> entries, Announcement announcement)
-    : mailbox_(executor, mailboxCapacity)
+static asio::awaitable<absl::StatusOr<ViewAnswer>> keepAlive(rpc::Link link, KeptAlive message)
 {
-    spawn(executor, "announcer", run(mailbox_, std::move(entries), std::move(announcement)));
-    spawn(executor, "announcer tick", tick(mailbox_));
+    auto found = co_await link.find("membership");
+    if (!found.ok())
+        co_return found.status();
+    auto request = found->castAs<wire::Membership>().keepAliveRequest();
+    request.setWorker(message.worker_.value());
+    request.setIncarnation(message.incarnation_.value());
+    request.setSequence(message.sequence_.value());
+    co_return co_await rpc::call(
+        request.send(), [](auto& response) { return decode(response.getAnswer()); }, announceTimeout);
 }
 
-void Announcer::leave() const
+static asio::awaitable<void> postDue(Mailbox<Announcer::Message> mailbox, Duration delay)
 {
-    mailbox_.tryPost(Leave {});
+    co_await sleepFor(delay);
+    Announcer::Message due = Announcer::Due {};
+    co_await mailbox.post(std::move(due));
 }
 
-asio::awaitable<void> Announcer::run(Mailbox<Message> mailbox, std::vector<Address> entries, Announcement announcement)
+namespace {
+
+    // Keeps one entry told of the worker.
+    class EntryTeller {
+    public:
+        EntryTeller(rpc::Link link, Announcement announcement)
+            : link_(std::move(link))
+            , announcement_(std::move(announcement))
+        {
+        }
+
+        asio::awaitable<void> run(std::shared_ptr<EntryTeller> self, Mailbox<Announcer::Message> mailbox)
+        {
+            asio::any_io_executor executor = co_await asio::this_coro::executor;
+            bool isDue = true;
+            for (;;) {
+                if (isDue) {
+                    Duration wait = co_await self->tell();
+                    spawn(executor, "announcer tick", postDue(mailbox, wait));
+                }
+                Announcer::Message message = co_await mailbox.receive();
+                isDue = std::holds_alternative<Announcer::Due>(message);
+                if (!isDue) {
+                    announcement_.leaving_ = true;
+                    isKnown_ = false;
+                    co_await self->tell();
+                }
+            }
+        }
+
+    private:
+        // Tells the entry what it lacks and returns the time until the next message.
+        asio::awaitable<Duration> tell()
+        {
+            // The time numbers the messages to all entries, so that one entry's knowledge compares with another's.
+            Instant time = now(clock_);
+            announcement_.sequence_ = Sequence(static_cast<uint64_t>((time - start_).count()) + 1);
+            KeptAlive keptAlive { announcement_.worker_, announcement_.incarnation_, announcement_.sequence_ };
+            absl::StatusOr<ViewAnswer> answer = absl::UnknownError("");
+            if (isKnown_)
+                answer = co_await keepAlive(link_, std::move(keptAlive));
+            else
+                answer = co_await announceTo(link_, announcement_);
+            if (!answer.ok()) {
+                logDebug("membership.entry_unreachable", { { "entry", link_.address().text() }, { "error", std::string(answer.status().message()) } });
+                isKnown_ = false;
+                co_return announceRetryInterval;
+            }
+            bool asksForAll = isKnown_ && !answer->isKnown_;
+            isKnown_ = answer->isKnown_;
+            co_return asksForAll ? Duration(0) : std::max(answer->interval_, announceRetryInterval);
+        }
+
+        rpc::Link link_;
+        Announcement announcement_;
+        Clock clock_ = SteadyClock();
+        Instant start_ = now(clock_);
+        bool isKnown_ { false };
+    };
+
+} // namespace
+
+Announcer::Announcer(const asio::any_io_executor& executor, const std::vector<Address>& entries, const Announcement& announcement)
 {
-    asio::any_io_executor executor = co_await asio::this_coro::executor;
-    std::vector<rpc::Link> links;
-    links.reserve(entries.size());
-    for (Address& entry : entries)
-        links.emplace_back(executor, std::move(entry));
-    for (;;) {
-        for (const rpc::Link& link : links)
-            spawn(executor, "announce", announceTo(link, announcement));
-        Message message = co_await mailbox.receive();
-        announcement.leaving_ = announcement.leaving_ || std::holds_alternative<Leave>(message);
-        announcement.sequence_ = announcement.sequence_.next();
+    for (const Address& entry : entries) {
+        Mailbox<Message> mailbox(executor, mailboxCapacity);
+        auto teller = std::make_shared<EntryTeller>(rpc::Link(executor, entry), announcement);
+        spawn(executor, "announcer", teller->run(teller, mailbox));
+        mailboxes_.push_back(std::move(mailbox));
     }
 }
 
-asio::awaitable<void> Announcer::tick(Mailbox<Message> mailbox)
+void Announcer::leave() const
 {
-    bool open = true;
-    while (open) {
-        co_await sleepFor(announceInterval);
-        Message due = Due {};
-        open = co_await mailbox.post(std::move(due));
-    }
+    for (const Mailbox<Message>& mailbox : mailboxes_)
+        mailbox.tryPost(Leave {});
+}
+
+void Announcer::stop() const
+{
+    for (const Mailbox<Message>& mailbox : mailboxes_)
+        mailbox.close();
 }
 
 } // namespace persimmondoor::membership
--- a/membership/src/Codec.cpp
+++ b/membership/src/Codec.cpp
@@ -54,4 +54,15 @@
     return announcement;
 }
 
+void encode(const ViewAnswer& answer, wire::Answer::Builder wire)
+{
+    wire.setKnown(answer.isKnown_);
+    wire.setIntervalMilliseconds(static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(answer.interval_).count()));
+}
+
+ViewAnswer decode(wire::Answer::Reader wire)
+{
+    return { wire.getKnown(), std::chrono::milliseconds(wire.getIntervalMilliseconds()) };
+}
+
 } // namespace persimmondoor::membership
--- a/membership/src/Codec.h
+++ b/membership/src/Codec.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "Membership.capnp.h"
-#include "persimmondoor/membership/Announcement.h"
+#include "persimmondoor/membership/ViewActor.h"
 
 namespace persimmondoor::membership {
 
@@ -10,4 +10,7 @@
 // Returns InvalidArgument for a name or address that is not valid.
 absl::StatusOr<Announcement> decode(wire::Announcement::Reader);
 
+void encode(const ViewAnswer&, wire::Answer::Builder);
+ViewAnswer decode(wire::Answer::Reader);
+
 } // namespace persimmondoor::membership
--- a/membership/src/ViewActor.cpp
+++ b/membership/src/ViewActor.cpp
@@ -3,6 +3,8 @@
 #include "Codec.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
+#include "persimmondoor/rpc/Call.h"
+#include "persimmondoor/rpc/Link.h"
 
 namespace persimmondoor::membership {
 
@@ -12,39 +14,105 @@
 static constexpr size_t mailboxCapacity = 16384;
 static constexpr Duration sweepInterval = std::chrono::seconds(1);
 
-static asio::awaitable<void> runView(Mailbox<ViewMessage> mailbox, Clock clock, ViewListener listener)
-{
-    View state;
-    for (;;) {
-        ViewMessage message = co_await mailbox.receive();
-        ViewDecision decision = decide(std::move(state), message, now(clock));
-        state = std::move(decision.state_);
-        for (const ViewAction& action : decision.actions_)
-            co_await listener(action);
-    }
-}
+static constexpr Duration changesTimeout = std::chrono::seconds(2);
+static constexpr Duration peerRetryInterval = std::chrono::seconds(1);
+
+namespace {
+
+    class ViewLoop {
+    public:
+        ViewLoop(Clock clock, ViewListener listener)
+            : clock_(std::move(clock))
+            , listener_(std::move(listener))
+        {
+        }
+
+        asio::awaitable<void> run(std::shared_ptr<ViewLoop> self, Mailbox<ViewActor::Message> mailbox)
+        {
+            for (;;) {
+                ViewActor::Message message = co_await mailbox.receive();
+                std::vector<ViewAction> actions = std::visit([&](auto& alternative) { return self->handle(alternative); }, message);
+                for (ViewAction& action : actions)
+                    co_await listener_(std::move(action));
+            }
+        }
+
+    private:
+        std::vector<ViewAction> handle(const ViewMessage& message)
+        {
+            ViewDecision decision = decide(std::move(view_), message, now(clock_));
+            view_ = std::move(decision.state_);
+            return std::move(decision.actions_);
+        }
 
-static asio::awaitable<void> sweep(Mailbox<ViewMessage> mailbox)
+        std::vector<ViewAction> handle(const ViewActor::Tell& message)
+        {
+            std::vector<ViewAction> actions = handle(message.message_);
+            message.reply_.send({ view_.knows(message.worker_, message.incarnation_), keepAliveInterval(view_.present()) });
+            return actions;
+        }
+
+        std::vector<ViewAction> handle(const ViewActor::AskChanges& message)
+        {
+            uint64_t after = message.life_ == life_ ? message.version_ : 0;
+            message.reply_.send({ life_, view_.version(), view_.changesAfter(after) });
+            return {};
+        }
+
+        Clock clock_;
+        ViewListener listener_;
+        View view_;
+        uint64_t life_ { static_cast<uint64_t>(wallMilliseconds()) };
+    };
+
+} // namespace
+
+static asio::awaitable<void> sweep(Mailbox<ViewActor::Message> mailbox)
 {
     bool open = true;
     while (open) {
         co_await sleepFor(sweepInterval);
-        ViewMessage due = Swept {};
+        ViewActor::Message due = ViewMessage(Swept {});
         open = co_await mailbox.post(std::move(due));
     }
 }
 
 ViewActor::ViewActor(const asio::any_io_executor& executor, Clock clock, ViewListener listener)
-    : mailbox_(executor, mailboxCapacity)
+    : executor_(executor)
+    , mailbox_(executor, mailboxCapacity)
 {
-    spawn(executor, "membership view", runView(mailbox_, std::move(clock), std::move(listener)));
+    auto loop = std::make_shared<ViewLoop>(std::move(clock), std::move(listener));
+    spawn(executor, "membership view", loop->run(loop, mailbox_));
     spawn(executor, "membership sweep", sweep(mailbox_));
 }
 
-void ViewActor::announce(Announcement announcement) const
+asio::awaitable<ViewAnswer> ViewActor::tell(ViewMessage message, WorkerName worker, Incarnation incarnation) const
 {
-    if (!mailbox_.tryPost(Announced { std::move(announcement) }))
+    Mailbox<Message> mailbox = mailbox_;
+    Reply<ViewAnswer> reply(executor_);
+    if (!mailbox.tryPost(Tell { std::move(message), std::move(worker), incarnation, reply })) {
         logWarning("membership.mailbox_full", {});
+        co_return ViewAnswer { false, keepAliveInterval(0) };
+    }
+    co_return co_await reply.receive();
+}
+
+asio::awaitable<ViewChanges> ViewActor::changes(uint64_t life, uint64_t version) const
+{
+    Mailbox<Message> mailbox = mailbox_;
+    Reply<ViewChanges> reply(executor_);
+    Message message = AskChanges { life, version, reply };
+    bool posted = co_await mailbox.post(std::move(message));
+    if (!posted)
+        co_return ViewChanges {};
+    co_return co_await reply.receive();
+}
+
+asio::awaitable<void> ViewActor::learn(ViewMessage message) const
+{
+    Mailbox<Message> mailbox = mailbox_;
+    Message wrapped = std::move(message);
+    co_await mailbox.post(std::move(wrapped));
 }
 
 namespace {
@@ -59,14 +127,59 @@
         kj::Promise<void> announce(AnnounceContext context) override
         {
             auto announcement = decode(context.getParams().getAnnouncement());
-            if (announcement.ok())
-                view_.announce(*std::move(announcement));
-            else
+            if (!announcement.ok()) {
                 logWarning("membership.bad_announcement", { { "error", std::string(announcement.status().message()) } });
-            return kj::READY_NOW;
+                return kj::READY_NOW;
+            }
+            return rpc::promiseOf(view_.executor(), answerAnnouncement(view_, *std::move(announcement), context));
+        }
+
+        kj::Promise<void> keepAlive(KeepAliveContext context) override
+        {
+            auto worker = WorkerName::create(context.getParams().getWorker().cStr());
+            if (!worker.ok())
+                return kj::READY_NOW;
+            KeptAlive message { *worker, Incarnation(context.getParams().getIncarnation()), Sequence(context.getParams().getSequence()) };
+            return rpc::promiseOf(view_.executor(), answerKeepAlive(view_, std::move(message), context));
+        }
+
+        kj::Promise<void> changes(ChangesContext context) override
+        {
+            return rpc::promiseOf(view_.executor(), answerChanges(view_, context));
         }
 
     private:
+        static asio::awaitable<void> answerAnnouncement(ViewActor view, Announcement announcement, AnnounceContext context)
+        {
+            WorkerName worker = announcement.worker_;
+            Incarnation incarnation = announcement.incarnation_;
+            ViewMessage message = Announced { std::move(announcement) };
+            ViewAnswer answer = co_await view.tell(std::move(message), std::move(worker), incarnation);
+            encode(answer, context.getResults().initAnswer());
+        }
+
+        static asio::awaitable<void> answerKeepAlive(ViewActor view, KeptAlive keptAlive, KeepAliveContext context)
+        {
+            WorkerName worker = keptAlive.worker_;
+            Incarnation incarnation = keptAlive.incarnation_;
+            ViewMessage message = std::move(keptAlive);
+            ViewAnswer answer = co_await view.tell(std::move(message), std::move(worker), incarnation);
+            encode(answer, context.getResults().initAnswer());
+        }
+
+        static asio::awaitable<void> answerChanges(ViewActor view, ChangesContext context)
+        {
+            ViewChanges changes = co_await view.changes(context.getParams().getLife(), context.getParams().getAfter());
+            auto results = context.getResults();
+            results.setLife(changes.life_);
+            results.setVersion(changes.version_);
+            auto members = results.initMembers(static_cast<unsigned>(changes.members_.size()));
+            for (unsigned index = 0; index < members.size(); ++index) {
+                encode(changes.members_[index].announcement_, members[index].initAnnouncement());
+                members[index].setPresent(changes.members_[index].present_);
+            }
+        }
+
         ViewActor view_;
     };
 
@@ -77,4 +190,47 @@
     interfaces.add("membership", kj::heap<MembershipServer>(std::move(view)));
 }
 
+static std::vector<Learned> decodeMembers(capnp::List<wire::Member>::Reader wire)
+{
+    std::vector<Learned> members;
+    for (auto item : wire) {
+        auto announcement = decode(item.getAnnouncement());
+        if (announcement.ok())
+            members.push_back({ *std::move(announcement), item.getPresent() });
+    }
+    return members;
+}
+
+static asio::awaitable<absl::StatusOr<std::vector<Learned>>> askPeer(rpc::Link link)
+{
+    auto found = co_await link.find("membership");
+    if (!found.ok())
+        co_return found.status();
+    auto request = found->castAs<wire::Membership>().changesRequest();
+    co_return co_await rpc::call(
+        request.send(), [](auto& response) { return decodeMembers(response.getMembers()); }, changesTimeout);
+}
+
+static asio::awaitable<void> learnFrom(ViewActor view, rpc::Link link)
+{
+    for (;;) {
+        auto members = co_await askPeer(link);
+        if (members.ok()) {
+            for (Learned& member : *members) {
+                ViewMessage message = std::move(member);
+                co_await view.learn(std::move(message));
+            }
+            logInfo("membership.learned_from_peer", { { "peer", link.address().text() }, { "members", std::to_string(members->size()) } });
+            co_return;
+        }
+        co_await sleepFor(peerRetryInterval);
+    }
+}
+
+void learnFromPeers(ViewActor view, const std::vector<Address>& peers)
+{
+    for (const Address& peer : peers)
+        spawn(view.executor(), "membership peer", learnFrom(view, rpc::Link(view.executor(), peer)));
+}
+
 } // namespace persimmondoor::membership
--- /dev/null
+++ b/membership/tests/MembershipPathTest.cpp
@@ -0,0 +1,179 @@
+// Agents, entries and their peers over real connections, and the bytes that they cost.
+#include "Codec.h"
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/membership/Announcer.h"
+#include "persimmondoor/rpc/Call.h"
+#include "persimmondoor/rpc/Link.h"
+#include "persimmondoor/rpc/Loop.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <set>
+
+using namespace persimmondoor;
+using namespace persimmondoor::membership;
+namespace asio = boost::asio;
+
+namespace {
+
+Announcement announcementOf(const std::string& worker, size_t endpoints)
+{
+    Announcement announcement { WorkerName::of(worker), FailureDomainName::of("domain-a"), RackName::of("rack-a1"), Incarnation(1'764'836'000'000), Sequence(1),
+        *Address::parse("10.12.34.56:7100"), {}, false };
+    for (size_t index = 0; index < endpoints; ++index)
+        announcement.endpoints_.push_back({ EndpointName::of("packs-" + std::to_string(1000 + index)), ServiceName::of("packs"), TeamName::of("lankacell"), 8, 64 });
+    return announcement;
+}
+
+// An entry's view behind its server.
+struct Entry {
+    explicit Entry(const asio::any_io_executor& executor)
+        : present_(std::make_shared<std::set<std::string>>())
+        , view_(executor, SteadyClock(), [present = present_](ViewAction action) { return note(present, std::move(action)); })
+    {
+        rpc::Interfaces interfaces;
+        offerMembership(interfaces, view_);
+        server_ = *rpc::Server::listen(executor, *Address::parse("127.0.0.1:0"), std::move(interfaces));
+    }
+
+    static asio::awaitable<void> note(std::shared_ptr<std::set<std::string>> present, ViewAction action)
+    {
+        if (const auto* up = std::get_if<WorkerUp>(&action))
+            present->insert(up->announcement_.worker_.value());
+        if (const auto* gone = std::get_if<WorkerGone>(&action))
+            present->erase(gone->worker_.value());
+        co_return;
+    }
+
+    std::shared_ptr<std::set<std::string>> present_;
+    ViewActor view_;
+    std::unique_ptr<rpc::Server> server_;
+};
+
+struct Fixture {
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        for (int turn = 0; turn < 1500 && !condition(); ++turn) {
+            loop_.context().restart();
+            loop_.context().run_for(std::chrono::milliseconds(5));
+        }
+        BOOST_TEST(condition());
+    }
+
+    // Bytes on the wire, both ways, of one call after the connection is warm.
+    template <typename Call>
+    uint64_t bytesOf(Call call)
+    {
+        auto calls = std::make_shared<int>(0);
+        uint64_t before = 0;
+        constexpr int warm = 3;
+        constexpr int measured = 20;
+        spawn(executor_, "calls", repeat(call, calls, warm));
+        runUntil([&] { return *calls == warm; });
+        before = rpc::bytesSent();
+        *calls = 0;
+        spawn(executor_, "calls", repeat(call, calls, measured));
+        runUntil([&] { return *calls == measured; });
+        return (rpc::bytesSent() - before) / measured;
+    }
+
+    template <typename Call>
+    static asio::awaitable<void> repeat(Call call, std::shared_ptr<int> calls, int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            co_await call();
+            ++*calls;
+        }
+    }
+
+    rpc::Loop loop_;
+    asio::any_io_executor executor_ = loop_.context().get_executor();
+};
+
+asio::awaitable<void> sendAnnouncement(rpc::Link link, Announcement announcement)
+{
+    auto found = co_await link.find("membership");
+    auto request = found->castAs<wire::Membership>().announceRequest();
+    encode(announcement, request.initAnnouncement());
+    co_await rpc::call(request.send(), [](auto&) { return true; });
+}
+
+asio::awaitable<void> sendKeepAlive(rpc::Link link)
+{
+    auto found = co_await link.find("membership");
+    auto request = found->castAs<wire::Membership>().keepAliveRequest();
+    request.setWorker("worker-6300");
+    request.setIncarnation(1'764'836'000'000);
+    request.setSequence(86'400'000'000);
+    co_await rpc::call(request.send(), [](auto&) { return true; });
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(membership_path, Fixture)
+
+BOOST_AUTO_TEST_CASE(worker_is_heard_of_and_leaves_at_once)
+{
+    Entry entry(executor_);
+    Announcer announcer(executor_, { entry.server_->address() }, announcementOf("w1", 1));
+    runUntil([&] { return entry.present_->contains("w1"); });
+    announcer.leave();
+    runUntil([&] { return entry.present_->empty(); });
+    announcer.stop();
+}
+
+// Told of an agent whose own connection it never had, a cold entry knows the members and the tombstones of its peer.
+BOOST_AUTO_TEST_CASE(cold_entry_learns_from_its_peer)
+{
+    Entry first(executor_);
+    Announcer staying(executor_, { first.server_->address() }, announcementOf("w1", 1));
+    Announcer leaving(executor_, { first.server_->address() }, announcementOf("w2", 1));
+    runUntil([&] { return first.present_->size() == 2; });
+    leaving.leave();
+    runUntil([&] { return first.present_->size() == 1; });
+    Entry cold(executor_);
+    learnFromPeers(cold.view_, { first.server_->address() });
+    runUntil([&] { return cold.present_->contains("w1"); });
+    auto late = std::make_shared<std::optional<ViewAnswer>>();
+    auto announceLate = [](ViewActor view, std::shared_ptr<std::optional<ViewAnswer>> into) -> asio::awaitable<void> {
+        Announcement announcement = announcementOf("w2", 1);
+        ViewMessage message = Announced { announcement };
+        *into = co_await view.tell(std::move(message), announcement.worker_, announcement.incarnation_);
+    };
+    spawn(executor_, "late", announceLate(cold.view_, late));
+    runUntil([&] { return late->has_value(); });
+    BOOST_TEST(!cold.present_->contains("w2"));
+}
+
+// An entry that died and came back knows nothing: the next keepalive fails or is answered so, and all is told again.
+BOOST_AUTO_TEST_CASE(restarted_entry_is_told_again)
+{
+    auto entry = std::make_unique<Entry>(executor_);
+    Address address = entry->server_->address();
+    Announcer announcer(executor_, { address }, announcementOf("w1", 1));
+    runUntil([&] { return entry->present_->contains("w1"); });
+    entry->server_->close();
+    entry->view_.stop();
+    Entry again(executor_);
+    rpc::Interfaces interfaces;
+    offerMembership(interfaces, again.view_);
+    auto server = rpc::Server::listen(executor_, address, std::move(interfaces));
+    BOOST_REQUIRE(server.ok());
+    runUntil([&] { return again.present_->contains("w1"); });
+    announcer.stop();
+}
+
+BOOST_AUTO_TEST_CASE(bytes_are_within_what_the_intervals_count_on)
+{
+    Entry entry(executor_);
+    rpc::Link link(executor_, entry.server_->address());
+    auto keepAliveCall = [link] { return sendKeepAlive(link); };
+    BOOST_TEST(bytesOf(keepAliveCall) <= keepAliveBytes);
+    // An announcement of eight endpoints costs at most what a node may spend on control in a second.
+    Announcement eight = announcementOf("worker-6300", 8);
+    auto announceCall = [link, eight] { return sendAnnouncement(link, eight); };
+    BOOST_TEST(bytesOf(announceCall) <= 4096U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
