Keep settings as a tree with revisions, compare-and-set and distribution by digest

Cause: settings were read once from the site file; operators could not change them while the system runs. Change: a subtree per team and one for operators, kept as a small head row and immutable revisions in the table service; changes by compare-and-set with a write id that makes a lost reply or a repetition harmless; tokens that limit an operator to branches; announcements carry the digest in force and their answers say where to fetch what is newer; an entry directs at most 4 agents a second to itself and the others to agents that have the change. Entries poll the heads every 8 s and push accepted changes to each other. The router learns services from the tree. Conclusion: revisions only rise, tested over random orders; the store being down, stale peers, races, lost replies and wrong tokens are tests. An aggregate temporary in a co_await expression is destroyed twice by GCC 12; a local is used.

--- a/app/include/persimmondoor/app/Agent.h
+++ b/app/include/persimmondoor/app/Agent.h
@@ -9,6 +9,7 @@
 #include "persimmondoor/admission/GateActor.h"
 #include "persimmondoor/membership/Announcer.h"
 #include "persimmondoor/rpc/Server.h"
+#include "persimmondoor/settings/Follower.h"
 #include "persimmondoor/settings/Site.h"
 
 #include <memory>
@@ -27,10 +28,12 @@
     boost::asio::awaitable<void> shutDown(Duration limit);
 
 private:
-    Agent(admission::GateActor, membership::Announcer, std::unique_ptr<rpc::Server>);
+    Agent(admission::GateActor, membership::Announcer, settings::SettingsActor, settings::Follower, std::unique_ptr<rpc::Server>);
 
     admission::GateActor gate_;
     membership::Announcer announcer_;
+    settings::SettingsActor settings_;
+    settings::Follower follower_;
     std::unique_ptr<rpc::Server> server_;
 };
 
--- a/app/include/persimmondoor/app/Entry.h
+++ b/app/include/persimmondoor/app/Entry.h
@@ -10,6 +10,7 @@
 #include "persimmondoor/membership/ViewActor.h"
 #include "persimmondoor/routing/RouterActor.h"
 #include "persimmondoor/rpc/Server.h"
+#include "persimmondoor/settings/SettingsActor.h"
 #include "persimmondoor/settings/Site.h"
 
 #include <memory>
@@ -29,11 +30,12 @@
     boost::asio::awaitable<size_t> shutDown(Duration limit);
 
 private:
-    Entry(settings::EntrySite, routing::RouterActor, membership::ViewActor);
+    Entry(settings::EntrySite, routing::RouterActor, membership::ViewActor, settings::SettingsActor);
 
     settings::EntrySite site_;
     routing::RouterActor router_;
     membership::ViewActor view_;
+    settings::SettingsActor settings_;
     std::unique_ptr<http::Server> callers_;
     std::unique_ptr<http::Server> operators_;
     std::unique_ptr<rpc::Server> peers_;
--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -7,9 +7,14 @@
 
 namespace asio = boost::asio;
 
-Agent::Agent(admission::GateActor gate, membership::Announcer announcer, std::unique_ptr<rpc::Server> server)
+// Digests that wait to be announced; if more come at once, the last ones are announced with the next change.
+static constexpr size_t digestCapacity = 1024;
+
+Agent::Agent(admission::GateActor gate, membership::Announcer announcer, settings::SettingsActor settings, settings::Follower follower, std::unique_ptr<rpc::Server> server)
     : gate_(std::move(gate))
     , announcer_(std::move(announcer))
+    , settings_(std::move(settings))
+    , follower_(std::move(follower))
     , server_(std::move(server))
 {
 }
@@ -32,6 +37,12 @@
     return { self.name_, self.domain_, self.rack_, incarnation, Sequence(1), address, std::move(offers), false };
 }
 
+static asio::awaitable<void> reportDigests(Mailbox<settings::Digest> digests, membership::Announcer announcer)
+{
+    for (;;)
+        announcer.report(co_await digests.receive());
+}
+
 absl::StatusOr<std::unique_ptr<Agent>> Agent::start(const asio::any_io_executor& executor, const settings::Site& site, const settings::WorkerSite& self)
 {
     auto gate = admission::GateActor::create(executor, SteadyClock(), localEndpoints(self));
@@ -39,15 +50,22 @@
         return gate.status();
     rpc::Interfaces interfaces;
     admission::offerAdmission(interfaces, executor, *gate);
+    // The announcer starts after the server and the settings before it, so the digest finds its way by a mailbox.
+    Mailbox<settings::Digest> digests(executor, digestCapacity);
+    settings::SettingsActor tree(executor, SteadyClock(), [digests](const settings::InForce&, settings::Digest digest) { digests.tryPost(digest); });
+    settings::offerSettings(interfaces, executor, tree);
     auto server = rpc::Server::listen(executor, self.rpc_, std::move(interfaces));
     if (!server.ok())
         return server.status();
     std::vector<Address> entries;
     for (const settings::EntrySite& entry : site.entries_)
         entries.push_back(entry.rpc_);
-    membership::Announcer announcer(executor, std::move(entries), firstAnnouncement(self, (*server)->address()));
+    settings::Follower follower(executor, tree);
+    membership::Announcer announcer(executor, std::move(entries), firstAnnouncement(self, (*server)->address()),
+        [follower](const Address& entry, const settings::Hint& hint) { follower.hint(entry, hint); });
+    spawn(executor, "settings digests", reportDigests(digests, announcer));
     logInfo("agent.started", { { "worker", self.name_.value() }, { "rpc", (*server)->address().text() } });
-    return std::unique_ptr<Agent>(new Agent(*std::move(gate), std::move(announcer), *std::move(server)));
+    return std::unique_ptr<Agent>(new Agent(*std::move(gate), std::move(announcer), std::move(tree), std::move(follower), *std::move(server)));
 }
 
 asio::awaitable<void> Agent::shutDown(Duration limit)
@@ -57,6 +75,8 @@
     logInfo("agent.stopped", { { "requests_cut_off", std::to_string(left) } });
     server_->close();
     announcer_.stop();
+    follower_.stop();
+    settings_.stop();
     gate_.stop();
 }
 
--- a/app/src/Main.cpp
+++ b/app/src/Main.cpp
@@ -104,8 +104,11 @@
     auto self = findByName(site.entries_, options.name_);
     if (self == site.entries_.end())
         return absl::InvalidArgumentError(concat("no entry named '", options.name_, "' in the site file"));
-    site.entries_ = { *self };
-    return startEntries(daemon, executor, site);
+    auto entry = Entry::start(executor, site, *self);
+    if (!entry.ok())
+        return entry.status();
+    daemon.entries_.push_back(*std::move(entry));
+    return absl::OkStatus();
 }
 
 static absl::Status startAgent(Daemon& daemon, const asio::any_io_executor& executor, const DaemonOptions& options)
--- /dev/null
+++ b/app/src/Operators.cpp
@@ -0,0 +1,233 @@
+#include "Operators.h"
+
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
+#include "persimmondoor/core/Visitor.h"
+#include "persimmondoor/routing/EndpointsRoute.h"
+#include "persimmondoor/settings/Follower.h"
+#include "persimmondoor/settings/OperatorsAPI.h"
+#include "persimmondoor/settings/Team.h"
+
+#include <absl/strings/str_format.h>
+#include <boost/asio/this_coro.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <set>
+
+namespace persimmondoor::app {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+static constexpr size_t directoryCapacity = 16384;
+static constexpr size_t changesCapacity = 1024;
+
+namespace {
+
+    // Tells the router which services the settings define.
+    class ServiceTeller {
+    public:
+        explicit ServiceTeller(routing::RouterActor router)
+            : router_(std::move(router))
+        {
+        }
+
+        static asio::awaitable<void> run(std::shared_ptr<ServiceTeller> self, Mailbox<settings::Subtree> changes)
+        {
+            for (;;) {
+                settings::Subtree subtree = co_await changes.receive();
+                if (subtree.name_.value() == settings::operatorsSubtree)
+                    continue;
+                auto team = settings::parseTeam(subtree.name_, subtree.text_);
+                if (!team.ok()) {
+                    logError("settings.unreadable_team", { { "team", subtree.name_.value() }, { "error", std::string(team.status().message()) } });
+                    continue;
+                }
+                co_await tell(self, *std::move(team));
+            }
+        }
+
+    private:
+        static asio::awaitable<void> tell(std::shared_ptr<ServiceTeller> self, settings::TeamSettings team)
+        {
+            std::set<ServiceName> defined;
+            for (const settings::ServiceSettings& service : team.services_) {
+                defined.insert(service.name_);
+                routing::RouterMessage message(routing::ServiceDefined { service.name_, service.tier_, service.deadline_ });
+                co_await self->router_.learnSurely(std::move(message));
+            }
+            for (const ServiceName& service : self->servicesOf_[team.team_]) {
+                if (defined.contains(service))
+                    continue;
+                routing::RouterMessage message(routing::ServiceRemoved { service });
+                co_await self->router_.learnSurely(std::move(message));
+            }
+            self->servicesOf_[team.team_] = std::move(defined);
+        }
+
+        routing::RouterActor router_;
+        std::map<TeamName, std::set<ServiceName>> servicesOf_;
+    };
+
+} // namespace
+
+static asio::awaitable<void> runDirectory(Mailbox<Directory::Message> mailbox)
+{
+    std::map<WorkerName, membership::Announcement> workers;
+    for (;;) {
+        Directory::Message message = co_await mailbox.receive();
+        if (const auto* ask = std::get_if<Directory::Ask>(&message)) {
+            std::vector<membership::Announcement> list;
+            for (const auto& worker : workers)
+                list.push_back(worker.second);
+            ask->reply_.send(std::move(list));
+            continue;
+        }
+        std::visit(Visitor {
+                       [&](const membership::WorkerUp& up) { workers.insert_or_assign(up.announcement_.worker_, up.announcement_); },
+                       [&](const membership::WorkerGone& gone) { workers.erase(gone.worker_); },
+                   },
+            std::get<membership::ViewAction>(message));
+    }
+}
+
+Directory::Directory(const asio::any_io_executor& executor)
+    : mailbox_(executor, directoryCapacity)
+{
+    spawn(executor, "directory", runDirectory(mailbox_));
+}
+
+void Directory::learn(membership::ViewAction action) const
+{
+    mailbox_.tryPost(std::move(action));
+}
+
+asio::awaitable<std::vector<membership::Announcement>> Directory::workers() const
+{
+    Mailbox<Message> mailbox = mailbox_;
+    Reply<std::vector<membership::Announcement>> reply(co_await asio::this_coro::executor);
+    if (!mailbox.tryPost(Ask { reply }))
+        co_return std::vector<membership::Announcement>();
+    co_return co_await reply.receive();
+}
+
+static std::vector<Address> peersOf(const settings::Site& site, const settings::EntrySite& self)
+{
+    std::vector<Address> peers;
+    for (const settings::EntrySite& entry : site.entries_) {
+        // An entry that has no port yet cannot be reached; it finds changes in the store.
+        if (entry.name_ != self.name_ && entry.rpc_.port() != 0)
+            peers.push_back(entry.rpc_);
+    }
+    return peers;
+}
+
+static std::vector<settings::Seed> seedsOf(const settings::Site& site)
+{
+    std::vector<settings::Seed> seeds;
+    for (const settings::SubtreeText& subtree : site.subtrees_)
+        seeds.push_back({ subtree.name_, subtree.text_ });
+    return seeds;
+}
+
+// A change is never dropped: the mailbox holds more changes than the tree has subtrees, and each is read at once.
+static settings::InForceListener tellTo(const Mailbox<settings::Subtree>& changes)
+{
+    return [changes](const settings::InForce& change, settings::Digest) {
+        if (!changes.tryPost(change.subtree_))
+            logError("settings.change_dropped", { { "subtree", change.subtree_.name_.value() } });
+    };
+}
+
+static settings::SettingsActor startSettings(const asio::any_io_executor& executor, const Clock& clock, const routing::RouterActor& router)
+{
+    Mailbox<settings::Subtree> changes(executor, changesCapacity);
+    spawn(executor, "service teller", ServiceTeller::run(std::make_shared<ServiceTeller>(router), changes));
+    return { executor, clock, tellTo(changes) };
+}
+
+Operators::Operators(
+    const asio::any_io_executor& executor, const Clock& clock, const settings::Site& site, const settings::EntrySite& self, routing::RouterActor router)
+    : self_(self)
+    , table_(platform::HTTPTable(platform::HTTPPool::create(executor, site.platform_)))
+    , peers_(peersOf(site, self))
+    , directory_(executor)
+    , router_(std::move(router))
+    , settings_(startSettings(executor, clock, router_))
+{
+    spawn(executor, "settings keeper", settings::keepSettings(settings_, table_, peers_, seedsOf(site)));
+}
+
+membership::HintSource Operators::hints() const
+{
+    return [settings = settings_](settings::Heard heard) { return settings.heard(std::move(heard)); };
+}
+
+static json::object describe(const membership::Announcement& worker)
+{
+    json::object item;
+    item["worker"] = worker.worker_.value();
+    item["domain"] = worker.domain_.value();
+    item["rack"] = worker.rack_.value();
+    item["endpoints"] = worker.endpoints_.size();
+    item["agent"] = worker.rpcAddress_.text();
+    return item;
+}
+
+static asio::awaitable<http::Response> listWorkers(Directory directory, http::Request)
+{
+    json::array list;
+    for (const membership::Announcement& worker : co_await directory.workers())
+        list.push_back(describe(worker));
+    json::object document;
+    document["workers"] = std::move(list);
+    co_return http::jsonResponse(200, json::serialize(document) + "\n");
+}
+
+static asio::awaitable<http::Response> showStatus(settings::EntrySite self, Directory directory, settings::SettingsActor settings, http::Request)
+{
+    settings::Snapshot snapshot = co_await settings.snapshot();
+    std::vector<membership::Announcement> workers = co_await directory.workers();
+    size_t endpoints = 0;
+    for (const membership::Announcement& worker : workers)
+        endpoints += worker.endpoints_.size();
+    json::object document;
+    document["entry"] = self.name_.value();
+    document["domain"] = self.domain_.value();
+    document["state"] = snapshot.isKnown_ ? "ready" : "settings-unknown";
+    document["workers"] = workers.size();
+    document["endpoints"] = endpoints;
+    document["settings_digest"] = absl::StrFormat("%016x", snapshot.tree_.digest());
+    co_return http::jsonResponse(200, json::serialize(document) + "\n");
+}
+
+// An entry is ready when it knows what is in force.
+static asio::awaitable<http::Response> showReady(settings::SettingsActor settings, http::Request)
+{
+    settings::Snapshot snapshot = co_await settings.snapshot();
+    if (!snapshot.isKnown_)
+        co_return http::errorResponse(503, "not-ready", "the settings are not known yet");
+    co_return http::jsonResponse(200, "{\"ready\":true}\n");
+}
+
+static asio::awaitable<http::Response> showHealth(http::Request)
+{
+    co_return http::jsonResponse(200, "{\"healthy\":true}\n");
+}
+
+http::Routes Operators::routes() const
+{
+    http::Routes routes;
+    routing::offerEndpoints(routes, router_);
+    settings::offerSettingsAPI(routes, { self_.name_, settings_, table_, peers_ });
+    routes.add("GET", "/v1/health", showHealth);
+    routes.add("GET", "/v1/ready", [settings = settings_](http::Request request) { return showReady(settings, std::move(request)); });
+    routes.add("GET", "/v1/workers", [directory = directory_](http::Request request) { return listWorkers(directory, std::move(request)); });
+    routes.add("GET", "/v1/status", [self = self_, directory = directory_, settings = settings_](http::Request request) {
+        return showStatus(self, directory, settings, std::move(request));
+    });
+    return routes;
+}
+
+} // namespace persimmondoor::app
--- a/app/src/ctl/Endpoints.cpp
+++ b/app/src/ctl/Endpoints.cpp
@@ -7,8 +7,8 @@
 static asio::awaitable<int> run(Invocation call)
 {
     return listItems(std::move(call), "/v1/endpoints", "endpoints",
-        { { "ENDPOINT", "endpoint" }, { "SERVICE", "service" }, { "TEAM", "team" }, { "WORKER", "worker" }, { "DOMAIN", "domain" }, { "SLOTS", "slots" },
-            { "CONNECTIONS", "connections" } });
+        { { "ENDPOINT", "endpoint" }, { "SERVICE", "service" }, { "WORKER", "worker" }, { "DOMAIN", "domain" }, { "IN FLIGHT", "in_flight" }, { "RUNNING", "running" },
+            { "QUEUED", "queued" }, { "SLOTS", "slots" }, { "LATENCY_US", "latency_us" }, { "EJECTED", "ejected" }, { "DRAINING", "draining" } });
 }
 
 Verb makeEndpointsVerb()
--- a/build.sh
+++ b/build.sh
@@ -12,7 +12,7 @@
 
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy valgrind clang libclang-rt-14-dev capnproto libcapnp-dev
   libboost1.81-dev libboost-json1.81-dev libboost-test1.81-dev libabsl-dev libcxxopts-dev libeasyloggingpp-dev
-  librapidcheck-dev libbenchmark-dev)
+  librapidcheck-dev libbenchmark-dev libssl-dev)
 build_dir=${BUILD_DIR:-build}
 export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 
--- a/membership/include/persimmondoor/membership/ViewActor.h
+++ b/membership/include/persimmondoor/membership/ViewActor.h
@@ -9,6 +9,7 @@
 #include "persimmondoor/core/Mailbox.h"
 #include "persimmondoor/membership/View.h"
 #include "persimmondoor/rpc/Server.h"
+#include "persimmondoor/settings/Distribution.h"
 
 #include <functional>
 
@@ -31,7 +32,11 @@
     Mailbox<ViewMessage> mailbox_;
 };
 
+/// Says where the sender of an announcement gets newer settings from.
+using HintSource = std::function<boost::asio::awaitable<settings::Hint>(settings::Heard)>;
+
 /// Offers the view to agents under the name "membership".
-void offerMembership(rpc::Interfaces&, ViewActor);
+/// \param hints answers for the settings; without it every announcer is told that its settings are up to date.
+void offerMembership(rpc::Interfaces&, const boost::asio::any_io_executor&, ViewActor, HintSource hints = {});
 
 } // namespace persimmondoor::membership
--- a/membership/schema/Membership.capnp
+++ b/membership/schema/Membership.capnp
@@ -21,7 +21,18 @@
   leaving @7 :Bool;
 }
 
+struct AnnounceAnswer {
+  settings :union {
+    upToDate @0 :Void;
+    # Newer settings can be fetched from the entry itself.
+    fetchHere @1 :Void;
+    # Newer settings can be fetched from this address.
+    fetchFrom @2 :Text;
+  }
+}
+
 # Served by entries, called by agents.
 interface Membership {
-  announce @0 (announcement :Announcement) -> ();
+  # settingsDigest names the settings that the agent has in force.
+  announce @0 (announcement :Announcement, settingsDigest :UInt64) -> (answer :AnnounceAnswer);
 }
--- a/membership/src/Codec.cpp
+++ b/membership/src/Codec.cpp
@@ -1,5 +1,7 @@
 #include "Codec.h"
 
+#include "persimmondoor/core/Visitor.h"
+
 namespace persimmondoor::membership {
 
 void encode(const Announcement& announcement, wire::Announcement::Builder wire)
@@ -54,4 +56,29 @@
     return announcement;
 }
 
+void encode(const settings::Hint& hint, wire::AnnounceAnswer::Builder wire)
+{
+    auto group = wire.initSettings();
+    std::visit(Visitor {
+                   [&](const settings::UpToDate&) { group.setUpToDate(); },
+                   [&](const settings::AskAgain&) { group.setUpToDate(); },
+                   [&](const settings::FetchHere&) { group.setFetchHere(); },
+                   [&](const settings::FetchFrom& from) { group.setFetchFrom(from.source_.text()); },
+               },
+        hint);
+}
+
+settings::Hint decodeHint(wire::AnnounceAnswer::Reader wire)
+{
+    auto group = wire.getSettings();
+    if (group.isFetchHere())
+        return settings::FetchHere {};
+    if (!group.isFetchFrom())
+        return settings::UpToDate {};
+    auto source = Address::parse(group.getFetchFrom().cStr());
+    if (!source.ok())
+        return settings::UpToDate {};
+    return settings::FetchFrom { *std::move(source) };
+}
+
 } // namespace persimmondoor::membership
--- a/membership/src/ViewActor.cpp
+++ b/membership/src/ViewActor.cpp
@@ -3,6 +3,7 @@
 #include "Codec.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
+#include "persimmondoor/rpc/Call.h"
 
 namespace persimmondoor::membership {
 
@@ -51,30 +52,45 @@
 
     class MembershipServer final : public wire::Membership::Server {
     public:
-        explicit MembershipServer(ViewActor view)
-            : view_(std::move(view))
+        MembershipServer(asio::any_io_executor executor, ViewActor view, HintSource hints)
+            : executor_(std::move(executor))
+            , view_(std::move(view))
+            , hints_(std::move(hints))
         {
         }
 
         kj::Promise<void> announce(AnnounceContext context) override
         {
             auto announcement = decode(context.getParams().getAnnouncement());
-            if (announcement.ok())
-                view_.announce(*std::move(announcement));
-            else
+            if (!announcement.ok()) {
                 logWarning("membership.bad_announcement", { { "error", std::string(announcement.status().message()) } });
-            return kj::READY_NOW;
+                return kj::READY_NOW;
+            }
+            settings::Heard heard { ProcessName::of(announcement->worker_.value()), announcement->rpcAddress_, context.getParams().getSettingsDigest() };
+            bool leaving = announcement->leaving_;
+            view_.announce(*std::move(announcement));
+            if (!hints_ || leaving)
+                return kj::READY_NOW;
+            return rpc::promiseOf(executor_, answer(hints_, std::move(heard), context));
         }
 
     private:
+        static asio::awaitable<void> answer(HintSource hints, settings::Heard heard, AnnounceContext context)
+        {
+            settings::Hint hint = co_await hints(std::move(heard));
+            encode(hint, context.getResults().initAnswer());
+        }
+
+        asio::any_io_executor executor_;
         ViewActor view_;
+        HintSource hints_;
     };
 
 } // namespace
 
-void offerMembership(rpc::Interfaces& interfaces, ViewActor view)
+void offerMembership(rpc::Interfaces& interfaces, const asio::any_io_executor& executor, ViewActor view, HintSource hints)
 {
-    interfaces.add("membership", kj::heap<MembershipServer>(std::move(view)));
+    interfaces.add("membership", kj::heap<MembershipServer>(executor, std::move(view), std::move(hints)));
 }
 
 } // namespace persimmondoor::membership
--- /dev/null
+++ b/settings/include/persimmondoor/settings/OperatorsAPI.h
@@ -0,0 +1,36 @@
+/// The operators' HTTP paths for settings.
+///
+/// | path | answer |
+/// | --- | --- |
+/// | GET /v1/settings | the subtrees with their revisions |
+/// | GET /v1/settings/NAME[?revision=N] | a subtree with its contents |
+/// | PUT /v1/settings/NAME?expect=N&write-id=ID[&dry-run=true] | changes it; 400, 401, 403, 409, 503 or 504 with a JSON error |
+/// | POST /v1/settings-validate/NAME | checks contents |
+/// | GET /v1/settings-history/NAME | the newest revisions |
+/// | GET /v1/settings-diff/NAME?from=N[&to=N] | what changed between two revisions |
+/// | GET /v1/settings-status | the processes and whether each has the current settings |
+/// | GET /v1/teams, GET /v1/quota | the teams, and their quotas |
+///
+/// \code
+/// offerSettingsAPI(routes, OperatorsAPI { name, settings, table, peers });
+/// \endcode
+#pragma once
+
+#include "persimmondoor/http/Routes.h"
+#include "persimmondoor/platform/TableClient.h"
+#include "persimmondoor/settings/SettingsActor.h"
+
+namespace persimmondoor::settings {
+
+/// What the paths need.
+struct OperatorsAPI {
+    ProcessName process_;
+    SettingsActor settings_;
+    platform::TableClient table_;
+    /// The other entries, told of each accepted change.
+    std::vector<Address> peers_;
+};
+
+void offerSettingsAPI(http::Routes&, const OperatorsAPI&);
+
+} // namespace persimmondoor::settings
--- a/settings/include/persimmondoor/settings/Site.h
+++ b/settings/include/persimmondoor/settings/Site.h
@@ -50,6 +50,13 @@
     bool operator==(const WorkerSite&) const = default;
 };
 
+/// A subtree of the settings as it stands in the site file.
+struct SubtreeText {
+    TeamName name_;
+    std::string text_;
+    auto operator<=>(const SubtreeText&) const = default;
+};
+
 struct Site {
     std::string cell_;
     Address platform_;
@@ -57,6 +64,8 @@
     std::vector<WorkerSite> workers_;
     /// First contents of the settings tree, for a new cell.
     std::vector<TeamSettings> teams_;
+    /// The same as JSON, with the operators subtree if the file has one.
+    std::vector<SubtreeText> subtrees_;
     bool operator==(const Site&) const = default;
 };
 
--- a/settings/src/Reader.cpp
+++ b/settings/src/Reader.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_join.h>
 #include <algorithm>
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 
 namespace persimmondoor::settings {
 
@@ -95,6 +96,11 @@
     return false;
 }
 
+std::string Reader::json() const
+{
+    return value_ ? boost::json::serialize(*value_) : "";
+}
+
 Address Reader::address() const
 {
     if (!value_ || !value_->is_string())
--- a/settings/src/Reader.h
+++ b/settings/src/Reader.h
@@ -53,6 +53,9 @@
     // Calls back with each key, whatever its name, and its value.
     void forEachField(const std::function<void(const std::string&, const Reader&)>&) const;
 
+    // The value as JSON text; empty if missing.
+    std::string json() const;
+
     void fault(std::string_view what) const { faults_.add(path_, what); }
     const std::string& path() const { return path_; }
 
--- /dev/null
+++ b/settings/src/Remote.h
@@ -0,0 +1,17 @@
+// Calls of the interface "settings" of another process.
+#pragma once
+
+#include "persimmondoor/rpc/Link.h"
+#include "persimmondoor/settings/Tree.h"
+
+namespace persimmondoor::settings {
+
+// What the peer's tree has newer than `tree`.
+// Returns Unavailable or DeadlineExceeded without an answer, FailedPrecondition if the peer knows no settings, or
+// InvalidArgument for an answer that is refused.
+boost::asio::awaitable<absl::StatusOr<std::vector<Subtree>>> fetchNewer(rpc::Link, Tree tree);
+
+// Sends accepted subtrees to the peer.
+boost::asio::awaitable<absl::StatusOr<bool>> push(rpc::Link, std::vector<Subtree>);
+
+} // namespace persimmondoor::settings
--- /dev/null
+++ b/settings/src/SettingsActor.cpp
@@ -0,0 +1,94 @@
+#include "persimmondoor/settings/SettingsActor.h"
+
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
+
+#include <boost/asio/this_coro.hpp>
+
+namespace persimmondoor::settings {
+
+namespace asio = boost::asio;
+
+static constexpr size_t mailboxCapacity = 16384;
+
+namespace {
+
+    class SettingsLoop {
+    public:
+        SettingsLoop(Clock clock, InForceListener listener, Mailbox<SettingsActor::Message> mailbox)
+            : clock_(std::move(clock))
+            , listener_(std::move(listener))
+            , mailbox_(std::move(mailbox))
+        {
+        }
+
+        static asio::awaitable<void> run(std::shared_ptr<SettingsLoop> self)
+        {
+            for (;;) {
+                SettingsActor::Message message = co_await self->mailbox_.receive();
+                std::visit([&](const auto& alternative) { self->handle(alternative); }, message);
+            }
+        }
+
+    private:
+        void handle(const Learned& message)
+        {
+            isKnown_ = true;
+            TreeDecision decision = decide(std::move(tree_), message);
+            tree_ = std::move(decision.state_);
+            for (const InForce& change : decision.actions_) {
+                logInfo("settings.in_force", { { "subtree", change.subtree_.name_.value() }, { "revision", std::to_string(change.subtree_.revision_.value()) } });
+                listener_(change, tree_.digest());
+            }
+        }
+
+        void handle(const SettingsActor::AskSnapshot& message) { message.reply_.send(Snapshot { tree_, isKnown_, distribution_.processes() }); }
+
+        void handle(const SettingsActor::AskHint& message)
+        {
+            DistributionDecision decision = decide(std::move(distribution_), message.heard_, tree_.digest(), now(clock_));
+            distribution_ = std::move(decision.state_);
+            message.reply_.send(decision.hint_);
+        }
+
+        Clock clock_;
+        InForceListener listener_;
+        Mailbox<SettingsActor::Message> mailbox_;
+        Tree tree_;
+        bool isKnown_ { false };
+        Distribution distribution_;
+    };
+
+} // namespace
+
+SettingsActor::SettingsActor(const asio::any_io_executor& executor, Clock clock, InForceListener listener)
+    : mailbox_(executor, mailboxCapacity)
+{
+    auto loop = std::make_shared<SettingsLoop>(std::move(clock), std::move(listener), mailbox_);
+    spawn(executor, "settings", SettingsLoop::run(loop));
+}
+
+bool SettingsActor::learn(std::vector<Subtree> subtrees) const
+{
+    return mailbox_.tryPost(Learned { std::move(subtrees) });
+}
+
+asio::awaitable<Snapshot> SettingsActor::snapshot() const
+{
+    Mailbox<Message> mailbox = mailbox_;
+    Reply<Snapshot> reply(co_await asio::this_coro::executor);
+    if (!mailbox.tryPost(AskSnapshot { reply }))
+        co_return Snapshot();
+    co_return co_await reply.receive();
+}
+
+asio::awaitable<Hint> SettingsActor::heard(Heard heard) const
+{
+    Mailbox<Message> mailbox = mailbox_;
+    Reply<Hint> reply(co_await asio::this_coro::executor);
+    if (!mailbox.tryPost(AskHint { std::move(heard), reply }))
+        co_return AskAgain {};
+    co_return co_await reply.receive();
+}
+
+} // namespace persimmondoor::settings
--- a/settings/src/Site.cpp
+++ b/settings/src/Site.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/settings/Site.h"
 
 #include "ReadTeam.h"
+#include "persimmondoor/settings/Subtrees.h"
 
 #include <set>
 
@@ -47,10 +48,18 @@
     }
 }
 
+static void readOperators(const Reader& reader, Site& site)
+{
+    auto operators = parseOperators(reader.json());
+    if (!operators.ok())
+        return reader.fault(std::string(operators.status().message()));
+    site.subtrees_.push_back({ TeamName::of(std::string(operatorsSubtree)), reader.json() });
+}
+
 static Site readSite(const Reader& reader)
 {
     Site site;
-    if (!reader.expectObject({ "cell", "platform", "entries", "workers", "teams" }))
+    if (!reader.expectObject({ "cell", "platform", "entries", "workers", "teams", "operators" }))
         return site;
     site.cell_ = reader.field("cell").text();
     site.platform_ = reader.field("platform").address();
@@ -60,8 +69,13 @@
         auto team = TeamName::create(name);
         if (!team.ok())
             return item.fault(std::string(team.status().message()));
+        if (name == operatorsSubtree)
+            return item.fault("the name is reserved");
         site.teams_.push_back(readTeam(*team, item));
+        site.subtrees_.push_back({ *team, item.json() });
     });
+    if (reader.has("operators"))
+        readOperators(reader.field("operators"), site);
     expectDistinctNames(reader.field("entries"), site.entries_);
     expectDistinctNames(reader.field("workers"), site.workers_);
     return site;
--- /dev/null
+++ b/settings/src/Store.cpp
@@ -0,0 +1,234 @@
+#include "persimmondoor/settings/Store.h"
+
+#include "Rows.h"
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Text.h"
+#include "persimmondoor/core/Visitor.h"
+#include "persimmondoor/settings/Subtrees.h"
+
+namespace persimmondoor::settings {
+
+namespace asio = boost::asio;
+
+// Attempts to learn what became of a change whose reply was lost.
+static constexpr int readBackAttempts = 4;
+static constexpr Duration readBackInterval = std::chrono::milliseconds(500);
+// Subtrees of one cell.
+static constexpr size_t maximumSubtrees = 1'000;
+
+namespace {
+
+    // A subtree's head with the version of its row.
+    struct StoredHead {
+        Subtree subtree_;
+        platform::RowVersion version_;
+    };
+
+} // namespace
+
+static absl::StatusOr<StoredHead> decodeHead(const SubtreeName& name, const platform::Row& row)
+{
+    if (row.version_ == platform::RowVersion())
+        return StoredHead { Subtree { name, Revision(), "", WriteId(), OperatorName(), 0 }, row.version_ };
+    auto subtree = decodeRow(name, row);
+    if (!subtree.ok())
+        return subtree.status();
+    return StoredHead { *std::move(subtree), row.version_ };
+}
+
+// The keys of the revisions that `tree` lacks, with their names.
+static absl::StatusOr<std::vector<std::pair<SubtreeName, std::string>>> missingRevisions(const Tree& tree, const std::vector<platform::Row>& heads)
+{
+    std::vector<std::pair<SubtreeName, std::string>> missing;
+    for (const platform::Row& row : heads) {
+        auto name = SubtreeName::create(row.key_.substr(headPrefix.size()));
+        if (!name.ok())
+            return absl::DataLossError(concat("row ", row.key_, " is not understood"));
+        auto head = decodeRow(*name, row);
+        if (!head.ok())
+            return head.status();
+        if (head->revision_ > tree.revisionOf(*name))
+            missing.emplace_back(*name, historyKey(*name, head->revision_));
+    }
+    return missing;
+}
+
+static std::vector<std::string> keysOf(const std::vector<std::pair<SubtreeName, std::string>>& revisions)
+{
+    std::vector<std::string> keys;
+    for (const auto& revision : revisions)
+        keys.push_back(revision.second);
+    return keys;
+}
+
+static absl::StatusOr<std::vector<Subtree>> decodeRevisions(const std::vector<std::pair<SubtreeName, std::string>>& revisions, const std::vector<platform::Row>& rows)
+{
+    std::vector<Subtree> subtrees;
+    for (size_t index = 0; index < rows.size(); ++index) {
+        auto subtree = decodeRow(revisions[index].first, rows[index]);
+        if (!subtree.ok())
+            return subtree.status();
+        subtrees.push_back(*std::move(subtree));
+    }
+    return subtrees;
+}
+
+asio::awaitable<absl::StatusOr<std::vector<Subtree>>> loadNewer(platform::TableClient table, Tree tree)
+{
+    platform::Scan range;
+    range.prefix_ = headPrefix;
+    range.limit_ = maximumSubtrees;
+    auto heads = co_await platform::scan(table, std::move(range));
+    if (!heads.ok())
+        co_return heads.status();
+    auto missing = missingRevisions(tree, *heads);
+    if (!missing.ok())
+        co_return missing.status();
+    if (missing->empty())
+        co_return std::vector<Subtree>();
+    auto rows = co_await platform::read(table, keysOf(*missing));
+    if (!rows.ok())
+        co_return rows.status();
+    co_return decodeRevisions(*missing, *rows);
+}
+
+asio::awaitable<absl::StatusOr<Subtree>> loadRevision(platform::TableClient table, SubtreeName name, Revision revision)
+{
+    std::vector<std::string> keys(1, historyKey(name, revision));
+    auto rows = co_await platform::read(table, std::move(keys));
+    if (!rows.ok())
+        co_return rows.status();
+    if (rows->front().version_ == platform::RowVersion())
+        co_return absl::NotFoundError(concat("no revision ", revision.value(), " of ", name.value()));
+    co_return decodeRow(name, rows->front());
+}
+
+asio::awaitable<absl::StatusOr<std::vector<Subtree>>> loadHistory(platform::TableClient table, SubtreeName name, Revision newest, size_t limit)
+{
+    platform::Scan range;
+    range.prefix_ = historyPrefix(name);
+    range.after_ = historyKey(name, Revision(newest.value() > limit ? newest.value() - limit : 0));
+    range.limit_ = limit;
+    auto rows = co_await platform::scan(table, std::move(range));
+    if (!rows.ok())
+        co_return rows.status();
+    std::vector<Subtree> revisions;
+    for (const platform::Row& row : *rows) {
+        auto subtree = decodeRow(name, row);
+        if (!subtree.ok())
+            co_return subtree.status();
+        revisions.push_back(*std::move(subtree));
+    }
+    co_return revisions;
+}
+
+static platform::Transaction commitOf(const Subtree& next, platform::RowVersion headVersion, std::optional<platform::RowVersion> operatorsVersion)
+{
+    platform::Transaction transaction;
+    transaction.conditions_.push_back({ headKey(next.name_), headVersion });
+    if (operatorsVersion)
+        transaction.conditions_.push_back({ headKey(SubtreeName::of(std::string(operatorsSubtree))), *operatorsVersion });
+    transaction.writes_.emplace_back(platform::Put { headKey(next.name_), encodeHead(next) });
+    transaction.writes_.emplace_back(platform::Put { historyKey(next.name_, next.revision_), encodeRevision(next) });
+    if (next.revision_.value() > keptRevisions)
+        transaction.writes_.emplace_back(platform::Erase { historyKey(next.name_, Revision(next.revision_.value() - keptRevisions)) });
+    return transaction;
+}
+
+// Whether the revision that `next` was to become is `next`. The history row tells it even when later changes followed.
+static asio::awaitable<WriteOutcome> readBack(platform::TableClient table, Subtree next)
+{
+    for (int attempt = 0; attempt < readBackAttempts; ++attempt) {
+        if (attempt > 0)
+            co_await sleepFor(readBackInterval);
+        auto stored = co_await loadRevision(table, next.name_, next.revision_);
+        if (stored.ok() && stored->writeId_ == next.writeId_)
+            co_return WriteAccepted { *std::move(stored), false };
+        if (stored.ok())
+            co_return WriteRefused { WriteRefusal::Conflict, concat("another change became revision ", next.revision_.value(), " first") };
+        if (stored.status().code() == absl::StatusCode::kNotFound)
+            co_return WriteUnknown { "the store lost the reply and does not show the change yet; repeat it with the same --write-id" };
+    }
+    co_return WriteUnknown { "the store lost the reply and cannot be read; repeat the change with the same --write-id" };
+}
+
+static asio::awaitable<absl::StatusOr<std::optional<std::vector<Operator>>>> loadOperators(platform::TableClient table, StoredHead head)
+{
+    std::optional<std::vector<Operator>> operators;
+    if (head.version_ == platform::RowVersion())
+        co_return operators;
+    auto stored = co_await loadRevision(table, head.subtree_.name_, head.subtree_.revision_);
+    if (!stored.ok())
+        co_return stored.status();
+    auto parsed = parseOperators(stored->text_);
+    if (!parsed.ok())
+        co_return parsed.status();
+    operators = *std::move(parsed);
+    co_return operators;
+}
+
+static WriteRefused refusedByStore(const absl::Status& status)
+{
+    return { WriteRefusal::StoreUnavailable, concat("the table service: ", std::string(status.message())) };
+}
+
+static asio::awaitable<WriteOutcome> commitWrite(platform::TableClient table, Subtree next, platform::Transaction transaction)
+{
+    platform::CommitOutcome outcome = co_await platform::commit(table, std::move(transaction));
+    if (std::holds_alternative<platform::Committed>(outcome))
+        co_return WriteAccepted { std::move(next), false };
+    if (const auto* conflict = std::get_if<platform::Conflict>(&outcome))
+        co_return WriteRefused { WriteRefusal::Conflict, concat("a racing change won on ", conflict->key_) };
+    if (const auto* unavailable = std::get_if<platform::Unavailable>(&outcome))
+        co_return WriteRefused { WriteRefusal::StoreUnavailable, concat("the table service: ", unavailable->detail_) };
+    co_return co_await readBack(table, std::move(next));
+}
+
+static std::vector<std::string> headKeys(const SubtreeName& name)
+{
+    return { headKey(name), headKey(SubtreeName::of(std::string(operatorsSubtree))) };
+}
+
+asio::awaitable<WriteOutcome> writeSubtree(platform::TableClient table, WriteRequest request)
+{
+    if (absl::Status status = checkSubtree(request.name_, request.text_); !status.ok())
+        co_return WriteRefused { WriteRefusal::Invalid, std::string(status.message()) };
+    auto rows = co_await platform::read(table, headKeys(request.name_));
+    if (!rows.ok())
+        co_return refusedByStore(rows.status());
+    auto head = decodeHead(request.name_, rows->at(0));
+    auto operatorsHead = decodeHead(SubtreeName::of(std::string(operatorsSubtree)), rows->at(1));
+    if (!head.ok() || !operatorsHead.ok())
+        co_return refusedByStore(head.ok() ? operatorsHead.status() : head.status());
+    auto operators = co_await loadOperators(table, *operatorsHead);
+    if (!operators.ok())
+        co_return refusedByStore(operators.status());
+    WriteCheck check = checkWrite(request, head->subtree_, *operators);
+    if (const auto* refused = std::get_if<WriteRefused>(&check))
+        co_return *refused;
+    if (std::holds_alternative<WriteRepeated>(check)) {
+        auto stored = co_await loadRevision(table, request.name_, head->subtree_.revision_);
+        if (!stored.ok())
+            co_return refusedByStore(stored.status());
+        co_return WriteAccepted { *std::move(stored), false };
+    }
+    Subtree next = std::get<WriteReady>(check).next_;
+    next.acceptedMilliseconds_ = wallMilliseconds();
+    if (request.dryRun_)
+        co_return WriteAccepted { std::move(next), true };
+    bool changesOperators = request.name_.value() == operatorsSubtree;
+    platform::Transaction transaction
+        = commitOf(next, head->version_, changesOperators ? std::nullopt : std::optional(operatorsHead->version_));
+    co_return co_await commitWrite(table, std::move(next), std::move(transaction));
+}
+
+asio::awaitable<absl::Status> seedSubtree(platform::TableClient table, SubtreeName name, std::string text)
+{
+    Subtree first { std::move(name), Revision(1), std::move(text), WriteId::of("site-file"), OperatorName::of("site-file"), wallMilliseconds() };
+    platform::CommitOutcome outcome = co_await platform::commit(table, commitOf(first, platform::RowVersion(), std::nullopt));
+    if (std::holds_alternative<platform::Unavailable>(outcome) || std::holds_alternative<platform::ReplyLost>(outcome))
+        co_return absl::UnavailableError("the table service did not confirm the first settings");
+    co_return absl::OkStatus();
+}
+
+} // namespace persimmondoor::settings
