--- a/app/include/persimmondoor/app/Entry.h
+++ b/app/include/persimmondoor/app/Entry.h
@@ -6,6 +6,7 @@
 /// \endcode
 #pragma once
 
+#include "persimmondoor/burn/BurnActor.h"
 #include "persimmondoor/http/Server.h"
 #include "persimmondoor/membership/ViewActor.h"
 #include "persimmondoor/routing/RouterActor.h"
@@ -30,12 +31,13 @@
     boost::asio::awaitable<size_t> shutDown(Duration limit);
 
 private:
-    Entry(settings::EntrySite, routing::RouterActor, membership::ViewActor, settings::SettingsActor);
+    Entry(settings::EntrySite, routing::RouterActor, membership::ViewActor, settings::SettingsActor, burn::BurnActor);
 
     settings::EntrySite site_;
     routing::RouterActor router_;
     membership::ViewActor view_;
     settings::SettingsActor settings_;
+    burn::BurnActor burn_;
     std::unique_ptr<http::Server> callers_;
     std::unique_ptr<http::Server> operators_;
     std::unique_ptr<rpc::Server> peers_;
--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -12,11 +12,12 @@
 // How often a shutdown looks whether requests are left.
 static constexpr Duration shutdownCheckInterval = std::chrono::milliseconds(20);
 
-Entry::Entry(settings::EntrySite site, routing::RouterActor router, membership::ViewActor view, settings::SettingsActor settings)
+Entry::Entry(settings::EntrySite site, routing::RouterActor router, membership::ViewActor view, settings::SettingsActor settings, burn::BurnActor burn)
     : site_(std::move(site))
     , router_(std::move(router))
     , view_(std::move(view))
     , settings_(std::move(settings))
+    , burn_(std::move(burn))
 {
 }
 
@@ -42,9 +43,9 @@
         operators.learn(action);
         return tellRouter(router, std::move(action));
     });
-    auto entry = std::unique_ptr<Entry>(new Entry(self, router, view, operators.settings()));
+    auto entry = std::unique_ptr<Entry>(new Entry(self, router, view, operators.settings(), operators.burn()));
 
-    auto callers = http::Server::listen(executor, self.http_, callersLimits(), routing::makeHTTPFront(self.name_, router));
+    auto callers = http::Server::listen(executor, self.http_, callersLimits(), burn::observe(routing::makeHTTPFront(self.name_, router), operators.burn()));
     auto api = http::Server::listen(executor, self.operators_, {}, operators.routes().handler());
     rpc::Interfaces interfaces;
     membership::offerMembership(interfaces, executor, view, operators.hints());
@@ -78,6 +79,7 @@
     peers_->close();
     view_.stop();
     settings_.stop();
+    burn_.stop();
     router_.stop();
     co_return left;
 }
--- a/app/src/Operators.cpp
+++ b/app/src/Operators.cpp
@@ -25,11 +25,12 @@
 
 namespace {
 
-    // Tells the router which services the settings define.
+    // Tells the router which services the settings define, and the burn actor their objectives.
     class ServiceTeller {
     public:
-        explicit ServiceTeller(routing::RouterActor router)
+        ServiceTeller(routing::RouterActor router, burn::BurnActor burn)
             : router_(std::move(router))
+            , burn_(std::move(burn))
         {
         }
 
@@ -51,6 +52,7 @@
     private:
         static asio::awaitable<void> tell(std::shared_ptr<ServiceTeller> self, settings::TeamSettings team)
         {
+            self->burn_.define(team);
             std::set<ServiceName> defined;
             for (const settings::ServiceSettings& service : team.services_) {
                 defined.insert(service.name_);
@@ -67,6 +69,7 @@
         }
 
         routing::RouterActor router_;
+        burn::BurnActor burn_;
         std::map<TeamName, std::set<ServiceName>> servicesOf_;
     };
 
@@ -131,6 +134,14 @@
     return seeds;
 }
 
+static burn::BurnOptions burnOptions(const settings::Site& site, const settings::EntrySite& self, const platform::TableClient& table)
+{
+    burn::BurnOptions options { self.name_, {}, table };
+    for (const settings::EntrySite& entry : site.entries_)
+        options.entries_.push_back(entry.name_);
+    return options;
+}
+
 // A change is never dropped: the mailbox holds more changes than the tree has subtrees, and each is read at once.
 static settings::InForceListener tellTo(const Mailbox<settings::Subtree>& changes)
 {
@@ -140,10 +151,10 @@
     };
 }
 
-static settings::SettingsActor startSettings(const asio::any_io_executor& executor, const Clock& clock, const routing::RouterActor& router)
+static settings::SettingsActor startSettings(const asio::any_io_executor& executor, const Clock& clock, const routing::RouterActor& router, const burn::BurnActor& burn)
 {
     Mailbox<settings::Subtree> changes(executor, changesCapacity);
-    spawn(executor, "service teller", ServiceTeller::run(std::make_shared<ServiceTeller>(router), changes));
+    spawn(executor, "service teller", ServiceTeller::run(std::make_shared<ServiceTeller>(router, burn), changes));
     return { executor, clock, tellTo(changes) };
 }
 
@@ -154,7 +165,8 @@
     , peers_(peersOf(site, self))
     , directory_(executor)
     , router_(std::move(router))
-    , settings_(startSettings(executor, clock, router_))
+    , burn_(executor, burnOptions(site, self, table_))
+    , settings_(startSettings(executor, clock, router_, burn_))
 {
     spawn(executor, "settings keeper", settings::keepSettings(settings_, table_, peers_, seedsOf(site)));
 }
@@ -221,6 +233,7 @@
     http::Routes routes;
     routing::offerEndpoints(routes, router_);
     settings::offerSettingsAPI(routes, { self_.name_, settings_, table_, peers_ });
+    burn::offerBurn(routes, burn_);
     routes.add("GET", "/v1/health", showHealth);
     routes.add("GET", "/v1/ready", [settings = settings_](http::Request request) { return showReady(settings, std::move(request)); });
     routes.add("GET", "/v1/workers", [directory = directory_](http::Request request) { return listWorkers(directory, std::move(request)); });
--- a/app/src/Operators.h
+++ b/app/src/Operators.h
@@ -1,6 +1,7 @@
 // The operators' side of an entry: its settings and the paths of the operators' API.
 #pragma once
 
+#include "persimmondoor/burn/BurnActor.h"
 #include "persimmondoor/http/Routes.h"
 #include "persimmondoor/membership/ViewActor.h"
 #include "persimmondoor/platform/TableClient.h"
@@ -39,6 +40,7 @@
     membership::HintSource hints() const;
     void learn(const membership::ViewAction& action) const { directory_.learn(action); }
     const settings::SettingsActor& settings() const { return settings_; }
+    const burn::BurnActor& burn() const { return burn_; }
 
 private:
     settings::EntrySite self_;
@@ -46,6 +48,7 @@
     std::vector<Address> peers_;
     Directory directory_;
     routing::RouterActor router_;
+    burn::BurnActor burn_;
     settings::SettingsActor settings_;
 };
 
