--- a/membership/src/ViewActor.cpp
+++ b/membership/src/ViewActor.cpp
@@ -48,7 +48,9 @@
         std::vector<ViewAction> handle(const ViewActor::Tell& message)
         {
             std::vector<ViewAction> actions = handle(message.message_);
-            message.reply_.send({ view_.knows(message.worker_, message.incarnation_), keepAliveInterval(view_.present()) });
+            auto member = view_.members().find(message.worker_);
+            Address agent = member == view_.members().end() ? Address() : member->second.announcement_.rpcAddress_;
+            message.reply_.send({ view_.knows(message.worker_, message.incarnation_), keepAliveInterval(view_.present()), std::move(agent), {} });
             return actions;
         }
 
@@ -92,7 +94,7 @@
     Reply<ViewAnswer> reply(executor_);
     if (!mailbox.tryPost(Tell { std::move(message), std::move(worker), incarnation, reply })) {
         logWarning("membership.mailbox_full", {});
-        co_return ViewAnswer { false, keepAliveInterval(0) };
+        co_return ViewAnswer { false, keepAliveInterval(0), {}, {} };
     }
     co_return co_await reply.receive();
 }
@@ -119,8 +121,9 @@
 
     class MembershipServer final : public wire::Membership::Server {
     public:
-        explicit MembershipServer(ViewActor view)
+        MembershipServer(ViewActor view, HintSource hints)
             : view_(std::move(view))
+            , hints_(std::move(hints))
         {
         }
 
@@ -131,7 +134,7 @@
                 logWarning("membership.bad_announcement", { { "error", std::string(announcement.status().message()) } });
                 return kj::READY_NOW;
             }
-            return rpc::promiseOf(view_.executor(), answerAnnouncement(view_, *std::move(announcement), context));
+            return rpc::promiseOf(view_.executor(), answerAnnouncement(view_, hints_, *std::move(announcement), context));
         }
 
         kj::Promise<void> keepAlive(KeepAliveContext context) override
@@ -140,7 +143,7 @@
             if (!worker.ok())
                 return kj::READY_NOW;
             KeptAlive message { *worker, Incarnation(context.getParams().getIncarnation()), Sequence(context.getParams().getSequence()) };
-            return rpc::promiseOf(view_.executor(), answerKeepAlive(view_, std::move(message), context));
+            return rpc::promiseOf(view_.executor(), answerKeepAlive(view_, hints_, std::move(message), context));
         }
 
         kj::Promise<void> changes(ChangesContext context) override
@@ -149,21 +152,32 @@
         }
 
     private:
-        static asio::awaitable<void> answerAnnouncement(ViewActor view, Announcement announcement, AnnounceContext context)
+        // Only workers that are there are told of settings: a leaving one needs none.
+        static asio::awaitable<settings::Hint> askForHint(HintSource hints, WorkerName worker, ViewAnswer answer, settings::Digest digest)
+        {
+            if (!hints || !answer.isKnown_)
+                co_return settings::UpToDate {};
+            settings::Heard heard { ProcessName::of(worker.value()), answer.agent_, digest };
+            co_return co_await hints(std::move(heard));
+        }
+
+        static asio::awaitable<void> answerAnnouncement(ViewActor view, HintSource hints, Announcement announcement, AnnounceContext context)
         {
             WorkerName worker = announcement.worker_;
             Incarnation incarnation = announcement.incarnation_;
             ViewMessage message = Announced { std::move(announcement) };
-            ViewAnswer answer = co_await view.tell(std::move(message), std::move(worker), incarnation);
+            ViewAnswer answer = co_await view.tell(std::move(message), worker, incarnation);
+            answer.settings_ = co_await askForHint(std::move(hints), std::move(worker), answer, context.getParams().getSettingsDigest());
             encode(answer, context.getResults().initAnswer());
         }
 
-        static asio::awaitable<void> answerKeepAlive(ViewActor view, KeptAlive keptAlive, KeepAliveContext context)
+        static asio::awaitable<void> answerKeepAlive(ViewActor view, HintSource hints, KeptAlive keptAlive, KeepAliveContext context)
         {
             WorkerName worker = keptAlive.worker_;
             Incarnation incarnation = keptAlive.incarnation_;
             ViewMessage message = std::move(keptAlive);
-            ViewAnswer answer = co_await view.tell(std::move(message), std::move(worker), incarnation);
+            ViewAnswer answer = co_await view.tell(std::move(message), worker, incarnation);
+            answer.settings_ = co_await askForHint(std::move(hints), std::move(worker), answer, context.getParams().getSettingsDigest());
             encode(answer, context.getResults().initAnswer());
         }
 
@@ -181,13 +195,14 @@
         }
 
         ViewActor view_;
+        HintSource hints_;
     };
 
 } // namespace
 
-void offerMembership(rpc::Interfaces& interfaces, ViewActor view)
+void offerMembership(rpc::Interfaces& interfaces, ViewActor view, HintSource hints)
 {
-    interfaces.add("membership", kj::heap<MembershipServer>(std::move(view)));
+    interfaces.add("membership", kj::heap<MembershipServer>(std::move(view), std::move(hints)));
 }
 
 static std::vector<Learned> decodeMembers(capnp::List<wire::Member>::Reader wire)
