--- a/colocation/include/persimmondoor/colocation/Guard.h
+++ b/colocation/include/persimmondoor/colocation/Guard.h
@@ -182,6 +182,8 @@
     SlowdownModel model_;
     LoadForecast forecast_;
     double load_ { 0 };
+    /// Load without its usual short swings; a rise beyond them shows at once.
+    double steadyLoad_ { 0 };
     /// Processors used at load 1.
     double coresPerLoad_ { 0 };
     double smoothedTail_ { 0 };
--- a/colocation/include/persimmondoor/colocation/Policy.h
+++ b/colocation/include/persimmondoor/colocation/Policy.h
@@ -49,7 +49,7 @@
     /// \return the policy, or InvalidArgument if a weight is negative or all are zero.
     static absl::StatusOr<Learned> create(const Weights& weights);
 
-    /// Slowdown that is kept: between 1.065, if only the tail counts, and 1.095.
+    /// Slowdown that is kept: between 1.075, if only the tail counts, and 1.09.
     double target() const;
     /// Deviations of its estimate that are added to the predicted slowdown.
     double caution() const;
--- a/colocation/src/decisions/Guard.cpp
+++ b/colocation/src/decisions/Guard.cpp
@@ -15,6 +15,7 @@
 static constexpr Duration longestLag = std::chrono::seconds(30);
 static constexpr double useGain = 0.2;
 static constexpr double tailGain = 0.2;
+static constexpr double loadGain = 0.1;
 /// Share of the lag that is kept when a measurement comes with a shorter one.
 static constexpr double lagRetention = 0.95;
 /// Loads below tell nothing of the processors used by each request.
@@ -106,6 +107,8 @@
         GuardedService& service = found->second;
         service.load_ = std::max(0.0, message.load_);
         service.forecast_.observe(service.load_, now);
+        service.steadyLoad_ += (service.history_.empty() ? 1 : loadGain) * (service.load_ - service.steadyLoad_);
+        service.steadyLoad_ = std::max(service.steadyLoad_, service.load_ - service.forecast_.rise());
         remember(guard, service, now);
         if (const auto* policy = std::get_if<Learned>(&guard.settings_.policy_))
             LearnedRules::act(decision, *policy, now);
--- a/colocation/src/decisions/LearnedPlan.cpp
+++ b/colocation/src/decisions/LearnedPlan.cpp
@@ -9,7 +9,7 @@
 /// Shares are multiples of this.
 static constexpr double shareStep = 0.05;
 /// Worth of paying work by that of trial work.
-static constexpr double payingWorth = 4;
+static constexpr double payingWorth = 2;
 
 Plan::Plan(double cores, const Learned& policy)
     : cores_(cores)
--- a/colocation/src/decisions/LearnedPlan.h
+++ b/colocation/src/decisions/LearnedPlan.h
@@ -12,6 +12,7 @@
 struct ServiceOutlook {
     ServiceName service_;
     const GuardedService* state_ { nullptr };
+    /// Load for which the harms are read.
     double load_ { 0 };
     double loadAhead_ { 0 };
     /// Processors it needs at `loadAhead_`, and if the largest failure domain is lost.
@@ -45,7 +46,7 @@
     double pressure() const;
     /// The same with every task at its minimum.
     double pressureAtMinimum() const;
-    /// Best shares: those tasks first that harm least for what they are worth, where paying work is worth four times
+    /// Best shares: those tasks first that harm least for what they are worth, where paying work is worth twice
     /// trial work; each share as high as the budget allows, and for paying work the room for the loss of a failure domain.
     /// \param budget part of the allowed slowdown that may be used, 0 to 1.
     std::vector<double> bestShares(double budget) const;
--- a/colocation/src/decisions/LearnedRules.cpp
+++ b/colocation/src/decisions/LearnedRules.cpp
@@ -5,12 +5,12 @@
 namespace persimmondoor::colocation {
 
 /// A correction leaves this part of the allowed slowdown used.
-static constexpr double correctionBudget = 0.95;
+static constexpr double correctionBudget = 1.0;
 /// Shares are given back up to this part, which is less: hysteresis.
-static constexpr double recoveryBudget = 0.9;
+static constexpr double recoveryBudget = 0.95;
 /// A task is admitted if its best share is at least this.
 static constexpr double admissionShare = 0.5;
-static constexpr double admissionBudget = 0.95;
+static constexpr double admissionBudget = 1.0;
 /// Tasks are accepted again once all at their minimum use less than this part.
 static constexpr double resumeBudget = 0.85;
 /// Time that an action takes to show in a measurement, beside the lag.
@@ -35,7 +35,7 @@
     for (const auto& [name, service] : guard.services_) {
         double ahead = service.load_ + service.forecast_.rise();
         double loss = lossLoad(service.load_, guard.settings_.instances_, guard.settings_.largestDomain_);
-        plan.addService({ name, &service, service.load_, ahead, ahead * service.coresPerLoad_, (service.load_ + loss) * service.coresPerLoad_, {} });
+        plan.addService({ name, &service, service.steadyLoad_, ahead, ahead * service.coresPerLoad_, (service.load_ + loss) * service.coresPerLoad_, {} });
     }
     for (const auto& [name, task] : guard.tasks_) {
         if (!task.evicting_)
@@ -65,7 +65,7 @@
     explanation.service_ = service.service_;
     explanation.measuredAt_ = service.state_->measuredAt_;
     explanation.measuredTail_ = service.state_->lastTail_;
-    explanation.load_ = service.load_;
+    explanation.load_ = service.state_->load_;
     explanation.loadAhead_ = service.loadAhead_;
     explanation.baseline_ = service.state_->model_.baseline(service.load_);
     std::vector<Exposure> exposures;
@@ -85,7 +85,7 @@
 {
     double highest = 0;
     for (const auto& [name, service] : services)
-        highest = std::max(highest, service.load_);
+        highest = std::max(highest, service.steadyLoad_);
     return highest;
 }
 
--- a/colocation/src/decisions/Policy.cpp
+++ b/colocation/src/decisions/Policy.cpp
@@ -2,10 +2,10 @@
 
 namespace persimmondoor::colocation {
 
-static constexpr double loosestTarget = 1.105;
-static constexpr double targetRange = 0.03;
-static constexpr double leastCaution = 0.1;
-static constexpr double cautionRange = 0.3;
+static constexpr double loosestTarget = 1.09;
+static constexpr double targetRange = 0.015;
+static constexpr double leastCaution = 0;
+static constexpr double cautionRange = 0.1;
 static constexpr double mostEvictionsPerHour = 6;
 
 absl::StatusOr<Learned> Learned::create(const Weights& weights)
