--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -3,6 +3,7 @@
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/http/Routes.h"
+#include "persimmondoor/platform/PlatformClients.h"
 #include "persimmondoor/routing/EndpointsRoute.h"
 #include "persimmondoor/routing/HTTPFront.h"
 
@@ -57,7 +58,8 @@
     membership::ViewActor view(executor, clock, [router](membership::ViewAction action) { return tellRouter(router, std::move(action)); });
     auto entry = std::unique_ptr<Entry>(new Entry(self, router, view));
 
-    auto callers = http::Server::listen(executor, self.http_, callersLimits(), routing::makeHTTPFront(self.name_, router));
+    routing::ClaimsActor claims(executor, clock, platform::connectPlatform(executor, site.platform_).table_);
+    auto callers = http::Server::listen(executor, self.http_, callersLimits(), routing::makeHTTPFront(self.name_, router, claims));
     auto operators = http::Server::listen(executor, self.operators_, {}, operatorsRoutes(router).handler());
     rpc::Interfaces interfaces;
     membership::offerMembership(interfaces, view);
--- /dev/null
+++ b/routing/src/ClaimsActor.cpp
@@ -0,0 +1,386 @@
+#include "persimmondoor/routing/ClaimsActor.h"
+
+#include "ClaimCodec.h"
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
+
+#include <boost/asio/this_coro.hpp>
+#include <deque>
+#include <set>
+
+namespace persimmondoor::routing {
+
+namespace asio = boost::asio;
+
+static constexpr size_t mailboxCapacity = 4096;
+// Transactions tried for one batch while replies are lost.
+static constexpr int batchAttempts = 4;
+// Transactions tried for one batch in all: each conflict decides one change at least, unless its row changes again.
+static constexpr size_t maximumRounds = 2 * claimsPerBatch;
+// Time beyond its deadline in which the reply to a claim may still arrive.
+static constexpr Duration replyGrace = std::chrono::milliseconds(100);
+static constexpr Duration sweepInterval = std::chrono::seconds(5);
+static constexpr size_t rowsPerSweep = 1000;
+
+static ClaimVerdict storeFailed(const std::string& detail)
+{
+    return ClaimRefused { NotRun { NotRunReason::StoreUnavailable, detail } };
+}
+
+namespace {
+
+    using Change = ClaimsActor::Change;
+
+    // Writes the changes of one batch; each change is answered once.
+    class Batch {
+    public:
+        Batch(Clock clock, platform::TableClient table, std::vector<Change> changes)
+            : clock_(std::move(clock))
+            , table_(std::move(table))
+            , changes_(std::move(changes))
+        {
+        }
+
+        asio::awaitable<void> write()
+        {
+            int lostReplies = 0;
+            for (size_t round = 0; round < maximumRounds && !changes_.empty() && lostReplies < batchAttempts; ++round) {
+                platform::CommitOutcome outcome = co_await platform::commit(table_, transaction());
+                if (std::holds_alternative<platform::ReplyLost>(outcome))
+                    ++lostReplies;
+                co_await take(std::move(outcome));
+            }
+            failAll("no reply from the table service");
+        }
+
+    private:
+        asio::awaitable<void> take(platform::CommitOutcome outcome)
+        {
+            std::vector<std::string> undecided;
+            if (const auto* committed = std::get_if<platform::Committed>(&outcome))
+                co_await succeedAll(committed->version_);
+            if (const auto* unavailable = std::get_if<platform::Unavailable>(&outcome))
+                failAll(unavailable->detail_);
+            if (const auto* conflict = std::get_if<platform::Conflict>(&outcome))
+                undecided.push_back(conflict->key_);
+            // Nothing is assumed of a lost reply: the rows tell.
+            if (std::holds_alternative<platform::ReplyLost>(outcome))
+                undecided = keys();
+            if (!undecided.empty())
+                co_await resolve(std::move(undecided));
+        }
+
+        platform::Transaction transaction() const
+        {
+            platform::Transaction result;
+            for (const Change& change : changes_) {
+                result.conditions_.push_back({ change.order_.key_, change.expected_ });
+                if (change.kind_ == ClaimsActor::Kind::Release)
+                    result.writes_.emplace_back(platform::Erase { change.order_.key_ });
+                else
+                    result.writes_.emplace_back(platform::Put { change.order_.key_, change.value_ });
+            }
+            return result;
+        }
+
+        std::vector<std::string> keys() const
+        {
+            std::vector<std::string> result;
+            for (const Change& change : changes_)
+                result.push_back(change.order_.key_);
+            return result;
+        }
+
+        asio::awaitable<void> succeedAll(platform::RowVersion version)
+        {
+            std::vector<Change> changes = std::exchange(changes_, {});
+            for (Change& change : changes)
+                co_await succeed(change, version);
+        }
+
+        // A claim that came too late for its request is given back, as the request was answered "not run".
+        asio::awaitable<void> succeed(Change change, platform::RowVersion version)
+        {
+            bool late = change.kind_ == ClaimsActor::Kind::Make && now(clock_) > change.deadline_;
+            if (!late) {
+                change.reply_.send(ClaimMade { version });
+                co_return;
+            }
+            change.reply_.send(storeFailed("the table service is too slow for the deadline"));
+            platform::Transaction giveBack;
+            giveBack.conditions_.push_back({ change.order_.key_, version });
+            giveBack.writes_.emplace_back(platform::Erase { change.order_.key_ });
+            co_await platform::commit(table_, std::move(giveBack));
+        }
+
+        void failAll(const std::string& detail)
+        {
+            for (const Change& change : changes_)
+                change.reply_.send(storeFailed(detail));
+            changes_.clear();
+        }
+
+        // Reads the rows and answers the changes that they decide; the rest stay.
+        asio::awaitable<void> resolve(std::vector<std::string> keys)
+        {
+            auto rows = co_await platform::read(table_, std::move(keys));
+            if (!rows.ok()) {
+                failAll(std::string(rows.status().message()));
+                co_return;
+            }
+            for (const platform::Row& row : *rows) {
+                auto found = std::find_if(changes_.begin(), changes_.end(), [&](const Change& change) { return change.order_.key_ == row.key_; });
+                if (found == changes_.end() || staysOpen(*found, row))
+                    continue;
+                Change change = std::move(*found);
+                changes_.erase(found);
+                co_await answer(change, row);
+            }
+        }
+
+        // True if the change has not taken effect and may be tried again; sets the version that it expects then.
+        static bool staysOpen(Change& change, const platform::Row& row)
+        {
+            if (change.kind_ != ClaimsActor::Kind::Make)
+                return row.version_ == change.expected_;
+            if (row.version_ == platform::RowVersion()) {
+                change.expected_ = row.version_;
+                return true;
+            }
+            auto decoded = decodeClaim(row.value_);
+            if (!decoded.ok())
+                return false;
+            ClaimVerdict verdict = judgeClaim(change.order_, *decoded, row.version_, wallMilliseconds());
+            const auto* expired = std::get_if<ClaimExpired>(&verdict);
+            if (expired)
+                change.expected_ = expired->version_;
+            return expired != nullptr;
+        }
+
+        asio::awaitable<void> answer(Change change, platform::Row row)
+        {
+            if (change.kind_ != ClaimsActor::Kind::Make) {
+                change.reply_.send(ClaimMade { row.version_ });
+                co_return;
+            }
+            auto decoded = decodeClaim(row.value_);
+            if (!decoded.ok()) {
+                change.reply_.send(storeFailed(std::string(decoded.status().message())));
+                co_return;
+            }
+            ClaimVerdict verdict = judgeClaim(change.order_, *decoded, row.version_, wallMilliseconds());
+            if (std::holds_alternative<ClaimMade>(verdict))
+                co_await succeed(std::move(change), row.version_);
+            else
+                change.reply_.send(std::move(verdict));
+        }
+
+        Clock clock_;
+        platform::TableClient table_;
+        std::vector<Change> changes_;
+    };
+
+    class ClaimsLoop {
+    public:
+        ClaimsLoop(asio::any_io_executor executor, Clock clock, platform::TableClient table, Mailbox<ClaimsActor::Message> mailbox)
+            : executor_(std::move(executor))
+            , clock_(std::move(clock))
+            , table_(std::move(table))
+            , mailbox_(std::move(mailbox))
+        {
+        }
+
+        asio::awaitable<void> run(std::shared_ptr<ClaimsLoop> self)
+        {
+            for (;;) {
+                ClaimsActor::Message message = co_await mailbox_.receive();
+                std::visit([&](auto& alternative) { self->handle(alternative); }, message);
+                self->startBatch();
+            }
+        }
+
+    private:
+        void handle(Change& change)
+        {
+            waiting_.push_back(std::move(change));
+            if (!sweeping_) {
+                sweeping_ = true;
+                spawn(executor_, "claims sweep", postSweep(mailbox_, ""));
+            }
+        }
+
+        void handle(const ClaimsActor::BatchEnded&) { writing_ = false; }
+
+        // Rows are erased only where claims are used, so that an entry without them reads nothing.
+        void handle(const ClaimsActor::SweepDue& due) { spawn(executor_, "claims sweep", sweep(mailbox_, table_, due.after_)); }
+
+        void startBatch()
+        {
+            if (writing_ || waiting_.empty())
+                return;
+            writing_ = true;
+            spawn(executor_, "claims batch", writeBatch(mailbox_, Batch(clock_, table_, takeBatch())));
+        }
+
+        // At most one change of a row in one transaction.
+        std::vector<Change> takeBatch()
+        {
+            std::vector<Change> batch;
+            std::deque<Change> rest;
+            std::set<std::string> keys;
+            for (Change& change : waiting_) {
+                if (batch.size() < claimsPerBatch && keys.insert(change.order_.key_).second)
+                    batch.push_back(std::move(change));
+                else
+                    rest.push_back(std::move(change));
+            }
+            waiting_ = std::move(rest);
+            return batch;
+        }
+
+        static asio::awaitable<void> writeBatch(Mailbox<ClaimsActor::Message> mailbox, Batch batch)
+        {
+            Clock clock = SteadyClock();
+            Instant start = now(clock);
+            co_await batch.write();
+            Duration rest = claimBatchInterval - (now(clock) - start);
+            if (rest > Duration(0))
+                co_await sleepFor(rest);
+            ClaimsActor::Message ended = ClaimsActor::BatchEnded {};
+            co_await mailbox.post(std::move(ended));
+        }
+
+        static asio::awaitable<void> postSweep(Mailbox<ClaimsActor::Message> mailbox, std::string after)
+        {
+            co_await sleepFor(sweepInterval);
+            ClaimsActor::Message due = ClaimsActor::SweepDue { std::move(after) };
+            co_await mailbox.post(std::move(due));
+        }
+
+        // Erases the expired rows among those after `after`, and has the sweep go on behind them.
+        static asio::awaitable<void> sweep(Mailbox<ClaimsActor::Message> mailbox, platform::TableClient table, std::string after)
+        {
+            platform::Scan range { "claim/", after, rowsPerSweep };
+            auto rows = co_await platform::scan(table, std::move(range));
+            if (rows.ok()) {
+                after = rows->size() < rowsPerSweep ? std::string() : rows->back().key_;
+                co_await eraseExpired(table, *std::move(rows));
+            }
+            co_await postSweep(std::move(mailbox), std::move(after));
+        }
+
+        static asio::awaitable<void> eraseExpired(platform::TableClient table, std::vector<platform::Row> rows)
+        {
+            platform::Transaction erase;
+            for (const platform::Row& row : rows) {
+                auto decoded = decodeClaim(row.value_);
+                if (!decoded.ok() || !isExpired(*decoded, wallMilliseconds()))
+                    continue;
+                erase.conditions_.push_back({ row.key_, row.version_ });
+                erase.writes_.emplace_back(platform::Erase { row.key_ });
+            }
+            // A conflict or a lost reply is put right by the next sweep.
+            if (!erase.writes_.empty())
+                co_await platform::commit(table, std::move(erase));
+        }
+
+        asio::any_io_executor executor_;
+        Clock clock_;
+        platform::TableClient table_;
+        Mailbox<ClaimsActor::Message> mailbox_;
+        std::deque<Change> waiting_;
+        bool writing_ { false };
+        bool sweeping_ { false };
+    };
+
+} // namespace
+
+ClaimsActor::ClaimsActor(const asio::any_io_executor& executor, Clock clock, platform::TableClient table)
+    : clock_(clock)
+    , mailbox_(executor, mailboxCapacity)
+{
+    auto loop = std::make_shared<ClaimsLoop>(executor, std::move(clock), std::move(table), mailbox_);
+    spawn(executor, "claims", loop->run(loop));
+}
+
+static asio::awaitable<absl::StatusOr<ClaimVerdict>> receive(Reply<ClaimVerdict> reply)
+{
+    co_return co_await reply.receive();
+}
+
+asio::awaitable<ClaimVerdict> ClaimsActor::change(Change change) const
+{
+    Mailbox<Message> mailbox = mailbox_;
+    Duration limit = change.deadline_ - now(clock_) + replyGrace;
+    Reply<ClaimVerdict> reply = change.reply_;
+    if (!mailbox.tryPost(std::move(change)))
+        co_return storeFailed("too many claims wait for the table service");
+    auto verdict = co_await withTimeout(receive(std::move(reply)), limit);
+    if (!verdict.ok())
+        co_return storeFailed("no answer from the table service before the deadline");
+    co_return *std::move(verdict);
+}
+
+asio::awaitable<ClaimVerdict> ClaimsActor::make(ClaimOrder order, Duration limit) const
+{
+    Reply<ClaimVerdict> reply(co_await asio::this_coro::executor);
+    ClaimRow row { order.claimant_, order.digest_, wallMilliseconds(), ClaimState::Open, {} };
+    Change claim { Kind::Make, std::move(order), platform::RowVersion(), encodeClaim(row), now(clock_) + limit, reply };
+    co_return co_await change(std::move(claim));
+}
+
+asio::awaitable<void> ClaimsActor::keep(ClaimOrder order, platform::RowVersion version, Done answer) const
+{
+    Reply<ClaimVerdict> reply(co_await asio::this_coro::executor);
+    std::string value = encodeClaim(withAnswer(order, answer, wallMilliseconds()));
+    Change kept { Kind::Keep, std::move(order), version, std::move(value), now(clock_) + claimTimeout, reply };
+    if (!mailbox_.tryPost(std::move(kept)))
+        logWarning("claims.answer_not_kept", {});
+}
+
+asio::awaitable<void> ClaimsActor::release(ClaimOrder order, platform::RowVersion version) const
+{
+    Reply<ClaimVerdict> reply(co_await asio::this_coro::executor);
+    Change given { Kind::Release, std::move(order), version, "", now(clock_) + claimTimeout, reply };
+    ClaimVerdict verdict = co_await change(std::move(given));
+    if (!std::holds_alternative<ClaimMade>(verdict))
+        logWarning("claims.not_released", {});
+}
+
+static asio::awaitable<RequestOutcome> runClaimed(ClaimsActor claims, RouterActor router, admission::ServiceRequest request, ClaimOrder order)
+{
+    Clock clock = SteadyClock();
+    Instant start = now(clock);
+    Duration limit = request.timeLeft_ > Duration(0) ? request.timeLeft_ : claimTimeout;
+    ClaimVerdict verdict = co_await claims.make(order, limit);
+    if (auto* refused = std::get_if<ClaimRefused>(&verdict))
+        co_return std::move(refused->outcome_);
+    platform::RowVersion version = std::get<ClaimMade>(verdict).version_;
+    if (request.timeLeft_ > Duration(0))
+        request.timeLeft_ = std::max(Duration(1), request.timeLeft_ - (now(clock) - start));
+    RequestOutcome outcome = co_await router.route(std::move(request));
+    if (std::holds_alternative<NotRun>(outcome))
+        co_await claims.release(std::move(order), version);
+    else if (const auto* done = std::get_if<Done>(&outcome))
+        co_await claims.keep(std::move(order), version, *done);
+    co_return outcome;
+}
+
+static asio::awaitable<void> runAndReply(ClaimsActor claims, RouterActor router, admission::ServiceRequest request, ClaimOrder order, Reply<RequestOutcome> reply)
+{
+    RequestOutcome outcome = co_await runClaimed(std::move(claims), std::move(router), std::move(request), std::move(order));
+    reply.send(std::move(outcome));
+}
+
+asio::awaitable<RequestOutcome> routeClaimed(ClaimsActor claims, RouterActor router, admission::ServiceRequest request, std::string key)
+{
+    auto order = orderClaim(request, key);
+    if (!order.ok())
+        co_return NotRun { NotRunReason::BadRequest, std::string(order.status().message()) };
+    asio::any_io_executor executor = co_await asio::this_coro::executor;
+    Reply<RequestOutcome> reply(executor);
+    spawn(executor, "claimed request", runAndReply(std::move(claims), std::move(router), std::move(request), *std::move(order), reply));
+    co_return co_await reply.receive();
+}
+
+} // namespace persimmondoor::routing
