--- a/bench/colocation/Driver.cpp
+++ b/bench/colocation/Driver.cpp
@@ -258,8 +258,11 @@
             Measurement late = std::move(worker.measurements_.front());
             worker.measurements_.pop_front();
             double measured = late.tail_ * std::exp(settings_.noise_ * random_.normal());
-            if (!worker.closed_)
-                decideAt(index, Measured { service, instant(now_ - settings_.lagSeconds_), measured, late.serviceCores_, std::move(late.uses_) });
+            if (worker.closed_)
+                return;
+            Instant at = instant(now_ - settings_.lagSeconds_);
+            decideAt(index, UsageSeen { at, std::move(late.uses_) });
+            decideAt(index, Measured { service, at, measured, late.serviceCores_ });
         }
 
         static Resources cores(double amount)
--- a/colocation/include/persimmondoor/colocation/Guard.h
+++ b/colocation/include/persimmondoor/colocation/Guard.h
@@ -3,7 +3,7 @@
 ///
 /// \code
 /// Guard guard = *Guard::create({ cores, { service }, policy });
-/// GuardDecision decision = decide(guard, Measured { service, measuredAt, tail, cores, uses }, now);
+/// GuardDecision decision = decide(guard, Measured { service, measuredAt, tail, cores }, now);
 /// \endcode
 #pragma once
 
@@ -59,7 +59,20 @@
     auto operator<=>(const TaskUse&) const = default;
 };
 
-/// A measurement of a service and its neighbours, which comes with a lag.
+/// What tasks used at a time that has passed.
+struct UsageSeen {
+    Instant measuredAt_;
+    std::vector<TaskUse> uses_;
+    bool operator==(const UsageSeen&) const = default;
+};
+
+/// An eviction that was ordered did not come about; the task runs on.
+struct EvictionFailed {
+    TaskId task_;
+    auto operator<=>(const EvictionFailed&) const = default;
+};
+
+/// A measurement of a service, which comes with a lag.
 struct Measured {
     ServiceName service_;
     Instant measuredAt_;
@@ -67,8 +80,7 @@
     double tail_ { 0 };
     /// Processors that the service used.
     double cores_ { 0 };
-    std::vector<TaskUse> uses_;
-    bool operator==(const Measured&) const = default;
+    auto operator<=>(const Measured&) const = default;
 };
 
 /// The owner's model, learned from the observations of all workers, replaces the one here. While none come, the guard
@@ -79,7 +91,7 @@
     bool operator==(const ModelPublished&) const = default;
 };
 
-using GuardMessage = std::variant<TaskStarted, TaskEnded, TaskCheckpointed, LoadSeen, Measured, ModelPublished>;
+using GuardMessage = std::variant<TaskStarted, TaskEnded, TaskCheckpointed, LoadSeen, UsageSeen, Measured, ModelPublished, EvictionFailed>;
 
 /// What made the guard act.
 enum class Cause { LoadRose,
@@ -224,6 +236,8 @@
     double pressure() const;
     /// Share at which `task` runs; 1 if it is not known.
     double share(const TaskId& task) const;
+    /// True if the task's share has not changed since `at`.
+    bool shareChangedBefore(const TaskId& task, Instant at) const;
     size_t tasks() const { return tasks_.size(); }
     bool operator==(const Guard&) const = default;
 
--- a/colocation/src/decisions/Guard.cpp
+++ b/colocation/src/decisions/Guard.cpp
@@ -75,6 +75,12 @@
     return found == tasks_.end() ? 1 : found->second.share_;
 }
 
+bool Guard::shareChangedBefore(const TaskId& task, Instant at) const
+{
+    auto found = tasks_.find(task);
+    return found == tasks_.end() || found->second.shareChangedAt_ < at;
+}
+
 struct GuardRules {
     static void apply(GuardDecision& decision, const TaskStarted& message, Instant now)
     {
@@ -125,12 +131,29 @@
         service.lastTail_ = message.tail_;
         service.smoothedTail_ += (service.smoothedTail_ > 0 ? tailGain : 1) * (message.tail_ - service.smoothedTail_);
         learnLag(guard, now - message.measuredAt_);
-        learnUses(guard, message);
         learnSlowdown(decision, service, message);
         if (const auto* policy = std::get_if<FixedThreshold>(&guard.settings_.policy_))
             FixedRules::act(decision, *policy, service, message.service_, now);
     }
 
+    static void apply(GuardDecision& decision, const UsageSeen& message, Instant)
+    {
+        for (const TaskUse& use : message.uses_) {
+            auto found = decision.state_.tasks_.find(use.task_);
+            if (found == decision.state_.tasks_.end() || message.measuredAt_ - found->second.shareChangedAt_ < shareSettling)
+                continue;
+            GuardedTask& task = found->second;
+            task.fullUse_ += useGain * (std::max(0.0, use.cores_) / task.share_ - task.fullUse_);
+        }
+    }
+
+    static void apply(GuardDecision& decision, const EvictionFailed& message, Instant)
+    {
+        auto found = decision.state_.tasks_.find(message.task_);
+        if (found != decision.state_.tasks_.end())
+            found->second.evicting_ = false;
+    }
+
     static void apply(GuardDecision& decision, const ModelPublished& message, Instant)
     {
         auto found = decision.state_.services_.find(message.service_);
@@ -167,17 +190,6 @@
         guard.lag_ = std::min(longestLag, std::max(lag, kept));
     }
 
-    static void learnUses(Guard& guard, const Measured& message)
-    {
-        for (const TaskUse& use : message.uses_) {
-            auto found = guard.tasks_.find(use.task_);
-            if (found == guard.tasks_.end() || message.measuredAt_ - found->second.shareChangedAt_ < shareSettling)
-                continue;
-            GuardedTask& task = found->second;
-            task.fullUse_ += useGain * (use.cores_ / task.share_ - task.fullUse_);
-        }
-    }
-
     static const Moment* momentAt(const GuardedService& service, Instant at)
     {
         auto later = std::find_if(service.history_.begin(), service.history_.end(), [&](const Moment& moment) { return moment.at_ > at; });
--- a/colocation/tests/GuardTest.cpp
+++ b/colocation/tests/GuardTest.cpp
@@ -212,10 +212,23 @@
 BOOST_AUTO_TEST_CASE(measurement_that_is_late_twice_or_from_the_future_teaches_nothing)
 {
     Guard guard = decide(makeGuard(learned()), LoadSeen { service, usualLoad }, second(1)).state_;
-    guard = decide(guard, Measured { service, second(1), baseTail, 8, {} }, second(6)).state_;
-    BOOST_TEST((decide(guard, Measured { service, second(1), 90, 8, {} }, second(7)).state_ == guard));
-    BOOST_TEST((decide(guard, Measured { service, second(9), 90, 8, {} }, second(7)).state_ == guard));
-    BOOST_TEST((decide(guard, Measured { ServiceName::of("other"), second(6), 90, 8, {} }, second(7)).state_ == guard));
+    guard = decide(guard, Measured { service, second(1), baseTail, 8 }, second(6)).state_;
+    BOOST_TEST((decide(guard, Measured { service, second(1), 90, 8 }, second(7)).state_ == guard));
+    BOOST_TEST((decide(guard, Measured { service, second(9), 90, 8 }, second(7)).state_ == guard));
+    BOOST_TEST((decide(guard, Measured { ServiceName::of("other"), second(6), 90, 8 }, second(7)).state_ == guard));
+}
+
+BOOST_AUTO_TEST_CASE(use_is_learned_from_lagging_usage_but_not_from_before_a_change_of_the_share)
+{
+    Guard guard = decide(knowingGuard(), started("n", noisy, 16), second(10)).state_;
+    double share = guard.share(TaskId::of("n"));
+    BOOST_TEST((decide(guard, UsageSeen { second(11), { { TaskId::of("n"), 16 } } }, second(16)).state_ == guard));
+    for (int64_t at = 20; at < 200; ++at) {
+        guard = decide(guard, UsageSeen { second(at), { { TaskId::of("n"), share } } }, second(at + 5)).state_;
+        guard = decide(guard, LoadSeen { service, usualLoad }, second(at + 5)).state_;
+        share = guard.share(TaskId::of("n"));
+    }
+    BOOST_TEST(share == 1);
 }
 
 BOOST_AUTO_TEST_CASE(guard_learns_alone_while_no_model_is_published)
@@ -226,7 +239,7 @@
     for (int64_t at = 1; at < 600; ++at) {
         double use = guard.tasks() == 0 ? 0 : taskCores * guard.share(TaskId::of("n"));
         guard = decide(guard, LoadSeen { service, usualLoad }, second(at)).state_;
-        guard = decide(guard, Measured { service, second(at), baseTail * (1 + trueHarm * use / cores), 8, {} }, second(at)).state_;
+        guard = decide(guard, Measured { service, second(at), baseTail * (1 + trueHarm * use / cores), 8 }, second(at)).state_;
         if (at % 20 == 0)
             guard = decide(guard, started("n", noisy, taskCores), second(at)).state_;
         if (at % 20 == 10)
@@ -242,15 +255,15 @@
     Guard guard = makeGuard(FixedThreshold { 22 });
     guard = decide(guard, started("small", quiet, 2), second(0)).state_;
     guard = decide(guard, started("large", noisy, 8), second(0)).state_;
-    GuardDecision decision = decide(guard, Measured { service, second(1), 23, 8, {} }, second(6));
+    GuardDecision decision = decide(guard, Measured { service, second(1), 23, 8 }, second(6));
     BOOST_TEST(!decision.state_.accepting());
     BOOST_TEST((actionsOf<SetShare>(decision).at(0).task_ == TaskId::of("large")));
-    decision = decide(decision.state_, Measured { service, second(2), 90, 8, {} }, second(7));
+    decision = decide(decision.state_, Measured { service, second(2), 90, 8 }, second(7));
     BOOST_TEST(actionsOf<Evict>(decision).empty());
-    decision = decide(decision.state_, Measured { service, second(20), 90, 8, {} }, second(25));
+    decision = decide(decision.state_, Measured { service, second(20), 90, 8 }, second(25));
     BOOST_TEST(actionsOf<Evict>(decision).size() == 1U);
     for (int64_t at = 30; at < 90; ++at)
-        decision = decide(decision.state_, Measured { service, second(at), 15, 8, {} }, second(at));
+        decision = decide(decision.state_, Measured { service, second(at), 15, 8 }, second(at));
     BOOST_TEST(decision.state_.accepting());
 }
 
@@ -268,7 +281,7 @@
             at += *rc::gen::inRange(0, 4);
             TaskId task = TaskId::of("t" + std::to_string(*rc::gen::inRange(0, 6)));
             GuardMessage message = LoadSeen { service, *rc::gen::inRange(0, 120) / 100.0 };
-            switch (*rc::gen::inRange(0, 5)) {
+            switch (*rc::gen::inRange(0, 9)) {
             case 0:
                 message = TaskStarted { task, *rc::gen::element(quiet, noisy), *rc::gen::element(Tier::Paying, Tier::Trial), static_cast<double>(*rc::gen::inRange(1, 30)), Duration(0), true };
                 break;
@@ -279,9 +292,15 @@
                 if (int64_t measuredAt = at - *rc::gen::inRange(0, 16); measuredAt > lastMeasuredAt) {
                     lag = at - measuredAt;
                     lastMeasuredAt = measuredAt;
-                    message = Measured { service, second(measuredAt), *rc::gen::inRange(1, 200) / 1.0, 8, { { task, 4 } } };
+                    message = Measured { service, second(measuredAt), *rc::gen::inRange(1, 200) / 1.0, 8 };
                 }
                 break;
+            case 3:
+                message = UsageSeen { second(at - *rc::gen::inRange(0, 16)), { { task, 4 } } };
+                break;
+            case 4:
+                message = EvictionFailed { task };
+                break;
             default:
                 break;
             }
