--- a/admission/include/persimmondoor/admission/Request.h
+++ b/admission/include/persimmondoor/admission/Request.h
@@ -19,6 +19,10 @@
 /// Longest time that a request may take.
 inline constexpr Duration maximumTimeLeft = std::chrono::minutes(10);
 
+/// Largest answer of a service instance that is passed on, in bytes of its body. A larger one gives "unknown": the
+/// request has run, and its answer is not cut short.
+inline constexpr size_t maximumAnswerBytes = size_t { 16 } * 1024 * 1024;
+
 struct ServiceRequest {
     RequestId id_;
     ServiceName service_;
--- a/admission/src/GateActor.cpp
+++ b/admission/src/GateActor.cpp
@@ -150,6 +150,8 @@
 
         static RequestOutcome toOutcome(http::Response& response)
         {
+            if (response.body_.size() > maximumAnswerBytes)
+                return Unknown { "the answer is larger than an agent passes on" };
             return Done { response.status_, std::move(response.headers_), std::move(response.body_) };
         }
 
--- a/admission/tests/GateActorTest.cpp
+++ b/admission/tests/GateActorTest.cpp
@@ -160,6 +160,14 @@
         BOOST_TEST((std::get<NotRun>(outcome).reason_ == NotRunReason::Unreachable));
 }
 
+BOOST_AUTO_TEST_CASE(answer_beyond_the_bound_is_unknown_and_never_cut)
+{
+    backend_.script({ Send { okAnswer(std::string(maximumAnswerBytes, 'x')) }, Send { okAnswer(std::string(maximumAnswerBytes + 1, 'x')) } });
+    std::vector<RequestOutcome> outcomes = serveInOrder({ request("r1"), request("r2") });
+    BOOST_TEST(bodyOf(outcomes.at(0)).size() == maximumAnswerBytes);
+    BOOST_TEST(isUnknown(outcomes.at(1)));
+}
+
 BOOST_AUTO_TEST_CASE(repeated_id_is_handed_over_once)
 {
     std::vector<RequestOutcome> outcomes = serveInOrder({ request("r1"), request("r1") });
--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -7,6 +7,9 @@
 
 namespace asio = boost::asio;
 
+// Time between the end of the last request and the end of the connections to the entries.
+static constexpr Duration lastAnswersGrace = std::chrono::milliseconds(300);
+
 Agent::Agent(admission::GateActor gate, membership::Announcer announcer, std::unique_ptr<rpc::Server> server)
     : gate_(std::move(gate))
     , announcer_(std::move(announcer))
@@ -54,6 +57,8 @@
 {
     announcer_.leave();
     size_t left = co_await gate_.drain(limit);
+    // The last answers are still on their way to the entries.
+    co_await sleepFor(lastAnswersGrace);
     logInfo("agent.stopped", { { "requests_cut_off", std::to_string(left) } });
     server_->close();
     announcer_.stop();
--- a/routing/include/persimmondoor/routing/Router.h
+++ b/routing/include/persimmondoor/routing/Router.h
@@ -113,7 +113,7 @@
 class Router {
 public:
     explicit Router(RouterOptions options = {})
-        : options_(std::move(options))
+        : options_(options)
         , random_(options_.seed_)
     {
     }
