--- a/leases/tests/OwnershipTest.cpp
+++ b/leases/tests/OwnershipTest.cpp
@@ -127,6 +127,31 @@
     BOOST_TEST(cell.heldBy(0) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(heartbeat_between_the_read_and_the_claim_makes_the_claim_conflict)
+{
+    Cell cell(2, settings(4));
+    pass(cell, 10 * second);
+    cell.processes_[0].paused_ = true;
+    auto aboutToClaim = [&] { return !cell.processes_[1].actions_.empty() && std::holds_alternative<Claim>(cell.processes_[1].actions_.front()); };
+    while (!aboutToClaim()) {
+        cell.now_ = cell.now_ + second;
+        cell.begin(1);
+        while (!cell.processes_[1].actions_.empty() && !aboutToClaim())
+            cell.perform(1, CallFate::Done);
+    }
+    cell.processes_[0].paused_ = false;
+    cell.begin(0);
+    cell.perform(0, CallFate::Done);
+    BOOST_TEST((cell.now_ < cell.processes_[0].leaseUntil_));
+    while (!cell.processes_[1].actions_.empty())
+        cell.perform(1, CallFate::Done);
+    BOOST_TEST(cell.heldBy(1) == 2U);
+    for (const std::string& broken : cell.broken())
+        BOOST_TEST(false, broken);
+    for (const auto& [partition, gained] : cell.processes_[0].held_)
+        BOOST_TEST(cell.canCommit(0, partition));
+}
+
 BOOST_AUTO_TEST_CASE(store_down_for_ten_minutes_moves_nothing)
 {
     OwnershipSettings longHorizon = settings(4);
