--- a/hosting/tests/HostWorld.cpp
+++ b/hosting/tests/HostWorld.cpp
@@ -37,7 +37,7 @@
 
 std::optional<StartOutcome> HostWorld::start(const StartOrder& order)
 {
-    CallNumber call(++calls_made_);
+    CallNumber call(++callsMade_);
     tell(StartAsked { order, call });
     auto answer = startAnswers_.find(call);
     return answer == startAnswers_.end() ? std::nullopt : std::optional(answer->second);
@@ -45,14 +45,14 @@
 
 StopOutcome HostWorld::stop(const StopOrder& order)
 {
-    CallNumber call(++calls_made_);
+    CallNumber call(++callsMade_);
     tell(StopAsked { order, call });
     return stopAnswers_.at(call);
 }
 
 RenewalOutcome HostWorld::renew(const Renewal& order)
 {
-    CallNumber call(++calls_made_);
+    CallNumber call(++callsMade_);
     tell(RenewalAsked { order, call });
     return renewalAnswers_.at(call);
 }
--- a/hosting/tests/HostWorld.h
+++ b/hosting/tests/HostWorld.h
@@ -59,7 +59,7 @@
     std::map<CallNumber, StopOutcome> stopAnswers_;
     std::map<CallNumber, RenewalOutcome> renewalAnswers_;
     platform::WorkerRevision reported_;
-    uint64_t calls_made_ { 0 };
+    uint64_t callsMade_ { 0 };
     uint64_t lives_ { 1 };
     // Attempts whose end was seen at the worker.
     std::set<TaskAttempt> ended_;
--- a/hosting/tests/RemoteTest.cpp
+++ b/hosting/tests/RemoteTest.cpp
@@ -1,6 +1,8 @@
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/hosting/Client.h"
 #include "persimmondoor/hosting/HostActor.h"
+#include "persimmondoor/platform/PlatformClients.h"
+#include "persimmondoor/platform/StandinServer.h"
 #include "persimmondoor/rpc/Loop.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,13 +17,15 @@
 const WorkerName worker = WorkerName::of("worker-01");
 constexpr PartitionNumber partition(7);
 
-// An agent behind a connection, with a stand-in worker.
+// An agent behind a connection, with a stand-in worker that it reaches over HTTP.
 struct Fixture {
     Fixture()
     {
-        workers_.add(worker, capacity_);
+        standins_.workers_.add(worker, capacity_);
+        platform_ = *platform::serveStandins(executor(), *Address::parse("127.0.0.1:0"), standins_);
+        platform::WorkerClient workers = platform::connectPlatform(executor(), platform_->address()).workers_;
         HostSettings settings { worker, FailureDomainName::of("domain-a"), RackName::of("rack-a1"), capacity_, Incarnation(1), Duration(0) };
-        host_ = HostActor::create(executor(), SteadyClock(), settings, workers_);
+        host_ = HostActor::create(executor(), SteadyClock(), settings, workers);
         rpc::Interfaces interfaces;
         offerHosting(interfaces, executor(), *host_);
         server_ = *rpc::Server::listen(executor(), *Address::parse("127.0.0.1:0"), std::move(interfaces));
@@ -70,7 +74,8 @@
 
     rpc::Loop loop_;
     Resources capacity_ = *Resources::create(4000, 1'000'000, 2);
-    platform::MemoryWorkers workers_ = platform::MemoryWorkers::create(SteadyClock());
+    platform::PlatformStandins standins_ = platform::PlatformStandins::create(SteadyClock());
+    std::unique_ptr<http::Server> platform_;
     std::optional<HostActor> host_;
     std::unique_ptr<rpc::Server> server_;
     std::optional<rpc::Link> link_;
@@ -122,6 +127,18 @@
     BOOST_TEST((run(renewTasks(*link_, deposed)).status().code() == absl::StatusCode::kFailedPrecondition));
 }
 
+BOOST_AUTO_TEST_CASE(lost_reply_of_the_platform_starts_the_task_once)
+{
+    StartOrder start = order("job/0", "sleep 600000");
+    // The launch is the next call to the worker that loses its reply; a report under way may take the place.
+    standins_.workers_.inject(worker, { .repliesToLose_ = 1 });
+    auto outcome = run(startTask(*link_, start));
+    while (!outcome.ok())
+        outcome = run(startTask(*link_, start));
+    BOOST_TEST((*outcome == StartOutcome(Started {})));
+    BOOST_TEST(standins_.workers_.state(worker).committed().milliCores() == 1000);
+}
+
 BOOST_AUTO_TEST_CASE(agent_that_is_gone_was_sent_nothing)
 {
     server_.reset();
