--- a/app/include/persimmondoor/app/Agent.h
+++ b/app/include/persimmondoor/app/Agent.h
@@ -10,6 +10,7 @@
 #include "persimmondoor/hosting/HostActor.h"
 #include "persimmondoor/membership/Announcer.h"
 #include "persimmondoor/rpc/Server.h"
+#include "persimmondoor/settings/Follower.h"
 #include "persimmondoor/settings/Site.h"
 
 #include <memory>
@@ -28,11 +29,13 @@
     boost::asio::awaitable<void> shutDown(Duration limit);
 
 private:
-    Agent(admission::GateActor, hosting::HostActor, membership::Announcer, std::unique_ptr<rpc::Server>);
+    Agent(admission::GateActor, hosting::HostActor, membership::Announcer, settings::SettingsActor, settings::Follower, std::unique_ptr<rpc::Server>);
 
     admission::GateActor gate_;
     hosting::HostActor host_;
     membership::Announcer announcer_;
+    settings::SettingsActor settings_;
+    settings::Follower follower_;
     std::unique_ptr<rpc::Server> server_;
 };
 
--- a/bench/capacity/SystemSlopes.cpp
+++ b/bench/capacity/SystemSlopes.cpp
@@ -20,7 +20,7 @@
 static settings::Site siteOf(int workers)
 {
     const Address any = *Address::parse("127.0.0.1:0");
-    settings::Site site { "capacity", any, {}, {}, {} };
+    settings::Site site { "capacity", any, {}, {}, {}, {} };
     for (int index = 0; index < entryCount; ++index)
         site.entries_.push_back({ ProcessName::of(concat("entry-", index)), FailureDomainName::of("domain-0"), any, any, any });
     Resources resources = *Resources::create(64'000, 250'000'000'000, 1);
@@ -32,7 +32,10 @@
     }
     settings::TeamSettings team;
     team.team_ = TeamName::of("lankacell");
-    team.services_.push_back({ ServiceName::of("packs"), Tier::Paying, std::chrono::seconds(1) });
+    settings::ServiceSettings service;
+    service.name_ = ServiceName::of("packs");
+    service.tier_ = Tier::Paying;
+    team.services_.push_back(std::move(service));
     site.teams_.push_back(std::move(team));
     return site;
 }
