--- a/admission/src/Codec.cpp
+++ b/admission/src/Codec.cpp
@@ -6,6 +6,10 @@
 
 namespace persimmondoor::admission {
 
+// Header fields of one message; a longer list is left out. A list of empty items takes no space in a message, so its
+// size bounds nothing.
+static constexpr unsigned maximumHeaders = 1'000;
+
 static void encodeHeaders(const std::vector<HeaderField>& headers, capnp::List<wire::Header>::Builder wire)
 {
     for (unsigned index = 0; index < wire.size(); ++index) {
@@ -17,6 +21,8 @@
 static std::vector<HeaderField> decodeHeaders(capnp::List<wire::Header>::Reader wire)
 {
     std::vector<HeaderField> headers;
+    if (wire.size() > maximumHeaders)
+        return headers;
     for (auto field : wire)
         headers.push_back({ field.getName().cStr(), field.getValue().cStr() });
     return headers;
--- a/app/src/Operators.cpp
+++ b/app/src/Operators.cpp
@@ -82,6 +82,7 @@
         Directory::Message message = co_await mailbox.receive();
         if (const auto* ask = std::get_if<Directory::Ask>(&message)) {
             std::vector<membership::Announcement> list;
+            list.reserve(workers.size());
             for (const auto& worker : workers)
                 list.push_back(worker.second);
             ask->reply_.send(std::move(list));
--- a/app/src/ctl/Ctl.cpp
+++ b/app/src/ctl/Ctl.cpp
@@ -37,7 +37,7 @@
 std::string Invocation::flag(const std::string& name, std::string fallback) const
 {
     auto found = flags_.find(name);
-    return found == flags_.end() ? std::move(fallback) : found->second;
+    return found == flags_.end() ? fallback : found->second;
 }
 
 std::optional<std::string> Invocation::word(size_t index) const
--- a/app/src/ctl/Output.cpp
+++ b/app/src/ctl/Output.cpp
@@ -127,11 +127,13 @@
     if (error || !list || !list->is_array())
         co_return fail("the entry's answer is not understood", "check that the entry runs the same version as this program", Failure);
     std::vector<std::string> heading;
+    heading.reserve(columns.size());
     for (const auto& column : columns)
         heading.push_back(column.first);
     Rows rows;
     for (const json::value& item : list->get_array()) {
         std::vector<std::string> row;
+        row.reserve(columns.size());
         for (const auto& column : columns)
             row.push_back(textOf(item, column.second));
         rows.push_back(std::move(row));
--- a/membership/src/Codec.cpp
+++ b/membership/src/Codec.cpp
@@ -4,6 +4,9 @@
 
 namespace persimmondoor::membership {
 
+// Endpoints of one announcement. A list of empty items takes no space in a message, so its size bounds nothing.
+static constexpr unsigned maximumEndpoints = 1'000;
+
 void encode(const Announcement& announcement, wire::Announcement::Builder wire)
 {
     wire.setWorker(announcement.worker_.value());
@@ -47,6 +50,8 @@
             return status;
     }
     Announcement announcement { *worker, *domain, *rack, Incarnation(wire.getIncarnation()), Sequence(wire.getSequence()), *address, {}, wire.getLeaving() };
+    if (wire.getEndpoints().size() > maximumEndpoints)
+        return absl::InvalidArgumentError("too many endpoints");
     for (auto item : wire.getEndpoints()) {
         auto offer = decodeOffer(item);
         if (!offer.ok())
--- a/settings/src/Codec.cpp
+++ b/settings/src/Codec.cpp
@@ -4,6 +4,9 @@
 
 namespace persimmondoor::settings {
 
+// Items of a list in a message. A list of empty items takes no space in a message, so its size bounds nothing.
+static constexpr unsigned maximumItems = 1'000;
+
 void encode(const Subtree& subtree, wire::Subtree::Builder wire)
 {
     wire.setName(subtree.name_.value());
@@ -39,6 +42,8 @@
 
 absl::StatusOr<std::vector<Subtree>> decode(capnp::List<wire::Subtree>::Reader wire)
 {
+    if (wire.size() > maximumItems)
+        return absl::InvalidArgumentError("too many subtrees");
     std::vector<Subtree> subtrees;
     for (auto item : wire) {
         auto subtree = decode(item);
@@ -52,6 +57,8 @@
 std::map<SubtreeName, Revision> decode(capnp::List<wire::KnownRevision>::Reader wire)
 {
     std::map<SubtreeName, Revision> known;
+    if (wire.size() > maximumItems)
+        return known;
     for (auto item : wire) {
         auto name = SubtreeName::create(item.getName().cStr());
         if (name.ok())
--- a/settings/src/Codec.h
+++ b/settings/src/Codec.h
@@ -16,7 +16,7 @@
 // Returns the fault of the first subtree that has one.
 absl::StatusOr<std::vector<Subtree>> decode(capnp::List<wire::Subtree>::Reader);
 
-// Leaves out what has no valid name.
+// Leaves out what has no valid name, and all of a list that is too long.
 std::map<SubtreeName, Revision> decode(capnp::List<wire::KnownRevision>::Reader);
 
 } // namespace persimmondoor::settings
