--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -3,6 +3,7 @@
 #include "Operators.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
+#include "persimmondoor/platform/PlatformClients.h"
 #include "persimmondoor/routing/HTTPFront.h"
 
 namespace persimmondoor::app {
@@ -45,7 +46,9 @@
     });
     auto entry = std::unique_ptr<Entry>(new Entry(self, router, view, operators.settings(), operators.burn()));
 
-    auto callers = http::Server::listen(executor, self.http_, callersLimits(), burn::observe(routing::makeHTTPFront(self.name_, router), operators.burn()));
+    routing::ClaimsActor claims(executor, clock, platform::connectPlatform(executor, site.platform_).table_);
+    http::Handler front = burn::observe(routing::makeHTTPFront(self.name_, router, claims), operators.burn());
+    auto callers = http::Server::listen(executor, self.http_, callersLimits(), std::move(front));
     auto api = http::Server::listen(executor, self.operators_, {}, operators.routes().handler());
     rpc::Interfaces interfaces;
     membership::offerMembership(interfaces, executor, view, operators.hints());
