--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -4,7 +4,6 @@
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/platform/PlatformClients.h"
-#include "persimmondoor/routing/EndpointsRoute.h"
 #include "persimmondoor/routing/HTTPFront.h"
 
 namespace persimmondoor::app {
@@ -59,7 +58,8 @@
     auto entry = std::unique_ptr<Entry>(new Entry(self, router, view, operators.settings(), operators.burn()));
 
     routing::ClaimsActor claims(executor, clock, platform::connectPlatform(executor, site.platform_).table_);
-    auto callers = http::Server::listen(executor, self.http_, callersLimits(), burn::observe(routing::makeHTTPFront(self.name_, router, claims), operators.burn()));
+    http::Handler front = burn::observe(routing::makeHTTPFront(self.name_, router, claims), operators.burn());
+    auto callers = http::Server::listen(executor, self.http_, callersLimits(), std::move(front));
     auto api = http::Server::listen(executor, self.operators_, {}, operators.routes().handler());
     rpc::Interfaces interfaces;
     membership::offerMembership(interfaces, view, operators.hints());
