--- a/bench/settings/main.cpp
+++ b/bench/settings/main.cpp
@@ -114,7 +114,7 @@
     settings::SettingsActor entry(executor, SteadyClock(), [](const settings::InForce&, settings::Digest) {});
     membership::ViewActor view(executor, SteadyClock(), [](membership::ViewAction) -> asio::awaitable<void> { co_return; });
     rpc::Interfaces interfaces;
-    membership::offerMembership(interfaces, executor, view, [entry](settings::Heard heard) { return entry.heard(std::move(heard)); });
+    membership::offerMembership(interfaces, view, [entry](settings::Heard heard) { return entry.heard(std::move(heard)); });
     settings::offerSettings(interfaces, executor, entry);
     auto server = rpc::Server::listen(executor, *Address::parse("127.0.0.1:0"), std::move(interfaces));
     std::vector<Agent> started;
--- a/fuzz/MessagesTarget.cpp
+++ b/fuzz/MessagesTarget.cpp
@@ -16,7 +16,7 @@
         (void)membership::decode(message.getRoot<membership::wire::Announcement>());
         break;
     case 1:
-        (void)membership::decodeHint(message.getRoot<membership::wire::AnnounceAnswer>());
+        (void)membership::decode(message.getRoot<membership::wire::Answer>());
         break;
     case 2:
         (void)admission::decode(message.getRoot<admission::wire::Request>());
