--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -1,5 +1,6 @@
 #include "persimmondoor/app/Agent.h"
 
+#include "Hosting.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 
@@ -10,9 +11,16 @@
 // Time between the end of the last request and the end of the connections to the entries.
 static constexpr Duration lastAnswersGrace = std::chrono::milliseconds(300);
 
-Agent::Agent(admission::GateActor gate, membership::Announcer announcer, std::unique_ptr<rpc::Server> server)
+// Digests that wait to be announced; if more come at once, the last ones are announced with the next change.
+static constexpr size_t digestCapacity = 1024;
+
+Agent::Agent(admission::GateActor gate, hosting::HostActor host, membership::Announcer announcer, settings::SettingsActor settings, settings::Follower follower,
+    std::unique_ptr<rpc::Server> server)
     : gate_(std::move(gate))
+    , host_(std::move(host))
     , announcer_(std::move(announcer))
+    , settings_(std::move(settings))
+    , follower_(std::move(follower))
     , server_(std::move(server))
 {
 }
@@ -25,32 +33,46 @@
     return endpoints;
 }
 
-static membership::Announcement firstAnnouncement(const settings::WorkerSite& self, const Address& address)
+static membership::Announcement firstAnnouncement(const settings::WorkerSite& self, Incarnation incarnation, const Address& address)
 {
     std::vector<membership::EndpointOffer> offers;
     for (const settings::EndpointSite& endpoint : self.endpoints_)
         offers.push_back({ endpoint.name_, endpoint.service_, endpoint.team_, endpoint.slots_, endpoint.connections_ });
-    // Hosts keep nothing, so the time of the start numbers the lives of an agent.
-    Incarnation incarnation(static_cast<uint64_t>(wallMilliseconds()));
     return { self.name_, self.domain_, self.rack_, incarnation, Sequence(1), address, std::move(offers), false };
 }
 
+static asio::awaitable<void> reportDigests(Mailbox<settings::Digest> digests, membership::Announcer announcer)
+{
+    for (;;)
+        announcer.report(co_await digests.receive());
+}
+
 absl::StatusOr<std::unique_ptr<Agent>> Agent::start(const asio::any_io_executor& executor, const settings::Site& site, const settings::WorkerSite& self)
 {
     auto gate = admission::GateActor::create(executor, SteadyClock(), localEndpoints(self));
     if (!gate.ok())
         return gate.status();
+    // Hosts keep nothing, so the time of the start numbers the lives of an agent.
+    Incarnation incarnation(static_cast<uint64_t>(wallMilliseconds()));
     rpc::Interfaces interfaces;
     admission::offerAdmission(interfaces, executor, *gate);
+    auto host = startHosting(executor, self, incarnation, platform::connectPlatform(executor, site.platform_), interfaces);
+    // The announcer starts after the server and the settings before it, so the digest finds its way by a mailbox.
+    Mailbox<settings::Digest> digests(executor, digestCapacity);
+    settings::SettingsActor tree(executor, SteadyClock(), [digests](const settings::InForce&, settings::Digest digest) { digests.tryPost(digest); });
+    settings::offerSettings(interfaces, executor, tree);
     auto server = rpc::Server::listen(executor, self.rpc_, std::move(interfaces));
     if (!server.ok())
         return server.status();
     std::vector<Address> entries;
     for (const settings::EntrySite& entry : site.entries_)
         entries.push_back(entry.rpc_);
-    membership::Announcer announcer(executor, entries, firstAnnouncement(self, (*server)->address()));
+    settings::Follower follower(executor, tree);
+    membership::Announcer announcer(executor, entries, firstAnnouncement(self, incarnation, (*server)->address()),
+        [follower](const Address& entry, const settings::Hint& hint) { follower.hint(entry, hint); });
+    spawn(executor, "settings digests", reportDigests(digests, announcer));
     logInfo("agent.started", { { "worker", self.name_.value() }, { "rpc", (*server)->address().text() } });
-    return std::unique_ptr<Agent>(new Agent(*std::move(gate), std::move(announcer), *std::move(server)));
+    return std::unique_ptr<Agent>(new Agent(*std::move(gate), std::move(host), std::move(announcer), std::move(tree), std::move(follower), *std::move(server)));
 }
 
 asio::awaitable<void> Agent::shutDown(Duration limit)
@@ -59,9 +81,14 @@
     size_t left = co_await gate_.drain(limit);
     // The last answers are still on their way to the entries.
     co_await sleepFor(lastAnswersGrace);
+    // Tasks run on under their leases while the agent is replaced.
+    co_await host_.drain();
     logInfo("agent.stopped", { { "requests_cut_off", std::to_string(left) } });
     server_->close();
     announcer_.stop();
+    host_.end();
+    follower_.stop();
+    settings_.stop();
     gate_.stop();
 }
 
--- a/membership/include/persimmondoor/membership/ViewActor.h
+++ b/membership/include/persimmondoor/membership/ViewActor.h
@@ -9,6 +9,7 @@
 #include "persimmondoor/core/Mailbox.h"
 #include "persimmondoor/membership/View.h"
 #include "persimmondoor/rpc/Server.h"
+#include "persimmondoor/settings/Distribution.h"
 
 #include <functional>
 
@@ -23,6 +24,10 @@
     bool isKnown_ { false };
     /// Time until the next keepalive.
     Duration interval_ { 0 };
+    /// Where the agent listens, as it announced; empty if it is not known.
+    Address agent_;
+    /// Where newer settings can be had.
+    settings::Hint settings_;
     auto operator<=>(const ViewAnswer&) const = default;
 };
 
@@ -70,8 +75,12 @@
     Mailbox<Message> mailbox_;
 };
 
+/// Says where the sender of a message gets newer settings from.
+using HintSource = std::function<boost::asio::awaitable<settings::Hint>(settings::Heard)>;
+
 /// Offers the view to agents and other entries under the name "membership".
-void offerMembership(rpc::Interfaces&, ViewActor);
+/// \param hints answers for the settings; without it every agent is told that its settings are up to date.
+void offerMembership(rpc::Interfaces&, ViewActor, HintSource hints = {});
 
 /// Has a cold entry learn the members, with their tombstones, from its peers: each is asked until it has answered once.
 void learnFromPeers(ViewActor, const std::vector<Address>& peers);
--- a/membership/src/Announcer.cpp
+++ b/membership/src/Announcer.cpp
@@ -15,18 +15,19 @@
 static constexpr size_t mailboxCapacity = 16;
 static constexpr Duration announceTimeout = std::chrono::seconds(1);
 
-static asio::awaitable<absl::StatusOr<ViewAnswer>> announceTo(rpc::Link link, Announcement announcement)
+static asio::awaitable<absl::StatusOr<ViewAnswer>> announceTo(rpc::Link link, Announcement announcement, settings::Digest digest)
 {
     auto found = co_await link.find("membership");
     if (!found.ok())
         co_return found.status();
     auto request = found->castAs<wire::Membership>().announceRequest();
     encode(announcement, request.initAnnouncement());
+    request.setSettingsDigest(digest);
     co_return co_await rpc::call(
         request.send(), [](auto& response) { return decode(response.getAnswer()); }, announceTimeout);
 }
 
-static asio::awaitable<absl::StatusOr<ViewAnswer>> keepAlive(rpc::Link link, KeptAlive message)
+static asio::awaitable<absl::StatusOr<ViewAnswer>> keepAlive(rpc::Link link, KeptAlive message, settings::Digest digest)
 {
     auto found = co_await link.find("membership");
     if (!found.ok())
@@ -35,6 +36,7 @@
     request.setWorker(message.worker_.value());
     request.setIncarnation(message.incarnation_.value());
     request.setSequence(message.sequence_.value());
+    request.setSettingsDigest(digest);
     co_return co_await rpc::call(
         request.send(), [](auto& response) { return decode(response.getAnswer()); }, announceTimeout);
 }
@@ -51,9 +53,10 @@
     // Keeps one entry told of the worker.
     class EntryTeller {
     public:
-        EntryTeller(rpc::Link link, Announcement announcement)
+        EntryTeller(rpc::Link link, Announcement announcement, HintListener listener)
             : link_(std::move(link))
             , announcement_(std::move(announcement))
+            , listener_(std::move(listener))
         {
         }
 
@@ -69,14 +72,21 @@
                 Announcer::Message message = co_await mailbox.receive();
                 isDue = std::holds_alternative<Announcer::Due>(message);
                 if (!isDue) {
-                    announcement_.leaving_ = true;
-                    isKnown_ = false;
+                    std::visit([&](const auto& alternative) { self->take(alternative); }, message);
                     co_await self->tell();
                 }
             }
         }
 
     private:
+        void take(const Announcer::Due&) { }
+        void take(const Announcer::Report& message) { digest_ = message.digest_; }
+        void take(const Announcer::Leave&)
+        {
+            announcement_.leaving_ = true;
+            isKnown_ = false;
+        }
+
         // Tells the entry what it lacks and returns the time until the next message.
         asio::awaitable<Duration> tell()
         {
@@ -86,14 +96,16 @@
             KeptAlive keptAlive { announcement_.worker_, announcement_.incarnation_, announcement_.sequence_ };
             absl::StatusOr<ViewAnswer> answer = absl::UnknownError("");
             if (isKnown_)
-                answer = co_await keepAlive(link_, std::move(keptAlive));
+                answer = co_await keepAlive(link_, std::move(keptAlive), digest_);
             else
-                answer = co_await announceTo(link_, announcement_);
+                answer = co_await announceTo(link_, announcement_, digest_);
             if (!answer.ok()) {
                 logDebug("membership.entry_unreachable", { { "entry", link_.address().text() }, { "error", std::string(answer.status().message()) } });
                 isKnown_ = false;
                 co_return announceRetryInterval;
             }
+            if (listener_)
+                listener_(link_.address(), answer->settings_);
             bool asksForAll = isKnown_ && !answer->isKnown_;
             isKnown_ = answer->isKnown_;
             co_return asksForAll ? Duration(0) : std::max(answer->interval_, announceRetryInterval);
@@ -101,6 +113,8 @@
 
         rpc::Link link_;
         Announcement announcement_;
+        HintListener listener_;
+        settings::Digest digest_ { 0 };
         Clock clock_ = SteadyClock();
         Instant start_ = now(clock_);
         bool isKnown_ { false };
@@ -108,16 +122,22 @@
 
 } // namespace
 
-Announcer::Announcer(const asio::any_io_executor& executor, const std::vector<Address>& entries, const Announcement& announcement)
+Announcer::Announcer(const asio::any_io_executor& executor, const std::vector<Address>& entries, const Announcement& announcement, const HintListener& listener)
 {
     for (const Address& entry : entries) {
         Mailbox<Message> mailbox(executor, mailboxCapacity);
-        auto teller = std::make_shared<EntryTeller>(rpc::Link(executor, entry), announcement);
+        auto teller = std::make_shared<EntryTeller>(rpc::Link(executor, entry), announcement, listener);
         spawn(executor, "announcer", teller->run(teller, mailbox));
         mailboxes_.push_back(std::move(mailbox));
     }
 }
 
+void Announcer::report(settings::Digest digest) const
+{
+    for (const Mailbox<Message>& mailbox : mailboxes_)
+        mailbox.tryPost(Report { digest });
+}
+
 void Announcer::leave() const
 {
     for (const Mailbox<Message>& mailbox : mailboxes_)
