Run jobs from the command line to a worker and back

Cause: partitions were decided but not run. Change: each entry and agent owns partitions and offers the interface jobs; entries serve /v1/jobs and /v1/domains; ctl has the verbs job and domain; local tells its processes where workers listen. An agent in a process of its own now gets the whole site file, as it may own partitions. Temporaries with braces inside co_await expressions crashed the compiled coroutines (GCC 12 destroys them twice); they are named variables now. Check: app/tests/jobs_separate_processes.sh passes: completed, refused, drained, restored and cancelled.

--- a/app/include/persimmondoor/app/Agent.h
+++ b/app/include/persimmondoor/app/Agent.h
@@ -17,6 +17,8 @@
 
 namespace persimmondoor::app {
 
+class JobsPart;
+
 class Agent {
 public:
     /// Starts the agent's actors and server.
@@ -25,6 +27,8 @@
 
     /// Where the agent listens in fact.
     Address address() const { return server_->address(); }
+    /// Where the workers listen in fact, for job partitions that this process owns.
+    void learnWorkers(const settings::Site&);
     /// Announces that the worker leaves, refuses new requests and waits for those in flight for at most `limit`.
     boost::asio::awaitable<void> shutDown(Duration limit);
 
@@ -37,6 +41,7 @@
     settings::SettingsActor settings_;
     settings::Follower follower_;
     std::unique_ptr<rpc::Server> server_;
+    std::shared_ptr<JobsPart> jobs_;
 };
 
 } // namespace persimmondoor::app
--- a/app/include/persimmondoor/app/Entry.h
+++ b/app/include/persimmondoor/app/Entry.h
@@ -18,6 +18,8 @@
 
 namespace persimmondoor::app {
 
+class JobsPart;
+
 class Entry {
 public:
     /// Starts the entry's actors and servers.
@@ -26,6 +28,8 @@
 
     /// Where the entry listens in fact, after ports 0 were resolved.
     settings::EntrySite site() const { return site_; }
+    /// Where the workers listen in fact, for job partitions that this process owns.
+    void learnWorkers(const settings::Site&);
     /// Stops listening, finishes what is in flight for at most `limit` and ends.
     /// \return the number of requests cut off.
     boost::asio::awaitable<size_t> shutDown(Duration limit);
@@ -41,6 +45,7 @@
     std::unique_ptr<http::Server> callers_;
     std::unique_ptr<http::Server> operators_;
     std::unique_ptr<rpc::Server> peers_;
+    std::shared_ptr<JobsPart> jobs_;
 };
 
 } // namespace persimmondoor::app
--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/app/Agent.h"
 
 #include "Hosting.h"
+#include "Jobs.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 
@@ -58,6 +59,8 @@
     Mailbox<settings::Digest> digests(executor, digestCapacity);
     settings::SettingsActor tree(executor, SteadyClock(), [digests](const settings::InForce&, settings::Digest digest) { digests.tryPost(digest); });
     settings::offerSettings(interfaces, executor, tree);
+    auto jobs = std::make_shared<JobsPart>(JobsPart::create(executor, site));
+    jobs->offer(interfaces);
     auto server = rpc::Server::listen(executor, self.rpc_, std::move(interfaces));
     if (!server.ok())
         return server.status();
@@ -69,11 +72,20 @@
         [follower](const Address& entry, const settings::Hint& hint) { follower.hint(entry, hint); });
     spawn(executor, "settings digests", reportDigests(digests, announcer));
     logInfo("agent.started", { { "worker", self.name_.value() }, { "rpc", (*server)->address().text() } });
-    return std::unique_ptr<Agent>(new Agent(*std::move(gate), std::move(host), std::move(announcer), std::move(tree), std::move(follower), *std::move(server)));
+    jobs->own(ProcessName::of(self.name_.value()), (*server)->address());
+    auto agent = std::unique_ptr<Agent>(new Agent(*std::move(gate), std::move(host), std::move(announcer), std::move(tree), std::move(follower), *std::move(server)));
+    agent->jobs_ = std::move(jobs);
+    return agent;
+}
+
+void Agent::learnWorkers(const settings::Site& site)
+{
+    jobs_->learnWorkers(site);
 }
 
 asio::awaitable<void> Agent::shutDown(Duration limit)
 {
+    co_await jobs_->shutDown();
     announcer_.leave();
     size_t left = co_await gate_.drain(limit);
     // Tasks run on under their leases while the agent is replaced.
--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -1,5 +1,6 @@
 #include "persimmondoor/app/Entry.h"
 
+#include "Jobs.h"
 #include "Operators.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
@@ -45,11 +46,15 @@
     });
     auto entry = std::unique_ptr<Entry>(new Entry(self, router, view, operators.settings(), operators.burn()));
 
+    entry->jobs_ = std::make_shared<JobsPart>(JobsPart::create(executor, site));
+    http::Routes routes = operators.routes();
+    entry->jobs_->offer(routes);
     auto callers = http::Server::listen(executor, self.http_, callersLimits(), burn::observe(routing::makeHTTPFront(self.name_, router), operators.burn()));
-    auto api = http::Server::listen(executor, self.operators_, {}, operators.routes().handler());
+    auto api = http::Server::listen(executor, self.operators_, {}, routes.handler());
     rpc::Interfaces interfaces;
     membership::offerMembership(interfaces, executor, view, operators.hints());
     settings::offerSettings(interfaces, executor, operators.settings());
+    entry->jobs_->offer(interfaces);
     auto peers = rpc::Server::listen(executor, self.rpc_, std::move(interfaces));
     for (const absl::Status& status : { callers.status(), api.status(), peers.status() }) {
         if (!status.ok())
@@ -61,13 +66,20 @@
     entry->site_.http_ = entry->callers_->address();
     entry->site_.operators_ = entry->operators_->address();
     entry->site_.rpc_ = entry->peers_->address();
+    entry->jobs_->own(self.name_, entry->site_.rpc_);
     logInfo("entry.started", { { "name", self.name_.value() }, { "http", entry->site_.http_.text() } });
     return entry;
 }
 
+void Entry::learnWorkers(const settings::Site& site)
+{
+    jobs_->learnWorkers(site);
+}
+
 asio::awaitable<size_t> Entry::shutDown(Duration limit)
 {
     callers_->stopAccepting();
+    co_await jobs_->shutDown();
     Clock clock = SteadyClock();
     Instant end = now(clock) + limit;
     while (callers_->inFlight() > 0 && now(clock) < end)
--- /dev/null
+++ b/app/src/Jobs.cpp
@@ -0,0 +1,87 @@
+#include "Jobs.h"
+
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
+
+namespace persimmondoor::app {
+
+namespace asio = boost::asio;
+
+// Longest wait for partitions to be given back; after it their leases lapse.
+static constexpr Duration giveBackLimit = std::chrono::seconds(3);
+
+JobsPart::JobsPart(asio::any_io_executor executor, platform::TableClient table, jobs::JobsActor jobs, jobs::JobsFront front, uint32_t candidates)
+    : executor_(std::move(executor))
+    , table_(std::move(table))
+    , jobs_(std::move(jobs))
+    , front_(std::move(front))
+    , candidates_(candidates)
+{
+}
+
+static std::vector<jobs::WorkerAddress> workersOf(const settings::Site& site)
+{
+    std::vector<jobs::WorkerAddress> workers;
+    for (const settings::WorkerSite& worker : site.workers_)
+        workers.push_back({ { { worker.name_, worker.rack_, worker.domain_ }, worker.resources_ }, worker.rpc_ });
+    return workers;
+}
+
+void JobsPart::learnWorkers(const settings::Site& site) const
+{
+    jobs_.setWorkers(workersOf(site));
+}
+
+JobsPart JobsPart::create(const asio::any_io_executor& executor, const settings::Site& site)
+{
+    platform::HTTPPool pool = platform::HTTPPool::create(executor, site.platform_);
+    platform::TableClient table = platform::HTTPTable(pool);
+    jobs::JobsEnvironment environment { table, platform::HTTPObjects(pool), {}, workersOf(site) };
+    for (const settings::TeamSettings& team : site.teams_)
+        environment.quotas_.emplace(team.team_, team.quota_);
+    std::set<FailureDomainName> domains;
+    for (const settings::WorkerSite& worker : site.workers_)
+        domains.insert(worker.domain_);
+    auto candidates = static_cast<uint32_t>(site.entries_.size() + site.workers_.size());
+    jobs::JobsActor jobs = jobs::JobsActor::create(executor, SteadyClock(), std::move(environment));
+    jobs::JobsFront front(executor, table, jobs, leases::defaultPartitionCount, std::move(domains));
+    return { executor, std::move(table), std::move(jobs), std::move(front), candidates };
+}
+
+void JobsPart::offer(rpc::Interfaces& interfaces) const
+{
+    jobs::offerJobs(interfaces, executor_, jobs_);
+}
+
+void JobsPart::own(const ProcessName& process, const Address& address)
+{
+    leases::OwnershipSettings settings;
+    settings.process_ = process;
+    // Hosts keep nothing, so the time of the start numbers the lives of a process.
+    settings.incarnation_ = Incarnation(static_cast<uint64_t>(wallMilliseconds()));
+    settings.address_ = address;
+    settings.candidates_ = std::max(candidates_, 1U);
+    jobs::JobsActor jobs = jobs_;
+    auto ownership = leases::OwnershipActor::create(executor_, SteadyClock(), table_, settings, [jobs](const leases::OwnershipChange& change) { jobs.learn(change); });
+    assertInvariant(ownership.ok(), "the default settings of ownership are valid");
+    ownership_ = *std::move(ownership);
+}
+
+static asio::awaitable<absl::StatusOr<bool>> giveBack(leases::OwnershipActor ownership)
+{
+    co_await ownership.giveBack();
+    co_return true;
+}
+
+asio::awaitable<void> JobsPart::shutDown()
+{
+    if (ownership_) {
+        auto given = co_await withTimeout(giveBack(*ownership_), giveBackLimit);
+        if (!given.ok())
+            logWarning("jobs.partitions_not_given_back", { { "error", std::string(given.status().message()) } });
+        ownership_->stop();
+    }
+    jobs_.stop();
+}
+
+} // namespace persimmondoor::app
--- a/app/src/Main.cpp
+++ b/app/src/Main.cpp
@@ -89,7 +89,15 @@
     settings::Site site = daemon.standins_->site();
     if (absl::Status status = startEntries(daemon, executor, site); !status.ok())
         return status;
-    return startAgents(daemon, executor, site);
+    if (absl::Status status = startAgents(daemon, executor, site); !status.ok())
+        return status;
+    for (size_t index = 0; index < site.workers_.size(); ++index)
+        site.workers_[index].rpc_ = daemon.agents_[index]->address();
+    for (auto& entry : daemon.entries_)
+        entry->learnWorkers(site);
+    for (auto& agent : daemon.agents_)
+        agent->learnWorkers(site);
+    return absl::OkStatus();
 }
 
 template <typename Items>
@@ -117,8 +125,11 @@
     auto self = findByName(site.workers_, options.name_);
     if (self == site.workers_.end())
         return absl::InvalidArgumentError(concat("no worker named '", options.name_, "' in the site file"));
-    site.workers_ = { *self };
-    return startAgents(daemon, executor, site);
+    auto agent = Agent::start(executor, site, *self);
+    if (!agent.ok())
+        return agent.status();
+    daemon.agents_.push_back(*std::move(agent));
+    return absl::OkStatus();
 }
 
 static absl::Status startStandins(Daemon& daemon, const asio::any_io_executor& executor, const DaemonOptions& options)
--- a/app/src/ctl/Ctl.cpp
+++ b/app/src/ctl/Ctl.cpp
@@ -28,6 +28,8 @@
         makeTeamsVerb(),
         makeQuotaVerb(),
         makeSettingsVerb(),
+        makeJobVerb(),
+        makeDomainVerb(),
         makeReportVerb(),
         makeCompletionVerb(),
     };
--- a/app/src/ctl/Ctl.h
+++ b/app/src/ctl/Ctl.h
@@ -61,6 +61,8 @@
 Verb makeTeamsVerb();
 Verb makeQuotaVerb();
 Verb makeSettingsVerb();
+Verb makeJobVerb();
+Verb makeDomainVerb();
 Verb makeReportVerb();
 Verb makeCompletionVerb();
 
--- /dev/null
+++ b/app/tests/jobs_separate_processes.sh
@@ -0,0 +1,93 @@
+#!/usr/bin/env bash
+# Runs a batch job through `persimmondoor ctl` against separate processes: submitted at one entry, completed on agents,
+# seen and explained at the other; repeated, refused and cancelled submissions; a failure domain drained and restored,
+# with two operators that race each other.
+# Usage: jobs_separate_processes.sh DIRECTORY_OF_PROGRAMS
+set -euo pipefail
+programs=$1
+work=$(mktemp -d)
+ip="127.$((1 + $$ / 250 % 250)).$((1 + $$ % 250)).2"
+pids=()
+trap 'kill -KILL "${pids[@]}" 2>/dev/null || true; rm -rf "$work"' EXIT
+
+worker() {
+  echo "{ \"name\": \"worker-$1\", \"domain\": \"domain-$2\", \"rack\": \"rack-1\", \"cores\": 4, \"memory_gb\": 16, \"accelerators\": 0, \"rpc\": \"$ip:730$1\", \"endpoints\": [] }"
+}
+entry() {
+  echo "{ \"name\": \"entry-$1\", \"domain\": \"domain-$2\", \"http\": \"$ip:710$1\", \"operators\": \"$ip:715$1\", \"rpc\": \"$ip:720$1\" }"
+}
+cat > "$work/site.json" <<JSON
+{ "cell": "test", "platform": "$ip:7000",
+  "entries": [ $(entry 1 a), $(entry 2 b) ],
+  "workers": [ $(worker 1 a), $(worker 2 b), $(worker 3 c) ],
+  "teams": { "lankacell": { "services": {}, "quota": { "cores": 100, "memory_gb": 100, "accelerators": 0 } } } }
+JSON
+
+start() {
+  local log="$work/$1"
+  shift
+  "$@" --settings "$work/site.json" > "$log.out" 2> "$log.err" &
+  pids+=($!)
+  for _ in $(seq 200); do
+    grep -q '"ready":true' "$log.out" && return
+    sleep 0.05
+  done
+  echo "not ready: $*"; cat "$log.err"; exit 1
+}
+ctl() { # ENTRY WORDS...
+  local number=$1
+  shift
+  "$programs/persimmondoor" ctl "$@" --entry "$ip:715$number"
+}
+# Repeats a check for at most 60 s.
+eventually() {
+  for _ in $(seq ${RETRIES:-120}); do
+    "$@" > "$work/last" 2>&1 && return
+    sleep 0.5
+  done
+  echo "never held: $*"; cat "$work/last"; tail -n 5 "$work"/*.err; exit 1
+}
+
+start standin "$programs/platform-standin"
+for number in 1 2; do start "entry-$number" "$programs/persimmondoor" entry --name "entry-$number"; done
+for number in 1 2 3; do start "agent-$number" "$programs/persimmondoor" agent --name "worker-$number"; done
+
+echo '{ "id": "rebuild-7", "team": "lankacell", "command": "sleep 200", "cores": 1, "memory_gb": 1, "tasks": 5, "tier": "paying" }' > "$work/job.json"
+eventually ctl 1 job submit "$work/job.json"
+# A repeated submission is the same job; another job under its id is refused.
+ctl 2 job submit "$work/job.json"
+sed 's/sleep 200/sleep 300/' "$work/job.json" > "$work/other.json"
+! ctl 2 job submit "$work/other.json" 2> /dev/null
+
+finished() { ctl 2 job show lankacell:rebuild-7 --json | grep -q '"phases":{"finished":5}'; }
+eventually finished
+ctl 1 job explain lankacell:rebuild-7 | grep -q 'finished with exit code 0'
+ctl 1 job list | grep -q 'lankacell:rebuild-7'
+
+echo '{ "id": "too-large", "team": "lankacell", "command": "sleep 1", "cores": 64, "memory_gb": 1 }' > "$work/large.json"
+ctl 1 job submit "$work/large.json"
+unplaceable() { ctl 1 job show lankacell:too-large --json | grep -q '"unplaceable":1'; }
+eventually unplaceable
+
+echo '{ "id": "watch", "team": "lankacell", "command": "sleep 600000", "cores": 1, "memory_gb": 1, "tasks": 3, "spread": { "level": "domain", "maximum": 1 } }' > "$work/watch.json"
+ctl 1 job submit "$work/watch.json"
+running() { ctl 1 job show lankacell:watch --json | grep -q '"running":3'; }
+eventually running
+
+# The version that both operators have seen is 0, as the domain has no row yet: one of them wins.
+ctl 1 domain drain domain-a --version 0
+if ctl 2 domain drain domain-a --version 0 2> "$work/conflict"; then echo "the second operator was not told"; exit 1; fi
+left() { ! ctl 1 job show lankacell:watch --json | grep -q '"worker":"worker-1"'; }
+eventually left
+ctl 2 domain status | grep domain-a | grep -q drained
+ctl 2 domain restore domain-a
+eventually running
+
+ctl 2 job cancel lankacell:watch
+cancelled() { ctl 1 job show lankacell:watch --json | grep -q '"phases":{"cancelled":3}'; }
+eventually cancelled
+
+kill -TERM "${pids[@]}"
+for pid in "${pids[@]}"; do wait "$pid"; done
+pids=()
+echo "jobs in separate processes: completed, refused, drained, restored and cancelled"
--- a/jobs/include/persimmondoor/jobs/JobsActor.h
+++ b/jobs/include/persimmondoor/jobs/JobsActor.h
@@ -55,6 +55,8 @@
     boost::asio::awaitable<JobsAnswer> ask(PartitionNumber partition, JobsRequest request) const;
     /// Other quotas, from the settings.
     void setQuotas(std::map<TeamName, Resources> quotas) const;
+    /// Other workers, or other addresses of them.
+    void setWorkers(std::vector<WorkerAddress> workers) const;
     /// Ends the actor at once.
     void stop() const { mailbox_.close(); }
 
@@ -83,9 +85,12 @@
     struct QuotasSet {
         std::map<TeamName, Resources> quotas_;
     };
+    struct WorkersSet {
+        std::vector<WorkerAddress> workers_;
+    };
     struct Tick {
     };
-    using Message = std::variant<OwnershipChanged, Asked, Recovery, ForOwner, DomainsSeen, QuotasSet, Tick>;
+    using Message = std::variant<OwnershipChanged, Asked, Recovery, ForOwner, DomainsSeen, QuotasSet, WorkersSet, Tick>;
 
 private:
     JobsActor(boost::asio::any_io_executor executor, Mailbox<Message> mailbox)
--- a/jobs/src/Front.cpp
+++ b/jobs/src/Front.cpp
@@ -70,7 +70,8 @@
     std::shared_ptr<State> state = state_;
     std::string reason = "the partition has no owner at present";
     for (int attempt = 0; attempt < searches; ++attempt) {
-        JobsAnswer here = co_await state->jobs_.ask(partition, request);
+        JobsRequest local = request;
+        JobsAnswer here = co_await state->jobs_.ask(partition, std::move(local));
         if (!std::holds_alternative<NotOwner>(here))
             co_return here;
         std::vector<std::string> keys { leases::partitionKey(partition) };
@@ -80,7 +81,8 @@
         auto row = leases::decodePartitionRow(rows->front().value_);
         if (rows->front().version_ != platform::RowVersion() && row.ok() && !row->owner_.empty()) {
             rpc::Link link = state->links_.try_emplace(row->address_, state->executor_, row->address_).first->second;
-            JobsAnswer there = co_await askAt(link, partition, request);
+            JobsRequest remote = request;
+            JobsAnswer there = co_await askAt(link, partition, std::move(remote));
             if (!std::holds_alternative<NotOwner>(there))
                 co_return there;
         }
--- a/jobs/src/HostEffects.cpp
+++ b/jobs/src/HostEffects.cpp
@@ -36,7 +36,8 @@
         if (result->ok())
             offers.offers_.push_back(**std::move(result));
     }
-    co_await postSurely(mailbox, JobsActor::ForOwner { holding.partition_, holding.epoch_, std::move(offers) });
+    JobsActor::Message posted = JobsActor::ForOwner { holding.partition_, holding.epoch_, std::move(offers) };
+    co_await postSurely(mailbox, std::move(posted));
 }
 
 asio::awaitable<void> sendStart(JobsMailbox mailbox, Holding holding, rpc::Link link, SendStart send)
@@ -47,7 +48,8 @@
         std::visit([&](auto& alternative) { answer.outcome_ = std::move(alternative); }, *outcome);
     else if (absl::IsAborted(outcome.status()))
         answer.outcome_ = OrderNotSent {};
-    co_await postSurely(mailbox, JobsActor::ForOwner { holding.partition_, holding.epoch_, std::move(answer) });
+    JobsActor::Message posted = JobsActor::ForOwner { holding.partition_, holding.epoch_, std::move(answer) };
+    co_await postSurely(mailbox, std::move(posted));
 }
 
 asio::awaitable<void> sendStop(JobsMailbox mailbox, Holding holding, rpc::Link link, SendStop send)
@@ -56,7 +58,8 @@
     auto outcome = co_await hosting::stopTask(std::move(link), std::move(send.order_));
     if (outcome.ok())
         answer.outcome_ = *std::move(outcome);
-    co_await postSurely(mailbox, JobsActor::ForOwner { holding.partition_, holding.epoch_, std::move(answer) });
+    JobsActor::Message posted = JobsActor::ForOwner { holding.partition_, holding.epoch_, std::move(answer) };
+    co_await postSurely(mailbox, std::move(posted));
 }
 
 asio::awaitable<void> sendRenewal(JobsMailbox mailbox, Holding holding, rpc::Link link, SendRenewal send)
@@ -66,7 +69,8 @@
     OwnerMessage message = RenewalFailed { send.worker_ };
     if (answer.ok())
         message = RenewalAnswered { send.worker_, send.sentAt_, digest, *std::move(answer) };
-    co_await postSurely(mailbox, JobsActor::ForOwner { holding.partition_, holding.epoch_, std::move(message) });
+    JobsActor::Message posted = JobsActor::ForOwner { holding.partition_, holding.epoch_, std::move(message) };
+    co_await postSurely(mailbox, std::move(posted));
 }
 
 } // namespace persimmondoor::jobs
--- a/jobs/src/JobsActor.cpp
+++ b/jobs/src/JobsActor.cpp
@@ -35,8 +35,7 @@
             , environment_(std::move(environment))
             , mailbox_(std::move(mailbox))
         {
-            for (const WorkerAddress& worker : environment_.workers_)
-                links_.emplace(worker.worker_.site_.worker_, rpc::Link(executor_, worker.address_));
+            linkWorkers();
         }
 
         asio::awaitable<void> run(std::shared_ptr<JobsLoop>)
@@ -48,6 +47,30 @@
         }
 
     private:
+        void linkWorkers()
+        {
+            for (const WorkerAddress& worker : environment_.workers_) {
+                auto link = links_.find(worker.worker_.site_.worker_);
+                if (link == links_.end() || link->second.address() != worker.address_)
+                    links_.insert_or_assign(worker.worker_.site_.worker_, rpc::Link(executor_, worker.address_));
+            }
+        }
+
+        WorkersListed listWorkers() const
+        {
+            WorkersListed list;
+            for (const WorkerAddress& worker : environment_.workers_)
+                list.workers_.push_back(worker.worker_);
+            return list;
+        }
+
+        void handle(JobsActor::WorkersSet& message)
+        {
+            environment_.workers_ = std::move(message.workers_);
+            linkWorkers();
+            tellAll(listWorkers());
+        }
+
         void handle(JobsActor::OwnershipChanged& message)
         {
             std::visit(Visitor {
@@ -85,11 +108,7 @@
                 { { "partition", std::to_string(message.partition_.value()) }, { "live_tasks", std::to_string(message.recovered_.ledger_.liveTasks()) } });
             OwnerIdentity identity { message.partition_, message.epoch_, message.recovered_.next_, message.recovered_.batches_, partition->horizon_ };
             partition->owner_ = Owner::create(identity, std::move(message.recovered_.ledger_), now(clock_));
-            std::vector<KnownWorker> workers;
-            workers.reserve(environment_.workers_.size());
-            for (const WorkerAddress& worker : environment_.workers_)
-                workers.push_back(worker.worker_);
-            tell(*partition, WorkersListed { std::move(workers) });
+            tell(*partition, listWorkers());
             tell(*partition, QuotasChanged { environment_.quotas_ });
             tell(*partition, DomainsRead { domains_ });
             tell(*partition, HorizonExtended { horizonUntil_ });
@@ -255,7 +274,8 @@
         static asio::awaitable<void> tick(JobsMailbox mailbox)
         {
             co_await sleepFor(tickInterval);
-            co_await postSurely(mailbox, JobsActor::Tick {});
+            JobsActor::Message message = JobsActor::Tick {};
+            co_await postSurely(mailbox, std::move(message));
         }
 
         asio::any_io_executor executor_;
@@ -293,6 +313,11 @@
     spawn(executor_, "jobs quotas", postSurely(mailbox_, QuotasSet { std::move(quotas) }));
 }
 
+void JobsActor::setWorkers(std::vector<WorkerAddress> workers) const
+{
+    spawn(executor_, "jobs workers", postSurely(mailbox_, WorkersSet { std::move(workers) }));
+}
+
 static asio::awaitable<absl::StatusOr<JobsAnswer>> receiveAnswer(Reply<JobsAnswer> reply)
 {
     co_return co_await reply.receive();
--- a/jobs/src/JobsJson.cpp
+++ b/jobs/src/JobsJson.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <map>
 #include <set>
 
 namespace persimmondoor::jobs {
@@ -107,10 +108,10 @@
 static placement::GroupLevel readLevel(Fields& fields, std::string_view name, std::string_view fallback)
 {
     std::string text = fields.text(name, fallback);
-    for (auto level : { placement::GroupLevel::Worker, placement::GroupLevel::Rack, placement::GroupLevel::Domain, placement::GroupLevel::Cell }) {
-        if (placement::describe(level) == text)
-            return level;
-    }
+    static const std::map<std::string, placement::GroupLevel> levels { { "worker", placement::GroupLevel::Worker }, { "rack", placement::GroupLevel::Rack },
+        { "domain", placement::GroupLevel::Domain }, { "cell", placement::GroupLevel::Cell } };
+    if (auto found = levels.find(text); found != levels.end())
+        return found->second;
     fields.fail(name, "must be worker, rack, domain or cell");
     return placement::GroupLevel::Cell;
 }
--- a/jobs/src/Routes.cpp
+++ b/jobs/src/Routes.cpp
@@ -32,7 +32,8 @@
         co_return badRequest(spec.status());
     PartitionNumber partition = front.partitionOf(spec->team_, spec->id_);
     std::string id = spec->id_.value();
-    JobsAnswer answer = co_await front.ask(partition, SubmitJob { *std::move(spec) });
+    JobsRequest question = SubmitJob { *std::move(spec) };
+    JobsAnswer answer = co_await front.ask(partition, std::move(question));
     if (std::holds_alternative<Accepted>(answer))
         co_return acceptedResponse(id);
     co_return toResponse(answer, false);
@@ -48,7 +49,8 @@
         PartitionNumber partition(number);
         if (!team.empty() && TeamName::create(team).ok() && front.partitionOf(TeamName::of(team), JobId()) != partition)
             continue;
-        JobsAnswer answer = co_await front.ask(partition, ListJobs { team });
+        JobsRequest question = ListJobs { team };
+        JobsAnswer answer = co_await front.ask(partition, std::move(question));
         if (const auto* part = std::get_if<JobList>(&answer))
             all.jobs_.insert(all.jobs_.end(), part->jobs_.begin(), part->jobs_.end());
         else
@@ -84,7 +86,8 @@
         co_return badRequest(path.status());
     if (!path->second.empty() && path->second != "explain")
         co_return http::errorResponse(404, "not_found", "no such path");
-    JobsAnswer answer = co_await front.ask(front.partitionOf(*teamOf(path->first), path->first), ShowJob { path->first });
+    JobsRequest question = ShowJob { path->first };
+    JobsAnswer answer = co_await front.ask(front.partitionOf(*teamOf(path->first), path->first), std::move(question));
     co_return toResponse(answer, path->second == "explain");
 }
 
@@ -98,7 +101,8 @@
     for (const JobId& id : *ids)
         byPartition[front.partitionOf(*teamOf(id), id)].push_back(id);
     for (const auto& [partition, jobs] : byPartition) {
-        JobsAnswer answer = co_await front.ask(partition, CancelJobs { jobs });
+        JobsRequest question = CancelJobs { jobs };
+        JobsAnswer answer = co_await front.ask(partition, std::move(question));
         if (!std::holds_alternative<Accepted>(answer))
             co_return toResponse(answer, false);
     }
--- a/jobs/src/StoreEffects.cpp
+++ b/jobs/src/StoreEffects.cpp
@@ -20,7 +20,8 @@
 
 static asio::awaitable<void> tell(JobsMailbox mailbox, Holding holding, OwnerMessage message)
 {
-    co_await postSurely(std::move(mailbox), JobsActor::ForOwner { holding.partition_, holding.epoch_, std::move(message) });
+    JobsActor::Message posted = JobsActor::ForOwner { holding.partition_, holding.epoch_, std::move(message) };
+    co_await postSurely(std::move(mailbox), std::move(posted));
 }
 
 static asio::awaitable<absl::StatusOr<std::vector<platform::Row>>> scanAll(platform::TableClient table, std::string prefix)
@@ -73,7 +74,8 @@
     while (mailbox.isOpen()) {
         auto recovered = co_await recoverOnce(table, objects, holding.partition_);
         if (recovered.ok()) {
-            co_await postSurely(mailbox, JobsActor::Recovery { holding.partition_, holding.epoch_, *std::move(recovered) });
+            JobsActor::Message posted = JobsActor::Recovery { holding.partition_, holding.epoch_, *std::move(recovered) };
+            co_await postSurely(mailbox, std::move(posted));
             co_return;
         }
         logWarning("jobs.recovery_failed", { { "partition", std::to_string(holding.partition_.value()) }, { "error", std::string(recovered.status().message()) } });
@@ -84,14 +86,16 @@
 asio::awaitable<void> commitBatch(JobsMailbox mailbox, platform::TableClient table, Holding holding, CommitBatch commit)
 {
     Sequence sequence = commit.batch_.sequence_;
-    platform::CommitOutcome outcome = co_await platform::commit(table, batchTransaction(holding.partition_, holding.fence_, commit));
+    platform::Transaction transaction = batchTransaction(holding.partition_, holding.fence_, commit);
+    platform::CommitOutcome outcome = co_await platform::commit(table, std::move(transaction));
     JournalMessage message = std::visit(Visitor {
                                             [&](const platform::Committed&) -> JournalMessage { return BatchWritten { sequence }; },
                                             [&](const platform::Unavailable&) -> JournalMessage { return BatchRefused { sequence }; },
                                             [&](const auto&) -> JournalMessage { return BatchUncertain { sequence }; },
                                         },
         outcome);
-    co_await tell(mailbox, holding, JournalAnswered { std::move(message) });
+    OwnerMessage told = JournalAnswered { std::move(message) };
+    co_await tell(mailbox, holding, std::move(told));
 }
 
 asio::awaitable<void> readBack(JobsMailbox mailbox, platform::TableClient table, Holding holding, Sequence sequence)
@@ -100,7 +104,8 @@
     auto rows = co_await platform::read(table, std::move(keys));
     auto domainRows = co_await scanAll(table, std::string(domainPrefix));
     if (!rows.ok() || !domainRows.ok()) {
-        co_await tell(mailbox, holding, JournalAnswered { ReadBackFailed { sequence } });
+        OwnerMessage told = JournalAnswered { ReadBackFailed { sequence } };
+        co_await tell(mailbox, holding, std::move(told));
         co_return;
     }
     BatchReadBack answer { sequence, (*rows)[1].version_ == holding.fence_, std::nullopt, {} };
@@ -108,7 +113,8 @@
         auto batch = decodeBatch((*rows)[0].value_);
         if (!batch.ok()) {
             logError("jobs.journal_damaged", { { "row", (*rows)[0].key_ }, { "error", std::string(batch.status().message()) } });
-            co_await tell(mailbox, holding, JournalAnswered { ReadBackFailed { sequence } });
+            OwnerMessage told = JournalAnswered { ReadBackFailed { sequence } };
+            co_await tell(mailbox, holding, std::move(told));
             co_return;
         }
         answer.row_ = *std::move(batch);
@@ -118,15 +124,19 @@
         if (!domain.inService_)
             answer.closedDomains_.insert(domain.domain_);
     }
-    co_await tell(mailbox, holding, DomainsRead { std::move(domains) });
-    co_await tell(mailbox, holding, JournalAnswered { std::move(answer) });
+    OwnerMessage seen = DomainsRead { std::move(domains) };
+    co_await tell(mailbox, holding, std::move(seen));
+    OwnerMessage told = JournalAnswered { std::move(answer) };
+    co_await tell(mailbox, holding, std::move(told));
 }
 
 asio::awaitable<void> readDomainRows(JobsMailbox mailbox, platform::TableClient table)
 {
     auto rows = co_await scanAll(table, std::string(domainPrefix));
-    if (rows.ok())
-        co_await postSurely(mailbox, JobsActor::DomainsSeen { readDomains(*rows) });
+    if (!rows.ok())
+        co_return;
+    JobsActor::Message posted = JobsActor::DomainsSeen { readDomains(*rows) };
+    co_await postSurely(mailbox, std::move(posted));
 }
 
 // Names the snapshot in the table and erases the journal that it holds, some rows at a time.
@@ -141,7 +151,8 @@
         first = std::min(first, batch.ok() ? batch->sequence_ : first);
     }
     do {
-        platform::CommitOutcome outcome = co_await platform::commit(table, cutTransaction(holding.partition_, holding.fence_, snapshot, first));
+        platform::Transaction transaction = cutTransaction(holding.partition_, holding.fence_, snapshot, first);
+        platform::CommitOutcome outcome = co_await platform::commit(table, std::move(transaction));
         if (!std::holds_alternative<platform::Committed>(outcome))
             co_return false;
         first = Sequence(first.value() + maximumRowsCut);
@@ -155,13 +166,17 @@
     auto former = co_await platform::read(table, std::move(keys));
     std::string object = snapshotObject(holding.partition_, holding.epoch_, through);
     absl::Status status = co_await platform::putObject(objects, object, std::move(bytes));
-    bool stored = former.ok() && status.ok() && co_await cutJournal(table, holding, SnapshotRow { object, through });
+    bool stored = former.ok() && status.ok();
+    SnapshotRow row { object, through };
+    if (stored)
+        stored = co_await cutJournal(table, holding, std::move(row));
     if (stored && former->front().version_ != platform::RowVersion()) {
         auto old = decodeSnapshotRow(former->front().value_);
         if (old.ok() && old->object_ != object)
             co_await platform::removeObject(objects, old->object_);
     }
-    co_await tell(mailbox, holding, SnapshotStored { through, stored });
+    OwnerMessage told = SnapshotStored { through, stored };
+    co_await tell(mailbox, holding, std::move(told));
 }
 
 } // namespace persimmondoor::jobs
