--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -68,7 +68,7 @@
     for (const settings::EntrySite& entry : site.entries_)
         entries.push_back(entry.rpc_);
     settings::Follower follower(executor, tree);
-    membership::Announcer announcer(executor, std::move(entries), firstAnnouncement(self, incarnation, (*server)->address()),
+    membership::Announcer announcer(executor, entries, firstAnnouncement(self, incarnation, (*server)->address()),
         [follower](const Address& entry, const settings::Hint& hint) { follower.hint(entry, hint); });
     spawn(executor, "settings digests", reportDigests(digests, announcer));
     logInfo("agent.started", { { "worker", self.name_.value() }, { "rpc", (*server)->address().text() } });
--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -4,6 +4,8 @@
 #include "Operators.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
+#include "persimmondoor/platform/PlatformClients.h"
+#include "persimmondoor/routing/EndpointsRoute.h"
 #include "persimmondoor/routing/HTTPFront.h"
 
 namespace persimmondoor::app {
@@ -28,6 +30,17 @@
     co_await router.learnSurely(std::move(message));
 }
 
+// The other entries whose address is known at the start.
+static std::vector<Address> peersOf(const settings::Site& site, const settings::EntrySite& self)
+{
+    std::vector<Address> peers;
+    for (const settings::EntrySite& entry : site.entries_) {
+        if (entry.name_ != self.name_ && entry.rpc_.port() != 0)
+            peers.push_back(entry.rpc_);
+    }
+    return peers;
+}
+
 static http::Limits callersLimits()
 {
     http::Limits limits;
@@ -46,13 +59,14 @@
     });
     auto entry = std::unique_ptr<Entry>(new Entry(self, router, view, operators.settings(), operators.burn()));
 
+    routing::ClaimsActor claims(executor, clock, platform::connectPlatform(executor, site.platform_).table_);
     entry->jobs_ = std::make_shared<JobsPart>(JobsPart::create(executor, site));
     http::Routes routes = operators.routes();
     entry->jobs_->offer(routes);
-    auto callers = http::Server::listen(executor, self.http_, callersLimits(), burn::observe(routing::makeHTTPFront(self.name_, router), operators.burn()));
+    auto callers = http::Server::listen(executor, self.http_, callersLimits(), burn::observe(routing::makeHTTPFront(self.name_, router, claims), operators.burn()));
     auto api = http::Server::listen(executor, self.operators_, {}, routes.handler());
     rpc::Interfaces interfaces;
-    membership::offerMembership(interfaces, executor, view, operators.hints());
+    membership::offerMembership(interfaces, view, operators.hints());
     settings::offerSettings(interfaces, executor, operators.settings());
     entry->jobs_->offer(interfaces);
     auto peers = rpc::Server::listen(executor, self.rpc_, std::move(interfaces));
@@ -60,6 +74,7 @@
         if (!status.ok())
             return status;
     }
+    membership::learnFromPeers(view, peersOf(site, self));
     entry->callers_ = *std::move(callers);
     entry->operators_ = *std::move(api);
     entry->peers_ = *std::move(peers);
--- a/bench/jobs/Jobs.cpp
+++ b/bench/jobs/Jobs.cpp
@@ -169,6 +169,12 @@
         milliseconds, slowest);
 }
 
+size_t memoryInUse()
+{
+    struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 void measureRecovery(bool json, uint32_t tasks)
 {
     std::vector<Record> records { JobSubmitted { makeJob("live", tasks, placement::Urgency::Normal), 0 } };
@@ -178,11 +184,11 @@
     }
     Ledger ledger = applyRecords(Ledger(), records).ledger_;
     std::string bytes = encodeSnapshot(ledger);
-    size_t memoryBefore = mallinfo2().uordblks;
+    size_t memoryBefore = memoryInUse();
     double before = processorSeconds();
     Ledger decoded = *decodeSnapshot(bytes);
     double milliseconds = (processorSeconds() - before) * 1e3;
-    double memory = static_cast<double>(mallinfo2().uordblks - memoryBefore) / tasks;
+    double memory = static_cast<double>(memoryInUse() - memoryBefore) / tasks;
     std::printf(json ? "{\"measure\":\"recovery\",\"tasks\":%u,\"bytes\":%zu,\"decode_ms\":%.1f,\"memory_bytes_per_task\":%.0f}\n"
                      : "%8u live tasks: snapshot of %9zu bytes, decoded in %8.1f ms, %5.0f bytes of memory a task\n",
         tasks, bytes.size(), milliseconds, memory);
--- a/membership/schema/Membership.capnp
+++ b/membership/schema/Membership.capnp
@@ -21,18 +21,33 @@
   leaving @7 :Bool;
 }
 
-struct AnnounceAnswer {
+# A worker as one entry knows it, for another entry. A worker that is not present is a tombstone.
+struct Member {
+  announcement @0 :Announcement;
+  present @1 :Bool;
+}
+
+# What an agent is told after each message.
+struct Answer {
+  # False if the entry needs the whole announcement.
+  known @0 :Bool;
+  # Time until the next keepalive, in milliseconds.
+  intervalMilliseconds @1 :UInt32;
   settings :union {
-    upToDate @0 :Void;
+    upToDate @2 :Void;
     # Newer settings can be fetched from the entry itself.
-    fetchHere @1 :Void;
+    fetchHere @3 :Void;
     # Newer settings can be fetched from this address.
-    fetchFrom @2 :Text;
+    fetchFrom @4 :Text;
   }
 }
 
-# Served by entries, called by agents.
+# Served by entries, called by agents and by other entries.
 interface Membership {
   # settingsDigest names the settings that the agent has in force.
-  announce @0 (announcement :Announcement, settingsDigest :UInt64) -> (answer :AnnounceAnswer);
+  announce @0 (announcement :Announcement, settingsDigest :UInt64) -> (answer :Answer);
+  keepAlive @1 (worker :Text, incarnation :UInt64, sequence :UInt64, settingsDigest :UInt64) -> (answer :Answer);
+  # The members that changed after a version; version 0 gives all. `life` tells the versions of two lives of an entry
+  # apart: if it is not the entry's own, all members are given.
+  changes @2 (life :UInt64, after :UInt64) -> (life :UInt64, version :UInt64, members :List(Member));
 }
--- a/membership/src/Codec.cpp
+++ b/membership/src/Codec.cpp
@@ -56,29 +56,39 @@
     return announcement;
 }
 
-void encode(const settings::Hint& hint, wire::AnnounceAnswer::Builder wire)
+static void encodeHint(const settings::Hint& hint, wire::Answer::Settings::Builder wire)
 {
-    auto group = wire.initSettings();
     std::visit(Visitor {
-                   [&](const settings::UpToDate&) { group.setUpToDate(); },
-                   [&](const settings::AskAgain&) { group.setUpToDate(); },
-                   [&](const settings::FetchHere&) { group.setFetchHere(); },
-                   [&](const settings::FetchFrom& from) { group.setFetchFrom(from.source_.text()); },
+                   [&](const settings::UpToDate&) { wire.setUpToDate(); },
+                   [&](const settings::AskAgain&) { wire.setUpToDate(); },
+                   [&](const settings::FetchHere&) { wire.setFetchHere(); },
+                   [&](const settings::FetchFrom& from) { wire.setFetchFrom(from.source_.text()); },
                },
         hint);
 }
 
-settings::Hint decodeHint(wire::AnnounceAnswer::Reader wire)
+static settings::Hint decodeHint(wire::Answer::Settings::Reader wire)
 {
-    auto group = wire.getSettings();
-    if (group.isFetchHere())
+    if (wire.isFetchHere())
         return settings::FetchHere {};
-    if (!group.isFetchFrom())
+    if (!wire.isFetchFrom())
         return settings::UpToDate {};
-    auto source = Address::parse(group.getFetchFrom().cStr());
+    auto source = Address::parse(wire.getFetchFrom().cStr());
     if (!source.ok())
         return settings::UpToDate {};
     return settings::FetchFrom { *std::move(source) };
 }
 
+void encode(const ViewAnswer& answer, wire::Answer::Builder wire)
+{
+    wire.setKnown(answer.isKnown_);
+    wire.setIntervalMilliseconds(static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(answer.interval_).count()));
+    encodeHint(answer.settings_, wire.initSettings());
+}
+
+ViewAnswer decode(wire::Answer::Reader wire)
+{
+    return { wire.getKnown(), std::chrono::milliseconds(wire.getIntervalMilliseconds()), {}, decodeHint(wire.getSettings()) };
+}
+
 } // namespace persimmondoor::membership
--- a/membership/src/Codec.h
+++ b/membership/src/Codec.h
@@ -2,8 +2,7 @@
 #pragma once
 
 #include "Membership.capnp.h"
-#include "persimmondoor/membership/Announcement.h"
-#include "persimmondoor/settings/Distribution.h"
+#include "persimmondoor/membership/ViewActor.h"
 
 namespace persimmondoor::membership {
 
@@ -11,8 +10,9 @@
 // Returns InvalidArgument for a name or address that is not valid.
 absl::StatusOr<Announcement> decode(wire::Announcement::Reader);
 
-void encode(const settings::Hint&, wire::AnnounceAnswer::Builder);
-// An answer that is not understood reads as "up to date".
-settings::Hint decodeHint(wire::AnnounceAnswer::Reader);
+// The agent's address is not sent.
+void encode(const ViewAnswer&, wire::Answer::Builder);
+// A hint that is not understood reads as "up to date".
+ViewAnswer decode(wire::Answer::Reader);
 
 } // namespace persimmondoor::membership
--- a/membership/src/ViewActor.cpp
+++ b/membership/src/ViewActor.cpp
@@ -4,6 +4,7 @@
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/rpc/Call.h"
+#include "persimmondoor/rpc/Link.h"
 
 namespace persimmondoor::membership {
 
@@ -13,48 +14,115 @@
 static constexpr size_t mailboxCapacity = 16384;
 static constexpr Duration sweepInterval = std::chrono::seconds(1);
 
-static asio::awaitable<void> runView(Mailbox<ViewMessage> mailbox, Clock clock, ViewListener listener)
-{
-    View state;
-    for (;;) {
-        ViewMessage message = co_await mailbox.receive();
-        ViewDecision decision = decide(std::move(state), message, now(clock));
-        state = std::move(decision.state_);
-        for (const ViewAction& action : decision.actions_)
-            co_await listener(action);
-    }
-}
+static constexpr Duration changesTimeout = std::chrono::seconds(2);
+static constexpr Duration peerRetryInterval = std::chrono::seconds(1);
+
+namespace {
+
+    class ViewLoop {
+    public:
+        ViewLoop(Clock clock, ViewListener listener)
+            : clock_(std::move(clock))
+            , listener_(std::move(listener))
+        {
+        }
+
+        asio::awaitable<void> run(std::shared_ptr<ViewLoop> self, Mailbox<ViewActor::Message> mailbox)
+        {
+            for (;;) {
+                ViewActor::Message message = co_await mailbox.receive();
+                std::vector<ViewAction> actions = std::visit([&](auto& alternative) { return self->handle(alternative); }, message);
+                for (ViewAction& action : actions)
+                    co_await listener_(std::move(action));
+            }
+        }
+
+    private:
+        std::vector<ViewAction> handle(const ViewMessage& message)
+        {
+            ViewDecision decision = decide(std::move(view_), message, now(clock_));
+            view_ = std::move(decision.state_);
+            return std::move(decision.actions_);
+        }
+
+        std::vector<ViewAction> handle(const ViewActor::Tell& message)
+        {
+            std::vector<ViewAction> actions = handle(message.message_);
+            auto member = view_.members().find(message.worker_);
+            Address agent = member == view_.members().end() ? Address() : member->second.announcement_.rpcAddress_;
+            message.reply_.send({ view_.knows(message.worker_, message.incarnation_), keepAliveInterval(view_.present()), std::move(agent), {} });
+            return actions;
+        }
+
+        std::vector<ViewAction> handle(const ViewActor::AskChanges& message)
+        {
+            uint64_t after = message.life_ == life_ ? message.version_ : 0;
+            message.reply_.send({ life_, view_.version(), view_.changesAfter(after) });
+            return {};
+        }
+
+        Clock clock_;
+        ViewListener listener_;
+        View view_;
+        uint64_t life_ { static_cast<uint64_t>(wallMilliseconds()) };
+    };
 
-static asio::awaitable<void> sweep(Mailbox<ViewMessage> mailbox)
+} // namespace
+
+static asio::awaitable<void> sweep(Mailbox<ViewActor::Message> mailbox)
 {
     bool open = true;
     while (open) {
         co_await sleepFor(sweepInterval);
-        ViewMessage due = Swept {};
+        ViewActor::Message due = ViewMessage(Swept {});
         open = co_await mailbox.post(std::move(due));
     }
 }
 
 ViewActor::ViewActor(const asio::any_io_executor& executor, Clock clock, ViewListener listener)
-    : mailbox_(executor, mailboxCapacity)
+    : executor_(executor)
+    , mailbox_(executor, mailboxCapacity)
 {
-    spawn(executor, "membership view", runView(mailbox_, std::move(clock), std::move(listener)));
+    auto loop = std::make_shared<ViewLoop>(std::move(clock), std::move(listener));
+    spawn(executor, "membership view", loop->run(loop, mailbox_));
     spawn(executor, "membership sweep", sweep(mailbox_));
 }
 
-void ViewActor::announce(Announcement announcement) const
+asio::awaitable<ViewAnswer> ViewActor::tell(ViewMessage message, WorkerName worker, Incarnation incarnation) const
 {
-    if (!mailbox_.tryPost(Announced { std::move(announcement) }))
+    Mailbox<Message> mailbox = mailbox_;
+    Reply<ViewAnswer> reply(executor_);
+    if (!mailbox.tryPost(Tell { std::move(message), std::move(worker), incarnation, reply })) {
         logWarning("membership.mailbox_full", {});
+        co_return ViewAnswer { false, keepAliveInterval(0), {}, {} };
+    }
+    co_return co_await reply.receive();
+}
+
+asio::awaitable<ViewChanges> ViewActor::changes(uint64_t life, uint64_t version) const
+{
+    Mailbox<Message> mailbox = mailbox_;
+    Reply<ViewChanges> reply(executor_);
+    Message message = AskChanges { life, version, reply };
+    bool posted = co_await mailbox.post(std::move(message));
+    if (!posted)
+        co_return ViewChanges {};
+    co_return co_await reply.receive();
+}
+
+asio::awaitable<void> ViewActor::learn(ViewMessage message) const
+{
+    Mailbox<Message> mailbox = mailbox_;
+    Message wrapped = std::move(message);
+    co_await mailbox.post(std::move(wrapped));
 }
 
 namespace {
 
     class MembershipServer final : public wire::Membership::Server {
     public:
-        MembershipServer(asio::any_io_executor executor, ViewActor view, HintSource hints)
-            : executor_(std::move(executor))
-            , view_(std::move(view))
+        MembershipServer(ViewActor view, HintSource hints)
+            : view_(std::move(view))
             , hints_(std::move(hints))
         {
         }
@@ -66,31 +134,118 @@
                 logWarning("membership.bad_announcement", { { "error", std::string(announcement.status().message()) } });
                 return kj::READY_NOW;
             }
-            settings::Heard heard { ProcessName::of(announcement->worker_.value()), announcement->rpcAddress_, context.getParams().getSettingsDigest() };
-            bool leaving = announcement->leaving_;
-            view_.announce(*std::move(announcement));
-            if (!hints_ || leaving)
+            return rpc::promiseOf(view_.executor(), answerAnnouncement(view_, hints_, *std::move(announcement), context));
+        }
+
+        kj::Promise<void> keepAlive(KeepAliveContext context) override
+        {
+            auto worker = WorkerName::create(context.getParams().getWorker().cStr());
+            if (!worker.ok())
                 return kj::READY_NOW;
-            return rpc::promiseOf(executor_, answer(hints_, std::move(heard), context));
+            KeptAlive message { *worker, Incarnation(context.getParams().getIncarnation()), Sequence(context.getParams().getSequence()) };
+            return rpc::promiseOf(view_.executor(), answerKeepAlive(view_, hints_, std::move(message), context));
+        }
+
+        kj::Promise<void> changes(ChangesContext context) override
+        {
+            return rpc::promiseOf(view_.executor(), answerChanges(view_, context));
         }
 
     private:
-        static asio::awaitable<void> answer(HintSource hints, settings::Heard heard, AnnounceContext context)
+        // Only workers that are there are told of settings: a leaving one needs none.
+        static asio::awaitable<settings::Hint> askForHint(HintSource hints, WorkerName worker, ViewAnswer answer, settings::Digest digest)
         {
-            settings::Hint hint = co_await hints(std::move(heard));
-            encode(hint, context.getResults().initAnswer());
+            if (!hints || !answer.isKnown_)
+                co_return settings::UpToDate {};
+            settings::Heard heard { ProcessName::of(worker.value()), answer.agent_, digest };
+            co_return co_await hints(std::move(heard));
+        }
+
+        static asio::awaitable<void> answerAnnouncement(ViewActor view, HintSource hints, Announcement announcement, AnnounceContext context)
+        {
+            WorkerName worker = announcement.worker_;
+            Incarnation incarnation = announcement.incarnation_;
+            ViewMessage message = Announced { std::move(announcement) };
+            ViewAnswer answer = co_await view.tell(std::move(message), worker, incarnation);
+            answer.settings_ = co_await askForHint(std::move(hints), std::move(worker), answer, context.getParams().getSettingsDigest());
+            encode(answer, context.getResults().initAnswer());
+        }
+
+        static asio::awaitable<void> answerKeepAlive(ViewActor view, HintSource hints, KeptAlive keptAlive, KeepAliveContext context)
+        {
+            WorkerName worker = keptAlive.worker_;
+            Incarnation incarnation = keptAlive.incarnation_;
+            ViewMessage message = std::move(keptAlive);
+            ViewAnswer answer = co_await view.tell(std::move(message), worker, incarnation);
+            answer.settings_ = co_await askForHint(std::move(hints), std::move(worker), answer, context.getParams().getSettingsDigest());
+            encode(answer, context.getResults().initAnswer());
+        }
+
+        static asio::awaitable<void> answerChanges(ViewActor view, ChangesContext context)
+        {
+            ViewChanges changes = co_await view.changes(context.getParams().getLife(), context.getParams().getAfter());
+            auto results = context.getResults();
+            results.setLife(changes.life_);
+            results.setVersion(changes.version_);
+            auto members = results.initMembers(static_cast<unsigned>(changes.members_.size()));
+            for (unsigned index = 0; index < members.size(); ++index) {
+                encode(changes.members_[index].announcement_, members[index].initAnnouncement());
+                members[index].setPresent(changes.members_[index].present_);
+            }
         }
 
-        asio::any_io_executor executor_;
         ViewActor view_;
         HintSource hints_;
     };
 
 } // namespace
 
-void offerMembership(rpc::Interfaces& interfaces, const asio::any_io_executor& executor, ViewActor view, HintSource hints)
+void offerMembership(rpc::Interfaces& interfaces, ViewActor view, HintSource hints)
+{
+    interfaces.add("membership", kj::heap<MembershipServer>(std::move(view), std::move(hints)));
+}
+
+static std::vector<Learned> decodeMembers(capnp::List<wire::Member>::Reader wire)
+{
+    std::vector<Learned> members;
+    for (auto item : wire) {
+        auto announcement = decode(item.getAnnouncement());
+        if (announcement.ok())
+            members.push_back({ *std::move(announcement), item.getPresent() });
+    }
+    return members;
+}
+
+static asio::awaitable<absl::StatusOr<std::vector<Learned>>> askPeer(rpc::Link link)
+{
+    auto found = co_await link.find("membership");
+    if (!found.ok())
+        co_return found.status();
+    auto request = found->castAs<wire::Membership>().changesRequest();
+    co_return co_await rpc::call(
+        request.send(), [](auto& response) { return decodeMembers(response.getMembers()); }, changesTimeout);
+}
+
+static asio::awaitable<void> learnFrom(ViewActor view, rpc::Link link)
+{
+    for (;;) {
+        auto members = co_await askPeer(link);
+        if (members.ok()) {
+            for (Learned& member : *members) {
+                ViewMessage message = std::move(member);
+                co_await view.learn(std::move(message));
+            }
+            logInfo("membership.learned_from_peer", { { "peer", link.address().text() }, { "members", std::to_string(members->size()) } });
+            co_return;
+        }
+        co_await sleepFor(peerRetryInterval);
+    }
+}
+
+void learnFromPeers(ViewActor view, const std::vector<Address>& peers)
 {
-    interfaces.add("membership", kj::heap<MembershipServer>(executor, std::move(view), std::move(hints)));
+    for (const Address& peer : peers)
+        spawn(view.executor(), "membership peer", learnFrom(view, rpc::Link(view.executor(), peer)));
 }
 
 } // namespace persimmondoor::membership
--- a/routing/include/persimmondoor/routing/HTTPFront.h
+++ b/routing/include/persimmondoor/routing/HTTPFront.h
@@ -13,8 +13,11 @@
 #pragma once
 
 #include "persimmondoor/http/Server.h"
+#include "persimmondoor/routing/ClaimsActor.h"
 #include "persimmondoor/routing/RouterActor.h"
 
+#include <optional>
+
 namespace persimmondoor::routing {
 
 /// Path below which services are found.
@@ -26,12 +29,15 @@
 /// Request header: `true` or `false`, whether the request may run more than once without harm. Without it, POST and
 /// PATCH may not and all other methods may.
 inline constexpr std::string_view idempotentHeader = "Persimmondoor-Idempotent";
+/// Request header: names a non-idempotent request, so that a second try with the same key does not run it again.
+inline constexpr std::string_view idempotencyKeyHeader = "Idempotency-Key";
 /// Response header: done, not-run or unknown.
 inline constexpr std::string_view outcomeHeader = "Persimmondoor-Outcome";
 /// Response header: why a request was not run.
 inline constexpr std::string_view reasonHeader = "Persimmondoor-Reason";
 
 /// \param process the entry's name, a part of the request ids that it gives out.
-http::Handler makeHTTPFront(ProcessName process, RouterActor router);
+/// \param claims keeps idempotency keys; without it a request that carries one is refused as not run.
+http::Handler makeHTTPFront(ProcessName process, RouterActor router, std::optional<ClaimsActor> claims = {});
 
 } // namespace persimmondoor::routing
