--- a/membership/src/Codec.cpp
+++ b/membership/src/Codec.cpp
@@ -1,5 +1,7 @@
 #include "Codec.h"
 
+#include "persimmondoor/core/Visitor.h"
+
 namespace persimmondoor::membership {
 
 void encode(const Announcement& announcement, wire::Announcement::Builder wire)
@@ -54,4 +56,39 @@
     return announcement;
 }
 
+static void encodeHint(const settings::Hint& hint, wire::Answer::Settings::Builder wire)
+{
+    std::visit(Visitor {
+                   [&](const settings::UpToDate&) { wire.setUpToDate(); },
+                   [&](const settings::AskAgain&) { wire.setUpToDate(); },
+                   [&](const settings::FetchHere&) { wire.setFetchHere(); },
+                   [&](const settings::FetchFrom& from) { wire.setFetchFrom(from.source_.text()); },
+               },
+        hint);
+}
+
+static settings::Hint decodeHint(wire::Answer::Settings::Reader wire)
+{
+    if (wire.isFetchHere())
+        return settings::FetchHere {};
+    if (!wire.isFetchFrom())
+        return settings::UpToDate {};
+    auto source = Address::parse(wire.getFetchFrom().cStr());
+    if (!source.ok())
+        return settings::UpToDate {};
+    return settings::FetchFrom { *std::move(source) };
+}
+
+void encode(const ViewAnswer& answer, wire::Answer::Builder wire)
+{
+    wire.setKnown(answer.isKnown_);
+    wire.setIntervalMilliseconds(static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(answer.interval_).count()));
+    encodeHint(answer.settings_, wire.initSettings());
+}
+
+ViewAnswer decode(wire::Answer::Reader wire)
+{
+    return { wire.getKnown(), std::chrono::milliseconds(wire.getIntervalMilliseconds()), {}, decodeHint(wire.getSettings()) };
+}
+
 } // namespace persimmondoor::membership
