--- a/bench/colocation/colocation.cpp
+++ b/bench/colocation/colocation.cpp
@@ -50,11 +50,13 @@
     std::vector<Row> measure(const User& user, TraceKind kind, const Options& options, int lagSeconds, double noise)
     {
         std::vector<Row> rows;
+        rows.reserve(allPolicies.size());
         for (PolicyKind policy : allPolicies)
             rows.push_back({ user.name_, kind, policy });
         for (uint64_t seed = 1; seed <= options.seeds_; ++seed) {
             Trace trace = makeTrace(kind, user, seed, options.seconds_);
             std::vector<RunResult> results;
+            results.reserve(allPolicies.size());
             for (PolicyKind policy : allPolicies)
                 results.push_back(run(trace, user, { policy, lagSeconds, noise }));
             const RunResult& none = results[static_cast<size_t>(PolicyKind::None)];
--- a/bench/placement/placement.cpp
+++ b/bench/placement/placement.cpp
@@ -122,7 +122,7 @@
         {
             fill();
             churn();
-            figures_.decisionsPerSecond_ = decisions_ / std::chrono::duration<double>(deciding_).count();
+            figures_.decisionsPerSecond_ = static_cast<double>(decisions_) / std::chrono::duration<double>(deciding_).count();
             figures_.probesPerDecision_ = static_cast<double>(probes_) / static_cast<double>(decisions_);
             return figures_;
         }
