Let bench_requests take its settings from a platform stand-in

Cause: entries now learn services from the platform's settings; the bench had no platform, so every request was refused (5,000 sent, no-endpoint).

--- a/bench/requests/System.cpp
+++ b/bench/requests/System.cpp
@@ -44,7 +44,8 @@
     , behaviour_(behaviour)
 {
     site_.cell_ = "bench";
-    site_.platform_ = loopback.withPort(1);
+    platform_ = *platform::serveStandins(executor(), loopback, platform::PlatformStandins::create(SteadyClock()));
+    site_.platform_ = platform_->address();
     settings::TeamSettings team { TeamName::of("team"), {}, {} };
     settings::ServiceSettings service;
     service.name_ = ServiceName::of("packs");
@@ -52,6 +53,7 @@
     service.deadline_ = std::chrono::milliseconds(500);
     team.services_.push_back(service);
     site_.teams_.push_back(team);
+    site_.subtrees_.push_back({ TeamName::of("team"), R"({"services":{"packs":{"tier":"paying","deadline_ms":500}},"quota":{"cores":1,"memory_gb":1,"accelerators":0}})" });
     for (size_t index = 0; index < endpoints; ++index)
         startInstance(index, slots);
     for (size_t index = 0; index < entries; ++index)
--- a/bench/requests/System.h
+++ b/bench/requests/System.h
@@ -3,6 +3,7 @@
 
 #include "persimmondoor/app/Agent.h"
 #include "persimmondoor/app/Entry.h"
+#include "persimmondoor/platform/StandinServer.h"
 #include "persimmondoor/rpc/Loop.h"
 
 #include <map>
@@ -54,6 +55,7 @@
     Behaviour behaviour_;
     settings::Site site_;
     std::shared_ptr<Seen> seen_ = std::make_shared<Seen>();
+    std::unique_ptr<http::Server> platform_;
     std::vector<std::unique_ptr<http::Server>> instances_;
     std::vector<std::unique_ptr<app::Entry>> entries_;
     std::vector<std::unique_ptr<app::Agent>> agents_;
--- a/bench/requests/main.cpp
+++ b/bench/requests/main.cpp
@@ -1,6 +1,6 @@
 // Measures the path of requests in one process on loopback, beside the direct back end in the same run.
 //
-//   bench_requests [--json] [--only <part>]
+//   bench_requests [--json] [--only <part>] [--once <requests>]
 //
 // Parts: latency, overload, once, drain, cold.
 #include "Load.h"
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <cstring>
 
 using namespace persimmondoor;
@@ -21,6 +22,7 @@
 namespace {
 
 bool json = false;
+int onceCount = 100'000;
 
 http::Request get()
 {
@@ -160,11 +162,10 @@
 void measureOnce()
 {
     rpc::Loop loop;
-    constexpr int count = 100'000;
     System system(loop, 11, 8, 1, { Duration(0), 0.01, 0.001 });
     warmUp(system, system.entry(0));
     auto tally = std::make_shared<Tally>();
-    runToEnd(loop, sendAllOnce(&system, count, tally));
+    runToEnd(loop, sendAllOnce(&system, onceCount, tally));
     print("once", "POST with faults", *tally);
     const std::map<std::string, int>& runs = system.seen().runs_;
     auto twice = std::count_if(runs.begin(), runs.end(), [](const auto& item) { return item.second > 1; });
@@ -218,6 +219,8 @@
             json = true;
         if (std::strcmp(argv[index], "--only") == 0 && index + 1 < argc)
             only = argv[++index];
+        if (std::strcmp(argv[index], "--once") == 0 && index + 1 < argc)
+            onceCount = std::atoi(argv[++index]);
     }
     if (!json)
         std::printf("%-10s %-22s %8s %8s %8s %7s %8s %8s %8s %8s\n", "part", "kind", "done", "not run", "unknown", "failed", "per s", "p50 ms", "p99 ms", "p99.9 ms");
