--- a/admission/src/Remote.cpp
+++ b/admission/src/Remote.cpp
@@ -37,6 +37,10 @@
         static asio::awaitable<void> run(GateActor gate, ServiceRequest request, ServeContext context)
         {
             ServiceAnswer answer = co_await gate.serve(std::move(request));
+            // The context must not be touched once the call was dropped.
+            asio::cancellation_state state = co_await asio::this_coro::cancellation_state;
+            if (state.cancelled() != asio::cancellation_type::none)
+                co_return;
             encode(answer, context.getResults().initAnswer());
         }
 
