Hold a task for launched once the reply to one of its launches was lost

Change: after a lost reply an unavailable worker proves nothing; the entry stays until the worker reports the task or denies knowing it.

--- a/hosting/include/persimmondoor/hosting/Host.h
+++ b/hosting/include/persimmondoor/hosting/Host.h
@@ -194,6 +194,8 @@
     std::vector<CallNumber> callers_ {};
     /// An answer of the worker is awaited.
     bool busy_ { false };
+    /// The reply to a launch was lost, so the task may run, whatever later launches say.
+    bool uncertain_ { false };
     bool operator==(const HostedTask&) const = default;
 };
 
--- a/hosting/src/decisions/Ledger.cpp
+++ b/hosting/src/decisions/Ledger.cpp
@@ -75,6 +75,8 @@
                        remove(decision, id);
                    },
                    [&](const platform::Unavailable& down) {
+                       if (task.uncertain_)
+                           return;
                        for (CallNumber call : task.callers_)
                            decision.actions_.emplace_back(AnswerStart { call, StartRefused { StartRefusal::WorkerUnavailable, down.detail_ } });
                        // Nothing was started, so the same attempt may be tried again, unless it was to be stopped.
@@ -86,7 +88,7 @@
                        fence.past_ = stopped ? AttemptFence::Past::NeverStart : AttemptFence::Past::Open;
                    },
                    // Tried again when time has passed; a launch is idempotent.
-                   [](const platform::ReplyLost&) {},
+                   [&](const platform::ReplyLost&) { task.uncertain_ = true; },
                },
         message.outcome_);
 }
--- a/hosting/tests/HostTest.cpp
+++ b/hosting/tests/HostTest.cpp
@@ -230,6 +230,18 @@
     BOOST_TEST(world_.runningAtWorker().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(refused_second_launch_does_not_undo_a_first_with_a_lost_reply)
+{
+    world_.start(startOrder(world_, "t", 1, 1000));
+    world_.performNext(WorkerCallFate::ReplyLost);
+    world_.pass(second);
+    world_.performNext(WorkerCallFate::Unavailable);
+    // The first may have taken effect, so the capacity stays taken and a later attempt waits.
+    BOOST_TEST(world_.startAnswers_.empty());
+    BOOST_TEST(world_.host_.committed().milliCores() == 1000);
+    BOOST_TEST((refusal(startOrder(world_, "t", 2, 1000)) == StartRefusal::EarlierAttemptRuns));
+}
+
 BOOST_AUTO_TEST_CASE(unreachable_worker_refuses_and_the_attempt_may_be_repeated)
 {
     world_.start(startOrder(world_, "t", 1, 1000));
