--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -10,6 +10,8 @@
 
 // Digests that wait to be announced; if more come at once, the last ones are announced with the next change.
 static constexpr size_t digestCapacity = 1024;
+// Time between the end of the last request and the end of the connections to the entries.
+static constexpr Duration lastAnswersGrace = std::chrono::milliseconds(300);
 
 Agent::Agent(admission::GateActor gate, hosting::HostActor host, membership::Announcer announcer, settings::SettingsActor settings, settings::Follower follower,
     std::unique_ptr<rpc::Server> server)
@@ -78,6 +80,8 @@
     size_t left = co_await gate_.drain(limit);
     // Tasks run on under their leases while the agent is replaced.
     co_await host_.drain();
+    // The last answers are still on their way to the entries.
+    co_await sleepFor(lastAnswersGrace);
     logInfo("agent.stopped", { { "requests_cut_off", std::to_string(left) } });
     server_->close();
     announcer_.stop();
