--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -28,6 +28,17 @@
     co_await router.learnSurely(std::move(message));
 }
 
+// The other entries whose address is known at the start.
+static std::vector<Address> peersOf(const settings::Site& site, const settings::EntrySite& self)
+{
+    std::vector<Address> peers;
+    for (const settings::EntrySite& entry : site.entries_) {
+        if (entry.name_ != self.name_ && entry.rpc_.port() != 0)
+            peers.push_back(entry.rpc_);
+    }
+    return peers;
+}
+
 static http::Limits callersLimits()
 {
     http::Limits limits;
@@ -51,13 +62,14 @@
     auto callers = http::Server::listen(executor, self.http_, callersLimits(), std::move(front));
     auto api = http::Server::listen(executor, self.operators_, {}, operators.routes().handler());
     rpc::Interfaces interfaces;
-    membership::offerMembership(interfaces, executor, view, operators.hints());
+    membership::offerMembership(interfaces, view, operators.hints());
     settings::offerSettings(interfaces, executor, operators.settings());
     auto peers = rpc::Server::listen(executor, self.rpc_, std::move(interfaces));
     for (const absl::Status& status : { callers.status(), api.status(), peers.status() }) {
         if (!status.ok())
             return status;
     }
+    membership::learnFromPeers(view, peersOf(site, self));
     entry->callers_ = *std::move(callers);
     entry->operators_ = *std::move(api);
     entry->peers_ = *std::move(peers);
--- /dev/null
+++ b/bench/hosting/HostBench.h
@@ -0,0 +1,62 @@
+// An agent's host and an owner's link to it, in one process: measures bytes on the wire, in both directions together.
+#pragma once
+
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/hosting/Client.h"
+#include "persimmondoor/hosting/HostActor.h"
+#include "persimmondoor/rpc/Loop.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <optional>
+#include <vector>
+
+namespace persimmondoor::hosting {
+
+// Bytes of renewals for `tasks_` tasks of one partition.
+struct RenewalBytes {
+    uint64_t tasks_ { 0 };
+    uint64_t equal_ { 0 };
+    uint64_t different_ { 0 };
+    uint64_t events_ { 0 };
+};
+
+class HostBench {
+public:
+    HostBench();
+
+    // Starts tasks until `tasks` run, then renews them.
+    RenewalBytes measureRenewals(uint64_t tasks);
+    // Bytes of one probe and its answer.
+    uint64_t measureProbe();
+    // Bytes of one start order and its answer.
+    uint64_t measureStart();
+
+private:
+    boost::asio::any_io_executor executor() { return loop_.context().get_executor(); }
+
+    template <typename T>
+    T run(boost::asio::awaitable<T> body)
+    {
+        std::optional<T> result;
+        boost::asio::co_spawn(executor(), std::move(body), [&](const std::exception_ptr&, T value) { result = std::move(value); });
+        while (!result && loop_.context().run_one() > 0) { }
+        return *std::move(result);
+    }
+
+    Stamp stamp();
+    void start(const StartOrder&);
+    StartOrder nextOrder();
+    RenewalAnswer renew(const Renewal&, uint64_t& bytes);
+    // Bytes sent so far, after all that is under way has arrived.
+    uint64_t settledBytes();
+
+    rpc::Loop loop_;
+    Resources capacity_ = *Resources::create(1'000'000, 1'000'000, 0);
+    platform::MemoryWorkers workers_ = platform::MemoryWorkers::create(SteadyClock());
+    std::optional<HostActor> host_;
+    std::unique_ptr<rpc::Server> server_;
+    std::optional<rpc::Link> link_;
+    std::vector<TaskAttempt> running_;
+};
+
+} // namespace persimmondoor::hosting
