--- a/jobs/src/RequestCodec.cpp
+++ b/jobs/src/RequestCodec.cpp
@@ -79,25 +79,28 @@
         request);
 }
 
+static JobsRequest readRequest(wire::Request::Reader wire)
+{
+    switch (wire.which()) {
+    case wire::Request::SUBMIT:
+        return SubmitJob { readSpec(wire.getSubmit()) };
+    case wire::Request::CANCEL: {
+        CancelJobs cancel;
+        for (auto id : wire.getCancel())
+            cancel.jobs_.push_back(nameOf<JobId>(id));
+        return cancel;
+    }
+    case wire::Request::LIST:
+        return ListJobs { textOf(wire.getList()) };
+    case wire::Request::SHOW:
+        return ShowJob { nameOf<JobId>(wire.getShow()) };
+    }
+    KJ_FAIL_REQUIRE("a request of a known kind");
+}
+
 absl::StatusOr<JobsRequest> decode(wire::Request::Reader wire)
 {
-    return checked([&]() -> JobsRequest {
-        switch (wire.which()) {
-        case wire::Request::SUBMIT:
-            return SubmitJob { readSpec(wire.getSubmit()) };
-        case wire::Request::CANCEL: {
-            CancelJobs cancel;
-            for (auto id : wire.getCancel())
-                cancel.jobs_.push_back(nameOf<JobId>(id));
-            return cancel;
-        }
-        case wire::Request::LIST:
-            return ListJobs { textOf(wire.getList()) };
-        case wire::Request::SHOW:
-            return ShowJob { nameOf<JobId>(wire.getShow()) };
-        }
-        KJ_FAIL_REQUIRE("a request of a known kind");
-    });
+    return checked([&] { return readRequest(wire); });
 }
 
 static void encode(const JobSummary& summary, wire::Summary::Builder wire)
--- a/jobs/src/decisions/Starts.cpp
+++ b/jobs/src/decisions/Starts.cpp
@@ -103,6 +103,7 @@
             reserve(key, *siteOf(task->phase_));
     }
     std::vector<placement::Offer> offers;
+    offers.reserve(answers.size());
     for (const hosting::HostOffer& answer : answers) {
         offers.push_back({ answer.worker_, answer.domain_, answer.rack_, answer.capacity_, answer.free_ - reserved[answer.worker_], answer.running_, answer.pressure_,
             answer.accepting_ });
@@ -131,6 +132,7 @@
     owner_.probingSince_.reset();
     std::vector<TaskKey> keys = candidates();
     std::vector<placement::PlacementRequest> requests;
+    requests.reserve(keys.size());
     for (const TaskKey& key : keys)
         requests.push_back(placementRequest(key, owner_.rounds_ + requests.size()));
     placement::QueuePlacement round = placement::placeQueue(unitsOf(requests, keys), openOffers(message.offers_), openQuotas());
--- a/jobs/tests/SimulatedHost.cpp
+++ b/jobs/tests/SimulatedHost.cpp
@@ -12,7 +12,7 @@
 
 HostOffer SimulatedHost::probe(Instant now) const
 {
-    Resources capacity = *Resources::create(1000 * slots_, 1'000'000'000 * slots_, 0);
+    Resources capacity = *Resources::create(1000 * slots, 1'000'000'000 * slots, 0);
     auto used = *Resources::create(1000 * static_cast<int64_t>(runs_.size()), 1'000'000'000 * static_cast<int64_t>(runs_.size()), 0);
     return { worker_, domain_, RackName::of("rack"), { incarnation_, now }, capacity, capacity - used, static_cast<uint32_t>(runs_.size()), 0, now >= readyAt_ };
 }
@@ -36,7 +36,7 @@
         if (other.task_ == order.task_)
             return StartRefused { StartRefusal::EarlierAttemptRuns, "" };
     }
-    if (runs_.size() >= slots_)
+    if (runs_.size() >= slots)
         return StartRefused { StartRefusal::Capacity, "" };
     fence_[order.task_] = order.attempt_;
     runs_[task] = { order.stamp_.issuedAt_ + order.lease_ };
--- a/jobs/tests/SimulatedHost.h
+++ b/jobs/tests/SimulatedHost.h
@@ -64,7 +64,7 @@
     void end(const platform::TaskAttempt&, hosting::TaskEvent);
     void tell(const platform::TaskAttempt&, hosting::TaskEvent);
 
-    static constexpr size_t slots_ = 3;
+    static constexpr size_t slots = 3;
     WorkerName worker_;
     FailureDomainName domain_;
     bool failsEverything_ { false };
