--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -5,7 +5,6 @@
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/platform/PlatformClients.h"
-#include "persimmondoor/routing/EndpointsRoute.h"
 #include "persimmondoor/routing/HTTPFront.h"
 
 namespace persimmondoor::app {
@@ -63,7 +62,8 @@
     entry->jobs_ = std::make_shared<JobsPart>(JobsPart::create(executor, site));
     http::Routes routes = operators.routes();
     entry->jobs_->offer(routes);
-    auto callers = http::Server::listen(executor, self.http_, callersLimits(), burn::observe(routing::makeHTTPFront(self.name_, router, claims), operators.burn()));
+    http::Handler front = burn::observe(routing::makeHTTPFront(self.name_, router, claims), operators.burn());
+    auto callers = http::Server::listen(executor, self.http_, callersLimits(), std::move(front));
     auto api = http::Server::listen(executor, self.operators_, {}, routes.handler());
     rpc::Interfaces interfaces;
     membership::offerMembership(interfaces, view, operators.hints());
--- a/bench/colocation/Driver.cpp
+++ b/bench/colocation/Driver.cpp
@@ -19,7 +19,8 @@
     constexpr double checkpointFailureShare = 0.05;
     /// Time for which a task does no work as it is checkpointed and started again.
     constexpr int restartSeconds = 10;
-    constexpr size_t placementsPerSecond = 12;
+    /// As many as there are kinds of tasks, so that refusals of some never hold up others.
+    constexpr size_t placementsPerSecond = 64;
     constexpr double useNoise = 0.05;
     constexpr double fixedObjectiveFactor = 1.1;
 
@@ -257,8 +258,11 @@
             Measurement late = std::move(worker.measurements_.front());
             worker.measurements_.pop_front();
             double measured = late.tail_ * std::exp(settings_.noise_ * random_.normal());
-            if (!worker.closed_)
-                decideAt(index, Measured { service, instant(now_ - settings_.lagSeconds_), measured, late.serviceCores_, std::move(late.uses_) });
+            if (worker.closed_)
+                return;
+            Instant at = instant(now_ - settings_.lagSeconds_);
+            decideAt(index, UsageSeen { at, std::move(late.uses_) });
+            decideAt(index, Measured { service, at, measured, late.serviceCores_ });
         }
 
         static Resources cores(double amount)
