--- a/colocation/src/decisions/LearnedPlan.cpp
+++ b/colocation/src/decisions/LearnedPlan.cpp
@@ -135,7 +135,7 @@
     });
     std::vector<double> shares(tasks_.size(), minimumShare);
     Totals used = totals(shares);
-    constexpr int stepsAboveMinimum = static_cast<int>((1 - minimumShare) / shareStep + 0.5);
+    const auto stepsAboveMinimum = static_cast<int>(std::lround((1 - minimumShare) / shareStep));
     for (size_t index : order) {
         int lowest = 0;
         int highest = stepsAboveMinimum;
