--- a/bench/capacity/Measure.cpp
+++ b/bench/capacity/Measure.cpp
@@ -5,7 +5,7 @@
 Slopes measureAll()
 {
     Slopes all;
-    for (Slopes (*measure)() : { measureEntry, measureOwner, measureHost, measureSystem }) {
+    for (Slopes (*measure)() : { measureEntry, measureOwner, measureLeases, measureHost, measureSystem }) {
         Slopes part = measure();
         all.insert(all.end(), part.begin(), part.end());
     }
--- a/bench/capacity/Measure.h
+++ b/bench/capacity/Measure.h
@@ -12,6 +12,9 @@
 // against starts, each with the end of the task.
 Slopes measureOwner();
 
+// Ownership of partitions: store writes and reads a second at rest against partitions, among 1,000 processes.
+Slopes measureLeases();
+
 // An agent's host: bytes on the wire of probes, starts and renewals.
 Slopes measureHost();
 
--- a/bench/capacity/OwnerSlopes.cpp
+++ b/bench/capacity/OwnerSlopes.cpp
@@ -96,7 +96,7 @@
         placed += std::holds_alternative<placement::Placed>(placement::choosePlacement(request, offersOf(task))) ? 1 : 0;
     }
     assertInvariant(placed == count, "every task finds a place");
-    for (auto records : { startsOf(count), endsOf(count) }) {
+    for (const std::vector<Record>& records : { startsOf(count), endsOf(count) }) {
         std::string row = encode(Batch { Epoch(1), Sequence(1), records });
         assertInvariant(!row.empty(), "the batch is encoded");
         ledger = applyRecords(std::move(ledger), records).ledger_;
--- a/bench/jobs/Jobs.cpp
+++ b/bench/jobs/Jobs.cpp
@@ -100,18 +100,18 @@
             OffersCollected offers;
             for (const WorkerName& worker : probe->workers_)
                 offers.offers_.push_back({ worker, FailureDomainName::of("domain-0"), RackName::of("rack"), { Incarnation(1), now_ }, huge_, huge_, 0, 0, true });
-            pending_.emplace(now_ + roundTrip_, std::move(offers));
+            pending_.emplace(now_ + roundTrip, std::move(offers));
         } else if (const auto* start = std::get_if<SendStart>(&action)) {
             ++starts_;
             auto urgent = urgentSubmitted_.find(start->task_.job_);
             if (urgent != urgentSubmitted_.end())
                 slowestUrgent_ = std::max(slowestUrgent_, now_ - urgent->second);
             running_.emplace_back(start->worker_, start->task_, start->order_.attempt_);
-            pending_.emplace(now_ + roundTrip_, StartAnswered { start->task_, start->order_.attempt_, hosting::Started {} });
+            pending_.emplace(now_ + roundTrip, StartAnswered { start->task_, start->order_.attempt_, hosting::Started {} });
         }
     }
 
-    static constexpr Duration roundTrip_ = std::chrono::milliseconds(5);
+    static constexpr Duration roundTrip = std::chrono::milliseconds(5);
     const Resources huge_ = *Resources::create(1'000'000'000, 1'000'000'000'000'000, 0);
     Duration writeTime_;
     Instant now_ { Instant::fromMicroseconds(1'000'000) };
--- a/bench/settings/main.cpp
+++ b/bench/settings/main.cpp
@@ -118,6 +118,7 @@
     settings::offerSettings(interfaces, executor, entry);
     auto server = rpc::Server::listen(executor, *Address::parse("127.0.0.1:0"), std::move(interfaces));
     std::vector<Agent> started;
+    started.reserve(static_cast<size_t>(agents));
     co_await change(table, entry, progress, 1);
     for (int number = 0; number < agents; ++number)
         started.push_back(startAgent(executor, number, (*server)->address(), progress));
--- a/membership/src/Announcer.cpp
+++ b/membership/src/Announcer.cpp
@@ -45,7 +45,7 @@
 {
     co_await sleepFor(delay);
     Announcer::Message due = Announcer::Due {};
-    co_await mailbox.post(std::move(due));
+    co_await mailbox.post(due);
 }
 
 namespace {
--- a/routing/src/RouterActor.cpp
+++ b/routing/src/RouterActor.cpp
@@ -30,7 +30,7 @@
         RouterLoop(asio::any_io_executor executor, Clock clock, RouterOptions options, Mailbox<RouterActor::Message> mailbox)
             : executor_(std::move(executor))
             , clock_(std::move(clock))
-            , router_(std::move(options))
+            , router_(options)
             , mailbox_(std::move(mailbox))
         {
         }
@@ -179,7 +179,7 @@
 RouterActor::RouterActor(const asio::any_io_executor& executor, Clock clock, RouterOptions options)
     : mailbox_(executor, mailboxCapacity)
 {
-    auto loop = std::make_shared<RouterLoop>(executor, std::move(clock), std::move(options), mailbox_);
+    auto loop = std::make_shared<RouterLoop>(executor, std::move(clock), options, mailbox_);
     spawn(executor, "router", loop->run(loop));
 }
 
--- a/settings/src/Store.cpp
+++ b/settings/src/Store.cpp
@@ -56,6 +56,7 @@
 static std::vector<std::string> keysOf(const std::vector<std::pair<SubtreeName, std::string>>& revisions)
 {
     std::vector<std::string> keys;
+    keys.reserve(revisions.size());
     for (const auto& revision : revisions)
         keys.push_back(revision.second);
     return keys;
--- a/settings/src/decisions/Tree.cpp
+++ b/settings/src/decisions/Tree.cpp
@@ -44,6 +44,7 @@
     for (auto change = first; change != changes_.end(); ++change)
         names.insert(change->name_);
     std::vector<Subtree> changed;
+    changed.reserve(names.size());
     for (const SubtreeName& name : names)
         changed.push_back(subtrees_.at(name));
     return changed;
