--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -29,17 +29,6 @@
     co_await router.learnSurely(std::move(message));
 }
 
-// The other entries whose address is known at the start.
-static std::vector<Address> peersOf(const settings::Site& site, const settings::EntrySite& self)
-{
-    std::vector<Address> peers;
-    for (const settings::EntrySite& entry : site.entries_) {
-        if (entry.name_ != self.name_ && entry.rpc_.port() != 0)
-            peers.push_back(entry.rpc_);
-    }
-    return peers;
-}
-
 static http::Limits callersLimits()
 {
     http::Limits limits;
@@ -74,7 +63,7 @@
         if (!status.ok())
             return status;
     }
-    membership::learnFromPeers(view, peersOf(site, self));
+    membership::learnFromPeers(view, settings::peersOf(site, self));
     entry->callers_ = *std::move(callers);
     entry->operators_ = *std::move(api);
     entry->peers_ = *std::move(peers);
--- a/app/src/Main.cpp
+++ b/app/src/Main.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -141,12 +142,22 @@
     return absl::OkStatus();
 }
 
+static asio::awaitable<void> shutDownAgent(Agent& agent, Duration limit, Mailbox<bool> ended)
+{
+    co_await agent.shutDown(limit);
+    ended.tryPost(true);
+}
+
 static asio::awaitable<void> shutDown(Daemon& daemon, Duration limit)
 {
+    asio::any_io_executor executor = co_await asio::this_coro::executor;
     for (auto& entry : daemon.entries_)
         co_await entry->shutDown(limit);
+    Mailbox<bool> ended(executor, daemon.agents_.size() + 1);
     for (auto& agent : daemon.agents_)
-        co_await agent->shutDown(limit);
+        spawn(executor, "agent shutdown", shutDownAgent(*agent, limit, ended));
+    for (size_t count = 0; count < daemon.agents_.size(); ++count)
+        co_await ended.receive();
 }
 
 static asio::awaitable<void> waitForSignal(asio::io_context& context, Daemon& daemon, Duration limit)
--- a/app/src/Operators.cpp
+++ b/app/src/Operators.cpp
@@ -116,17 +116,6 @@
     co_return co_await reply.receive();
 }
 
-static std::vector<Address> peersOf(const settings::Site& site, const settings::EntrySite& self)
-{
-    std::vector<Address> peers;
-    for (const settings::EntrySite& entry : site.entries_) {
-        // An entry that has no port yet cannot be reached; it finds changes in the store.
-        if (entry.name_ != self.name_ && entry.rpc_.port() != 0)
-            peers.push_back(entry.rpc_);
-    }
-    return peers;
-}
-
 static std::vector<settings::Seed> seedsOf(const settings::Site& site)
 {
     std::vector<settings::Seed> seeds;
@@ -163,7 +152,7 @@
     const asio::any_io_executor& executor, const Clock& clock, const settings::Site& site, const settings::EntrySite& self, routing::RouterActor router)
     : self_(self)
     , table_(platform::HTTPTable(platform::HTTPPool::create(executor, site.platform_)))
-    , peers_(peersOf(site, self))
+    , peers_(settings::peersOf(site, self))
     , directory_(executor)
     , router_(std::move(router))
     , burn_(executor, burnOptions(site, self, table_))
--- a/rpc/src/Loop.cpp
+++ b/rpc/src/Loop.cpp
@@ -19,7 +19,7 @@
             context_ = &context;
         }
         // From here on nothing is posted: the context is about to be destroyed.
-        void detach() { context_ = nullptr; }
+        void stopPosting() { context_ = nullptr; }
 
         // Nothing in this program blocks on a promise; waiting happens in Asio alone.
         bool wait() override { KJ_FAIL_REQUIRE("blocking wait on a promise"); } // NOLINT(bugprone-suspicious-semicolon)
@@ -64,7 +64,7 @@
     {
         port_.attach(loop_, *context_);
     }
-    ~Implementation() { port_.detach(); }
+    ~Implementation() { port_.stopPosting(); }
     Implementation(const Implementation&) = delete;
     Implementation& operator=(const Implementation&) = delete;
 
--- a/rpc/src/SocketStream.cpp
+++ b/rpc/src/SocketStream.cpp
@@ -55,36 +55,34 @@
     return kj::mv(pair.promise);
 }
 
-kj::Promise<void> SocketStream::write(const void* buffer, size_t size)
+// Sends all of `buffers`, which the caller keeps until the promise is fulfilled.
+template <typename Buffers>
+static kj::Promise<void> send(std::shared_ptr<asio::ip::tcp::socket> socket, const Buffers& buffers)
 {
     auto pair = kj::newPromiseAndFulfiller<void>();
-    asio::async_write(*socket_, asio::buffer(buffer, size),
-        [socket = socket_, fulfiller = kj::mv(pair.fulfiller)](const boost::system::error_code& error, size_t sent) mutable {
-            threadStreamBytes().sent_ += sent;
-            if (error)
-                fulfiller->reject(disconnected(error));
-            else
-                fulfiller->fulfill();
-        });
+    asio::ip::tcp::socket& target = *socket;
+    asio::async_write(target, buffers, [socket = std::move(socket), fulfiller = kj::mv(pair.fulfiller)](const boost::system::error_code& error, size_t sent) mutable {
+        threadStreamBytes().sent_ += sent;
+        if (error)
+            fulfiller->reject(disconnected(error));
+        else
+            fulfiller->fulfill();
+    });
     return kj::mv(pair.promise);
 }
 
+kj::Promise<void> SocketStream::write(const void* buffer, size_t size)
+{
+    return send(socket_, asio::buffer(buffer, size));
+}
+
 kj::Promise<void> SocketStream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
 {
     std::vector<asio::const_buffer> buffers;
     buffers.reserve(pieces.size());
     for (const auto& piece : pieces)
         buffers.emplace_back(piece.begin(), piece.size());
-    auto pair = kj::newPromiseAndFulfiller<void>();
-    asio::async_write(*socket_, buffers,
-        [socket = socket_, fulfiller = kj::mv(pair.fulfiller)](const boost::system::error_code& error, size_t sent) mutable {
-            threadStreamBytes().sent_ += sent;
-            if (error)
-                fulfiller->reject(disconnected(error));
-            else
-                fulfiller->fulfill();
-        });
-    return kj::mv(pair.promise);
+    return send(socket_, buffers);
 }
 
 void SocketStream::shutdownWrite()
--- a/settings/include/persimmondoor/settings/Site.h
+++ b/settings/include/persimmondoor/settings/Site.h
@@ -69,6 +69,10 @@
     bool operator==(const Site&) const = default;
 };
 
+/// Where the other entries listen for the system's own messages. One that has no port yet cannot be reached and is
+/// left out; it finds what it needs in the store.
+std::vector<Address> peersOf(const Site&, const EntrySite& self);
+
 /// Reads a site file.
 /// \return the site, or InvalidArgument with one line for each fault: its path, then what is wrong.
 absl::StatusOr<Site> parseSite(std::string_view text);
--- a/settings/src/Site.cpp
+++ b/settings/src/Site.cpp
@@ -81,6 +81,16 @@
     return site;
 }
 
+std::vector<Address> peersOf(const Site& site, const EntrySite& self)
+{
+    std::vector<Address> peers;
+    for (const EntrySite& entry : site.entries_) {
+        if (entry.name_ != self.name_ && entry.rpc_.port() != 0)
+            peers.push_back(entry.rpc_);
+    }
+    return peers;
+}
+
 absl::StatusOr<Site> parseSite(std::string_view text)
 {
     Site site;
