Bring quotas from the settings tree to the owners of jobs

Cause: owners took quotas from the site file only, so a changed quota had no effect. Change: entries and agents give each team's subtree in force to their jobs. Measured: in separate processes a quota of 1 core held the second task of a job back, and raising it started the task. Linter findings in the fuzz targets and a placement test mended.

--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -59,10 +59,13 @@
     auto host = startHosting(executor, self, incarnation, platform::connectPlatform(executor, site.platform_), interfaces);
     // The announcer starts after the server and the settings before it, so the digest finds its way by a mailbox.
     Mailbox<settings::Digest> digests(executor, digestCapacity);
-    settings::SettingsActor tree(executor, SteadyClock(), [digests](const settings::InForce&, settings::Digest digest) { digests.tryPost(digest); });
-    settings::offerSettings(interfaces, executor, tree);
     auto jobs = std::make_shared<JobsPart>(JobsPart::create(executor, site));
     jobs->offer(interfaces);
+    settings::SettingsActor tree(executor, SteadyClock(), [digests, jobs](const settings::InForce& change, settings::Digest digest) {
+        jobs->learnSettings(change.subtree_);
+        digests.tryPost(digest);
+    });
+    settings::offerSettings(interfaces, executor, tree);
     auto server = rpc::Server::listen(executor, self.rpc_, std::move(interfaces));
     if (!server.ok())
         return server.status();
--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -40,7 +40,8 @@
 {
     Clock clock = SteadyClock();
     routing::RouterActor router(executor, clock, routing::RouterOptions { static_cast<uint32_t>(wallMilliseconds()), routing::LeastExpectedTime {} });
-    Operators operators(executor, clock, site, self, router);
+    auto jobs = std::make_shared<JobsPart>(JobsPart::create(executor, site));
+    Operators operators(executor, clock, site, self, router, jobs);
     membership::ViewActor view(executor, clock, [router, operators](membership::ViewAction action) {
         operators.learn(action);
         return tellRouter(router, std::move(action));
@@ -48,7 +49,7 @@
     auto entry = std::unique_ptr<Entry>(new Entry(self, router, view, operators.settings(), operators.burn()));
 
     routing::ClaimsActor claims(executor, clock, platform::connectPlatform(executor, site.platform_).table_);
-    entry->jobs_ = std::make_shared<JobsPart>(JobsPart::create(executor, site));
+    entry->jobs_ = jobs;
     http::Routes routes = operators.routes();
     entry->jobs_->offer(routes);
     http::Handler front = burn::observe(routing::makeHTTPFront(self.name_, router, claims), operators.burn());
--- a/app/src/Jobs.cpp
+++ b/app/src/Jobs.cpp
@@ -10,12 +10,13 @@
 // Longest wait for partitions to be given back; after it their leases lapse.
 static constexpr Duration giveBackLimit = std::chrono::seconds(3);
 
-JobsPart::JobsPart(asio::any_io_executor executor, platform::TableClient table, jobs::JobsActor jobs, jobs::JobsFront front, uint32_t candidates)
+JobsPart::JobsPart(asio::any_io_executor executor, platform::TableClient table, jobs::JobsActor jobs, jobs::JobsFront front, uint32_t candidates, std::map<TeamName, Resources> quotas)
     : executor_(std::move(executor))
     , table_(std::move(table))
     , jobs_(std::move(jobs))
     , front_(std::move(front))
     , candidates_(candidates)
+    , quotas_(std::move(quotas))
 {
 }
 
@@ -36,16 +37,30 @@
 {
     platform::HTTPPool pool = platform::HTTPPool::create(executor, site.platform_);
     platform::TableClient table = platform::HTTPTable(pool);
-    jobs::JobsEnvironment environment { table, platform::HTTPObjects(pool), {}, workersOf(site) };
+    std::map<TeamName, Resources> quotas;
     for (const settings::TeamSettings& team : site.teams_)
-        environment.quotas_.emplace(team.team_, team.quota_);
+        quotas.emplace(team.team_, team.quota_);
+    jobs::JobsEnvironment environment { table, platform::HTTPObjects(pool), quotas, workersOf(site) };
     std::set<FailureDomainName> domains;
     for (const settings::WorkerSite& worker : site.workers_)
         domains.insert(worker.domain_);
     auto candidates = static_cast<uint32_t>(site.entries_.size() + site.workers_.size());
     jobs::JobsActor jobs = jobs::JobsActor::create(executor, SteadyClock(), std::move(environment));
     jobs::JobsFront front(executor, table, jobs, leases::defaultPartitionCount, std::move(domains));
-    return { executor, std::move(table), std::move(jobs), std::move(front), candidates };
+    return { executor, std::move(table), std::move(jobs), std::move(front), candidates, std::move(quotas) };
+}
+
+void JobsPart::learnSettings(const settings::Subtree& subtree)
+{
+    if (subtree.name_.value() == settings::operatorsSubtree)
+        return;
+    auto team = settings::parseTeam(subtree.name_, subtree.text_);
+    if (!team.ok()) {
+        logError("jobs.unreadable_team", { { "team", subtree.name_.value() }, { "error", std::string(team.status().message()) } });
+        return;
+    }
+    quotas_.insert_or_assign(team->team_, team->quota_);
+    jobs_.setQuotas(quotas_);
 }
 
 void JobsPart::offer(rpc::Interfaces& interfaces) const
--- a/app/src/Jobs.h
+++ b/app/src/Jobs.h
@@ -5,6 +5,7 @@
 #include "persimmondoor/jobs/Front.h"
 #include "persimmondoor/leases/OwnershipActor.h"
 #include "persimmondoor/settings/Site.h"
+#include "persimmondoor/settings/Tree.h"
 
 namespace persimmondoor::app {
 
@@ -18,19 +19,22 @@
 
     // Takes in where the workers listen.
     void learnWorkers(const settings::Site&) const;
+    // Takes in a subtree that is in force: a team's quota.
+    void learnSettings(const settings::Subtree&);
     // Begins to claim partitions for `process`, which listens at `address` for other processes.
     void own(const ProcessName& process, const Address& address);
     // Gives the partitions back and ends.
     boost::asio::awaitable<void> shutDown();
 
 private:
-    JobsPart(boost::asio::any_io_executor, platform::TableClient, jobs::JobsActor, jobs::JobsFront, uint32_t candidates);
+    JobsPart(boost::asio::any_io_executor, platform::TableClient, jobs::JobsActor, jobs::JobsFront, uint32_t candidates, std::map<TeamName, Resources> quotas);
 
     boost::asio::any_io_executor executor_;
     platform::TableClient table_;
     jobs::JobsActor jobs_;
     jobs::JobsFront front_;
     uint32_t candidates_ { 1 };
+    std::map<TeamName, Resources> quotas_;
     std::optional<leases::OwnershipActor> ownership_;
 };
 
--- a/app/src/Operators.cpp
+++ b/app/src/Operators.cpp
@@ -133,30 +133,33 @@
 }
 
 // A change is never dropped: the mailbox holds more changes than the tree has subtrees, and each is read at once.
-static settings::InForceListener tellTo(const Mailbox<settings::Subtree>& changes)
+static settings::InForceListener tellTo(const Mailbox<settings::Subtree>& changes, std::shared_ptr<JobsPart> jobs)
 {
-    return [changes](const settings::InForce& change, settings::Digest) {
+    return [changes, jobs = std::move(jobs)](const settings::InForce& change, settings::Digest) {
+        jobs->learnSettings(change.subtree_);
         if (!changes.tryPost(change.subtree_))
             logError("settings.change_dropped", { { "subtree", change.subtree_.name_.value() } });
     };
 }
 
-static settings::SettingsActor startSettings(const asio::any_io_executor& executor, const Clock& clock, const routing::RouterActor& router, const burn::BurnActor& burn)
+static settings::SettingsActor startSettings(
+    const asio::any_io_executor& executor, const Clock& clock, const routing::RouterActor& router, const burn::BurnActor& burn, std::shared_ptr<JobsPart> jobs)
 {
     Mailbox<settings::Subtree> changes(executor, changesCapacity);
     spawn(executor, "service teller", ServiceTeller::run(std::make_shared<ServiceTeller>(router, burn), changes));
-    return { executor, clock, tellTo(changes) };
+    return { executor, clock, tellTo(changes, std::move(jobs)) };
 }
 
 Operators::Operators(
-    const asio::any_io_executor& executor, const Clock& clock, const settings::Site& site, const settings::EntrySite& self, routing::RouterActor router)
+    const asio::any_io_executor& executor, const Clock& clock, const settings::Site& site, const settings::EntrySite& self, routing::RouterActor router,
+    std::shared_ptr<JobsPart> jobs)
     : self_(self)
     , table_(platform::HTTPTable(platform::HTTPPool::create(executor, site.platform_)))
     , peers_(settings::peersOf(site, self))
     , directory_(executor)
     , router_(std::move(router))
     , burn_(executor, burnOptions(site, self, table_))
-    , settings_(startSettings(executor, clock, router_, burn_))
+    , settings_(startSettings(executor, clock, router_, burn_, std::move(jobs)))
 {
     spawn(executor, "settings keeper", settings::keepSettings(settings_, table_, peers_, seedsOf(site)));
 }
--- a/app/src/Operators.h
+++ b/app/src/Operators.h
@@ -1,6 +1,7 @@
 // The operators' side of an entry: its settings and the paths of the operators' API.
 #pragma once
 
+#include "Jobs.h"
 #include "persimmondoor/burn/BurnActor.h"
 #include "persimmondoor/http/Routes.h"
 #include "persimmondoor/membership/ViewActor.h"
@@ -31,8 +32,9 @@
 
 class Operators {
 public:
-    // Starts the entry's settings; the router learns each service that they define.
-    Operators(const boost::asio::any_io_executor&, const Clock&, const settings::Site&, const settings::EntrySite&, routing::RouterActor);
+    // Starts the entry's settings; the router learns each service that they define, jobs each quota.
+    Operators(const boost::asio::any_io_executor&, const Clock&, const settings::Site&, const settings::EntrySite&, routing::RouterActor,
+        std::shared_ptr<JobsPart>);
 
     // All paths of the operators' API.
     http::Routes routes() const;
--- a/app/tests/jobs_separate_processes.sh
+++ b/app/tests/jobs_separate_processes.sh
@@ -87,7 +87,18 @@
 cancelled() { ctl 1 job show lankacell:watch --json | grep -q '"phases":{"cancelled":3}'; }
 eventually cancelled
 
+# A quota set while the system runs holds for jobs: nothing starts beyond it, and what waits starts when it is raised.
+ctl 1 settings set lankacell quota.cores=1 --wait
+echo '{ "id": "quota", "team": "lankacell", "command": "sleep 600000", "cores": 1, "memory_gb": 1, "tasks": 2 }' > "$work/quota.json"
+ctl 1 job submit "$work/quota.json"
+waits() { ctl 1 job explain lankacell:quota | grep -q 'exceeds the quota' && ctl 1 job show lankacell:quota --json | grep -q '"running":1'; }
+eventually waits
+ctl 2 settings set lankacell quota.cores=100 --wait
+both() { ctl 2 job show lankacell:quota --json | grep -q '"running":2'; }
+eventually both
+ctl 1 job cancel lankacell:quota
+
 kill -TERM "${pids[@]}"
 for pid in "${pids[@]}"; do wait "$pid"; done
 pids=()
-echo "jobs in separate processes: completed, refused, drained, restored and cancelled"
+echo "jobs in separate processes: completed, refused, drained, restored, cancelled, held to a quota"
--- a/fuzz/MessagesTarget.cpp
+++ b/fuzz/MessagesTarget.cpp
@@ -32,7 +32,7 @@
     }
 }
 
-extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) // NOLINT(readability-identifier-naming)
 {
     size_t words = size / sizeof(capnp::word);
     if (size < 1 + sizeof(capnp::word))
--- a/fuzz/SettingsTarget.cpp
+++ b/fuzz/SettingsTarget.cpp
@@ -6,7 +6,7 @@
 using namespace persimmondoor;
 using namespace persimmondoor::settings;
 
-extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) // NOLINT(readability-identifier-naming)
 {
     if (size == 0)
         return 0;
--- a/placement/tests/SamplingTest.cpp
+++ b/placement/tests/SamplingTest.cpp
@@ -19,7 +19,7 @@
 DomainDigest digestOf(int fullWorkers, int freeWorkers)
 {
     std::vector<Offer> offers;
-    offers.reserve(static_cast<size_t>(fullWorkers + freeWorkers));
+    offers.reserve(static_cast<size_t>(fullWorkers) + static_cast<size_t>(freeWorkers));
     for (int index = 0; index < fullWorkers; ++index)
         offers.push_back(offer("f" + std::to_string(index), "a", resources(0, 0), resources(64, 256)));
     for (int index = 0; index < freeWorkers; ++index)
