Say that an idle owner of partitions still polls

Cause: the design page and the capacity page said that timers run only while there is something to time; the actor of jobs wakes every 100 ms while it owns a partition.

--- a/bench/capacity/Page.cpp
+++ b/bench/capacity/Page.cpp
@@ -170,7 +170,7 @@
     page.row({ "bytes, all", "sum of the above", keepalives + renewals + starts, nodeBytesPerSecond, "B/s", "-" });
     page.row({ "memory", "`system.memory` (with its share of an entry) + 14 MB, the resident size of an agent's process", page.per("system.memory") + 14e6, nodeMemoryBytes, "bytes",
         "bounded queues and retention" });
-    page.row({ "processor, at rest", "`system.processor` (with its share of an entry)", page.per("system.processor"), nodeMicrosecondsPerSecond, "us/s", "timers only while there is something to time" });
+    page.row({ "processor, at rest", "`system.processor` (with its share of an entry)", page.per("system.processor"), nodeMicrosecondsPerSecond, "us/s", "few timers; an owner of job partitions wakes ten times a second, also when it is idle" });
     page.text("");
 }
 
