--- a/app/include/persimmondoor/app/Standins.h
+++ b/app/include/persimmondoor/app/Standins.h
@@ -8,8 +8,8 @@
 #pragma once
 
 #include "persimmondoor/http/Server.h"
-#include "persimmondoor/platform/StandinServer.h"
 #include "persimmondoor/settings/Site.h"
+#include "persimmondoor/store/StandinServer.h"
 
 #include <memory>
 #include <vector>
@@ -32,7 +32,7 @@
     }
 
     settings::Site site_;
-    platform::PlatformStandins platform_ = platform::PlatformStandins::create(SteadyClock());
+    store::PlatformStandins platform_ = store::PlatformStandins::create(SteadyClock());
     std::vector<std::unique_ptr<http::Server>> servers_;
 };
 
--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -56,7 +56,7 @@
     Incarnation incarnation(static_cast<uint64_t>(wallMilliseconds()));
     rpc::Interfaces interfaces;
     admission::offerAdmission(interfaces, executor, *gate);
-    auto host = startHosting(executor, self, incarnation, platform::connectPlatform(executor, site.platform_), interfaces);
+    auto host = startHosting(executor, self, incarnation, store::connectPlatform(executor, site.platform_), interfaces);
     // The announcer starts after the server and the settings before it, so the digest finds its way by a mailbox.
     Mailbox<settings::Digest> digests(executor, digestCapacity);
     auto jobs = std::make_shared<JobsPart>(JobsPart::create(executor, site));
--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -4,8 +4,8 @@
 #include "Operators.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
-#include "persimmondoor/platform/PlatformClients.h"
 #include "persimmondoor/routing/HTTPFront.h"
+#include "persimmondoor/store/PlatformClients.h"
 
 namespace persimmondoor::app {
 
@@ -48,7 +48,7 @@
     });
     auto entry = std::unique_ptr<Entry>(new Entry(self, router, view, operators.settings(), operators.burn()));
 
-    routing::ClaimsActor claims(executor, clock, platform::connectPlatform(executor, site.platform_).table_);
+    routing::ClaimsActor claims(executor, clock, store::connectPlatform(executor, site.platform_).table_);
     entry->jobs_ = jobs;
     http::Routes routes = operators.routes();
     entry->jobs_->offer(routes);
--- a/app/src/Hosting.h
+++ b/app/src/Hosting.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include "persimmondoor/hosting/HostActor.h"
-#include "persimmondoor/platform/PlatformClients.h"
 #include "persimmondoor/settings/Site.h"
+#include "persimmondoor/store/PlatformClients.h"
 
 namespace persimmondoor::app {
 
 // Starts the ledger of a worker's tasks and offers it on `interfaces`.
-hosting::HostActor startHosting(const boost::asio::any_io_executor&, const settings::WorkerSite&, Incarnation, const platform::PlatformClients&, rpc::Interfaces&);
+hosting::HostActor startHosting(const boost::asio::any_io_executor&, const settings::WorkerSite&, Incarnation, const store::PlatformClients&, rpc::Interfaces&);
 
 } // namespace persimmondoor::app
--- a/app/src/Jobs.cpp
+++ b/app/src/Jobs.cpp
@@ -10,7 +10,7 @@
 // Longest wait for partitions to be given back; after it their leases lapse.
 static constexpr Duration giveBackLimit = std::chrono::seconds(3);
 
-JobsPart::JobsPart(asio::any_io_executor executor, platform::TableClient table, jobs::JobsActor jobs, jobs::JobsFront front, uint32_t candidates, std::map<TeamName, Resources> quotas)
+JobsPart::JobsPart(asio::any_io_executor executor, store::TableClient table, jobs::JobsActor jobs, jobs::JobsFront front, uint32_t candidates, std::map<TeamName, Resources> quotas)
     : executor_(std::move(executor))
     , table_(std::move(table))
     , jobs_(std::move(jobs))
@@ -35,12 +35,12 @@
 
 JobsPart JobsPart::create(const asio::any_io_executor& executor, const settings::Site& site)
 {
-    platform::HTTPPool pool = platform::HTTPPool::create(executor, site.platform_);
-    platform::TableClient table = platform::HTTPTable(pool);
+    store::HTTPPool pool = store::HTTPPool::create(executor, site.platform_);
+    store::TableClient table = store::HTTPTable(pool);
     std::map<TeamName, Resources> quotas;
     for (const settings::TeamSettings& team : site.teams_)
         quotas.emplace(team.team_, team.quota_);
-    jobs::JobsEnvironment environment { table, platform::HTTPObjects(pool), quotas, workersOf(site) };
+    jobs::JobsEnvironment environment { table, store::HTTPObjects(pool), quotas, workersOf(site) };
     std::set<FailureDomainName> domains;
     for (const settings::WorkerSite& worker : site.workers_)
         domains.insert(worker.domain_);
--- a/app/src/Jobs.h
+++ b/app/src/Jobs.h
@@ -27,10 +27,10 @@
     boost::asio::awaitable<void> shutDown();
 
 private:
-    JobsPart(boost::asio::any_io_executor, platform::TableClient, jobs::JobsActor, jobs::JobsFront, uint32_t candidates, std::map<TeamName, Resources> quotas);
+    JobsPart(boost::asio::any_io_executor, store::TableClient, jobs::JobsActor, jobs::JobsFront, uint32_t candidates, std::map<TeamName, Resources> quotas);
 
     boost::asio::any_io_executor executor_;
-    platform::TableClient table_;
+    store::TableClient table_;
     jobs::JobsActor jobs_;
     jobs::JobsFront front_;
     uint32_t candidates_ { 1 };
--- a/app/src/Main.cpp
+++ b/app/src/Main.cpp
@@ -1,5 +1,6 @@
 #include "persimmondoor/app/Main.h"
 
+#include "Deployed.h"
 #include "Options.h"
 #include "ctl/Ctl.h"
 #include "persimmondoor/app/Agent.h"
@@ -195,12 +196,18 @@
 }
 
 static constexpr std::string_view usageText = "usage: persimmondoor entry|agent|local --settings FILE [--name NAME] [--log-level LEVEL]\n"
+                                              "       persimmondoor entry|agent --deployment FILE [--log-level LEVEL]\n"
                                               "       persimmondoor ctl VERB ... [--entry IP:PORT]... [--json] [--token TOKEN]\n";
 
 int runProgram(int argc, char** argv)
 {
     std::vector<std::string> arguments(argv + std::min(argc, 2), argv + argc);
     std::string subcommand = argc > 1 ? argv[1] : "";
+    bool deployed = namesDeployment(arguments);
+    if (subcommand == "entry" && deployed)
+        return runDeployedEntry(arguments);
+    if (subcommand == "agent" && deployed)
+        return runDeployedAgent(arguments);
     if (subcommand == "entry")
         return runDaemon(subcommand, arguments, startEntry);
     if (subcommand == "agent")
--- a/app/src/Operators.cpp
+++ b/app/src/Operators.cpp
@@ -124,7 +124,7 @@
     return seeds;
 }
 
-static burn::BurnOptions burnOptions(const settings::Site& site, const settings::EntrySite& self, const platform::TableClient& table)
+static burn::BurnOptions burnOptions(const settings::Site& site, const settings::EntrySite& self, const store::TableClient& table)
 {
     burn::BurnOptions options { self.name_, {}, table };
     for (const settings::EntrySite& entry : site.entries_)
@@ -154,7 +154,7 @@
     const asio::any_io_executor& executor, const Clock& clock, const settings::Site& site, const settings::EntrySite& self, routing::RouterActor router,
     std::shared_ptr<JobsPart> jobs)
     : self_(self)
-    , table_(platform::HTTPTable(platform::HTTPPool::create(executor, site.platform_)))
+    , table_(store::HTTPTable(store::HTTPPool::create(executor, site.platform_)))
     , peers_(settings::peersOf(site, self))
     , directory_(executor)
     , router_(std::move(router))
--- a/app/src/Operators.h
+++ b/app/src/Operators.h
@@ -5,10 +5,10 @@
 #include "persimmondoor/burn/BurnActor.h"
 #include "persimmondoor/http/Routes.h"
 #include "persimmondoor/membership/ViewActor.h"
-#include "persimmondoor/platform/TableClient.h"
 #include "persimmondoor/routing/RouterActor.h"
 #include "persimmondoor/settings/SettingsActor.h"
 #include "persimmondoor/settings/Site.h"
+#include "persimmondoor/store/TableClient.h"
 
 namespace persimmondoor::app {
 
@@ -46,7 +46,7 @@
 
 private:
     settings::EntrySite self_;
-    platform::TableClient table_;
+    store::TableClient table_;
     std::vector<Address> peers_;
     Directory directory_;
     routing::RouterActor router_;
--- a/app/src/Options.cpp
+++ b/app/src/Options.cpp
@@ -2,13 +2,14 @@
 
 #include "persimmondoor/core/Text.h"
 
+#include <algorithm>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <sstream>
 
 namespace persimmondoor::app {
 
-static absl::StatusOr<std::string> readFile(const std::string& path)
+absl::StatusOr<std::string> readFile(const std::string& path)
 {
     std::ifstream file(path, std::ios::binary);
     std::ostringstream text;
@@ -48,19 +49,54 @@
     return options;
 }
 
-absl::StatusOr<DaemonOptions> readDaemonOptions(const std::string& subcommand, std::vector<std::string> arguments)
+// Parses `arguments` and turns them into options with `convert`.
+template <typename Options>
+static absl::StatusOr<Options> parseFlags(cxxopts::Options flags, const std::vector<std::string>& arguments, absl::StatusOr<Options> (*convert)(const cxxopts::ParseResult&))
 {
     std::vector<const char*> pointers { "persimmondoor" };
     for (const std::string& argument : arguments)
         pointers.push_back(argument.c_str());
     try {
-        cxxopts::ParseResult result = daemonFlags(subcommand).parse(static_cast<int>(pointers.size()), pointers.data());
+        cxxopts::ParseResult result = flags.parse(static_cast<int>(pointers.size()), pointers.data());
         if (!result.unmatched().empty())
             return absl::InvalidArgumentError(concat("unknown argument ", result.unmatched().front()));
-        return toOptions(result);
+        return convert(result);
     } catch (const cxxopts::exceptions::exception& error) {
         return absl::InvalidArgumentError(error.what());
     }
 }
 
+absl::StatusOr<DaemonOptions> readDaemonOptions(const std::string& subcommand, std::vector<std::string> arguments)
+{
+    return parseFlags(daemonFlags(subcommand), arguments, toOptions);
+}
+
+bool namesDeployment(const std::vector<std::string>& arguments)
+{
+    return std::find(arguments.begin(), arguments.end(), "--deployment") != arguments.end();
+}
+
+static cxxopts::Options deployedFlags(const std::string& subcommand)
+{
+    cxxopts::Options flags("persimmondoor " + subcommand);
+    auto add = flags.add_options();
+    add("deployment", "deployment file, in JSON", cxxopts::value<std::string>());
+    add("log-level", "debug, info, warning or error", cxxopts::value<std::string>()->default_value("info"));
+    return flags;
+}
+
+static absl::StatusOr<DeployedOptions> toDeployedOptions(const cxxopts::ParseResult& result)
+{
+    DeployedOptions options;
+    options.path_ = result["deployment"].as<std::string>();
+    if (absl::Status status = parseLogLevel(result["log-level"].as<std::string>(), options.logLevel_); !status.ok())
+        return status;
+    return options;
+}
+
+absl::StatusOr<DeployedOptions> readDeployedOptions(const std::string& subcommand, std::vector<std::string> arguments)
+{
+    return parseFlags(deployedFlags(subcommand), arguments, toDeployedOptions);
+}
+
 } // namespace persimmondoor::app
--- a/app/src/Standins.cpp
+++ b/app/src/Standins.cpp
@@ -29,7 +29,7 @@
     }
     for (const settings::WorkerSite& worker : standins->site_.workers_)
         standins->platform_.workers_.add(worker.name_, worker.resources_);
-    auto server = platform::serveStandins(executor, standins->site_.platform_, standins->platform_);
+    auto server = store::serveStandins(executor, standins->site_.platform_, standins->platform_);
     if (!server.ok())
         return server.status();
     standins->site_.platform_ = (*server)->address();
--- a/bench/capacity/LeaseSlopes.cpp
+++ b/bench/capacity/LeaseSlopes.cpp
@@ -14,9 +14,9 @@
     for (uint32_t partitions : { 64, 150, 300 }) {
         leases::Cell cell(processes, leases::settingsFor(processes, partitions));
         cell.pass(settling);
-        platform::TableCounts before = cell.table_.counts();
+        store::TableCounts before = cell.table_.counts();
         cell.pass(counting);
-        platform::TableCounts after = cell.table_.counts();
+        store::TableCounts after = cell.table_.counts();
         writes.push_back({ static_cast<double>(partitions), static_cast<double>(after.transactions_ - before.transactions_) / leases::seconds(counting) });
         reads.push_back({ static_cast<double>(partitions), static_cast<double>(after.reads_ - before.reads_) / leases::seconds(counting) });
     }
--- a/bench/hosting/HostBench.h
+++ b/bench/hosting/HostBench.h
@@ -52,7 +52,7 @@
 
     rpc::Loop loop_;
     Resources capacity_ = *Resources::create(1'000'000, 1'000'000, 0);
-    platform::MemoryWorkers workers_ = platform::MemoryWorkers::create(SteadyClock());
+    store::MemoryWorkers workers_ = store::MemoryWorkers::create(SteadyClock());
     std::optional<HostActor> host_;
     std::unique_ptr<rpc::Server> server_;
     std::optional<rpc::Link> link_;
--- a/bench/jobs/Jobs.cpp
+++ b/bench/jobs/Jobs.cpp
@@ -5,7 +5,7 @@
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/core/Visitor.h"
 #include "persimmondoor/jobs/Owner.h"
-#include "persimmondoor/platform/TableState.h"
+#include "persimmondoor/store/TableState.h"
 
 #include <chrono>
 #include <cstdio>
@@ -77,7 +77,7 @@
             tell(RenewalAnswered { worker, now_, 0, std::move(answer) });
     }
 
-    const platform::TableCounts& counts() const { return table_.counts(); }
+    const store::TableCounts& counts() const { return table_.counts(); }
     size_t starts() const { return starts_; }
     Duration slowestUrgent() const { return slowestUrgent_; }
     const Owner& owner() const { return owner_; }
@@ -94,7 +94,7 @@
     void perform(const OwnerAction& action)
     {
         if (const auto* commit = std::get_if<CommitBatch>(&action)) {
-            table_.apply(batchTransaction(partition, platform::RowVersion(), *commit));
+            table_.apply(batchTransaction(partition, store::RowVersion(), *commit));
             pending_.emplace(now_ + writeTime_, JournalAnswered { BatchWritten { commit->batch_.sequence_ } });
         } else if (const auto* probe = std::get_if<ProbeWorkers>(&action)) {
             OffersCollected offers;
@@ -116,7 +116,7 @@
     Duration writeTime_;
     Instant now_ { Instant::fromMicroseconds(1'000'000) };
     Owner owner_;
-    platform::TableState table_;
+    store::TableState table_;
     std::multimap<Instant, OwnerMessage> pending_;
     std::vector<std::tuple<WorkerName, TaskKey, Attempt>> running_;
     std::map<JobId, Instant> urgentSubmitted_;
--- a/bench/leases/LeaseCell.h
+++ b/bench/leases/LeaseCell.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "persimmondoor/leases/Ownership.h"
-#include "persimmondoor/platform/TableState.h"
+#include "persimmondoor/store/TableState.h"
 
 #include <deque>
 
@@ -56,7 +56,7 @@
     }
 
     std::vector<Process> processes_;
-    platform::TableState table_;
+    store::TableState table_;
     bool down_ { false };
     Instant now_;
 
@@ -73,10 +73,10 @@
         }
     }
 
-    platform::CommitOutcome commit(const platform::Transaction& transaction)
+    store::CommitOutcome commit(const store::Transaction& transaction)
     {
         if (down_)
-            return platform::Unavailable {};
+            return store::Unavailable {};
         return table_.apply(transaction);
     }
 
--- a/bench/leases/Leases.cpp
+++ b/bench/leases/Leases.cpp
@@ -19,9 +19,9 @@
     Cell cell(processes, settingsFor(processes, partitions));
     cell.pass(120 * second);
     size_t owned = cell.owned();
-    platform::TableCounts before = cell.table_.counts();
+    store::TableCounts before = cell.table_.counts();
     cell.pass(300 * second);
-    platform::TableCounts after = cell.table_.counts();
+    store::TableCounts after = cell.table_.counts();
     size_t owners = 0;
     size_t most = 0;
     for (const Process& process : cell.processes_) {
--- a/bench/requests/System.cpp
+++ b/bench/requests/System.cpp
@@ -44,7 +44,7 @@
     , behaviour_(behaviour)
 {
     site_.cell_ = "bench";
-    platform_ = *platform::serveStandins(executor(), loopback, platform::PlatformStandins::create(SteadyClock()));
+    platform_ = *store::serveStandins(executor(), loopback, store::PlatformStandins::create(SteadyClock()));
     site_.platform_ = platform_->address();
     settings::TeamSettings team { TeamName::of("team"), {}, {} };
     settings::ServiceSettings service;
--- a/bench/requests/System.h
+++ b/bench/requests/System.h
@@ -3,8 +3,8 @@
 
 #include "persimmondoor/app/Agent.h"
 #include "persimmondoor/app/Entry.h"
-#include "persimmondoor/platform/StandinServer.h"
 #include "persimmondoor/rpc/Loop.h"
+#include "persimmondoor/store/StandinServer.h"
 
 #include <map>
 #include <random>
--- a/bench/settings/main.cpp
+++ b/bench/settings/main.cpp
@@ -6,11 +6,11 @@
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/membership/Announcer.h"
 #include "persimmondoor/membership/ViewActor.h"
-#include "persimmondoor/platform/MemoryTable.h"
 #include "persimmondoor/rpc/Link.h"
 #include "persimmondoor/rpc/Loop.h"
 #include "persimmondoor/settings/Follower.h"
 #include "persimmondoor/settings/Store.h"
+#include "persimmondoor/store/MemoryTable.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <iomanip>
@@ -94,7 +94,7 @@
     co_return progress->inForceAt_.size() >= agents;
 }
 
-static asio::awaitable<Revision> change(platform::MemoryTable table, settings::SettingsActor entry, std::shared_ptr<Progress> progress, uint64_t revision)
+static asio::awaitable<Revision> change(store::MemoryTable table, settings::SettingsActor entry, std::shared_ptr<Progress> progress, uint64_t revision)
 {
     progress->inForceAt_.clear();
     progress->revision_ = revision;
@@ -109,7 +109,7 @@
 static asio::awaitable<Result> measure(int agents)
 {
     asio::any_io_executor executor = co_await asio::this_coro::executor;
-    auto table = platform::MemoryTable::create();
+    auto table = store::MemoryTable::create();
     auto progress = std::make_shared<Progress>();
     settings::SettingsActor entry(executor, SteadyClock(), [](const settings::InForce&, settings::Digest) {});
     membership::ViewActor view(executor, SteadyClock(), [](membership::ViewAction) -> asio::awaitable<void> { co_return; });
--- a/burn/include/persimmondoor/burn/BurnActor.h
+++ b/burn/include/persimmondoor/burn/BurnActor.h
@@ -12,8 +12,8 @@
 #include "persimmondoor/burn/Report.h"
 #include "persimmondoor/core/Mailbox.h"
 #include "persimmondoor/http/Routes.h"
-#include "persimmondoor/platform/TableClient.h"
 #include "persimmondoor/settings/Team.h"
+#include "persimmondoor/store/TableClient.h"
 
 namespace persimmondoor::burn {
 
@@ -24,7 +24,7 @@
     ProcessName self_;
     /// All entries of the cell, this one included.
     std::vector<ProcessName> entries_;
-    platform::TableClient table_;
+    store::TableClient table_;
 };
 
 class BurnActor {
--- a/burn/src/BurnActor.cpp
+++ b/burn/src/BurnActor.cpp
@@ -25,17 +25,17 @@
     return Minute(static_cast<uint64_t>(wallMilliseconds() / millisecondsPerMinute));
 }
 
-using Rows = absl::StatusOr<std::vector<platform::Row>>;
+using Rows = absl::StatusOr<std::vector<store::Row>>;
 
 // All rows below `prefix`, page by page.
-static asio::awaitable<Rows> scanAll(platform::TableClient table, std::string prefix)
+static asio::awaitable<Rows> scanAll(store::TableClient table, std::string prefix)
 {
-    std::vector<platform::Row> all;
-    platform::Scan range;
+    std::vector<store::Row> all;
+    store::Scan range;
     range.prefix_ = prefix;
     range.limit_ = maximumRows;
     for (;;) {
-        Rows page = co_await platform::scan(table, range);
+        Rows page = co_await store::scan(table, range);
         if (!page.ok())
             co_return page;
         std::move(page->begin(), page->end(), std::back_inserter(all));
@@ -96,10 +96,10 @@
         }
 
         // Adds saved counts to `levels`, without those of `except`.
-        static Levels withRows(Levels levels, const std::vector<platform::Row>& rows, const std::string& except)
+        static Levels withRows(Levels levels, const std::vector<store::Row>& rows, const std::string& except)
         {
             Minute now = currentMinute();
-            for (const platform::Row& row : rows) {
+            for (const store::Row& row : rows) {
                 if (!except.empty() && row.key_.starts_with(except))
                     continue;
                 for (const Restored& restored : decodeRow(row).counts_)
@@ -118,7 +118,7 @@
                 return missing;
             }
             std::map<std::string, Minute> savedAt;
-            for (const platform::Row& row : *rows) {
+            for (const store::Row& row : *rows) {
                 std::string entry = row.key_.substr(rowPrefix.size(), row.key_.rfind('/') - rowPrefix.size());
                 savedAt[entry] = std::max(savedAt[entry], decodeRow(row).savedAt_);
             }
@@ -161,10 +161,10 @@
         static asio::awaitable<void> write(Self self)
         {
             Minute now = currentMinute();
-            platform::Transaction transaction;
-            transaction.writes_.emplace_back(platform::Put { rowKey(self->options_.self_, now), encodeRow(self->levels_, now) });
-            platform::CommitOutcome outcome = co_await platform::commit(self->options_.table_, std::move(transaction));
-            if (!std::holds_alternative<platform::Committed>(outcome))
+            store::Transaction transaction;
+            transaction.writes_.emplace_back(store::Put { rowKey(self->options_.self_, now), encodeRow(self->levels_, now) });
+            store::CommitOutcome outcome = co_await store::commit(self->options_.table_, std::move(transaction));
+            if (!std::holds_alternative<store::Committed>(outcome))
                 logWarning("burn.not_saved", {});
         }
 
--- a/burn/src/Rows.cpp
+++ b/burn/src/Rows.cpp
@@ -72,7 +72,7 @@
     }
 }
 
-SavedRow decodeRow(const platform::Row& row)
+SavedRow decodeRow(const store::Row& row)
 {
     SavedRow saved;
     boost::system::error_code error;
--- a/burn/src/Rows.h
+++ b/burn/src/Rows.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "persimmondoor/burn/Levels.h"
-#include "persimmondoor/platform/Table.h"
+#include "persimmondoor/store/Table.h"
 
 #include <string>
 
@@ -24,6 +24,6 @@
 };
 
 // A row that is not understood reads as empty.
-SavedRow decodeRow(const platform::Row&);
+SavedRow decodeRow(const store::Row&);
 
 } // namespace persimmondoor::burn
--- a/burn/tests/LevelsTest.cpp
+++ b/burn/tests/LevelsTest.cpp
@@ -98,13 +98,13 @@
 BOOST_AUTO_TEST_CASE(saved_counts_come_back_and_garbage_does_not)
 {
     Levels levels = observe(defined(), 7, 3, after(1));
-    platform::Row row { rowKey(ProcessName::of("entry-1"), after(1)), encodeRow(levels, after(1)), platform::RowVersion(1) };
+    store::Row row { rowKey(ProcessName::of("entry-1"), after(1)), encodeRow(levels, after(1)), store::RowVersion(1) };
     SavedRow saved = decodeRow(row);
     BOOST_REQUIRE(saved.counts_.size() == 1U);
     Levels restored = decide(defined(), saved.counts_.at(0), after(2));
     BOOST_TEST((reportAt(restored, after(2)).figures_[0].count_ == Count { 10, 7 }));
-    BOOST_TEST(decodeRow({ "burn/e/1", "[[[", platform::RowVersion(1) }).counts_.empty());
-    BOOST_TEST(decodeRow({ "burn/e/1", R"({"services":{"packs":[[1,2,3],7]}})", platform::RowVersion(1) }).counts_.empty());
+    BOOST_TEST(decodeRow({ "burn/e/1", "[[[", store::RowVersion(1) }).counts_.empty());
+    BOOST_TEST(decodeRow({ "burn/e/1", R"({"services":{"packs":[[1,2,3],7]}})", store::RowVersion(1) }).counts_.empty());
 }
 
 BOOST_AUTO_TEST_CASE(texts_show_tier_alert_and_what_is_missing)
--- a/colocation/include/persimmondoor/colocation/ColocationActor.h
+++ b/colocation/include/persimmondoor/colocation/ColocationActor.h
@@ -12,7 +12,7 @@
 #include "persimmondoor/core/Mailbox.h"
 #include "persimmondoor/hosting/HostActor.h"
 #include "persimmondoor/http/Routes.h"
-#include "persimmondoor/platform/WorkerClient.h"
+#include "persimmondoor/store/WorkerClient.h"
 
 namespace persimmondoor::colocation {
 
@@ -43,7 +43,7 @@
     /// Starts the actor on `executor`.
     /// \return its handle, or InvalidArgument as `Guard::create`.
     static absl::StatusOr<ColocationActor> create(
-        const boost::asio::any_io_executor& executor, Clock clock, WorkerName worker, const GuardSettings& settings, platform::WorkerClient workers, hosting::HostActor host);
+        const boost::asio::any_io_executor& executor, Clock clock, WorkerName worker, const GuardSettings& settings, store::WorkerClient workers, hosting::HostActor host);
 
     /// Tells the load and the tail of a service; dropped if the mailbox is full, as the next one replaces it.
     void see(ServiceSeen seen) const { mailbox_.tryPost(std::move(seen)); }
@@ -57,11 +57,11 @@
 
     /// The worker reported what runs.
     struct Reported {
-        platform::WorkerReport report_;
+        store::WorkerReport report_;
     };
     /// The worker reported what tasks use.
     struct UsageRead {
-        platform::WorkerUsage usage_;
+        store::WorkerUsage usage_;
     };
     /// The worker's answer to a throttle.
     struct ThrottleEnded {
--- a/colocation/src/ColocationActor.cpp
+++ b/colocation/src/ColocationActor.cpp
@@ -29,11 +29,11 @@
     co_return co_await mailbox.post(std::move(message));
 }
 
-static asio::awaitable<void> followTasks(platform::WorkerClient workers, WorkerName worker, ColocationMailbox mailbox)
+static asio::awaitable<void> followTasks(store::WorkerClient workers, WorkerName worker, ColocationMailbox mailbox)
 {
-    platform::ReportQuery query { platform::WorkerRevision(), Duration(0) };
+    store::ReportQuery query { store::WorkerRevision(), Duration(0) };
     while (mailbox.isOpen()) {
-        auto report = co_await platform::reportTasks(workers, worker, query);
+        auto report = co_await store::reportTasks(workers, worker, query);
         if (!report.ok()) {
             co_await sleepFor(retryInterval);
             continue;
@@ -44,10 +44,10 @@
     }
 }
 
-static asio::awaitable<void> followUsage(platform::WorkerClient workers, WorkerName worker, ColocationMailbox mailbox)
+static asio::awaitable<void> followUsage(store::WorkerClient workers, WorkerName worker, ColocationMailbox mailbox)
 {
     while (mailbox.isOpen()) {
-        auto usage = co_await platform::reportUsage(workers, worker);
+        auto usage = co_await store::reportUsage(workers, worker);
         if (usage.ok()) {
             ColocationActor::Message message = ColocationActor::UsageRead { *std::move(usage) };
             co_await post(mailbox, std::move(message));
@@ -57,9 +57,9 @@
 }
 
 // A share that does not reach the worker is set again when the usage shows it.
-static asio::awaitable<void> throttle(platform::WorkerClient workers, WorkerName worker, platform::TaskAttempt task, double share, ColocationMailbox mailbox)
+static asio::awaitable<void> throttle(store::WorkerClient workers, WorkerName worker, store::TaskAttempt task, double share, ColocationMailbox mailbox)
 {
-    absl::Status status = co_await platform::throttleTask(workers, worker, task, share);
+    absl::Status status = co_await store::throttleTask(workers, worker, task, share);
     if (!status.ok())
         logWarning("colocation.throttle_failed", { { "task", task.task_.value() }, { "error", std::string(status.message()) } });
     ColocationActor::Message message = ColocationActor::ThrottleEnded { task.task_ };
@@ -67,12 +67,12 @@
 }
 
 // A task that can't be checkpointed is left to run: its work would be lost.
-static asio::awaitable<void> evict(platform::WorkerClient workers, WorkerName worker, platform::TaskAttempt task, ColocationMailbox mailbox)
+static asio::awaitable<void> evict(store::WorkerClient workers, WorkerName worker, store::TaskAttempt task, ColocationMailbox mailbox)
 {
-    auto reference = co_await platform::checkpointTask(workers, worker, task);
+    auto reference = co_await store::checkpointTask(workers, worker, task);
     absl::Status status = reference.status();
     if (status.ok())
-        status = co_await platform::stopTask(workers, worker, task);
+        status = co_await store::stopTask(workers, worker, task);
     if (status.ok() || absl::IsNotFound(status))
         co_return;
     logWarning("colocation.evict_failed", { { "task", task.task_.value() }, { "error", std::string(status.message()) } });
@@ -84,7 +84,7 @@
 
     class ColocationLoop {
     public:
-        ColocationLoop(asio::any_io_executor executor, Clock clock, WorkerName worker, Guard guard, platform::WorkerClient workers, hosting::HostActor host, ColocationMailbox mailbox)
+        ColocationLoop(asio::any_io_executor executor, Clock clock, WorkerName worker, Guard guard, store::WorkerClient workers, hosting::HostActor host, ColocationMailbox mailbox)
             : executor_(std::move(executor))
             , clock_(std::move(clock))
             , worker_(std::move(worker))
@@ -106,7 +106,7 @@
 
     private:
         struct Task {
-            platform::TaskAttempt attempt_;
+            store::TaskAttempt attempt_;
             bool throttling_ { false };
         };
 
@@ -123,14 +123,14 @@
         {
             if (message.report_.incarnation_ != incarnation_)
                 forgetAll(message.report_.incarnation_);
-            for (const platform::TaskReport& report : message.report_.tasks_)
+            for (const store::TaskReport& report : message.report_.tasks_)
                 handle(report);
         }
 
-        void handle(const platform::TaskReport& report)
+        void handle(const store::TaskReport& report)
         {
             auto known = tasks_.find(report.task_.task_);
-            bool running = report.state_ == platform::TaskState::Running;
+            bool running = report.state_ == store::TaskState::Running;
             if (known != tasks_.end() && known->second.attempt_.attempt_ > report.task_.attempt_)
                 return;
             if (!running || (known != tasks_.end() && known->second.attempt_ != report.task_)) {
@@ -157,7 +157,7 @@
         void handle(const ColocationActor::UsageRead& message)
         {
             UsageSeen seen { now(clock_) - message.usage_.age_, {} };
-            for (const platform::TaskUsage& usage : message.usage_.tasks_) {
+            for (const store::TaskUsage& usage : message.usage_.tasks_) {
                 auto known = tasks_.find(usage.task_.task_);
                 if (known == tasks_.end() || known->second.attempt_ != usage.task_)
                     continue;
@@ -242,7 +242,7 @@
         Clock clock_;
         WorkerName worker_;
         Guard guard_;
-        platform::WorkerClient workers_;
+        store::WorkerClient workers_;
         hosting::HostActor host_;
         ColocationMailbox mailbox_;
         Incarnation incarnation_;
@@ -262,7 +262,7 @@
 }
 
 absl::StatusOr<ColocationActor> ColocationActor::create(
-    const asio::any_io_executor& executor, Clock clock, WorkerName worker, const GuardSettings& settings, platform::WorkerClient workers, hosting::HostActor host)
+    const asio::any_io_executor& executor, Clock clock, WorkerName worker, const GuardSettings& settings, store::WorkerClient workers, hosting::HostActor host)
 {
     absl::StatusOr<Guard> guard = Guard::create(settings);
     if (!guard.ok())
--- a/colocation/tests/ColocationActorTest.cpp
+++ b/colocation/tests/ColocationActorTest.cpp
@@ -19,7 +19,7 @@
 // A worker with the service, a task of a class never seen, and the actor that guards it.
 struct Fixture {
     Fixture()
-        : workers_(platform::MemoryWorkers::create(SteadyClock()))
+        : workers_(store::MemoryWorkers::create(SteadyClock()))
         , host_(hosting::HostActor::create(context_.get_executor(), SteadyClock(), hosting::HostSettings { worker, FailureDomainName::of("d"), RackName::of("r"), capacity_, Incarnation(1), Duration(0) }, workers_))
     {
         workers_.add(worker, capacity_);
@@ -46,22 +46,22 @@
 
     Resources capacity_ = *Resources::create(64'000, 250'000'000'000, 0);
     asio::io_context context_;
-    platform::MemoryWorkers workers_;
+    store::MemoryWorkers workers_;
     hosting::HostActor host_;
 };
 
-asio::awaitable<void> launch(platform::WorkerClient workers, std::string task)
+asio::awaitable<void> launch(store::WorkerClient workers, std::string task)
 {
-    platform::Launch order { { TaskId::of(task), Attempt(1) }, "sleep 600000", "", *Resources::create(32'000, 1'000'000, 0), "", std::chrono::minutes(10) };
-    auto outcome = co_await platform::launchTask(workers, worker, order);
-    BOOST_TEST(std::holds_alternative<platform::Launched>(outcome));
+    store::Launch order { { TaskId::of(task), Attempt(1) }, "sleep 600000", "", *Resources::create(32'000, 1'000'000, 0), "", std::chrono::minutes(10) };
+    auto outcome = co_await store::launchTask(workers, worker, order);
+    BOOST_TEST(std::holds_alternative<store::Launched>(outcome));
 }
 
 // Waits until the worker shows the task throttled, for at most 5 s.
-asio::awaitable<double> waitForThrottle(platform::WorkerClient workers)
+asio::awaitable<double> waitForThrottle(store::WorkerClient workers)
 {
     for (int tries = 0; tries < 500; ++tries) {
-        auto usage = co_await platform::reportUsage(workers, worker);
+        auto usage = co_await store::reportUsage(workers, worker);
         if (usage.ok() && !usage->tasks_.empty() && usage->tasks_[0].throttle_ < 1)
             co_return usage->tasks_[0].throttle_;
         co_await sleepFor(std::chrono::milliseconds(10));
@@ -69,7 +69,7 @@
     co_return 1;
 }
 
-asio::awaitable<void> throttlesAndExplains(platform::WorkerClient workers, ColocationActor actor)
+asio::awaitable<void> throttlesAndExplains(store::WorkerClient workers, ColocationActor actor)
 {
     co_await launch(workers, "job-1/0");
     actor.see({ service, 0.5, 20, 8 });
@@ -96,15 +96,15 @@
     actor.end();
 }
 
-asio::awaitable<void> setsTheShareAgainAfterALostCall(platform::MemoryWorkers memory, ColocationActor actor)
+asio::awaitable<void> setsTheShareAgainAfterALostCall(store::MemoryWorkers memory, ColocationActor actor)
 {
-    platform::WorkerClient workers = memory;
+    store::WorkerClient workers = memory;
     co_await launch(workers, "job-1/0");
     double first = co_await waitForThrottle(workers);
     BOOST_TEST(first < 1);
     // Someone else lifts the limit; the guard's share is set again.
-    platform::TaskAttempt task { TaskId::of("job-1/0"), Attempt(1) };
-    absl::Status lifted = co_await platform::throttleTask(workers, worker, task, 1.0);
+    store::TaskAttempt task { TaskId::of("job-1/0"), Attempt(1) };
+    absl::Status lifted = co_await store::throttleTask(workers, worker, task, 1.0);
     BOOST_TEST(lifted.ok());
     double second = co_await waitForThrottle(workers);
     BOOST_TEST(second == first);
--- a/core/include/persimmondoor/core/Log.h
+++ b/core/include/persimmondoor/core/Log.h
@@ -1,4 +1,5 @@
-/// Structured log: one JSON object a line on the standard error stream.
+/// Structured log: one JSON object a line on standard output. Writing never blocks: lines beyond the rate, or that
+/// standard output does not take at once, are dropped, counted, and reported with the next line.
 ///
 /// \code
 /// logInfo("endpoint.announced", { { "worker", worker.value() }, { "domain", domain.value() } });
@@ -6,9 +7,12 @@
 #pragma once
 
 #include <absl/status/status.h>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace persimmondoor {
 
@@ -31,6 +35,9 @@
 /// \return the level, or InvalidArgument.
 absl::Status parseLogLevel(std::string_view text, LogLevel& level);
 
+/// How often each event was logged since the start, whatever the level; for metrics.
+std::vector<std::pair<std::string, uint64_t>> countedEvents();
+
 void logDebug(std::string_view event, std::initializer_list<LogField> fields);
 void logInfo(std::string_view event, std::initializer_list<LogField> fields);
 void logWarning(std::string_view event, std::initializer_list<LogField> fields);
--- a/core/src/Log.cpp
+++ b/core/src/Log.cpp
@@ -3,17 +3,32 @@
 #include "persimmondoor/core/Time.h"
 
 #include "persimmondoor/core/Text.h"
+#include <algorithm>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <easylogging++.h>
+#include <map>
+#include <poll.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
 namespace persimmondoor {
 
+// Lines written at most in a second, and in a burst; the lines beyond are dropped and counted. A process takes a few
+// hundred decisions a second at its busiest.
+static constexpr int64_t linesPerSecond = 2000;
+static constexpr int64_t burstLines = 4000;
+// A pipe that is ready takes at least this much without blocking (POSIX: PIPE_BUF).
+static constexpr size_t atomicBytes = 4096;
+
 struct LogState {
     LogLevel level_ { LogLevel::Warning };
     std::string process_;
+    std::map<std::string, uint64_t, std::less<>> events_;
+    int64_t credit_ { burstLines };
+    Instant creditAt_;
+    uint64_t dropped_ { 0 };
 };
 
 static LogState& logState()
@@ -22,14 +37,82 @@
     return state;
 }
 
+// Takes one line's worth of the rate. Returns false if there is none.
+static bool takeCredit(LogState& state)
+{
+    Instant time = SteadyClock().read();
+    int64_t earned = (time - state.creditAt_).count() * linesPerSecond / 1'000'000;
+    if (earned > 0) {
+        state.credit_ = std::min(burstLines, state.credit_ + earned);
+        state.creditAt_ = time;
+    }
+    if (state.credit_ == 0)
+        return false;
+    --state.credit_;
+    return true;
+}
+
+// Writes the line if standard output takes it at once.
+static bool writeLine(std::string line)
+{
+    if (line.size() >= atomicBytes)
+        line.resize(atomicBytes - 1);
+    line += '\n';
+    pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+    if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)
+        return false;
+    return write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+}
+
+static std::string formatLine(std::string_view level, std::string_view event, std::initializer_list<LogField> fields);
+
+namespace {
+
+    // Writes to standard output without ever blocking.
+    class BoundedOutput final : public el::LogDispatchCallback {
+    protected:
+        void handle(const el::LogDispatchData* data) override
+        {
+            LogState& state = logState();
+            if (!takeCredit(state)) {
+                ++state.dropped_;
+                return;
+            }
+            if (state.dropped_ > 0 && writeLine(formatLine("warning", "log.dropped", { { "lines", std::to_string(state.dropped_) } })))
+                state.dropped_ = 0;
+            if (!writeLine(std::string(data->logMessage()->message())))
+                ++state.dropped_;
+        }
+    };
+
+} // namespace
+
 void startLog(LogLevel level, std::string process)
 {
     el::Configurations configurations;
     configurations.setGlobally(el::ConfigurationType::Format, "%msg");
     configurations.setGlobally(el::ConfigurationType::ToFile, "false");
-    configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     el::Loggers::reconfigureAllLoggers(configurations);
-    logState() = { level, std::move(process) };
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<BoundedOutput>("BoundedOutput");
+    logState().level_ = level;
+    logState().process_ = std::move(process);
+}
+
+std::vector<std::pair<std::string, uint64_t>> countedEvents()
+{
+    return { logState().events_.begin(), logState().events_.end() };
+}
+
+static void count(std::string_view event)
+{
+    auto& events = logState().events_;
+    auto found = events.find(event);
+    if (found == events.end())
+        events.emplace(event, 1);
+    else
+        ++found->second;
 }
 
 absl::Status parseLogLevel(std::string_view text, LogLevel& level)
@@ -61,24 +144,28 @@
 
 void logDebug(std::string_view event, std::initializer_list<LogField> fields)
 {
+    count(event);
     if (logState().level_ <= LogLevel::Debug)
         LOG(DEBUG) << formatLine("debug", event, fields);
 }
 
 void logInfo(std::string_view event, std::initializer_list<LogField> fields)
 {
+    count(event);
     if (logState().level_ <= LogLevel::Info)
         LOG(INFO) << formatLine("info", event, fields);
 }
 
 void logWarning(std::string_view event, std::initializer_list<LogField> fields)
 {
+    count(event);
     if (logState().level_ <= LogLevel::Warning)
         LOG(WARNING) << formatLine("warning", event, fields);
 }
 
 void logError(std::string_view event, std::initializer_list<LogField> fields)
 {
+    count(event);
     LOG(ERROR) << formatLine("error", event, fields);
 }
 
--- a/core/src/Time.cpp
+++ b/core/src/Time.cpp
@@ -1,11 +1,15 @@
 #include "persimmondoor/core/Time.h"
 
+#include <ctime>
+
 namespace persimmondoor {
 
 Instant SteadyClock::read() const
 {
-    auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    return Instant::fromMicroseconds(std::chrono::duration_cast<Duration>(sinceStart).count());
+    // Unlike CLOCK_MONOTONIC it counts the time for which the host was suspended, in which leases run on.
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant::fromMicroseconds(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)).count());
 }
 
 ManualClock ManualClock::create(Instant start)
--- a/fuzz/SettingsTarget.cpp
+++ b/fuzz/SettingsTarget.cpp
@@ -26,7 +26,7 @@
         (void)compareSubtrees(text.substr(0, text.size() / 2), text.substr(text.size() / 2));
         break;
     default:
-        (void)decodeRow(team, platform::Row { "settings/team", std::string(text), platform::RowVersion(1) });
+        (void)decodeRow(team, store::Row { "settings/team", std::string(text), store::RowVersion(1) });
     }
     return 0;
 }
--- a/hosting/include/persimmondoor/hosting/Host.h
+++ b/hosting/include/persimmondoor/hosting/Host.h
@@ -60,7 +60,7 @@
 /// The worker's answer to a launch.
 struct LaunchEnded {
     TaskAttempt task_;
-    platform::LaunchOutcome outcome_;
+    store::LaunchOutcome outcome_;
     bool operator==(const LaunchEnded&) const = default;
 };
 
@@ -84,7 +84,7 @@
 
 /// The worker reported what changed, or at first all that it has.
 struct Reported {
-    platform::WorkerReport report_;
+    store::WorkerReport report_;
     bool operator==(const Reported&) const = default;
 };
 
@@ -139,7 +139,7 @@
 
 /// Ask the worker to launch; answer with LaunchEnded.
 struct LaunchTask {
-    platform::Launch launch_;
+    store::Launch launch_;
     bool operator==(const LaunchTask&) const = default;
 };
 
@@ -190,7 +190,7 @@
     int checkpointTries_ { 0 };
     std::string checkpoint_ {};
     /// The launch, while its outcome is not known, and the callers who wait for it.
-    std::optional<platform::Launch> launch_ {};
+    std::optional<store::Launch> launch_ {};
     std::vector<CallNumber> callers_ {};
     /// An answer of the worker is awaited.
     bool busy_ { false };
--- a/hosting/include/persimmondoor/hosting/HostActor.h
+++ b/hosting/include/persimmondoor/hosting/HostActor.h
@@ -8,8 +8,8 @@
 
 #include "persimmondoor/core/Mailbox.h"
 #include "persimmondoor/hosting/Host.h"
-#include "persimmondoor/platform/WorkerClient.h"
 #include "persimmondoor/rpc/Server.h"
+#include "persimmondoor/store/WorkerClient.h"
 
 #include <absl/status/statusor.h>
 
@@ -18,7 +18,7 @@
 class HostActor {
 public:
     /// Starts the actor on `executor`. Until the worker has reported what it runs, nothing is accepted.
-    static HostActor create(const boost::asio::any_io_executor& executor, Clock clock, HostSettings settings, platform::WorkerClient workers);
+    static HostActor create(const boost::asio::any_io_executor& executor, Clock clock, HostSettings settings, store::WorkerClient workers);
 
     // Each returns ResourceExhausted if the mailbox is full; nothing was done then.
     boost::asio::awaitable<absl::StatusOr<HostOffer>> probe(ProbeOrder) const;
--- a/hosting/include/persimmondoor/hosting/Messages.h
+++ b/hosting/include/persimmondoor/hosting/Messages.h
@@ -9,7 +9,7 @@
 #include "persimmondoor/core/Resources.h"
 #include "persimmondoor/core/Tier.h"
 #include "persimmondoor/core/Time.h"
-#include "persimmondoor/platform/Worker.h"
+#include "persimmondoor/store/Worker.h"
 
 #include <string>
 #include <string_view>
@@ -21,7 +21,7 @@
 /// Age from which an agent refuses its own stamp in a start order.
 inline constexpr Duration stampLifetime = std::chrono::seconds(3);
 
-using platform::TaskAttempt;
+using store::TaskAttempt;
 
 /// A reading of an agent's clock, which the holder can only give back. Not compared across agents.
 struct Stamp {
--- a/hosting/src/HostActor.cpp
+++ b/hosting/src/HostActor.cpp
@@ -36,12 +36,12 @@
 }
 
 // Reads the worker's reports one after the other until the mailbox is closed.
-static asio::awaitable<void> followWorker(platform::WorkerClient workers, WorkerName worker, HostMailbox mailbox)
+static asio::awaitable<void> followWorker(store::WorkerClient workers, WorkerName worker, HostMailbox mailbox)
 {
-    platform::ReportQuery query { platform::WorkerRevision(), Duration(0) };
+    store::ReportQuery query { store::WorkerRevision(), Duration(0) };
     bool open = true;
     while (open) {
-        auto report = co_await platform::reportTasks(workers, worker, query);
+        auto report = co_await store::reportTasks(workers, worker, query);
         if (!report.ok()) {
             logWarning("hosting.report_failed", { { "worker", worker.value() }, { "error", std::string(report.status().message()) } });
             co_await sleepFor(reportRetryInterval);
@@ -60,23 +60,23 @@
     mailbox.tryPost(std::move(message));
 }
 
-static asio::awaitable<void> launch(platform::WorkerClient workers, WorkerName worker, platform::Launch order, HostMailbox mailbox)
+static asio::awaitable<void> launch(store::WorkerClient workers, WorkerName worker, store::Launch order, HostMailbox mailbox)
 {
-    platform::LaunchOutcome outcome = co_await platform::launchTask(workers, worker, order);
+    store::LaunchOutcome outcome = co_await store::launchTask(workers, worker, order);
     HostMessage message = LaunchEnded { order.task_, std::move(outcome) };
     co_await post(mailbox, std::move(message));
 }
 
-static asio::awaitable<void> checkpoint(platform::WorkerClient workers, WorkerName worker, TaskAttempt task, HostMailbox mailbox)
+static asio::awaitable<void> checkpoint(store::WorkerClient workers, WorkerName worker, TaskAttempt task, HostMailbox mailbox)
 {
-    auto reference = co_await platform::checkpointTask(workers, worker, task);
+    auto reference = co_await store::checkpointTask(workers, worker, task);
     HostMessage message = CheckpointEnded { task, reference.ok() ? std::optional(*reference) : std::nullopt };
     co_await post(mailbox, std::move(message));
 }
 
-static asio::awaitable<void> stopAtWorker(platform::WorkerClient workers, WorkerName worker, TaskAttempt task, HostMailbox mailbox)
+static asio::awaitable<void> stopAtWorker(store::WorkerClient workers, WorkerName worker, TaskAttempt task, HostMailbox mailbox)
 {
-    absl::Status status = co_await platform::stopTask(workers, worker, task);
+    absl::Status status = co_await store::stopTask(workers, worker, task);
     StopAnswer answer = StopAnswer::Failed;
     if (status.ok())
         answer = StopAnswer::Done;
@@ -86,16 +86,16 @@
     co_await post(mailbox, std::move(message));
 }
 
-static asio::awaitable<void> extend(platform::WorkerClient workers, WorkerName worker, ExtendTasks action)
+static asio::awaitable<void> extend(store::WorkerClient workers, WorkerName worker, ExtendTasks action)
 {
-    absl::Status status = co_await platform::extendTasks(workers, worker, std::move(action.tasks_), action.lease_);
+    absl::Status status = co_await store::extendTasks(workers, worker, std::move(action.tasks_), action.lease_);
     if (!status.ok())
         logWarning("hosting.extend_failed", { { "worker", worker.value() }, { "error", std::string(status.message()) } });
 }
 
-static asio::awaitable<void> forget(platform::WorkerClient workers, WorkerName worker, ForgetTasks action)
+static asio::awaitable<void> forget(store::WorkerClient workers, WorkerName worker, ForgetTasks action)
 {
-    absl::Status status = co_await platform::forgetTasks(workers, worker, std::move(action.tasks_));
+    absl::Status status = co_await store::forgetTasks(workers, worker, std::move(action.tasks_));
     if (!status.ok())
         logDebug("hosting.forget_failed", { { "worker", worker.value() }, { "error", std::string(status.message()) } });
 }
@@ -104,7 +104,7 @@
 
     class HostLoop {
     public:
-        HostLoop(asio::any_io_executor executor, Clock clock, const HostSettings& settings, platform::WorkerClient workers, HostMailbox mailbox)
+        HostLoop(asio::any_io_executor executor, Clock clock, const HostSettings& settings, store::WorkerClient workers, HostMailbox mailbox)
             : executor_(std::move(executor))
             , clock_(std::move(clock))
             , worker_(settings.worker_)
@@ -204,7 +204,7 @@
         Clock clock_;
         WorkerName worker_;
         Host host_;
-        platform::WorkerClient workers_;
+        store::WorkerClient workers_;
         HostMailbox mailbox_;
         std::map<CallNumber, Reply<StartOutcome>> starts_;
         std::map<CallNumber, Reply<StopOutcome>> stops_;
@@ -216,7 +216,7 @@
 
 } // namespace
 
-HostActor HostActor::create(const asio::any_io_executor& executor, Clock clock, HostSettings settings, platform::WorkerClient workers)
+HostActor HostActor::create(const asio::any_io_executor& executor, Clock clock, HostSettings settings, store::WorkerClient workers)
 {
     HostMailbox mailbox(executor, mailboxCapacity);
     auto loop = std::make_shared<HostLoop>(executor, std::move(clock), settings, workers, mailbox);
--- a/hosting/src/decisions/Host.cpp
+++ b/hosting/src/decisions/Host.cpp
@@ -156,7 +156,7 @@
         const StartOrder& order = message.order_;
         TaskAttempt attempt { order.task_, order.attempt_ };
         Instant leaseUntil = order.stamp_.issuedAt_ + order.lease_;
-        platform::Launch launch { attempt, order.command_, order.checkpoint_, order.resources_, encodeLabel(order.partition_), leaseUntil - now };
+        store::Launch launch { attempt, order.command_, order.checkpoint_, order.resources_, encodeLabel(order.partition_), leaseUntil - now };
         HostedTask task { order.attempt_, order.partition_, order.resources_, TaskPhase::Launching, order.lease_, leaseUntil };
         task.launch_ = launch;
         task.callers_ = { message.call_ };
--- a/hosting/src/decisions/Ledger.cpp
+++ b/hosting/src/decisions/Ledger.cpp
@@ -7,8 +7,8 @@
 
 namespace persimmondoor::hosting {
 
-using platform::TaskReport;
-using platform::TaskState;
+using store::TaskReport;
+using store::TaskState;
 
 void ReportRules::record(HostDecision& decision, const TaskId& id, const HostedTask& task, TaskEvent event)
 {
@@ -67,14 +67,14 @@
     task.busy_ = false;
     const TaskId id = message.task_.task_;
     std::visit(Visitor {
-                   [&](const platform::Launched&) { launched(decision, id); },
+                   [&](const store::Launched&) { launched(decision, id); },
                    // The task itself is at fault: it counts as started and failed, so that it is not tried for ever.
-                   [&](const platform::LaunchRefused& refused) {
+                   [&](const store::LaunchRefused& refused) {
                        launched(decision, id);
                        recordEnd(decision, id, host.tasks_.at(id), TaskFailed { refused.detail_ }, now);
                        remove(decision, id);
                    },
-                   [&](const platform::Unavailable& down) {
+                   [&](const store::Unavailable& down) {
                        if (task.uncertain_)
                            return;
                        for (CallNumber call : task.callers_)
@@ -88,7 +88,7 @@
                        fence.past_ = stopped ? AttemptFence::Past::NeverStart : AttemptFence::Past::Open;
                    },
                    // Tried again when time has passed; a launch is idempotent.
-                   [&](const platform::ReplyLost&) { task.uncertain_ = true; },
+                   [&](const store::ReplyLost&) { task.uncertain_ = true; },
                },
         message.outcome_);
 }
@@ -233,7 +233,7 @@
 }
 
 // A worker that was set up anew has lost its tasks.
-void ReportRules::loseTasksOfEarlierLife(HostDecision& decision, const platform::WorkerReport& report, Instant now)
+void ReportRules::loseTasksOfEarlierLife(HostDecision& decision, const store::WorkerReport& report, Instant now)
 {
     Host& host = decision.state_;
     bool sameLife = report.incarnation_ == host.workerIncarnation_;
--- a/hosting/src/decisions/Ledger.h
+++ b/hosting/src/decisions/Ledger.h
@@ -34,12 +34,12 @@
 
 private:
     static void launched(HostDecision&, const TaskId&);
-    static void adopt(HostDecision&, const platform::TaskReport&, PartitionNumber, Instant now);
-    static void applyRunning(HostDecision&, const platform::TaskReport&, Instant now);
-    static void applyEnded(HostDecision&, const platform::TaskReport&, Instant now);
+    static void adopt(HostDecision&, const store::TaskReport&, PartitionNumber, Instant now);
+    static void applyRunning(HostDecision&, const store::TaskReport&, Instant now);
+    static void applyEnded(HostDecision&, const store::TaskReport&, Instant now);
     static void learnCheckpoint(HostDecision&, const TaskId&, HostedTask&, const std::string& reference);
-    static void loseTasksOfEarlierLife(HostDecision&, const platform::WorkerReport&, Instant now);
-    static TaskEvent toEvent(const platform::TaskReport&, bool lapsing);
+    static void loseTasksOfEarlierLife(HostDecision&, const store::WorkerReport&, Instant now);
+    static TaskEvent toEvent(const store::TaskReport&, bool lapsing);
 };
 
 } // namespace persimmondoor::hosting
--- a/hosting/tests/HostWorld.cpp
+++ b/hosting/tests/HostWorld.cpp
@@ -62,10 +62,10 @@
     bool done = fate != WorkerCallFate::Unavailable;
     std::visit(Visitor {
                    [&](const LaunchTask& launch) {
-                       platform::LaunchOutcome outcome = platform::Unavailable {};
+                       store::LaunchOutcome outcome = store::Unavailable {};
                        if (done)
                            outcome = worker_.launch(launch.launch_, now_);
-                       tell(LaunchEnded { launch.launch_.task_, fate == WorkerCallFate::ReplyLost ? platform::ReplyLost {} : outcome });
+                       tell(LaunchEnded { launch.launch_.task_, fate == WorkerCallFate::ReplyLost ? store::ReplyLost {} : outcome });
                    },
                    [&](const CheckpointTask& checkpoint) {
                        std::optional<std::string> reference;
@@ -115,7 +115,7 @@
 void HostWorld::report()
 {
     worker_.advance(now_);
-    platform::WorkerReport report = worker_.report(reported_, now_);
+    store::WorkerReport report = worker_.report(reported_, now_);
     reported_ = report.revision_;
     tell(Reported { std::move(report) });
 }
@@ -130,21 +130,21 @@
 void HostWorld::restartAgent()
 {
     calls_.clear();
-    reported_ = platform::WorkerRevision();
+    reported_ = store::WorkerRevision();
     host_ = Host(settingsOf(capacity_, ++lives_), now_);
 }
 
 void HostWorld::restartWorker()
 {
-    worker_ = platform::WorkerState(capacity_, Incarnation(++lives_));
+    worker_ = store::WorkerState(capacity_, Incarnation(++lives_));
     ended_.clear();
 }
 
 std::vector<TaskAttempt> HostWorld::runningAtWorker()
 {
     std::vector<TaskAttempt> running;
-    for (const platform::TaskReport& report : worker_.report(platform::WorkerRevision(), now_).tasks_) {
-        if (report.state_ == platform::TaskState::Running)
+    for (const store::TaskReport& report : worker_.report(store::WorkerRevision(), now_).tasks_) {
+        if (report.state_ == store::TaskState::Running)
             running.push_back(report.task_);
     }
     return running;
@@ -171,8 +171,8 @@
     if (!(sum == host_.committed()))
         found.emplace_back("the ledger's sum is not that of its entries");
     std::set<TaskId> tasks;
-    for (const platform::TaskReport& report : worker_.report(platform::WorkerRevision(), now_).tasks_) {
-        if (report.state_ != platform::TaskState::Running) {
+    for (const store::TaskReport& report : worker_.report(store::WorkerRevision(), now_).tasks_) {
+        if (report.state_ != store::TaskState::Running) {
             ended_.insert(report.task_);
             continue;
         }
--- a/hosting/tests/HostWorld.h
+++ b/hosting/tests/HostWorld.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "persimmondoor/hosting/Host.h"
-#include "persimmondoor/platform/WorkerState.h"
+#include "persimmondoor/store/WorkerState.h"
 
 #include <deque>
 #include <string>
@@ -46,7 +46,7 @@
     Stamp stamp() const { return host_.offer(now_).stamp_; }
 
     Resources capacity_;
-    platform::WorkerState worker_;
+    store::WorkerState worker_;
     Host host_;
     Instant now_ = Instant::fromMicroseconds(10'000'000);
     std::map<CallNumber, StartOutcome> startAnswers_;
@@ -58,7 +58,7 @@
     std::deque<HostAction> calls_;
     std::map<CallNumber, StopOutcome> stopAnswers_;
     std::map<CallNumber, RenewalOutcome> renewalAnswers_;
-    platform::WorkerRevision reported_;
+    store::WorkerRevision reported_;
     uint64_t callsMade_ { 0 };
     uint64_t lives_ { 1 };
     // Attempts whose end was seen at the worker.
--- a/hosting/tests/RemoteTest.cpp
+++ b/hosting/tests/RemoteTest.cpp
@@ -1,9 +1,9 @@
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/hosting/Client.h"
 #include "persimmondoor/hosting/HostActor.h"
-#include "persimmondoor/platform/PlatformClients.h"
-#include "persimmondoor/platform/StandinServer.h"
 #include "persimmondoor/rpc/Loop.h"
+#include "persimmondoor/store/PlatformClients.h"
+#include "persimmondoor/store/StandinServer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/test/unit_test.hpp>
@@ -22,8 +22,8 @@
     Fixture()
     {
         standins_.workers_.add(worker, capacity_);
-        platform_ = *platform::serveStandins(executor(), *Address::parse("127.0.0.1:0"), standins_);
-        platform::WorkerClient workers = platform::connectPlatform(executor(), platform_->address()).workers_;
+        platform_ = *store::serveStandins(executor(), *Address::parse("127.0.0.1:0"), standins_);
+        store::WorkerClient workers = store::connectPlatform(executor(), platform_->address()).workers_;
         HostSettings settings { worker, FailureDomainName::of("domain-a"), RackName::of("rack-a1"), capacity_, Incarnation(1), Duration(0) };
         host_ = HostActor::create(executor(), SteadyClock(), settings, workers);
         rpc::Interfaces interfaces;
@@ -74,7 +74,7 @@
 
     rpc::Loop loop_;
     Resources capacity_ = *Resources::create(4000, 1'000'000, 2);
-    platform::PlatformStandins standins_ = platform::PlatformStandins::create(SteadyClock());
+    store::PlatformStandins standins_ = store::PlatformStandins::create(SteadyClock());
     std::unique_ptr<http::Server> platform_;
     std::optional<HostActor> host_;
     std::unique_ptr<rpc::Server> server_;
--- /dev/null
+++ b/http/src/Pool.cpp
@@ -0,0 +1,79 @@
+#include "persimmondoor/http/Pool.h"
+
+namespace persimmondoor::http {
+
+namespace asio = boost::asio;
+
+// Servers close connections that were idle for long; one that is about to be closed is not used.
+static constexpr Duration longestIdleTime = std::chrono::seconds(30);
+
+struct Pool::Shared {
+    struct Idle {
+        std::shared_ptr<Connection> connection_;
+        Instant since_;
+    };
+
+    boost::asio::any_io_executor executor_;
+    Address address_;
+    std::vector<Idle> idle_;
+};
+
+Pool Pool::create(const asio::any_io_executor& executor, const Address& address)
+{
+    return Pool(std::make_shared<Shared>(Shared { executor, address, {} }));
+}
+
+const Address& Pool::address() const
+{
+    return shared_->address_;
+}
+
+static std::shared_ptr<Connection> takeIdle(Pool::Shared& pool)
+{
+    Instant oldest = now(SteadyClock()) - longestIdleTime;
+    while (!pool.idle_.empty()) {
+        Pool::Shared::Idle idle = std::move(pool.idle_.back());
+        pool.idle_.pop_back();
+        if (idle.connection_->isReusable() && idle.since_ >= oldest)
+            return idle.connection_;
+    }
+    return nullptr;
+}
+
+static void giveBack(Pool::Shared& pool, std::shared_ptr<Connection> connection)
+{
+    if (connection->isReusable() && pool.idle_.size() < Pool::idleConnectionLimit)
+        pool.idle_.push_back({ std::move(connection), now(SteadyClock()) });
+}
+
+static asio::awaitable<ExchangeOutcome> exchangeOnNew(std::shared_ptr<Pool::Shared> pool, Request request, Duration limit)
+{
+    auto made = co_await Connection::connect(pool->executor_, pool->address_, poolConnectTimeout);
+    if (!made.ok())
+        co_return ExchangeFailure { false, made.status() };
+    ExchangeOutcome outcome = co_await (*made)->exchange(std::move(request), limit);
+    giveBack(*pool, *made);
+    co_return outcome;
+}
+
+// A failure that shows that the server had closed the connection, rather than that it was slow.
+static bool isClosedConnection(const ExchangeOutcome& outcome)
+{
+    const auto* failure = std::get_if<ExchangeFailure>(&outcome);
+    return failure && absl::IsUnavailable(failure->status_);
+}
+
+asio::awaitable<ExchangeOutcome> exchange(Pool pool, Request request, Duration limit, Repeat repeat)
+{
+    const std::shared_ptr<Pool::Shared>& shared = pool.handle();
+    std::shared_ptr<Connection> connection = takeIdle(*shared);
+    if (!connection)
+        co_return co_await exchangeOnNew(shared, std::move(request), limit);
+    ExchangeOutcome outcome = co_await connection->exchange(request, limit);
+    if (repeat == Repeat::Allowed && isClosedConnection(outcome))
+        co_return co_await exchangeOnNew(shared, std::move(request), limit);
+    giveBack(*shared, std::move(connection));
+    co_return outcome;
+}
+
+} // namespace persimmondoor::http
--- a/jobs/include/persimmondoor/jobs/Front.h
+++ b/jobs/include/persimmondoor/jobs/Front.h
@@ -24,7 +24,7 @@
 class JobsFront {
 public:
     /// \param domains the failure domains that the site file names.
-    JobsFront(boost::asio::any_io_executor executor, platform::TableClient table, JobsActor jobs, uint32_t partitionCount, std::set<FailureDomainName> domains);
+    JobsFront(boost::asio::any_io_executor executor, store::TableClient table, JobsActor jobs, uint32_t partitionCount, std::set<FailureDomainName> domains);
 
     /// Asks the owner of `partition`; tries again for a while if the partition is just changing hands.
     /// \return its answer; NotAccepted if there is no owner or nothing was sent; OutcomeUnknown if an answer is missing.
@@ -32,7 +32,7 @@
 
     PartitionNumber partitionOf(const TeamName& team, const JobId& job) const;
     uint32_t partitionCount() const;
-    platform::TableClient table() const;
+    store::TableClient table() const;
     const std::set<FailureDomainName>& domains() const;
 
 private:
--- a/jobs/include/persimmondoor/jobs/JobsActor.h
+++ b/jobs/include/persimmondoor/jobs/JobsActor.h
@@ -13,8 +13,8 @@
 #include "persimmondoor/jobs/Owner.h"
 #include "persimmondoor/jobs/Requests.h"
 #include "persimmondoor/leases/Ownership.h"
-#include "persimmondoor/platform/ObjectClient.h"
-#include "persimmondoor/platform/TableClient.h"
+#include "persimmondoor/store/ObjectClient.h"
+#include "persimmondoor/store/TableClient.h"
 
 namespace persimmondoor::jobs {
 
@@ -29,8 +29,8 @@
 
 /// What the actor works with.
 struct JobsEnvironment {
-    platform::TableClient table_;
-    platform::ObjectClient objects_;
+    store::TableClient table_;
+    store::ObjectClient objects_;
     std::map<TeamName, Resources> quotas_;
     std::vector<WorkerAddress> workers_;
 };
--- a/jobs/include/persimmondoor/jobs/Owner.h
+++ b/jobs/include/persimmondoor/jobs/Owner.h
@@ -119,7 +119,7 @@
     struct Domain {
         DomainState row_;
         /// Version at which the domain was last seen in service: the condition of starts there.
-        platform::RowVersion openVersion_;
+        store::RowVersion openVersion_;
         std::optional<Instant> returnedAt_;
         auto operator<=>(const Domain&) const = default;
     };
--- a/jobs/include/persimmondoor/jobs/OwnerMessages.h
+++ b/jobs/include/persimmondoor/jobs/OwnerMessages.h
@@ -7,7 +7,7 @@
 
 #include "persimmondoor/hosting/Messages.h"
 #include "persimmondoor/jobs/Journal.h"
-#include "persimmondoor/platform/Table.h"
+#include "persimmondoor/store/Table.h"
 
 #include <map>
 
@@ -35,7 +35,7 @@
 struct DomainState {
     FailureDomainName domain_;
     bool inService_ { true };
-    platform::RowVersion version_;
+    store::RowVersion version_;
     auto operator<=>(const DomainState&) const = default;
 };
 
@@ -143,7 +143,7 @@
 /// Commit the batch on these versions of the domains' rows, beside the conditions of `WriteBatch`.
 struct CommitBatch {
     Batch batch_;
-    std::map<FailureDomainName, platform::RowVersion> domains_;
+    std::map<FailureDomainName, store::RowVersion> domains_;
     bool operator==(const CommitBatch&) const = default;
 };
 
--- a/jobs/src/DomainStore.cpp
+++ b/jobs/src/DomainStore.cpp
@@ -14,9 +14,9 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
-static json::object toJson(const FailureDomainName& domain, const platform::Row& row)
+static json::object toJson(const FailureDomainName& domain, const store::Row& row)
 {
-    bool known = row.version_ != platform::RowVersion();
+    bool known = row.version_ != store::RowVersion();
     auto value = known ? decodeDomainRow(row.value_) : absl::StatusOr<DomainRow>(DomainRow {});
     bool inService = value.ok() && value->inService_;
     return { { "domain", domain.value() }, { "state", inService ? "in_service" : "drained" }, { "version", row.version_.value() },
@@ -41,7 +41,7 @@
     }
     if (shown.empty() && !name.empty())
         co_return http::errorResponse(404, "no_such_domain", name);
-    auto rows = co_await platform::read(front.table(), keys);
+    auto rows = co_await store::read(front.table(), keys);
     if (!rows.ok())
         co_return unavailable(rows.status());
     json::array domains;
@@ -59,7 +59,7 @@
     struct DomainChange {
         FailureDomainName domain_;
         bool inService_ { true };
-        platform::RowVersion version_;
+        store::RowVersion version_;
     };
 
 } // namespace
@@ -78,15 +78,15 @@
         return absl::InvalidArgumentError("action: must be \"drain\" or \"restore\"");
     if (!version || !version->is_number() || version->to_number<double>() < 0)
         return absl::InvalidArgumentError("version: the version of the domain that was last seen must be given");
-    return DomainChange { *domain, action->get_string() == "restore", platform::RowVersion(version->to_number<uint64_t>()) };
+    return DomainChange { *domain, action->get_string() == "restore", store::RowVersion(version->to_number<uint64_t>()) };
 }
 
-static http::Response stateResponse(const FailureDomainName& domain, const platform::Row& row)
+static http::Response stateResponse(const FailureDomainName& domain, const store::Row& row)
 {
     return http::jsonResponse(200, json::serialize(toJson(domain, row)) + "\n");
 }
 
-static http::Response conflict(const FailureDomainName& domain, const platform::Row& row)
+static http::Response conflict(const FailureDomainName& domain, const store::Row& row)
 {
     json::object body = toJson(domain, row);
     body["error"] = "conflict";
@@ -105,23 +105,23 @@
     // Tells this change from another operator's if the reply is lost.
     std::random_device random;
     DomainRow value { change->inService_, concat(wallMilliseconds(), "-", random()), wallMilliseconds() };
-    platform::Transaction transaction;
+    store::Transaction transaction;
     transaction.conditions_.push_back({ key, change->version_ });
-    transaction.writes_.emplace_back(platform::Put { key, encode(value) });
-    platform::CommitOutcome outcome = co_await platform::commit(front.table(), std::move(transaction));
-    if (const auto* refused = std::get_if<platform::Unavailable>(&outcome))
+    transaction.writes_.emplace_back(store::Put { key, encode(value) });
+    store::CommitOutcome outcome = co_await store::commit(front.table(), std::move(transaction));
+    if (const auto* refused = std::get_if<store::Unavailable>(&outcome))
         co_return http::errorResponse(503, "store_unavailable", refused->detail_);
-    if (const auto* committed = std::get_if<platform::Committed>(&outcome))
-        co_return stateResponse(change->domain_, platform::Row { key, encode(value), committed->version_ });
+    if (const auto* committed = std::get_if<store::Committed>(&outcome))
+        co_return stateResponse(change->domain_, store::Row { key, encode(value), committed->version_ });
     std::vector<std::string> keys { key };
-    auto rows = co_await platform::read(front.table(), std::move(keys));
+    auto rows = co_await store::read(front.table(), std::move(keys));
     if (!rows.ok())
         co_return http::errorResponse(504, "outcome_unknown", "the change may have taken effect; look at the domain's state");
     auto present = decodeDomainRow(rows->front().value_);
     if (present.ok() && present->change_ == value.change_)
         co_return stateResponse(change->domain_, rows->front());
     // A lost reply whose row is unchanged may still take effect late.
-    if (std::holds_alternative<platform::ReplyLost>(outcome) && rows->front().version_ == change->version_)
+    if (std::holds_alternative<store::ReplyLost>(outcome) && rows->front().version_ == change->version_)
         co_return http::errorResponse(504, "outcome_unknown", "the change may have taken effect; look at the domain's state");
     co_return conflict(change->domain_, rows->front());
 }
--- a/jobs/src/Effects.h
+++ b/jobs/src/Effects.h
@@ -12,7 +12,7 @@
 struct Holding {
     PartitionNumber partition_;
     Epoch epoch_;
-    platform::RowVersion fence_;
+    store::RowVersion fence_;
     auto operator<=>(const Holding&) const = default;
 };
 
@@ -20,11 +20,11 @@
 // decisions wait for them.
 boost::asio::awaitable<void> postSurely(JobsMailbox, JobsActor::Message);
 
-boost::asio::awaitable<void> recoverPartition(JobsMailbox, platform::TableClient, platform::ObjectClient, Holding);
-boost::asio::awaitable<void> commitBatch(JobsMailbox, platform::TableClient, Holding, CommitBatch);
-boost::asio::awaitable<void> readBack(JobsMailbox, platform::TableClient, Holding, Sequence);
-boost::asio::awaitable<void> storeSnapshot(JobsMailbox, platform::TableClient, platform::ObjectClient, Holding, Sequence through, std::string bytes);
-boost::asio::awaitable<void> readDomainRows(JobsMailbox, platform::TableClient);
+boost::asio::awaitable<void> recoverPartition(JobsMailbox, store::TableClient, store::ObjectClient, Holding);
+boost::asio::awaitable<void> commitBatch(JobsMailbox, store::TableClient, Holding, CommitBatch);
+boost::asio::awaitable<void> readBack(JobsMailbox, store::TableClient, Holding, Sequence);
+boost::asio::awaitable<void> storeSnapshot(JobsMailbox, store::TableClient, store::ObjectClient, Holding, Sequence through, std::string bytes);
+boost::asio::awaitable<void> readDomainRows(JobsMailbox, store::TableClient);
 
 boost::asio::awaitable<void> probeWorkers(boost::asio::any_io_executor, JobsMailbox, Holding, std::vector<rpc::Link>, hosting::ProbeOrder);
 boost::asio::awaitable<void> sendStart(JobsMailbox, Holding, rpc::Link, SendStart);
--- a/jobs/src/Front.cpp
+++ b/jobs/src/Front.cpp
@@ -19,14 +19,14 @@
 
 struct JobsFront::State {
     asio::any_io_executor executor_;
-    platform::TableClient table_;
+    store::TableClient table_;
     JobsActor jobs_;
     uint32_t partitionCount_ { 0 };
     std::set<FailureDomainName> domains_;
     std::map<Address, rpc::Link> links_;
 };
 
-JobsFront::JobsFront(asio::any_io_executor executor, platform::TableClient table, JobsActor jobs, uint32_t partitionCount, std::set<FailureDomainName> domains)
+JobsFront::JobsFront(asio::any_io_executor executor, store::TableClient table, JobsActor jobs, uint32_t partitionCount, std::set<FailureDomainName> domains)
     : state_(std::make_shared<State>(State { std::move(executor), std::move(table), std::move(jobs), partitionCount, std::move(domains), {} }))
 {
 }
@@ -41,7 +41,7 @@
     return state_->partitionCount_;
 }
 
-platform::TableClient JobsFront::table() const
+store::TableClient JobsFront::table() const
 {
     return state_->table_;
 }
@@ -75,11 +75,11 @@
         if (!std::holds_alternative<NotOwner>(here))
             co_return here;
         std::vector<std::string> keys { leases::partitionKey(partition) };
-        auto rows = co_await platform::read(state->table_, std::move(keys));
+        auto rows = co_await store::read(state->table_, std::move(keys));
         if (!rows.ok())
             co_return NotAccepted { concat("the partition's owner is not known: ", std::string(rows.status().message())) };
         auto row = leases::decodePartitionRow(rows->front().value_);
-        if (rows->front().version_ != platform::RowVersion() && row.ok() && !row->owner_.empty()) {
+        if (rows->front().version_ != store::RowVersion() && row.ok() && !row->owner_.empty()) {
             rpc::Link link = state->links_.try_emplace(row->address_, state->executor_, row->address_).first->second;
             JobsRequest remote = request;
             JobsAnswer there = co_await askAt(link, partition, std::move(remote));
--- a/jobs/src/Store.cpp
+++ b/jobs/src/Store.cpp
@@ -35,28 +35,28 @@
     return concat(domainPrefix, domain.value());
 }
 
-platform::Transaction batchTransaction(PartitionNumber partition, platform::RowVersion fence, const CommitBatch& commit)
+store::Transaction batchTransaction(PartitionNumber partition, store::RowVersion fence, const CommitBatch& commit)
 {
     std::string row = journalKey(partition, commit.batch_.sequence_);
-    platform::Transaction transaction { { { row, platform::RowVersion() }, { leases::partitionKey(partition), fence } }, { platform::Put { row, encode(commit.batch_) } } };
+    store::Transaction transaction { { { row, store::RowVersion() }, { leases::partitionKey(partition), fence } }, { store::Put { row, encode(commit.batch_) } } };
     for (const auto& [domain, version] : commit.domains_)
         transaction.conditions_.push_back({ domainKey(domain), version });
     return transaction;
 }
 
-platform::Transaction cutTransaction(PartitionNumber partition, platform::RowVersion fence, const SnapshotRow& snapshot, Sequence first)
+store::Transaction cutTransaction(PartitionNumber partition, store::RowVersion fence, const SnapshotRow& snapshot, Sequence first)
 {
-    platform::Transaction transaction { { { leases::partitionKey(partition), fence } }, { platform::Put { snapshotKey(partition), encode(snapshot) } } };
+    store::Transaction transaction { { { leases::partitionKey(partition), fence } }, { store::Put { snapshotKey(partition), encode(snapshot) } } };
     uint64_t end = std::min(snapshot.through_.value() + 1, first.value() + maximumRowsCut);
     for (uint64_t sequence = first.value(); sequence < end; ++sequence)
-        transaction.writes_.emplace_back(platform::Erase { journalKey(partition, Sequence(sequence)) });
+        transaction.writes_.emplace_back(store::Erase { journalKey(partition, Sequence(sequence)) });
     return transaction;
 }
 
-std::vector<DomainState> readDomains(const std::vector<platform::Row>& rows)
+std::vector<DomainState> readDomains(const std::vector<store::Row>& rows)
 {
     std::vector<DomainState> domains;
-    for (const platform::Row& row : rows) {
+    for (const store::Row& row : rows) {
         auto name = FailureDomainName::create(row.key_.substr(std::min(row.key_.size(), domainPrefix.size())));
         if (!name.ok())
             continue;
@@ -66,10 +66,10 @@
     return domains;
 }
 
-absl::StatusOr<Recovered> replay(Ledger snapshot, Sequence through, const std::vector<platform::Row>& journal)
+absl::StatusOr<Recovered> replay(Ledger snapshot, Sequence through, const std::vector<store::Row>& journal)
 {
     Recovered recovered { std::move(snapshot), through.next(), 0 };
-    for (const platform::Row& row : journal) {
+    for (const store::Row& row : journal) {
         auto batch = decodeBatch(row.value_);
         if (!batch.ok())
             return absl::DataLossError(concat(row.key_, ": ", std::string(batch.status().message())));
--- a/jobs/src/Store.h
+++ b/jobs/src/Store.h
@@ -7,7 +7,7 @@
 
 #include "Codec.h"
 #include "persimmondoor/jobs/OwnerMessages.h"
-#include "persimmondoor/platform/Table.h"
+#include "persimmondoor/store/Table.h"
 
 namespace persimmondoor::jobs {
 
@@ -23,13 +23,13 @@
 
 // Takes effect only if the partition's row has still the version `fence`, the batch's row is absent, and each domain's
 // row is as it was when the domain was in service.
-platform::Transaction batchTransaction(PartitionNumber, platform::RowVersion fence, const CommitBatch&);
+store::Transaction batchTransaction(PartitionNumber, store::RowVersion fence, const CommitBatch&);
 
 // Names the snapshot, and erases the first `maximumRowsCut` journal rows from `first` on that it holds.
-platform::Transaction cutTransaction(PartitionNumber, platform::RowVersion fence, const SnapshotRow&, Sequence first);
+store::Transaction cutTransaction(PartitionNumber, store::RowVersion fence, const SnapshotRow&, Sequence first);
 
 // Reads the rows of domains; one that cannot be read counts as out of service.
-std::vector<DomainState> readDomains(const std::vector<platform::Row>&);
+std::vector<DomainState> readDomains(const std::vector<store::Row>&);
 
 struct Recovered {
     Ledger ledger_;
@@ -40,6 +40,6 @@
 
 // Applies the journal's rows that `snapshot` does not hold.
 // Returns DataLoss if a row is damaged or missing between others.
-absl::StatusOr<Recovered> replay(Ledger snapshot, Sequence through, const std::vector<platform::Row>& journal);
+absl::StatusOr<Recovered> replay(Ledger snapshot, Sequence through, const std::vector<store::Row>& journal);
 
 } // namespace persimmondoor::jobs
--- a/jobs/src/StoreEffects.cpp
+++ b/jobs/src/StoreEffects.cpp
@@ -24,12 +24,12 @@
     co_await postSurely(std::move(mailbox), std::move(posted));
 }
 
-static asio::awaitable<absl::StatusOr<std::vector<platform::Row>>> scanAll(platform::TableClient table, std::string prefix)
+static asio::awaitable<absl::StatusOr<std::vector<store::Row>>> scanAll(store::TableClient table, std::string prefix)
 {
-    std::vector<platform::Row> rows;
-    platform::Scan range { std::move(prefix), "", rowsAtOnce };
+    std::vector<store::Row> rows;
+    store::Scan range { std::move(prefix), "", rowsAtOnce };
     while (true) {
-        auto part = co_await platform::scan(table, range);
+        auto part = co_await store::scan(table, range);
         if (!part.ok())
             co_return part.status();
         rows.insert(rows.end(), part->begin(), part->end());
@@ -39,19 +39,19 @@
     }
 }
 
-static asio::awaitable<absl::StatusOr<RecoveredPartition>> recoverOnce(platform::TableClient table, platform::ObjectClient objects, PartitionNumber partition)
+static asio::awaitable<absl::StatusOr<RecoveredPartition>> recoverOnce(store::TableClient table, store::ObjectClient objects, PartitionNumber partition)
 {
     std::vector<std::string> keys { snapshotKey(partition) };
-    auto rows = co_await platform::read(table, std::move(keys));
+    auto rows = co_await store::read(table, std::move(keys));
     if (!rows.ok())
         co_return rows.status();
     Ledger ledger;
     Sequence through;
-    if (rows->front().version_ != platform::RowVersion()) {
+    if (rows->front().version_ != store::RowVersion()) {
         auto snapshot = decodeSnapshotRow(rows->front().value_);
         if (!snapshot.ok())
             co_return snapshot.status();
-        auto bytes = co_await platform::getObject(objects, snapshot->object_);
+        auto bytes = co_await store::getObject(objects, snapshot->object_);
         if (!bytes.ok())
             co_return bytes.status();
         auto decoded = decodeSnapshot(*bytes);
@@ -69,7 +69,7 @@
     co_return RecoveredPartition { std::move(recovered->ledger_), recovered->next_, recovered->batches_ };
 }
 
-asio::awaitable<void> recoverPartition(JobsMailbox mailbox, platform::TableClient table, platform::ObjectClient objects, Holding holding)
+asio::awaitable<void> recoverPartition(JobsMailbox mailbox, store::TableClient table, store::ObjectClient objects, Holding holding)
 {
     while (mailbox.isOpen()) {
         auto recovered = co_await recoverOnce(table, objects, holding.partition_);
@@ -83,14 +83,14 @@
     }
 }
 
-asio::awaitable<void> commitBatch(JobsMailbox mailbox, platform::TableClient table, Holding holding, CommitBatch commit)
+asio::awaitable<void> commitBatch(JobsMailbox mailbox, store::TableClient table, Holding holding, CommitBatch commit)
 {
     Sequence sequence = commit.batch_.sequence_;
-    platform::Transaction transaction = batchTransaction(holding.partition_, holding.fence_, commit);
-    platform::CommitOutcome outcome = co_await platform::commit(table, std::move(transaction));
+    store::Transaction transaction = batchTransaction(holding.partition_, holding.fence_, commit);
+    store::CommitOutcome outcome = co_await store::commit(table, std::move(transaction));
     JournalMessage message = std::visit(Visitor {
-                                            [&](const platform::Committed&) -> JournalMessage { return BatchWritten { sequence }; },
-                                            [&](const platform::Unavailable&) -> JournalMessage { return BatchRefused { sequence }; },
+                                            [&](const store::Committed&) -> JournalMessage { return BatchWritten { sequence }; },
+                                            [&](const store::Unavailable&) -> JournalMessage { return BatchRefused { sequence }; },
                                             [&](const auto&) -> JournalMessage { return BatchUncertain { sequence }; },
                                         },
         outcome);
@@ -98,10 +98,10 @@
     co_await tell(mailbox, holding, std::move(told));
 }
 
-asio::awaitable<void> readBack(JobsMailbox mailbox, platform::TableClient table, Holding holding, Sequence sequence)
+asio::awaitable<void> readBack(JobsMailbox mailbox, store::TableClient table, Holding holding, Sequence sequence)
 {
     std::vector<std::string> keys { journalKey(holding.partition_, sequence), leases::partitionKey(holding.partition_) };
-    auto rows = co_await platform::read(table, std::move(keys));
+    auto rows = co_await store::read(table, std::move(keys));
     auto domainRows = co_await scanAll(table, std::string(domainPrefix));
     if (!rows.ok() || !domainRows.ok()) {
         OwnerMessage told = JournalAnswered { ReadBackFailed { sequence } };
@@ -109,7 +109,7 @@
         co_return;
     }
     BatchReadBack answer { sequence, (*rows)[1].version_ == holding.fence_, std::nullopt, {} };
-    if ((*rows)[0].version_ != platform::RowVersion()) {
+    if ((*rows)[0].version_ != store::RowVersion()) {
         auto batch = decodeBatch((*rows)[0].value_);
         if (!batch.ok()) {
             logError("jobs.journal_damaged", { { "row", (*rows)[0].key_ }, { "error", std::string(batch.status().message()) } });
@@ -130,7 +130,7 @@
     co_await tell(mailbox, holding, std::move(told));
 }
 
-asio::awaitable<void> readDomainRows(JobsMailbox mailbox, platform::TableClient table)
+asio::awaitable<void> readDomainRows(JobsMailbox mailbox, store::TableClient table)
 {
     auto rows = co_await scanAll(table, std::string(domainPrefix));
     if (!rows.ok())
@@ -140,40 +140,40 @@
 }
 
 // Names the snapshot in the table and erases the journal that it holds, some rows at a time.
-static asio::awaitable<bool> cutJournal(platform::TableClient table, Holding holding, SnapshotRow snapshot)
+static asio::awaitable<bool> cutJournal(store::TableClient table, Holding holding, SnapshotRow snapshot)
 {
     auto rows = co_await scanAll(table, journalPrefix(holding.partition_));
     if (!rows.ok())
         co_return false;
     Sequence first = snapshot.through_.next();
-    for (const platform::Row& row : *rows) {
+    for (const store::Row& row : *rows) {
         auto batch = decodeBatch(row.value_);
         first = std::min(first, batch.ok() ? batch->sequence_ : first);
     }
     do {
-        platform::Transaction transaction = cutTransaction(holding.partition_, holding.fence_, snapshot, first);
-        platform::CommitOutcome outcome = co_await platform::commit(table, std::move(transaction));
-        if (!std::holds_alternative<platform::Committed>(outcome))
+        store::Transaction transaction = cutTransaction(holding.partition_, holding.fence_, snapshot, first);
+        store::CommitOutcome outcome = co_await store::commit(table, std::move(transaction));
+        if (!std::holds_alternative<store::Committed>(outcome))
             co_return false;
         first = Sequence(first.value() + maximumRowsCut);
     } while (first <= snapshot.through_);
     co_return true;
 }
 
-asio::awaitable<void> storeSnapshot(JobsMailbox mailbox, platform::TableClient table, platform::ObjectClient objects, Holding holding, Sequence through, std::string bytes)
+asio::awaitable<void> storeSnapshot(JobsMailbox mailbox, store::TableClient table, store::ObjectClient objects, Holding holding, Sequence through, std::string bytes)
 {
     std::vector<std::string> keys { snapshotKey(holding.partition_) };
-    auto former = co_await platform::read(table, std::move(keys));
+    auto former = co_await store::read(table, std::move(keys));
     std::string object = snapshotObject(holding.partition_, holding.epoch_, through);
-    absl::Status status = co_await platform::putObject(objects, object, std::move(bytes));
+    absl::Status status = co_await store::putObject(objects, object, std::move(bytes));
     bool stored = former.ok() && status.ok();
     SnapshotRow row { object, through };
     if (stored)
         stored = co_await cutJournal(table, holding, std::move(row));
-    if (stored && former->front().version_ != platform::RowVersion()) {
+    if (stored && former->front().version_ != store::RowVersion()) {
         auto old = decodeSnapshotRow(former->front().value_);
         if (old.ok() && old->object_ != object)
-            co_await platform::removeObject(objects, old->object_);
+            co_await store::removeObject(objects, old->object_);
     }
     OwnerMessage told = SnapshotStored { through, stored };
     co_await tell(mailbox, holding, std::move(told));
--- a/jobs/src/decisions/Durability.cpp
+++ b/jobs/src/decisions/Durability.cpp
@@ -47,7 +47,7 @@
         if (!start)
             continue;
         auto known = owner_.domains_.find(start->site_.domain_);
-        commit.domains_.emplace(start->site_.domain_, known == owner_.domains_.end() ? platform::RowVersion() : known->second.openVersion_);
+        commit.domains_.emplace(start->site_.domain_, known == owner_.domains_.end() ? store::RowVersion() : known->second.openVersion_);
     }
     actions_.emplace_back(std::move(commit));
 }
--- a/jobs/src/decisions/Hosts.cpp
+++ b/jobs/src/decisions/Hosts.cpp
@@ -37,7 +37,7 @@
     }
 
     // The newest checkpoint of the attempt among events that are not durable yet.
-    std::string checkpointIn(const std::map<Sequence, hosting::HostEvent>& events, const platform::TaskAttempt& task)
+    std::string checkpointIn(const std::map<Sequence, hosting::HostEvent>& events, const store::TaskAttempt& task)
     {
         std::string reference;
         for (const auto& [sequence, event] : events) {
@@ -100,7 +100,7 @@
 {
     bool listed = message.answer_.digest_ != message.sentDigest_;
     std::set<std::pair<TaskKey, Attempt>> running;
-    for (const platform::TaskAttempt& there : message.answer_.running_) {
+    for (const store::TaskAttempt& there : message.answer_.running_) {
         auto key = parseTaskId(there.task_);
         if (!key.ok())
             continue;
@@ -175,7 +175,7 @@
         renewal.stamp_ = *at.stamp_;
         at.leaseEnd_ = std::max(at.leaseEnd_, now + taskLease + leaseMargin);
     }
-    std::vector<platform::TaskAttempt> expected;
+    std::vector<store::TaskAttempt> expected;
     if (auto assigned = owner_.ledger_.assigned().find(worker); assigned != owner_.ledger_.assigned().end()) {
         for (const TaskKey& key : assigned->second)
             expected.push_back({ taskId(key), owner_.ledger_.find(key)->attempt_ });
--- a/jobs/tests/OwnerTest.cpp
+++ b/jobs/tests/OwnerTest.cpp
@@ -1,7 +1,7 @@
 #include "persimmondoor/jobs/Owner.h"
 #include "Store.h"
 #include "persimmondoor/core/Text.h"
-#include "persimmondoor/platform/TableState.h"
+#include "persimmondoor/store/TableState.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/jobs/tests/SimulatedHost.cpp
+++ b/jobs/tests/SimulatedHost.cpp
@@ -19,7 +19,7 @@
 
 StartOutcome SimulatedHost::start(const StartOrder& order, Instant now, std::vector<StartFact>& facts)
 {
-    platform::TaskAttempt task { order.task_, order.attempt_ };
+    store::TaskAttempt task { order.task_, order.attempt_ };
     if (order.epoch_ < epoch_)
         return StartRefused { StartRefusal::StaleEpoch, "" };
     if (now < readyAt_)
@@ -52,7 +52,7 @@
     if (now < readyAt_)
         return StopNotReady {};
     epoch_ = order.epoch_;
-    platform::TaskAttempt task { order.task_, order.attempt_ };
+    store::TaskAttempt task { order.task_, order.attempt_ };
     Attempt& fence = fence_[order.task_];
     fence = std::max(fence, order.attempt_);
     if (!runs_.contains(task))
@@ -86,12 +86,12 @@
 
 void SimulatedHost::advance(Instant now)
 {
-    std::vector<platform::TaskAttempt> lapsed;
+    std::vector<store::TaskAttempt> lapsed;
     for (const auto& [task, run] : runs_) {
         if (now >= run.leaseEnd_)
             lapsed.push_back(task);
     }
-    for (const platform::TaskAttempt& task : lapsed)
+    for (const store::TaskAttempt& task : lapsed)
         end(task, TaskLeaseLapsed {});
 }
 
@@ -99,7 +99,7 @@
 {
     if (runs_.empty() || !isUp(now))
         return;
-    platform::TaskAttempt task = std::next(runs_.begin(), static_cast<std::ptrdiff_t>(choice % runs_.size()))->first;
+    store::TaskAttempt task = std::next(runs_.begin(), static_cast<std::ptrdiff_t>(choice % runs_.size()))->first;
     if (failsEverything_)
         return end(task, TaskFailed { "cannot start" });
     completed_.push_back(task);
@@ -121,21 +121,21 @@
     restartAgent(now);
 }
 
-std::vector<platform::TaskAttempt> SimulatedHost::running() const
+std::vector<store::TaskAttempt> SimulatedHost::running() const
 {
-    std::vector<platform::TaskAttempt> result;
+    std::vector<store::TaskAttempt> result;
     for (const auto& [task, run] : runs_)
         result.push_back(task);
     return result;
 }
 
-void SimulatedHost::end(const platform::TaskAttempt& task, TaskEvent event)
+void SimulatedHost::end(const store::TaskAttempt& task, TaskEvent event)
 {
     runs_.erase(task);
     tell(task, std::move(event));
 }
 
-void SimulatedHost::tell(const platform::TaskAttempt& task, TaskEvent event)
+void SimulatedHost::tell(const store::TaskAttempt& task, TaskEvent event)
 {
     lastEvent_ = lastEvent_.next();
     events_.emplace(lastEvent_, HostEvent { lastEvent_, task, std::move(event) });
--- a/jobs/tests/SimulatedHost.h
+++ b/jobs/tests/SimulatedHost.h
@@ -12,7 +12,7 @@
 
 // What a host ever did with one attempt, for the checks.
 struct StartFact {
-    platform::TaskAttempt task_;
+    store::TaskAttempt task_;
     WorkerName worker_;
     FailureDomainName domain_;
     std::string checkpoint_;
@@ -51,18 +51,18 @@
 
     const WorkerName& worker() const { return worker_; }
     const FailureDomainName& domain() const { return domain_; }
-    std::vector<platform::TaskAttempt> running() const;
+    std::vector<store::TaskAttempt> running() const;
     // Tasks whose work was completed here.
-    const std::vector<platform::TaskAttempt>& completed() const { return completed_; }
+    const std::vector<store::TaskAttempt>& completed() const { return completed_; }
     // Checkpoints that were made here, by attempt.
-    const std::map<platform::TaskAttempt, std::string>& checkpoints() const { return checkpoints_; }
+    const std::map<store::TaskAttempt, std::string>& checkpoints() const { return checkpoints_; }
 
 private:
     struct Run {
         Instant leaseEnd_;
     };
-    void end(const platform::TaskAttempt&, hosting::TaskEvent);
-    void tell(const platform::TaskAttempt&, hosting::TaskEvent);
+    void end(const store::TaskAttempt&, hosting::TaskEvent);
+    void tell(const store::TaskAttempt&, hosting::TaskEvent);
 
     static constexpr size_t slots = 3;
     WorkerName worker_;
@@ -70,15 +70,15 @@
     bool failsEverything_ { false };
     Incarnation incarnation_ { 1 };
     Epoch epoch_;
-    std::map<platform::TaskAttempt, Run> runs_;
+    std::map<store::TaskAttempt, Run> runs_;
     std::map<TaskId, Attempt> fence_;
     std::map<Sequence, hosting::HostEvent> events_;
     Sequence lastEvent_;
     Instant downUntil_;
     Instant cutUntil_;
     Instant readyAt_;
-    std::vector<platform::TaskAttempt> completed_;
-    std::map<platform::TaskAttempt, std::string> checkpoints_;
+    std::vector<store::TaskAttempt> completed_;
+    std::map<store::TaskAttempt, std::string> checkpoints_;
 };
 
 } // namespace persimmondoor::jobs::simulation
--- a/jobs/tests/Simulation.cpp
+++ b/jobs/tests/Simulation.cpp
@@ -103,7 +103,7 @@
 
 bool Simulation::owns(size_t process) const
 {
-    platform::TableState copy = table_;
+    store::TableState copy = table_;
     return copy.read(leases::partitionKey(partition)).version_ == processes_[process].fence_;
 }
 
@@ -114,12 +114,12 @@
         return;
     bool first = epoch_ == Epoch();
     epoch_ = epoch_.next();
-    auto outcome = table_.apply({ {}, { platform::Put { leases::partitionKey(partition), concat("owner ", index, " epoch ", epoch_.value()) } } });
-    process.fence_ = std::get<platform::Committed>(outcome).version_;
+    auto outcome = table_.apply({ {}, { store::Put { leases::partitionKey(partition), concat("owner ", index, " epoch ", epoch_.value()) } } });
+    process.fence_ = std::get<store::Committed>(outcome).version_;
     ++process.life_;
     Ledger ledger;
     Sequence through;
-    if (platform::Row row = table_.read(snapshotKey(partition)); row.version_ != platform::RowVersion()) {
+    if (store::Row row = table_.read(snapshotKey(partition)); row.version_ != store::RowVersion()) {
         SnapshotRow snapshot = *decodeSnapshotRow(row.value_);
         through = snapshot.through_;
         ledger = *decodeSnapshot(objects_.at(snapshot.object_));
@@ -195,11 +195,11 @@
 
 void Simulation::commit(size_t process, const CommitBatch& commit)
 {
-    platform::Transaction transaction = batchTransaction(partition, processes_[process].fence_, commit);
+    store::Transaction transaction = batchTransaction(partition, processes_[process].fence_, commit);
     Sequence sequence = commit.batch_.sequence_;
     auto execute = [this, transaction, batch = commit.batch_] {
         auto outcome = table_.apply(transaction);
-        if (std::holds_alternative<platform::Committed>(outcome))
+        if (std::holds_alternative<store::Committed>(outcome))
             noteDurable(batch);
         return outcome;
     };
@@ -213,7 +213,7 @@
             later(std::chrono::seconds(8), [execute] { execute(); });
             return answer(BatchUncertain { sequence });
         }
-        bool written = std::holds_alternative<platform::Committed>(execute());
+        bool written = std::holds_alternative<store::Committed>(execute());
         if (repliesToLose_ > 0) {
             --repliesToLose_;
             return answer(BatchUncertain { sequence });
@@ -227,10 +227,10 @@
     later(network, [this, process, sequence = read.sequence_, life = processes_[process].life_] {
         if (now_ < storeDownUntil_)
             return later(network, [=, this] { deliver(process, life, JournalAnswered { ReadBackFailed { sequence } }); });
-        platform::Row row = table_.read(journalKey(partition, sequence));
+        store::Row row = table_.read(journalKey(partition, sequence));
         std::vector<DomainState> domains = readDomains(table_.scan({ std::string(domainPrefix), "", 100 }));
         BatchReadBack answer { sequence, owns(process), std::nullopt, {} };
-        if (row.version_ != platform::RowVersion())
+        if (row.version_ != store::RowVersion())
             answer.row_ = *decodeBatch(row.value_);
         for (const DomainState& domain : domains) {
             if (!domain.inService_)
@@ -318,12 +318,12 @@
 {
     std::string object = snapshotObject(partition, processes_[process].owner_->identity().epoch_, request.through_);
     std::string bytes = encodeSnapshot(processes_[process].owner_->ledger());
-    platform::Transaction cut = cutTransaction(partition, processes_[process].fence_, { object, request.through_ }, Sequence(1));
+    store::Transaction cut = cutTransaction(partition, processes_[process].fence_, { object, request.through_ }, Sequence(1));
     later(std::chrono::milliseconds(150), [=, this, life = processes_[process].life_] {
         bool stored = now_ >= storeDownUntil_;
         if (stored) {
             objects_[object] = bytes;
-            stored = std::holds_alternative<platform::Committed>(table_.apply(cut));
+            stored = std::holds_alternative<store::Committed>(table_.apply(cut));
         }
         later(network, [=, this] { deliver(process, life, SnapshotStored { request.through_, stored }); });
     });
--- a/jobs/tests/Simulation.h
+++ b/jobs/tests/Simulation.h
@@ -5,7 +5,7 @@
 #include "SimulatedHost.h"
 #include "Store.h"
 #include "persimmondoor/jobs/Owner.h"
-#include "persimmondoor/platform/TableState.h"
+#include "persimmondoor/store/TableState.h"
 
 #include <functional>
 #include <ostream>
@@ -54,7 +54,7 @@
 private:
     struct Process {
         std::optional<Owner> owner_;
-        platform::RowVersion fence_;
+        store::RowVersion fence_;
         uint64_t life_ { 0 };
         Instant pausedUntil_;
     };
@@ -92,7 +92,7 @@
     std::vector<Fault> faults_;
     Instant now_ { Instant::fromMicroseconds(1'000'000) };
     std::multimap<Instant, std::function<void()>> pending_;
-    platform::TableState table_;
+    store::TableState table_;
     std::map<std::string, std::string> objects_;
     std::vector<SimulatedHost> hosts_;
     std::vector<Process> processes_ { 2 };
@@ -114,10 +114,10 @@
     std::map<FailureDomainName, Instant> closedAt_;
     std::vector<StartFact> facts_;
     size_t factsChecked_ { 0 };
-    std::set<platform::TaskAttempt> started_;
+    std::set<store::TaskAttempt> started_;
     // Attempts that were given up after the silence of their worker outlasted every lease: whether they were done there
     // cannot be known.
-    std::set<platform::TaskAttempt> givenUp_;
+    std::set<store::TaskAttempt> givenUp_;
     size_t takeovers_ { 0 };
     std::optional<std::string> failure_;
 };
--- a/jobs/tests/SimulationChecks.cpp
+++ b/jobs/tests/SimulationChecks.cpp
@@ -43,7 +43,7 @@
         host.restartAgent(now_);
         break;
     case FaultKind::WorkerVanishes:
-        for (const platform::TaskAttempt& task : host.completed())
+        for (const store::TaskAttempt& task : host.completed())
             givenUp_.insert(task);
         for (const auto& [task, reference] : host.checkpoints())
             givenUp_.insert(task);
@@ -105,7 +105,7 @@
     FailureDomainName domain = FailureDomainName::of(concat("domain-", target % 3));
     if (now_ < storeDownUntil_)
         return;
-    table_.apply({ {}, { platform::Put { domainKey(domain), encode(DomainRow { inService, "", 0 }) } } });
+    table_.apply({ {}, { store::Put { domainKey(domain), encode(DomainRow { inService, "", 0 }) } } });
     if (inService)
         closedAt_.erase(domain);
     else
@@ -131,7 +131,7 @@
 void Simulation::checkResume(const StartFact& fact)
 {
     for (uint64_t earlier = fact.task_.attempt_.value() - 1; earlier > 0; --earlier) {
-        platform::TaskAttempt attempt { fact.task_.task_, Attempt(earlier) };
+        store::TaskAttempt attempt { fact.task_.task_, Attempt(earlier) };
         if (givenUp_.contains(attempt))
             return;
         for (const SimulatedHost& host : hosts_) {
@@ -152,7 +152,7 @@
         // Tasks of a paused host do not run; when it goes on, lapsed leases end first.
         if (!host.isUp(now_))
             continue;
-        for (const platform::TaskAttempt& task : host.running()) {
+        for (const store::TaskAttempt& task : host.running()) {
             if (++places[task.task_] > 1)
                 fail(concat(task.task_.value(), " runs in two places"));
         }
@@ -174,7 +174,7 @@
     }
     std::map<TaskId, size_t> completions;
     for (const SimulatedHost& host : hosts_) {
-        for (const platform::TaskAttempt& task : host.completed()) {
+        for (const store::TaskAttempt& task : host.completed()) {
             if (!givenUp_.contains(task) && ++completions[task.task_] > 1)
                 fail(concat(task.task_.value(), " was done twice"));
         }
--- a/leases/include/persimmondoor/leases/Ownership.h
+++ b/leases/include/persimmondoor/leases/Ownership.h
@@ -17,7 +17,7 @@
 #include "persimmondoor/core/Address.h"
 #include "persimmondoor/core/Ids.h"
 #include "persimmondoor/core/Time.h"
-#include "persimmondoor/platform/Table.h"
+#include "persimmondoor/store/Table.h"
 
 #include <absl/status/statusor.h>
 #include <map>
@@ -62,7 +62,7 @@
 struct Gained {
     PartitionNumber partition_;
     Epoch epoch_;
-    platform::RowVersion version_;
+    store::RowVersion version_;
     /// For how long, from now on, an earlier owner may still renew leases of tasks on a worker that this owner can't
     /// reach. Zero if there was none, or if it gave the partition back.
     Duration horizon_ { 0 };
@@ -113,8 +113,8 @@
 
 /// The rows were read.
 struct RowsRead {
-    std::vector<platform::Row> partitions_;
-    std::vector<platform::Row> owners_;
+    std::vector<store::Row> partitions_;
+    std::vector<store::Row> owners_;
     auto operator<=>(const RowsRead&) const = default;
 };
 
@@ -125,20 +125,20 @@
 
 /// A heartbeat's transaction has ended.
 struct HeartbeatEnded {
-    platform::CommitOutcome outcome_;
+    store::CommitOutcome outcome_;
     auto operator<=>(const HeartbeatEnded&) const = default;
 };
 
 /// A claim's transaction has ended.
 struct ClaimEnded {
     PartitionNumber partition_;
-    platform::CommitOutcome outcome_;
+    store::CommitOutcome outcome_;
     auto operator<=>(const ClaimEnded&) const = default;
 };
 
 /// A transaction that gives partitions back has ended.
 struct GiveBackEnded {
-    platform::CommitOutcome outcome_;
+    store::CommitOutcome outcome_;
     auto operator<=>(const GiveBackEnded&) const = default;
 };
 
@@ -151,7 +151,7 @@
 
 /// Write the heartbeat; answer with HeartbeatEnded.
 struct WriteHeartbeat {
-    platform::Transaction transaction_;
+    store::Transaction transaction_;
     auto operator<=>(const WriteHeartbeat&) const = default;
 };
 
@@ -163,13 +163,13 @@
 /// Claim a partition; answer with ClaimEnded.
 struct Claim {
     PartitionNumber partition_;
-    platform::Transaction transaction_;
+    store::Transaction transaction_;
     auto operator<=>(const Claim&) const = default;
 };
 
 /// Write the rows of partitions that are given back; answer with GiveBackEnded.
 struct GiveBack {
-    platform::Transaction transaction_;
+    store::Transaction transaction_;
     auto operator<=>(const GiveBack&) const = default;
 };
 
@@ -184,7 +184,7 @@
 /// A partition that this process owns.
 struct Holding {
     Epoch epoch_;
-    platform::RowVersion version_;
+    store::RowVersion version_;
     /// When the partition was gained, and how long from then an earlier owner may have renewed task leases.
     Instant since_;
     Duration inheritedHorizon_ { 0 };
@@ -200,7 +200,7 @@
 
 /// What was last seen of a heartbeat of another life.
 struct Watched {
-    platform::RowVersion version_;
+    store::RowVersion version_;
     Incarnation incarnation_;
     /// Since when this version has been seen without a break, by this process's clock.
     Instant since_;
@@ -242,7 +242,7 @@
     uint64_t heartbeat_ { 0 };
     Instant heartbeatSent_;
     /// Version of the own heartbeat's row, as far as known.
-    platform::RowVersion heartbeatVersion_;
+    store::RowVersion heartbeatVersion_;
     std::optional<Instant> leaseUntil_;
     std::optional<Instant> horizonUntil_;
     bool registered_ { false };
--- a/leases/include/persimmondoor/leases/OwnershipActor.h
+++ b/leases/include/persimmondoor/leases/OwnershipActor.h
@@ -8,7 +8,7 @@
 
 #include "persimmondoor/core/Mailbox.h"
 #include "persimmondoor/leases/Ownership.h"
-#include "persimmondoor/platform/TableClient.h"
+#include "persimmondoor/store/TableClient.h"
 
 #include <functional>
 
@@ -21,7 +21,7 @@
 public:
     /// Starts the actor on `executor`.
     /// \return its handle, or InvalidArgument as `Ownership::create`.
-    static absl::StatusOr<OwnershipActor> create(const boost::asio::any_io_executor& executor, Clock clock, platform::TableClient table, OwnershipSettings settings, OwnershipListener listener);
+    static absl::StatusOr<OwnershipActor> create(const boost::asio::any_io_executor& executor, Clock clock, store::TableClient table, OwnershipSettings settings, OwnershipListener listener);
 
     /// Gives every partition back and ends. The listener hears of each loss before its row is written. With the store
     /// down it ends after a few tries; the partitions are then taken over when the lease has lapsed.
--- a/leases/src/OwnershipActor.cpp
+++ b/leases/src/OwnershipActor.cpp
@@ -18,12 +18,12 @@
 static constexpr Duration giveBackRetryInterval = std::chrono::milliseconds(300);
 
 // Reads all rows of a prefix, page by page.
-static asio::awaitable<absl::StatusOr<std::vector<platform::Row>>> readAll(platform::TableClient table, std::string prefix)
+static asio::awaitable<absl::StatusOr<std::vector<store::Row>>> readAll(store::TableClient table, std::string prefix)
 {
-    std::vector<platform::Row> all;
+    std::vector<store::Row> all;
     for (;;) {
-        platform::Scan range { prefix, all.empty() ? "" : all.back().key_, rowsPerScan };
-        auto page = co_await platform::scan(table, std::move(range));
+        store::Scan range { prefix, all.empty() ? "" : all.back().key_, rowsPerScan };
+        auto page = co_await store::scan(table, std::move(range));
         if (!page.ok())
             co_return page.status();
         bool last = page->size() < rowsPerScan;
@@ -33,15 +33,15 @@
     }
 }
 
-static void logMalformedRows(const std::vector<platform::Row>& partitions)
+static void logMalformedRows(const std::vector<store::Row>& partitions)
 {
-    for (const platform::Row& row : partitions) {
+    for (const store::Row& row : partitions) {
         if (!decodePartitionRow(row.value_).ok())
             logError("ownership.malformed_row", { { "key", row.key_ } });
     }
 }
 
-static asio::awaitable<OwnershipMessage> readRows(platform::TableClient table)
+static asio::awaitable<OwnershipMessage> readRows(store::TableClient table)
 {
     auto partitions = co_await readAll(table, std::string(partitionPrefix));
     if (!partitions.ok())
@@ -59,18 +59,18 @@
     mailbox.tryPost(OwnershipActor::Tick {});
 }
 
-static platform::Transaction transactionOf(const OwnershipAction& action)
+static store::Transaction transactionOf(const OwnershipAction& action)
 {
     return std::visit(Visitor {
                           [](const WriteHeartbeat& write) { return write.transaction_; },
                           [](const Claim& claim) { return claim.transaction_; },
                           [](const GiveBack& giveBack) { return giveBack.transaction_; },
-                          [](const auto&) { return platform::Transaction(); },
+                          [](const auto&) { return store::Transaction(); },
                       },
         action);
 }
 
-static OwnershipMessage messageOf(const OwnershipAction& action, platform::CommitOutcome outcome)
+static OwnershipMessage messageOf(const OwnershipAction& action, store::CommitOutcome outcome)
 {
     if (const auto* claim = std::get_if<Claim>(&action))
         return ClaimEnded { claim->partition_, std::move(outcome) };
@@ -83,7 +83,7 @@
 
     class OwnershipLoop {
     public:
-        OwnershipLoop(asio::any_io_executor executor, Clock clock, platform::TableClient table, Ownership state, OwnershipListener listener, Mailbox<OwnershipActor::Message> mailbox)
+        OwnershipLoop(asio::any_io_executor executor, Clock clock, store::TableClient table, Ownership state, OwnershipListener listener, Mailbox<OwnershipActor::Message> mailbox)
             : executor_(std::move(executor))
             , clock_(std::move(clock))
             , table_(std::move(table))
@@ -137,7 +137,7 @@
                 co_return co_await readRows(table_);
             if (auto* giveBack = std::get_if<GiveBack>(&action))
                 lastGiveBack_ = giveBack->transaction_;
-            platform::CommitOutcome outcome = co_await platform::commit(table_, transactionOf(action));
+            store::CommitOutcome outcome = co_await store::commit(table_, transactionOf(action));
             co_return messageOf(action, std::move(outcome));
         }
 
@@ -147,7 +147,7 @@
             co_await step(std::move(asked));
             for (int tries = 1; tries < giveBackTries && !state_.hasLeft(); ++tries) {
                 co_await sleepFor(giveBackRetryInterval);
-                platform::CommitOutcome outcome = co_await platform::commit(table_, lastGiveBack_);
+                store::CommitOutcome outcome = co_await store::commit(table_, lastGiveBack_);
                 OwnershipMessage ended = GiveBackEnded { std::move(outcome) };
                 co_await step(std::move(ended));
             }
@@ -170,16 +170,16 @@
 
         asio::any_io_executor executor_;
         Clock clock_;
-        platform::TableClient table_;
+        store::TableClient table_;
         Ownership state_;
         OwnershipListener listener_;
         Mailbox<OwnershipActor::Message> mailbox_;
-        platform::Transaction lastGiveBack_;
+        store::Transaction lastGiveBack_;
     };
 
 } // namespace
 
-absl::StatusOr<OwnershipActor> OwnershipActor::create(const asio::any_io_executor& executor, Clock clock, platform::TableClient table, OwnershipSettings settings, OwnershipListener listener)
+absl::StatusOr<OwnershipActor> OwnershipActor::create(const asio::any_io_executor& executor, Clock clock, store::TableClient table, OwnershipSettings settings, OwnershipListener listener)
 {
     auto state = Ownership::create(settings);
     if (!state.ok())
--- a/leases/src/decisions/Balance.cpp
+++ b/leases/src/decisions/Balance.cpp
@@ -12,7 +12,7 @@
 Sight BalanceRules::look(const Ownership& state, const RowsRead& rows, Instant now)
 {
     Sight sight;
-    for (const platform::Row& row : rows.owners_) {
+    for (const store::Row& row : rows.owners_) {
         auto process = processOf(row.key_);
         auto heartbeat = decodeOwnerRow(row.value_);
         if (!process || !heartbeat.ok())
@@ -27,7 +27,7 @@
     }
     for (uint32_t number = 0; number < state.settings_.partitionCount_; ++number)
         sight.partitions_.emplace(PartitionNumber(number), SeenPartition { {}, {}, true });
-    for (const platform::Row& row : rows.partitions_) {
+    for (const store::Row& row : rows.partitions_) {
         auto partition = partitionOf(row.key_);
         auto found = partition ? sight.partitions_.find(*partition) : sight.partitions_.end();
         if (found == sight.partitions_.end())
--- a/leases/src/decisions/Balance.h
+++ b/leases/src/decisions/Balance.h
@@ -8,7 +8,7 @@
 // A partition as it was read; the row has version 0 if it was never owned.
 struct SeenPartition {
     PartitionRow row_;
-    platform::RowVersion version_;
+    store::RowVersion version_;
     bool free_ { false };
 };
 
@@ -17,7 +17,7 @@
     std::map<PartitionNumber, SeenPartition> partitions_;
     // Heartbeats of all processes, this one among them.
     std::map<ProcessName, OwnerRow> heartbeats_;
-    std::map<ProcessName, platform::RowVersion> heartbeatVersions_;
+    std::map<ProcessName, store::RowVersion> heartbeatVersions_;
     // Number of partitions of each live owner, this one among them if it is registered.
     std::map<ProcessName, size_t> counts_;
     size_t freeCount_ { 0 };
--- a/leases/src/decisions/Ownership.cpp
+++ b/leases/src/decisions/Ownership.cpp
@@ -6,13 +6,13 @@
 
 namespace persimmondoor::leases {
 
-using platform::Committed;
-using platform::Condition;
-using platform::Conflict;
-using platform::Erase;
-using platform::Put;
-using platform::RowVersion;
-using platform::Transaction;
+using store::Committed;
+using store::Condition;
+using store::Conflict;
+using store::Erase;
+using store::Put;
+using store::RowVersion;
+using store::Transaction;
 
 OwnershipSettings OwnershipSettings::forCell(ProcessName process, Incarnation incarnation, Address address, uint32_t processes)
 {
@@ -177,7 +177,7 @@
     {
         bool broken = !state.lastRead_ || now - *state.lastRead_ > state.settings_.lease_;
         std::map<ProcessName, Watched> seen;
-        for (const platform::Row& row : rows.owners_) {
+        for (const store::Row& row : rows.owners_) {
             auto process = processOf(row.key_);
             auto heartbeat = decodeOwnerRow(row.value_);
             if (!process || !heartbeat.ok())
@@ -196,7 +196,7 @@
     {
         Ownership& state = decision.state_;
         std::string key = ownerKey(state.settings_.process_);
-        auto row = std::find_if(rows.owners_.begin(), rows.owners_.end(), [&](const platform::Row& item) { return item.key_ == key; });
+        auto row = std::find_if(rows.owners_.begin(), rows.owners_.end(), [&](const store::Row& item) { return item.key_ == key; });
         auto content = row == rows.owners_.end() ? absl::NotFoundError(key) : decodeOwnerRow(row->value_);
         if (!content.ok() || content->incarnation_ != state.settings_.incarnation_) {
             // Another process has deposed this one, or it was never registered.
--- a/leases/tests/Cell.cpp
+++ b/leases/tests/Cell.cpp
@@ -65,13 +65,13 @@
         change);
 }
 
-platform::CommitOutcome Cell::commit(const platform::Transaction& transaction, CallFate fate)
+store::CommitOutcome Cell::commit(const store::Transaction& transaction, CallFate fate)
 {
     if (fate == CallFate::Refused)
-        return platform::Unavailable {};
-    platform::CommitOutcome outcome = table_.apply(transaction);
+        return store::Unavailable {};
+    store::CommitOutcome outcome = table_.apply(transaction);
     if (fate == CallFate::ReplyLost)
-        return platform::ReplyLost {};
+        return store::ReplyLost {};
     return outcome;
 }
 
--- a/leases/tests/Cell.h
+++ b/leases/tests/Cell.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "persimmondoor/leases/Ownership.h"
-#include "persimmondoor/platform/TableState.h"
+#include "persimmondoor/store/TableState.h"
 
 #include <deque>
 #include <set>
@@ -54,14 +54,14 @@
     size_t heldBy(size_t index) const { return processes_[index].held_.size(); }
 
     std::vector<Process> processes_;
-    platform::TableState table_;
+    store::TableState table_;
     Instant now_ = Instant::fromMicroseconds(0);
     CallFate fate_ { CallFate::Done };
 
 private:
     void apply(Process&, const OwnershipAction&, CallFate);
     static void learn(Process&, const OwnershipChange&);
-    platform::CommitOutcome commit(const platform::Transaction&, CallFate);
+    store::CommitOutcome commit(const store::Transaction&, CallFate);
 
     OwnershipSettings settings_;
     std::map<std::pair<PartitionNumber, Epoch>, std::string> ownerOfEpoch_;
--- a/leases/tests/OwnershipActorTest.cpp
+++ b/leases/tests/OwnershipActorTest.cpp
@@ -26,13 +26,13 @@
 BOOST_AUTO_TEST_CASE(claims_all_partitions_and_gives_them_back_in_spite_of_a_lost_reply)
 {
     boost::asio::io_context context(1);
-    platform::MemoryTable table = platform::MemoryTable::create();
+    store::MemoryTable table = store::MemoryTable::create();
     size_t gained = 0;
     size_t lost = 0;
     bool allOwned = false;
     auto ended = std::make_shared<bool>(false);
     std::optional<OwnershipActor> actor;
-    auto giveBack = [](OwnershipActor owner, platform::MemoryTable rows, std::shared_ptr<bool> done) -> boost::asio::awaitable<void> {
+    auto giveBack = [](OwnershipActor owner, store::MemoryTable rows, std::shared_ptr<bool> done) -> boost::asio::awaitable<void> {
         rows.inject({ .repliesToLose_ = 1 });
         co_await owner.giveBack();
         *done = true;
@@ -50,7 +50,7 @@
     BOOST_TEST(*ended);
     BOOST_TEST(lost == 5U);
     BOOST_TEST(table.state().scan({ "owner/", "", 10 }).empty());
-    for (const platform::Row& row : table.state().scan({ "partition/", "", 10 }))
+    for (const store::Row& row : table.state().scan({ "partition/", "", 10 }))
         BOOST_TEST(decodePartitionRow(row.value_).value().owner_.empty());
 }
 
--- a/leases/tests/OwnershipTest.cpp
+++ b/leases/tests/OwnershipTest.cpp
@@ -231,7 +231,7 @@
 BOOST_AUTO_TEST_CASE(malformed_row_is_left_alone)
 {
     Cell cell(1, settings(2));
-    cell.table_.apply({ {}, { platform::Put { partitionKey(PartitionNumber(1)), "?" } } });
+    cell.table_.apply({ {}, { store::Put { partitionKey(PartitionNumber(1)), "?" } } });
     pass(cell, 20 * second);
     BOOST_TEST(cell.heldBy(0) == 1U);
     BOOST_TEST(cell.table_.read(partitionKey(PartitionNumber(1))).value_ == "?");
--- a/routing/include/persimmondoor/routing/Claim.h
+++ b/routing/include/persimmondoor/routing/Claim.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "persimmondoor/admission/Request.h"
-#include "persimmondoor/platform/Table.h"
+#include "persimmondoor/store/Table.h"
 
 #include <absl/status/statusor.h>
 
@@ -50,13 +50,13 @@
 
 /// The key is the claimant's; the request may be handed over.
 struct ClaimMade {
-    platform::RowVersion version_;
+    store::RowVersion version_;
     bool operator==(const ClaimMade&) const = default;
 };
 
 /// The key is free since its row is older than the retention: claim it on this version.
 struct ClaimExpired {
-    platform::RowVersion version_;
+    store::RowVersion version_;
     bool operator==(const ClaimExpired&) const = default;
 };
 
@@ -73,7 +73,7 @@
 absl::StatusOr<ClaimOrder> orderClaim(const admission::ServiceRequest&, const std::string& key);
 
 /// Decides what an existing row means for `order` at wall-clock time `wall`, in milliseconds since 1970.
-ClaimVerdict judgeClaim(const ClaimOrder& order, const ClaimRow& row, platform::RowVersion version, int64_t wall);
+ClaimVerdict judgeClaim(const ClaimOrder& order, const ClaimRow& row, store::RowVersion version, int64_t wall);
 
 /// The row after the claimant's request was done with `answer`.
 ClaimRow withAnswer(const ClaimOrder& order, const Done& answer, int64_t wall);
--- a/routing/include/persimmondoor/routing/ClaimsActor.h
+++ b/routing/include/persimmondoor/routing/ClaimsActor.h
@@ -7,9 +7,9 @@
 #pragma once
 
 #include "persimmondoor/core/Mailbox.h"
-#include "persimmondoor/platform/TableClient.h"
 #include "persimmondoor/routing/Claim.h"
 #include "persimmondoor/routing/RouterActor.h"
+#include "persimmondoor/store/TableClient.h"
 
 namespace persimmondoor::routing {
 
@@ -23,15 +23,15 @@
 class ClaimsActor {
 public:
     /// Starts the actor on `executor`.
-    ClaimsActor(const boost::asio::any_io_executor& executor, Clock clock, platform::TableClient table);
+    ClaimsActor(const boost::asio::any_io_executor& executor, Clock clock, store::TableClient table);
 
     /// Claims a key within `limit`.
     /// \return ClaimMade, or ClaimRefused: with the earlier request's answer, or "not run" if the store cannot be reached.
     boost::asio::awaitable<ClaimVerdict> make(ClaimOrder, Duration limit) const;
     /// Keeps the answer for repeats. Not waited for: without it a repeat is answered "unknown".
-    boost::asio::awaitable<void> keep(ClaimOrder, platform::RowVersion, Done answer) const;
+    boost::asio::awaitable<void> keep(ClaimOrder, store::RowVersion, Done answer) const;
     /// Gives the key back, as the request was not run, and waits until that is written or has failed.
-    boost::asio::awaitable<void> release(ClaimOrder, platform::RowVersion) const;
+    boost::asio::awaitable<void> release(ClaimOrder, store::RowVersion) const;
     /// Ends the actor.
     void stop() const { mailbox_.close(); }
 
@@ -42,7 +42,7 @@
     struct Change {
         Kind kind_ { Kind::Make };
         ClaimOrder order_;
-        platform::RowVersion expected_;
+        store::RowVersion expected_;
         std::string value_;
         Instant deadline_;
         Reply<ClaimVerdict> reply_;
--- a/routing/src/ClaimsActor.cpp
+++ b/routing/src/ClaimsActor.cpp
@@ -34,7 +34,7 @@
     // Writes the changes of one batch; each change is answered once.
     class Batch {
     public:
-        Batch(Clock clock, platform::TableClient table, std::vector<Change> changes)
+        Batch(Clock clock, store::TableClient table, std::vector<Change> changes)
             : clock_(std::move(clock))
             , table_(std::move(table))
             , changes_(std::move(changes))
@@ -45,8 +45,8 @@
         {
             int lostReplies = 0;
             for (size_t round = 0; round < maximumRounds && !changes_.empty() && lostReplies < batchAttempts; ++round) {
-                platform::CommitOutcome outcome = co_await platform::commit(table_, transaction());
-                if (std::holds_alternative<platform::ReplyLost>(outcome))
+                store::CommitOutcome outcome = co_await store::commit(table_, transaction());
+                if (std::holds_alternative<store::ReplyLost>(outcome))
                     ++lostReplies;
                 co_await take(std::move(outcome));
             }
@@ -54,31 +54,31 @@
         }
 
     private:
-        asio::awaitable<void> take(platform::CommitOutcome outcome)
+        asio::awaitable<void> take(store::CommitOutcome outcome)
         {
             std::vector<std::string> undecided;
-            if (const auto* committed = std::get_if<platform::Committed>(&outcome))
+            if (const auto* committed = std::get_if<store::Committed>(&outcome))
                 co_await succeedAll(committed->version_);
-            if (const auto* unavailable = std::get_if<platform::Unavailable>(&outcome))
+            if (const auto* unavailable = std::get_if<store::Unavailable>(&outcome))
                 failAll(unavailable->detail_);
-            if (const auto* conflict = std::get_if<platform::Conflict>(&outcome))
+            if (const auto* conflict = std::get_if<store::Conflict>(&outcome))
                 undecided.push_back(conflict->key_);
             // Nothing is assumed of a lost reply: the rows tell.
-            if (std::holds_alternative<platform::ReplyLost>(outcome))
+            if (std::holds_alternative<store::ReplyLost>(outcome))
                 undecided = keys();
             if (!undecided.empty())
                 co_await resolve(std::move(undecided));
         }
 
-        platform::Transaction transaction() const
+        store::Transaction transaction() const
         {
-            platform::Transaction result;
+            store::Transaction result;
             for (const Change& change : changes_) {
                 result.conditions_.push_back({ change.order_.key_, change.expected_ });
                 if (change.kind_ == ClaimsActor::Kind::Release)
-                    result.writes_.emplace_back(platform::Erase { change.order_.key_ });
+                    result.writes_.emplace_back(store::Erase { change.order_.key_ });
                 else
-                    result.writes_.emplace_back(platform::Put { change.order_.key_, change.value_ });
+                    result.writes_.emplace_back(store::Put { change.order_.key_, change.value_ });
             }
             return result;
         }
@@ -91,7 +91,7 @@
             return result;
         }
 
-        asio::awaitable<void> succeedAll(platform::RowVersion version)
+        asio::awaitable<void> succeedAll(store::RowVersion version)
         {
             std::vector<Change> changes = std::exchange(changes_, {});
             for (Change& change : changes)
@@ -99,7 +99,7 @@
         }
 
         // A claim that came too late for its request is given back, as the request was answered "not run".
-        asio::awaitable<void> succeed(Change change, platform::RowVersion version)
+        asio::awaitable<void> succeed(Change change, store::RowVersion version)
         {
             bool late = change.kind_ == ClaimsActor::Kind::Make && now(clock_) > change.deadline_;
             if (!late) {
@@ -107,10 +107,10 @@
                 co_return;
             }
             change.reply_.send(storeFailed("the table service is too slow for the deadline"));
-            platform::Transaction giveBack;
+            store::Transaction giveBack;
             giveBack.conditions_.push_back({ change.order_.key_, version });
-            giveBack.writes_.emplace_back(platform::Erase { change.order_.key_ });
-            co_await platform::commit(table_, std::move(giveBack));
+            giveBack.writes_.emplace_back(store::Erase { change.order_.key_ });
+            co_await store::commit(table_, std::move(giveBack));
         }
 
         void failAll(const std::string& detail)
@@ -123,12 +123,12 @@
         // Reads the rows and answers the changes that they decide; the rest stay.
         asio::awaitable<void> resolve(std::vector<std::string> keys)
         {
-            auto rows = co_await platform::read(table_, std::move(keys));
+            auto rows = co_await store::read(table_, std::move(keys));
             if (!rows.ok()) {
                 failAll(std::string(rows.status().message()));
                 co_return;
             }
-            for (const platform::Row& row : *rows) {
+            for (const store::Row& row : *rows) {
                 auto found = std::find_if(changes_.begin(), changes_.end(), [&](const Change& change) { return change.order_.key_ == row.key_; });
                 if (found == changes_.end() || staysOpen(*found, row))
                     continue;
@@ -139,11 +139,11 @@
         }
 
         // True if the change has not taken effect and may be tried again; sets the version that it expects then.
-        static bool staysOpen(Change& change, const platform::Row& row)
+        static bool staysOpen(Change& change, const store::Row& row)
         {
             if (change.kind_ != ClaimsActor::Kind::Make)
                 return row.version_ == change.expected_;
-            if (row.version_ == platform::RowVersion()) {
+            if (row.version_ == store::RowVersion()) {
                 change.expected_ = row.version_;
                 return true;
             }
@@ -157,7 +157,7 @@
             return expired != nullptr;
         }
 
-        asio::awaitable<void> answer(Change change, platform::Row row)
+        asio::awaitable<void> answer(Change change, store::Row row)
         {
             if (change.kind_ != ClaimsActor::Kind::Make) {
                 change.reply_.send(ClaimMade { row.version_ });
@@ -176,13 +176,13 @@
         }
 
         Clock clock_;
-        platform::TableClient table_;
+        store::TableClient table_;
         std::vector<Change> changes_;
     };
 
     class ClaimsLoop {
     public:
-        ClaimsLoop(asio::any_io_executor executor, Clock clock, platform::TableClient table, Mailbox<ClaimsActor::Message> mailbox)
+        ClaimsLoop(asio::any_io_executor executor, Clock clock, store::TableClient table, Mailbox<ClaimsActor::Message> mailbox)
             : executor_(std::move(executor))
             , clock_(std::move(clock))
             , table_(std::move(table))
@@ -258,10 +258,10 @@
         }
 
         // Erases the expired rows among those after `after`, and has the sweep go on behind them.
-        static asio::awaitable<void> sweep(Mailbox<ClaimsActor::Message> mailbox, platform::TableClient table, std::string after)
+        static asio::awaitable<void> sweep(Mailbox<ClaimsActor::Message> mailbox, store::TableClient table, std::string after)
         {
-            platform::Scan range { "claim/", after, rowsPerSweep };
-            auto rows = co_await platform::scan(table, std::move(range));
+            store::Scan range { "claim/", after, rowsPerSweep };
+            auto rows = co_await store::scan(table, std::move(range));
             if (rows.ok()) {
                 after = rows->size() < rowsPerSweep ? std::string() : rows->back().key_;
                 co_await eraseExpired(table, *std::move(rows));
@@ -269,24 +269,24 @@
             co_await postSweep(std::move(mailbox), std::move(after));
         }
 
-        static asio::awaitable<void> eraseExpired(platform::TableClient table, std::vector<platform::Row> rows)
+        static asio::awaitable<void> eraseExpired(store::TableClient table, std::vector<store::Row> rows)
         {
-            platform::Transaction erase;
-            for (const platform::Row& row : rows) {
+            store::Transaction erase;
+            for (const store::Row& row : rows) {
                 auto decoded = decodeClaim(row.value_);
                 if (!decoded.ok() || !isExpired(*decoded, wallMilliseconds()))
                     continue;
                 erase.conditions_.push_back({ row.key_, row.version_ });
-                erase.writes_.emplace_back(platform::Erase { row.key_ });
+                erase.writes_.emplace_back(store::Erase { row.key_ });
             }
             // A conflict or a lost reply is put right by the next sweep.
             if (!erase.writes_.empty())
-                co_await platform::commit(table, std::move(erase));
+                co_await store::commit(table, std::move(erase));
         }
 
         asio::any_io_executor executor_;
         Clock clock_;
-        platform::TableClient table_;
+        store::TableClient table_;
         Mailbox<ClaimsActor::Message> mailbox_;
         std::deque<Change> waiting_;
         bool writing_ { false };
@@ -295,7 +295,7 @@
 
 } // namespace
 
-ClaimsActor::ClaimsActor(const asio::any_io_executor& executor, Clock clock, platform::TableClient table)
+ClaimsActor::ClaimsActor(const asio::any_io_executor& executor, Clock clock, store::TableClient table)
     : clock_(clock)
     , mailbox_(executor, mailboxCapacity)
 {
@@ -325,11 +325,11 @@
 {
     Reply<ClaimVerdict> reply(co_await asio::this_coro::executor);
     ClaimRow row { order.claimant_, order.digest_, wallMilliseconds(), ClaimState::Open, {} };
-    Change claim { Kind::Make, std::move(order), platform::RowVersion(), encodeClaim(row), now(clock_) + limit, reply };
+    Change claim { Kind::Make, std::move(order), store::RowVersion(), encodeClaim(row), now(clock_) + limit, reply };
     co_return co_await change(std::move(claim));
 }
 
-asio::awaitable<void> ClaimsActor::keep(ClaimOrder order, platform::RowVersion version, Done answer) const
+asio::awaitable<void> ClaimsActor::keep(ClaimOrder order, store::RowVersion version, Done answer) const
 {
     Reply<ClaimVerdict> reply(co_await asio::this_coro::executor);
     std::string value = encodeClaim(withAnswer(order, answer, wallMilliseconds()));
@@ -338,7 +338,7 @@
         logWarning("claims.answer_not_kept", {});
 }
 
-asio::awaitable<void> ClaimsActor::release(ClaimOrder order, platform::RowVersion version) const
+asio::awaitable<void> ClaimsActor::release(ClaimOrder order, store::RowVersion version) const
 {
     Reply<ClaimVerdict> reply(co_await asio::this_coro::executor);
     Change given { Kind::Release, std::move(order), version, "", now(clock_) + claimTimeout, reply };
@@ -355,7 +355,7 @@
     ClaimVerdict verdict = co_await claims.make(order, limit);
     if (auto* refused = std::get_if<ClaimRefused>(&verdict))
         co_return std::move(refused->outcome_);
-    platform::RowVersion version = std::get<ClaimMade>(verdict).version_;
+    store::RowVersion version = std::get<ClaimMade>(verdict).version_;
     if (request.timeLeft_ > Duration(0))
         request.timeLeft_ = std::max(Duration(1), request.timeLeft_ - (now(clock) - start));
     RequestOutcome outcome = co_await router.route(std::move(request));
--- a/routing/src/decisions/Claim.cpp
+++ b/routing/src/decisions/Claim.cpp
@@ -28,7 +28,7 @@
     return wall - row.claimedAt_ > std::chrono::duration_cast<std::chrono::milliseconds>(claimRetention).count();
 }
 
-ClaimVerdict judgeClaim(const ClaimOrder& order, const ClaimRow& row, platform::RowVersion version, int64_t wall)
+ClaimVerdict judgeClaim(const ClaimOrder& order, const ClaimRow& row, store::RowVersion version, int64_t wall)
 {
     if (row.claimant_ == order.claimant_)
         return ClaimMade { version };
--- a/routing/tests/ClaimTest.cpp
+++ b/routing/tests/ClaimTest.cpp
@@ -78,7 +78,7 @@
 
     rpc::Loop loop_;
     asio::any_io_executor executor_ = loop_.context().get_executor();
-    platform::MemoryTable table_ = platform::MemoryTable::create();
+    store::MemoryTable table_ = store::MemoryTable::create();
     FakeBackend backend_ { executor_ };
     admission::GateActor gate_ = *admission::GateActor::create(executor_, SteadyClock(), { { { EndpointName::of("e"), 2, 2 }, backend_.address() } });
     std::unique_ptr<rpc::Server> server_;
@@ -110,7 +110,7 @@
 {
     ClaimOrder order = *orderClaim(request("r2"), "k");
     ClaimRow open { RequestId::of("r1"), order.digest_, 0, ClaimState::Open, {} };
-    auto outcomeOf = [&](const ClaimRow& row, int64_t wall) { return std::get<ClaimRefused>(judgeClaim(order, row, platform::RowVersion(3), wall)).outcome_; };
+    auto outcomeOf = [&](const ClaimRow& row, int64_t wall) { return std::get<ClaimRefused>(judgeClaim(order, row, store::RowVersion(3), wall)).outcome_; };
     BOOST_TEST(std::holds_alternative<Unknown>(outcomeOf(open, 1)));
     ClaimRow other = open;
     other.digest_ = order.digest_ + 1;
@@ -119,8 +119,8 @@
     BOOST_TEST(std::get<Done>(outcomeOf(kept, 1)).body_ == "ok");
     ClaimRow large = withAnswer(*orderClaim(request("r1"), "k"), Done { 200, {}, std::string(keptAnswerBytes + 1, 'x') }, 0);
     BOOST_TEST(std::holds_alternative<Unknown>(outcomeOf(large, 1)));
-    BOOST_TEST((judgeClaim(order, open, platform::RowVersion(3), day + 1) == ClaimVerdict(ClaimExpired { platform::RowVersion(3) })));
-    BOOST_TEST((judgeClaim(*orderClaim(request("r1"), "k"), open, platform::RowVersion(3), 1) == ClaimVerdict(ClaimMade { platform::RowVersion(3) })));
+    BOOST_TEST((judgeClaim(order, open, store::RowVersion(3), day + 1) == ClaimVerdict(ClaimExpired { store::RowVersion(3) })));
+    BOOST_TEST((judgeClaim(*orderClaim(request("r1"), "k"), open, store::RowVersion(3), 1) == ClaimVerdict(ClaimMade { store::RowVersion(3) })));
 }
 
 BOOST_AUTO_TEST_CASE(key_must_be_a_name)
--- /dev/null
+++ b/scheduler/include/persimmondoor/scheduler/Leadership.h
@@ -0,0 +1,75 @@
+/// When an entry that does not own the queues should claim them. Pure: observations and time come in.
+///
+/// A claim is safe at any time: it is a transaction on the version of the leader's row, every write of the former
+/// leader is conditional on that row too, and workers that the new leader cannot reach keep their tasks until their
+/// leases have surely expired. So this only weighs a short outage against needless changes.
+///
+/// \code
+/// LeadershipStep step = nextStep(state, now);
+/// \endcode
+#pragma once
+
+#include "persimmondoor/store/Table.h"
+#include "persimmondoor/workflow/Remote.h"
+
+#include <variant>
+
+namespace persimmondoor::scheduler {
+
+/// Times of failover.
+struct FailoverTuning {
+    /// The leader is asked this often.
+    Duration pingInterval_ { std::chrono::milliseconds(250) };
+    /// Without an answer from it, directly or through other entries, for so long, it counts as gone; two pings that
+    /// time out and their intervals.
+    Duration silence_ { std::chrono::milliseconds(900) };
+    /// What is left of that time once its host has refused a connection.
+    Duration refusedSilence_ { std::chrono::milliseconds(200) };
+    /// A leader that answers but has not written for so long has lost the store. Leaders write at least twice a second;
+    /// a slow store takes up to 0.6 s for a write.
+    Duration stall_ { std::chrono::milliseconds(2000) };
+    /// Entries claim one after another by rank, to spare the store needless conflicts.
+    Duration stagger_ { std::chrono::milliseconds(150) };
+    uint32_t ranks_ { 4 };
+    bool operator==(const FailoverTuning&) const = default;
+};
+
+struct LeadershipState {
+    FailoverTuning tuning_;
+    Address self_;
+    /// The leader as known, and the version of its row; 0 if no row has been read.
+    workflow::LeaderEpoch epoch_;
+    std::optional<Address> leader_;
+    store::RowVersion version_;
+    /// The row has been read since this process started.
+    bool rowKnown_ { false };
+    Instant contactAt_;
+    Instant writeAt_;
+    bool operator==(const LeadershipState&) const = default;
+};
+
+/// The leader is fine, as far as is known.
+struct KeepFollowing {
+    auto operator<=>(const KeepFollowing&) const = default;
+};
+/// Read the leader's row; claim if it is unchanged and `nextStep` says so again.
+struct CheckRow {
+    auto operator<=>(const CheckRow&) const = default;
+};
+using LeadershipStep = std::variant<KeepFollowing, CheckRow>;
+
+LeadershipStep nextStep(const LeadershipState&, Instant now);
+
+/// Takes in the leader's row.
+LeadershipState learnRow(LeadershipState, workflow::LeaderEpoch, std::optional<Address>, store::RowVersion, Instant now);
+
+/// Takes in what the process at `from` told of the leadership.
+LeadershipState learnView(LeadershipState, const Address& from, const workflow::LeaderView&, Instant now);
+
+/// Takes in that the leader's host refused a connection: its process has ended, unless another entry still reaches it.
+LeadershipState learnRefusal(LeadershipState, Instant now);
+
+/// What this process tells others while it follows.
+workflow::LeaderView viewOf(const LeadershipState&, Instant now);
+
+} // namespace persimmondoor::scheduler
--- /dev/null
+++ b/scheduler/src/Following.cpp
@@ -0,0 +1,165 @@
+// The scheduler while another entry owns the queues, and its claims.
+#include "Scheduler.h"
+
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
+#include "persimmondoor/core/Text.h"
+
+#include <random>
+
+namespace persimmondoor::scheduler {
+
+namespace asio = boost::asio;
+
+static constexpr Duration pingTimeout = std::chrono::milliseconds(400);
+static constexpr Duration readTimeout = std::chrono::milliseconds(1000);
+// A claim whose reply is lost is read back; a store that is slow takes up to 0.6 s.
+static constexpr Duration claimTimeout = std::chrono::milliseconds(800);
+
+void Scheduler::follow(Following& role)
+{
+    bool mustCheck = std::holds_alternative<CheckRow>(nextStep(leadership_, time()));
+    if (mustCheck && !role.isClaiming_) {
+        role.isClaiming_ = true;
+        spawn(executor_, "check leader", checkRow());
+    }
+    bool canPing = leadership_.leader_ && leadership_.leader_ != options_.self_;
+    if (canPing && !role.isPinging_ && time() >= role.pingAt_) {
+        role.isPinging_ = true;
+        role.pingAt_ = time() + leadership_.tuning_.pingInterval_;
+        spawn(executor_, "ping", ping(*leadership_.leader_));
+    }
+}
+
+asio::awaitable<void> Scheduler::ping(Address to)
+{
+    auto self = shared_from_this();
+    auto answer = co_await workflow::pingAt(linkTo(to), options_.self_, view(), pingTimeout);
+    if (!answer.ok())
+        links_.erase(to);
+    PingSettled settled { to, answer };
+    co_await mailbox_.post(std::move(settled));
+    if (answer.ok())
+        co_return;
+    // Others may still reach it.
+    for (const Address& peer : peers()) {
+        if (peer == to)
+            continue;
+        auto view = co_await workflow::pingAt(linkTo(peer), options_.self_, this->view(), pingTimeout);
+        if (!view.ok()) {
+            links_.erase(peer);
+            continue;
+        }
+        PingSettled indirect { peer, std::move(view) };
+        co_await mailbox_.post(std::move(indirect));
+    }
+}
+
+void Scheduler::take(PingSettled message)
+{
+    if (auto* role = std::get_if<Following>(&role_); role && message.to_ == leadership_.leader_)
+        role->isPinging_ = false;
+    if (!message.answer_.ok()) {
+        if (absl::IsUnavailable(message.answer_.status()) && message.to_ == leadership_.leader_)
+            leadership_ = learnRefusal(std::move(leadership_), time());
+        logWarning("leader.unanswered", { { "entry", message.to_.text() }, { "reason", std::string(message.answer_.status().message()) } });
+        return;
+    }
+    peers_[message.to_] = time();
+    for (const Address& peer : message.answer_->peers_)
+        peers_.try_emplace(peer, time());
+    workflow::LeaderEpoch before = leadership_.epoch_;
+    leadership_ = learnView(std::move(leadership_), message.to_, message.answer_->leader_, time());
+    if (leadership_.epoch_ > before)
+        logInfo("leader.learnt", { { "epoch", std::to_string(leadership_.epoch_.value()) }, { "entry", leadership_.leader_ ? leadership_.leader_->text() : "" } });
+    auto* owner = std::get_if<Owning>(&role_);
+    if (owner && leadership_.epoch_ > owner->claim_.epoch_)
+        stepDown("another entry leads");
+}
+
+asio::awaitable<void> Scheduler::checkRow()
+{
+    auto self = shared_from_this();
+    auto row = co_await rows_.readRow(std::string(leaderRow), readTimeout);
+    RowSettled settled { std::move(row) };
+    co_await mailbox_.post(std::move(settled));
+}
+
+void Scheduler::learnRow(const store::Row& row)
+{
+    LeaderClaim claim;
+    if (row.version_ != store::RowVersion()) {
+        auto decoded = decodeClaim(row.value_);
+        if (!decoded.ok())
+            logError("leader.unreadable", { { "reason", std::string(decoded.status().message()) } });
+        else
+            claim = *std::move(decoded);
+    }
+    workflow::LeaderEpoch before = leadership_.epoch_;
+    leadership_ = scheduler::learnRow(std::move(leadership_), claim.epoch_, claim.address_, row.version_, time());
+    if (leadership_.epoch_ > before)
+        logInfo("leader.learnt", { { "epoch", std::to_string(leadership_.epoch_.value()) }, { "entry", leadership_.leader_ ? leadership_.leader_->text() : "" }, { "row_version", std::to_string(row.version_.value()) } });
+}
+
+// A number that tells two claims of the same epoch apart.
+static uint64_t drawNonce()
+{
+    static std::mt19937_64 generator { std::random_device {}() };
+    // Within the whole numbers that JSON carries exactly.
+    return generator() >> 12;
+}
+
+void Scheduler::take(RowSettled message)
+{
+    auto* role = std::get_if<Following>(&role_);
+    if (!role)
+        return;
+    role->isClaiming_ = false;
+    if (!message.row_.ok()) {
+        logWarning("store.lost", { { "reason", std::string(message.row_.status().message()) } });
+        return;
+    }
+    learnRow(*message.row_);
+    if (resigned_ || std::holds_alternative<KeepFollowing>(nextStep(leadership_, time())))
+        return;
+    role->isClaiming_ = true;
+    LeaderClaim claim { leadership_.epoch_.next(), options_.self_, drawNonce() };
+    logInfo("leader.claim", { { "epoch", std::to_string(claim.epoch_.value()) }, { "row_version", std::to_string(message.row_->version_.value()) }, { "contact_age_ms", std::to_string((time() - leadership_.contactAt_).count() / 1000) }, { "write_age_ms", std::to_string((time() - leadership_.writeAt_).count() / 1000) } });
+    spawn(executor_, "claim", this->claim(std::move(claim), message.row_->version_));
+}
+
+asio::awaitable<void> Scheduler::claim(LeaderClaim claim, store::RowVersion version)
+{
+    auto self = shared_from_this();
+    store::Transaction transaction { { { std::string(leaderRow), version } }, { store::Put { std::string(leaderRow), encodeClaim(claim) } } };
+    store::CommitOutcome outcome = co_await rows_.commit(std::move(transaction), claimTimeout);
+    ClaimSettled settled { claim, absl::UnavailableError("the claim was refused") };
+    if (const auto* committed = std::get_if<store::Committed>(&outcome))
+        settled.row_ = store::Row { std::string(leaderRow), encodeClaim(claim), committed->version_ };
+    else if (!std::holds_alternative<store::Unavailable>(outcome))
+        settled.row_ = co_await rows_.readRow(std::string(leaderRow), readTimeout);
+    co_await mailbox_.post(std::move(settled));
+}
+
+void Scheduler::take(ClaimSettled message)
+{
+    auto* role = std::get_if<Following>(&role_);
+    if (!role)
+        return;
+    role->isClaiming_ = false;
+    if (!message.row_.ok()) {
+        logWarning("leader.claim_failed", { { "epoch", std::to_string(message.claim_.epoch_.value()) }, { "reason", std::string(message.row_.status().message()) } });
+        return;
+    }
+    auto holder = decodeClaim(message.row_->value_);
+    if (!holder.ok() || *holder != message.claim_ || resigned_)
+        return learnRow(*message.row_);
+    logInfo("leader.won", { { "epoch", std::to_string(message.claim_.epoch_.value()) }, { "row_version", std::to_string(message.row_->version_.value()) } });
+    leadership_.epoch_ = message.claim_.epoch_;
+    leadership_.leader_ = options_.self_;
+    leadership_.version_ = message.row_->version_;
+    role_ = Loading { message.claim_, message.row_->version_, time() };
+    spawn(executor_, "load", load(message.claim_.epoch_));
+}
+
+} // namespace persimmondoor::scheduler
--- /dev/null
+++ b/scheduler/src/Owning.cpp
@@ -0,0 +1,365 @@
+// The scheduler while it owns the queues: loads them, writes what is decided, and gives up when another entry leads.
+#include "Scheduler.h"
+
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
+#include "persimmondoor/core/Text.h"
+#include "persimmondoor/core/Visitor.h"
+
+#include <algorithm>
+
+namespace persimmondoor::scheduler {
+
+namespace asio = boost::asio;
+
+static constexpr Duration readTimeout = std::chrono::milliseconds(1500);
+static constexpr Duration loadRetryInterval = std::chrono::milliseconds(200);
+// Without other writes the owner shows with an empty one that it still leads.
+static constexpr Duration renewalInterval = std::chrono::milliseconds(500);
+// A report without news is answered after this time, which renews the leases of its workers.
+static constexpr Duration reportWait = std::chrono::milliseconds(450);
+// A commit without a reply is read back after a few times the usual time of a commit.
+static constexpr int64_t commitLimitFactor = 6;
+static constexpr Duration leastCommitLimit = std::chrono::milliseconds(150);
+static constexpr Duration greatestCommitLimit = std::chrono::milliseconds(2000);
+static constexpr Duration refusedRetryInterval = std::chrono::milliseconds(60);
+
+static absl::StatusOr<std::vector<workflow::StoredJob>> joinRows(const std::vector<store::Row>& records, const std::vector<store::Row>& progress)
+{
+    std::map<std::string_view, const store::Row*> progressByJob;
+    for (const store::Row& row : progress)
+        progressByJob[std::string_view(row.key_).substr(progressTable.size())] = &row;
+    std::vector<workflow::StoredJob> jobs;
+    for (const store::Row& row : records) {
+        auto record = workflow::decodeRecord(row.value_);
+        if (!record.ok())
+            return record.status();
+        auto found = progressByJob.find(std::string_view(row.key_).substr(recordTable.size()));
+        // The two rows of a job are written and dropped together, but not read together.
+        if (found == progressByJob.end())
+            continue;
+        auto decoded = workflow::decodeProgress(found->second->value_);
+        if (!decoded.ok())
+            return decoded.status();
+        jobs.push_back({ *std::move(record), *std::move(decoded) });
+    }
+    return jobs;
+}
+
+static asio::awaitable<absl::StatusOr<LoadedRows>> readAll(platform::RowStore rows)
+{
+    LoadedRows loaded;
+    auto chain = co_await rows.readRow(std::string(chainRow), readTimeout);
+    if (!chain.ok())
+        co_return chain.status();
+    loaded.chain_ = chain->version_;
+    auto records = co_await rows.readTable(std::string(recordTable), readTimeout);
+    if (!records.ok())
+        co_return records.status();
+    auto progress = co_await rows.readTable(std::string(progressTable), readTimeout);
+    if (!progress.ok())
+        co_return progress.status();
+    auto operators = co_await rows.readTable(std::string(platform::operatorTable), readTimeout);
+    if (!operators.ok())
+        co_return operators.status();
+    loaded.operators_ = toView(*operators);
+    auto jobs = joinRows(records->rows_, progress->rows_);
+    if (!jobs.ok())
+        co_return jobs.status();
+    loaded.jobs_ = *std::move(jobs);
+    co_return loaded;
+}
+
+asio::awaitable<void> Scheduler::load(workflow::LeaderEpoch epoch)
+{
+    auto self = shared_from_this();
+    auto loaded = co_await readAll(rows_);
+    if (!loaded.ok())
+        co_await sleepFor(loadRetryInterval);
+    LoadSettled settled { epoch, std::move(loaded) };
+    co_await mailbox_.post(std::move(settled));
+}
+
+void Scheduler::take(LoadSettled message)
+{
+    auto* role = std::get_if<Loading>(&role_);
+    if (!role || role->claim_.epoch_ != message.epoch_)
+        return;
+    if (!message.rows_.ok()) {
+        logWarning("queues.unreadable", { { "epoch", std::to_string(message.epoch_.value()) }, { "reason", std::string(message.rows_.status().message()) } });
+        if (resigned_ || time() - role->since_ > leadership_.tuning_.stall_)
+            return stepDown("the queues cannot be read");
+        spawn(executor_, "load", load(message.epoch_));
+        return;
+    }
+    size_t jobs = message.rows_->jobs_.size();
+    Owning owning;
+    owning.claim_ = role->claim_;
+    owning.version_ = role->version_;
+    owning.chain_ = message.rows_->chain_;
+    owning.writtenAt_ = role->since_;
+    owning.owner_ = workflow::takeOver(message.epoch_, options_.tuning_, std::move(message.rows_->jobs_), time());
+    owning.owner_.grantsUntil_ = role->since_ + options_.tuning_.leadershipLease_;
+    logInfo("queues.loaded", { { "epoch", std::to_string(message.epoch_.value()) }, { "jobs", std::to_string(jobs) }, { "open", std::to_string(owning.owner_.open_.size()) }, { "took_ms", std::to_string((time() - role->since_).count() / 1000) } });
+    role_ = std::move(owning);
+    auto& owner = std::get<Owning>(role_);
+    learnOperators(owner, message.rows_->operators_);
+    auto self = shared_from_this();
+    workflow::LeaderEpoch epoch = message.epoch_;
+    spawn(executor_, "operators", followOperators(
+                                      rows_, owner.operators_, [self, epoch] { return self->owning(epoch) != nullptr; }, [self, epoch](OperatorView view) -> asio::awaitable<void> {
+                                          OperatorsRead read { epoch, std::move(view) };
+                                          co_await self->mailbox_.post(std::move(read)); }));
+}
+
+void Scheduler::learnOperators(Owning& role, const OperatorView& view)
+{
+    if (view.version_ < role.operators_.version_)
+        return;
+    auto before = role.operators_.rows_.find(platform::configurationRow());
+    auto row = view.rows_.find(platform::configurationRow());
+    bool changed = row != view.rows_.end() && (before == role.operators_.rows_.end() || before->second.version_ != row->second.version_);
+    store::Row configuration = changed ? row->second : store::Row();
+    role.operators_ = view;
+    if (changed) {
+        auto catalog = platform::decodeCatalog(configuration.value_);
+        if (catalog.ok())
+            decide(role, workflow::CatalogChanged { *std::move(catalog) });
+        else
+            logError("configuration.unreadable", { { "row_version", std::to_string(configuration.version_.value()) }, { "reason", std::string(catalog.status().message()) } });
+    }
+    decide(role, workflow::EvacuationsChanged { evacuatedDomains(view) });
+}
+
+void Scheduler::take(OperatorsRead message)
+{
+    if (Owning* role = owning(message.epoch_)) {
+        learnOperators(*role, message.view_);
+        // A commit that was refused for an older view goes on now.
+        commitIfDue(*role);
+    }
+}
+
+namespace {
+
+    struct ActionVisitor {
+        Owning& role_;
+        std::set<std::string>& wakes_;
+
+        void operator()(workflow::AnswerClient& answer) const
+        {
+            auto call = role_.calls_.find(answer.token_);
+            if (call == role_.calls_.end())
+                return;
+            call->second.send(std::move(answer.answer_));
+            role_.calls_.erase(call);
+        }
+        void operator()(const workflow::WakeAgent& wake) const { wakes_.insert(wake.agent_); }
+        void operator()(const workflow::Remark& remark) const { logInfo(remark.event_, { { "subject", remark.subject_ }, { "detail", remark.detail_ } }); }
+    };
+
+} // namespace
+
+void Scheduler::decide(Owning& role, const workflow::OwnerMessage& message)
+{
+    workflow::Decision decision = workflow::decide(std::move(role.owner_), message, time());
+    role.owner_ = std::move(decision.state_);
+    std::set<std::string> wakes;
+    for (workflow::OwnerAction& action : decision.actions_)
+        std::visit(ActionVisitor { role, wakes }, action);
+    for (const std::string& agent : wakes)
+        answerReports(role, agent, false);
+    commitIfDue(role);
+}
+
+// Answers the agent's oldest waiting report if there is news, or all of them.
+void Scheduler::answerReports(Owning& role, const std::string& agent, bool all)
+{
+    auto waiting = role.reports_.find(agent);
+    if (waiting == role.reports_.end() || role.owner_.agents_.count(agent) == 0)
+        return;
+    while (!waiting->second.empty() && (all || workflow::hasNews(role.owner_, agent, time()))) {
+        WaitingReport report = std::move(waiting->second.front());
+        waiting->second.pop_front();
+        report.reply_.send(workflow::ExchangeAnswer { workflow::directiveFor(role.owner_, agent, time()), view() });
+    }
+}
+
+void Scheduler::take(SchedulerTick)
+{
+    if (auto* role = std::get_if<Following>(&role_))
+        return follow(*role);
+    auto* role = std::get_if<Owning>(&role_);
+    if (!role)
+        return;
+    std::vector<std::string> due;
+    for (const auto& [agent, waiting] : role->reports_) {
+        if (!waiting.empty() && time() - waiting.front().since_ > reportWait)
+            due.push_back(agent);
+    }
+    for (const std::string& agent : due)
+        answerReports(*role, agent, true);
+    decide(*role, workflow::Tick { wallMilliseconds() });
+}
+
+static bool needsOperators(const workflow::Batch& batch)
+{
+    return std::any_of(batch.items_.begin(), batch.items_.end(), [](const workflow::Batch::Item& item) {
+        bool starts = std::any_of(item.staged_.effects_.begin(), item.staged_.effects_.end(), [](const workflow::Effect& effect) { return std::holds_alternative<workflow::ReleaseStart>(effect); });
+        return item.staged_.withRecord_ || starts;
+    });
+}
+
+store::Transaction Scheduler::transactionOf(const Owning& role, const workflow::Batch& batch, uint64_t number) const
+{
+    store::Transaction transaction { { { std::string(leaderRow), role.version_ }, { std::string(chainRow), role.chain_ } }, { store::Put { std::string(chainRow), chainValue(role.claim_.epoch_, number) } } };
+    if (needsOperators(batch)) {
+        for (store::Condition& condition : conditionsOf(role.operators_, options_.domains_))
+            transaction.conditions_.push_back(std::move(condition));
+    }
+    for (const workflow::Batch::Item& item : batch.items_) {
+        auto progress = workflow::progressOf(role.owner_, item.job_);
+        if (!progress) {
+            transaction.writes_.emplace_back(store::Erase { recordRow(item.job_) });
+            transaction.writes_.emplace_back(store::Erase { progressRow(item.job_) });
+            continue;
+        }
+        if (item.staged_.withRecord_)
+            transaction.writes_.emplace_back(store::Put { recordRow(item.job_), workflow::encodeRecord(role.owner_.jobs_.at(item.job_).record_) });
+        transaction.writes_.emplace_back(store::Put { progressRow(item.job_), workflow::encodeProgress(*progress) });
+    }
+    return transaction;
+}
+
+void Scheduler::commitIfDue(Owning& role)
+{
+    if (role.commit_ || time() < role.commitAgainAt_)
+        return;
+    if (role.owner_.stagedOrder_.empty() && time() - role.writtenAt_ < renewalInterval)
+        return;
+    workflow::Batch batch = workflow::takeBatch(role.owner_);
+    uint64_t number = ++role.commits_;
+    store::Transaction transaction = transactionOf(role, batch, number);
+    role.commit_ = PendingCommit { number, std::move(batch), time() };
+    spawn(executor_, "commit", commit(role.claim_.epoch_, std::move(transaction), role.commitLimit_));
+}
+
+asio::awaitable<void> Scheduler::commit(workflow::LeaderEpoch epoch, store::Transaction transaction, Duration limit)
+{
+    auto self = shared_from_this();
+    Instant sentAt = time();
+    store::CommitOutcome outcome = co_await rows_.commit(std::move(transaction), limit);
+    CommitSettled settled { epoch, sentAt, std::move(outcome) };
+    co_await mailbox_.post(std::move(settled));
+}
+
+asio::awaitable<void> Scheduler::readChain(workflow::LeaderEpoch epoch)
+{
+    auto self = shared_from_this();
+    auto row = co_await rows_.readRow(std::string(chainRow), readTimeout);
+    ChainSettled settled { epoch, std::move(row) };
+    co_await mailbox_.post(std::move(settled));
+}
+
+asio::awaitable<void> Scheduler::rereadOperators(workflow::LeaderEpoch epoch)
+{
+    auto self = shared_from_this();
+    auto snapshot = co_await rows_.readTable(std::string(platform::operatorTable), readTimeout);
+    if (!snapshot.ok()) {
+        logWarning("operators.unreadable", { { "reason", std::string(snapshot.status().message()) } });
+        co_return;
+    }
+    OperatorsRead read { epoch, toView(*snapshot) };
+    co_await mailbox_.post(std::move(read));
+}
+
+void Scheduler::finishCommit(Owning& role, store::RowVersion version, Instant sentAt)
+{
+    role.chain_ = version;
+    role.writtenAt_ = sentAt;
+    workflow::Batch batch = std::move(role.commit_->batch_);
+    role.commit_.reset();
+    decide(role, workflow::BatchDurable { std::move(batch), sentAt });
+}
+
+void Scheduler::retryCommit(Owning& role, Duration after)
+{
+    workflow::restage(role.owner_, std::move(role.commit_->batch_));
+    role.commit_.reset();
+    role.commitAgainAt_ = time() + after;
+    commitIfDue(role);
+}
+
+void Scheduler::take(CommitSettled message)
+{
+    Owning* role = owning(message.epoch_);
+    if (!role || !role->commit_)
+        return;
+    std::visit(Visitor { [&](const store::Committed& committed) {
+                            Duration took = time() - message.sentAt_;
+                            role->commitTime_ = (role->commitTime_ * 7 + took) / 8;
+                            role->commitLimit_ = std::clamp(role->commitTime_ * commitLimitFactor, leastCommitLimit, greatestCommitLimit);
+                            finishCommit(*role, committed.version_, message.sentAt_);
+                        },
+                   [&](const store::Conflict& conflict) {
+                       logInfo("commit.conflict", { { "row", conflict.key_ }, { "commit", std::to_string(role->commit_->number_) } });
+                       if (conflict.key_ == leaderRow)
+                           return stepDown("the leader's row has changed");
+                       if (conflict.key_ == chainRow || conflict.key_.empty()) {
+                           spawn(executor_, "read chain", readChain(message.epoch_));
+                           return;
+                       }
+                       // Starts are decided anew once the operators' change is known.
+                       workflow::restage(role->owner_, std::move(role->commit_->batch_));
+                       role->commit_.reset();
+                       role->commitAgainAt_ = time() + refusedRetryInterval;
+                       spawn(executor_, "reread operators", rereadOperators(message.epoch_));
+                   },
+                   [&](const store::Unavailable& refusal) {
+                       logWarning("store.refused", { { "reason", refusal.detail_ }, { "commit", std::to_string(role->commit_->number_) } });
+                       retryCommit(*role, refusedRetryInterval);
+                   },
+                   [&](const store::ReplyLost& lost) {
+                       logWarning("store.reply_lost", { { "reason", lost.detail_ }, { "commit", std::to_string(role->commit_->number_) }, { "limit_ms", std::to_string(role->commitLimit_.count() / 1000) } });
+                       role->commitLimit_ = std::min(role->commitLimit_ * 2, greatestCommitLimit);
+                       spawn(executor_, "read chain", readChain(message.epoch_));
+                   } },
+        message.outcome_);
+}
+
+void Scheduler::take(ChainSettled message)
+{
+    Owning* role = owning(message.epoch_);
+    if (!role || !role->commit_)
+        return;
+    if (!message.row_.ok()) {
+        logWarning("store.lost", { { "reason", std::string(message.row_.status().message()) } });
+        return retryCommit(*role, refusedRetryInterval);
+    }
+    const store::Row& row = *message.row_;
+    if (row.value_ == chainValue(role->claim_.epoch_, role->commit_->number_))
+        return finishCommit(*role, row.version_, role->commit_->sentAt_);
+    // An earlier transaction of this owner, given up then, has been carried out after all; the one in hand was not.
+    role->chain_ = row.version_;
+    retryCommit(*role, Duration(0));
+}
+
+void Scheduler::stepDown(std::string_view why)
+{
+    logInfo("leader.stepped_down", { { "epoch", std::to_string(leadership_.epoch_.value()) }, { "reason", std::string(why) } });
+    if (auto* role = std::get_if<Owning>(&role_)) {
+        for (auto& [token, reply] : role->calls_)
+            reply.send(workflow::OutcomeUnknown { "the owner of the queues has changed" });
+        for (auto& [agent, waiting] : role->reports_) {
+            for (WaitingReport& report : waiting)
+                report.reply_.send(workflow::ExchangeAnswer { std::nullopt, viewOf(leadership_, time()) });
+        }
+    }
+    // Another entry leads, or will soon.
+    if (leadership_.leader_ == options_.self_)
+        leadership_.leader_ = std::nullopt;
+    leadership_.rowKnown_ = false;
+    role_ = Following {};
+}
+
+} // namespace persimmondoor::scheduler
--- /dev/null
+++ b/scheduler/src/SchedulerActor.cpp
@@ -0,0 +1,292 @@
+#include "persimmondoor/scheduler/SchedulerActor.h"
+
+#include "Scheduler.h"
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
+#include "persimmondoor/core/Text.h"
+#include "persimmondoor/core/Visitor.h"
+
+namespace persimmondoor::scheduler {
+
+namespace asio = boost::asio;
+
+// Messages that wait for the actor; beyond it calls are refused at once.
+static constexpr size_t mailboxCapacity = 8192;
+// Looks after waiting reports, retries and failover.
+static constexpr Duration tickInterval = std::chrono::milliseconds(50);
+// An entry that has not been heard of for so long is no peer any more.
+static constexpr Duration peerRetention = std::chrono::seconds(10);
+// A call that is passed on is answered by then, or its outcome is unknown.
+static constexpr Duration passOnTimeout = std::chrono::milliseconds(1500);
+static constexpr Duration readTimeout = std::chrono::milliseconds(1000);
+// Without a durable write for so long, an owner takes no new job; it writes at least twice a second.
+static constexpr Duration storeSilence = std::chrono::milliseconds(1500);
+static constexpr Duration retryAfter = std::chrono::milliseconds(1000);
+
+Scheduler::Scheduler(const asio::any_io_executor& executor, SchedulerOptions options)
+    : executor_(executor)
+    , options_(std::move(options))
+    , mailbox_(executor, mailboxCapacity)
+    , rows_(platform::RowStore::create(executor, options_.store_))
+{
+    leadership_.self_ = options_.self_;
+    for (const Address& peer : options_.peers_)
+        peers_[peer] = time();
+}
+
+struct MessageVisitor {
+    Scheduler& scheduler_;
+
+    template <typename Message>
+    void operator()(Message& message) const
+    {
+        scheduler_.take(std::move(message));
+    }
+};
+
+asio::awaitable<void> Scheduler::run()
+{
+    auto self = shared_from_this();
+    for (;;) {
+        SchedulerMessage message = co_await mailbox_.receive();
+        std::visit(MessageVisitor { *this }, message);
+    }
+}
+
+asio::awaitable<void> Scheduler::tick()
+{
+    auto self = shared_from_this();
+    while (mailbox_.isOpen()) {
+        mailbox_.tryPost(SchedulerTick {});
+        co_await sleepFor(tickInterval);
+    }
+}
+
+rpc::Link Scheduler::linkTo(const Address& address)
+{
+    return links_.try_emplace(address, executor_, address).first->second;
+}
+
+Owning* Scheduler::owning(workflow::LeaderEpoch epoch)
+{
+    auto* role = std::get_if<Owning>(&role_);
+    return role && role->claim_.epoch_ == epoch ? role : nullptr;
+}
+
+workflow::LeaderView Scheduler::view() const
+{
+    return std::visit(Visitor { [&](const Following&) { return viewOf(leadership_, time()); },
+                          [&](const Loading& role) { return workflow::LeaderView { role.claim_.epoch_, options_.self_, true, time() - role.since_, Duration(0) }; },
+                          [&](const Owning& role) { return workflow::LeaderView { role.claim_.epoch_, options_.self_, true, time() - role.writtenAt_, Duration(0) }; } },
+        role_);
+}
+
+std::vector<Address> Scheduler::peers() const
+{
+    std::vector<Address> peers;
+    for (const auto& [address, heard] : peers_) {
+        if (address != options_.self_ && time() - heard < peerRetention)
+            peers.push_back(address);
+    }
+    return peers;
+}
+
+void Scheduler::take(CallMessage message)
+{
+    if (auto* role = std::get_if<Owning>(&role_)) {
+        // What cannot be stored now is refused while it has not been taken: nothing of it will run.
+        bool isSubmission = std::holds_alternative<workflow::Submit>(message.call_.verb_);
+        if (isSubmission && time() - role->writtenAt_ > storeSilence)
+            return message.reply_.send(workflow::NotAccepted { "the store does not answer", retryAfter });
+        role->lastToken_ = role->lastToken_.next();
+        role->calls_.emplace(role->lastToken_, message.reply_);
+        return decide(*role, workflow::CallArrived { role->lastToken_, std::move(message.call_), wallMilliseconds() });
+    }
+    bool canPassOn = message.call_.mayRelay_ && std::holds_alternative<Following>(role_) && leadership_.leader_ && leadership_.leader_ != options_.self_;
+    if (!canPassOn)
+        return message.reply_.send(workflow::NotOwner { "no owner of the queues is known" });
+    spawn(executor_, "pass on call", passOn(std::move(message)));
+}
+
+// Whether another way to the owner may be tried: nothing was sent, or the call may be repeated.
+static bool reachedNobody(const absl::StatusOr<workflow::ClientAnswer>& answer)
+{
+    return !answer.ok() || std::holds_alternative<workflow::NotOwner>(*answer);
+}
+
+asio::awaitable<void> Scheduler::passOn(CallMessage message)
+{
+    auto self = shared_from_this();
+    Address owner = *leadership_.leader_;
+    workflow::ClientCall direct = message.call_;
+    direct.mayRelay_ = false;
+    Duration limit = std::min(message.call_.timeLeft_, passOnTimeout);
+    auto answer = co_await workflow::callAt(linkTo(owner), std::move(direct), limit);
+    bool sent = !answer.ok() && !absl::IsUnavailable(answer.status());
+    if (!answer.ok()) {
+        logWarning("call.unanswered", { { "owner", owner.text() }, { "path", message.call_.path_ }, { "reason", std::string(answer.status().message()) } });
+        links_.erase(owner);
+    }
+    for (const Address& peer : message.viaPeers_ ? peers() : std::vector<Address>()) {
+        if (!reachedNobody(answer) || mailbox_.isOpen() == false)
+            break;
+        if (peer == owner)
+            continue;
+        workflow::ClientCall relayed = message.call_;
+        answer = co_await workflow::callAt(linkTo(peer), std::move(relayed), limit);
+        sent = sent || (!answer.ok() && !absl::IsUnavailable(answer.status())) || (answer.ok() && std::holds_alternative<workflow::OutcomeUnknown>(*answer));
+        if (!answer.ok())
+            links_.erase(peer);
+        else
+            break;
+    }
+    if (answer.ok() && !(sent && std::holds_alternative<workflow::NotOwner>(*answer)))
+        message.reply_.send(*std::move(answer));
+    else if (sent)
+        message.reply_.send(workflow::OutcomeUnknown { "the owner of the queues did not answer" });
+    else
+        message.reply_.send(workflow::NotOwner { "the owner of the queues cannot be reached" });
+}
+
+void Scheduler::take(ExchangeMessage message)
+{
+    if (auto* role = std::get_if<Owning>(&role_)) {
+        std::string agent = message.report_.agent_;
+        answerReports(*role, agent, true);
+        role->reports_[agent].push_back({ time(), message.reply_ });
+        return decide(*role, workflow::ReportArrived { std::move(message.report_) });
+    }
+    bool canPassOn = message.report_.mayRelay_ && std::holds_alternative<Following>(role_) && leadership_.leader_ && leadership_.leader_ != options_.self_;
+    if (canPassOn)
+        spawn(executor_, "pass on report", passOn(std::move(message)));
+    else
+        message.reply_.send(workflow::ExchangeAnswer { std::nullopt, view() });
+}
+
+asio::awaitable<void> Scheduler::passOn(ExchangeMessage message)
+{
+    auto self = shared_from_this();
+    Address owner = *leadership_.leader_;
+    message.report_.mayRelay_ = false;
+    auto answer = co_await workflow::exchangeAt(linkTo(owner), std::move(message.report_), passOnTimeout);
+    if (answer.ok()) {
+        message.reply_.send(*std::move(answer));
+        co_return;
+    }
+    links_.erase(owner);
+    message.reply_.send(workflow::ExchangeAnswer { std::nullopt, view() });
+}
+
+void Scheduler::take(PingMessage message)
+{
+    peers_[message.from_] = time();
+    leadership_ = learnView(std::move(leadership_), message.from_, message.view_, time());
+    auto* role = std::get_if<Owning>(&role_);
+    if (role && message.view_.epoch_ > role->claim_.epoch_)
+        stepDown(concat("another entry knows epoch ", message.view_.epoch_.value()));
+    message.reply_.send(workflow::PingAnswer { view(), peers() });
+}
+
+void Scheduler::take(ReadyMessage message)
+{
+    if (resigned_)
+        return message.reply_.send(false);
+    if (auto* role = std::get_if<Owning>(&role_))
+        return message.reply_.send(role->owner_.catalog_.version_ > 0);
+    bool follows = std::holds_alternative<Following>(role_) && leadership_.leader_ && leadership_.leader_ != options_.self_;
+    message.reply_.send(follows && time() - leadership_.contactAt_ < leadership_.tuning_.stall_);
+}
+
+static asio::awaitable<void> writeResignation(platform::RowStore rows, LeaderClaim claim, store::RowVersion version, Reply<bool> reply)
+{
+    claim.address_ = std::nullopt;
+    store::Transaction transaction { { { std::string(leaderRow), version } }, { store::Put { std::string(leaderRow), encodeClaim(claim) } } };
+    store::CommitOutcome outcome = co_await rows.commit(std::move(transaction), readTimeout);
+    bool written = std::holds_alternative<store::Committed>(outcome);
+    logInfo("leader.resigned", { { "epoch", std::to_string(claim.epoch_.value()) }, { "written", written ? "yes" : "no" } });
+    reply.send(written);
+}
+
+void Scheduler::take(ResignMessage message)
+{
+    resigned_ = true;
+    auto* role = std::get_if<Owning>(&role_);
+    if (!role)
+        return message.reply_.send(false);
+    LeaderClaim claim = role->claim_;
+    store::RowVersion version = role->version_;
+    stepDown("this entry is shutting down");
+    spawn(executor_, "resign", writeResignation(rows_, std::move(claim), version, message.reply_));
+}
+
+SchedulerActor SchedulerActor::start(const asio::any_io_executor& executor, SchedulerOptions options)
+{
+    auto state = std::make_shared<State>();
+    state->scheduler_ = std::make_shared<Scheduler>(executor, std::move(options));
+    spawn(executor, "scheduler", state->scheduler_->run());
+    spawn(executor, "scheduler ticks", state->scheduler_->tick());
+    return SchedulerActor(std::move(state));
+}
+
+// Posts a message with a reply and waits for it; `refused` is the answer of a full or closed mailbox.
+template <typename Answer, typename Make>
+static asio::awaitable<Answer> ask(std::shared_ptr<Scheduler> scheduler, Answer refused, Make make)
+{
+    Reply<Answer> reply(scheduler->executor());
+    SchedulerMessage message = make(reply);
+    if (!scheduler->mailbox().tryPost(std::move(message)))
+        co_return refused;
+    co_return co_await reply.receive();
+}
+
+asio::awaitable<workflow::ClientAnswer> SchedulerActor::call(workflow::ClientCall call, bool viaPeers) const
+{
+    workflow::ClientAnswer refused = workflow::NotAccepted { "the scheduler has too much to do", retryAfter };
+    return ask(state_->scheduler_, std::move(refused), [call = std::move(call), viaPeers](Reply<workflow::ClientAnswer> reply) mutable { return CallMessage { std::move(call), viaPeers, reply }; });
+}
+
+asio::awaitable<workflow::ExchangeAnswer> SchedulerActor::exchange(workflow::AgentReport report) const
+{
+    return ask(state_->scheduler_, workflow::ExchangeAnswer {}, [report = std::move(report)](Reply<workflow::ExchangeAnswer> reply) mutable { return ExchangeMessage { std::move(report), reply }; });
+}
+
+asio::awaitable<workflow::PingAnswer> SchedulerActor::ping(Address from, workflow::LeaderView view) const
+{
+    return ask(state_->scheduler_, workflow::PingAnswer {}, [from = std::move(from), view = std::move(view)](Reply<workflow::PingAnswer> reply) mutable { return PingMessage { std::move(from), std::move(view), reply }; });
+}
+
+asio::awaitable<bool> SchedulerActor::isReady() const
+{
+    return ask(state_->scheduler_, false, [](Reply<bool> reply) { return ReadyMessage { reply }; });
+}
+
+asio::awaitable<void> SchedulerActor::resign() const
+{
+    bool written = co_await ask(state_->scheduler_, false, [](Reply<bool> reply) { return ResignMessage { reply }; });
+    if (!written)
+        logDebug("leader.not_resigned", { { "reason", "this entry does not lead, or the store did not answer" } });
+}
+
+void SchedulerActor::stop() const
+{
+    state_->scheduler_->mailbox().close();
+}
+
+asio::awaitable<std::optional<Address>> locateOwner(platform::RowStore rows)
+{
+    auto row = co_await rows.readRow(std::string(leaderRow), readTimeout);
+    if (!row.ok()) {
+        logWarning("leader.unreadable", { { "reason", std::string(row.status().message()) } });
+        co_return std::nullopt;
+    }
+    if (row->version_ == store::RowVersion())
+        co_return std::nullopt;
+    auto claim = decodeClaim(row->value_);
+    if (!claim.ok()) {
+        logWarning("leader.unreadable", { { "reason", std::string(claim.status().message()) } });
+        co_return std::nullopt;
+    }
+    co_return claim->address_;
+}
+
+} // namespace persimmondoor::scheduler
--- /dev/null
+++ b/scheduler/src/decisions/Leadership.cpp
@@ -0,0 +1,89 @@
+#include "persimmondoor/scheduler/Leadership.h"
+
+#include "persimmondoor/core/Hash.h"
+
+#include <algorithm>
+
+namespace persimmondoor::scheduler {
+
+static Duration waitForRank(const LeadershipState& state)
+{
+    uint64_t rank = hashOf(state.self_.text(), state.epoch_.value()) % std::max(state.tuning_.ranks_, 1U);
+    return state.tuning_.stagger_ * rank;
+}
+
+LeadershipStep nextStep(const LeadershipState& state, Instant now)
+{
+    if (!state.rowKnown_)
+        return CheckRow {};
+    Duration wait = waitForRank(state);
+    bool isSilent = now - state.contactAt_ > state.tuning_.silence_ + wait;
+    bool isStalled = now - state.writeAt_ > state.tuning_.stall_ + wait;
+    if (isSilent || isStalled)
+        return CheckRow {};
+    return KeepFollowing {};
+}
+
+// A leader that has just been learnt gets its time to load and to answer.
+static void meetLeader(LeadershipState& state, Instant now)
+{
+    state.contactAt_ = now;
+    state.writeAt_ = now;
+}
+
+LeadershipState learnRow(LeadershipState state, workflow::LeaderEpoch epoch, std::optional<Address> leader, store::RowVersion version, Instant now)
+{
+    bool isNew = !state.rowKnown_ || version != state.version_;
+    state.rowKnown_ = true;
+    state.version_ = version;
+    if (!isNew || epoch < state.epoch_)
+        return state;
+    bool isOther = epoch > state.epoch_ || leader != state.leader_;
+    state.epoch_ = epoch;
+    state.leader_ = std::move(leader);
+    if (!state.leader_ || state.leader_ == state.self_) {
+        // The last leader has resigned, or this process was the leader in an earlier life: nobody leads.
+        state.contactAt_ = now - state.tuning_.silence_;
+        state.writeAt_ = now;
+    } else if (isOther) {
+        meetLeader(state, now);
+    }
+    return state;
+}
+
+LeadershipState learnView(LeadershipState state, const Address& from, const workflow::LeaderView& view, Instant now)
+{
+    if (view.epoch_ < state.epoch_ || (view.epoch_ == state.epoch_ && !view.address_)) {
+        // The process at the leader's address does not lead: it has been restarted.
+        if (from == state.leader_ && !view.isSelf_)
+            state.contactAt_ = std::min(state.contactAt_, now - state.tuning_.silence_);
+        return state;
+    }
+    if (view.epoch_ > state.epoch_) {
+        state.epoch_ = view.epoch_;
+        state.leader_ = view.address_;
+        meetLeader(state, now);
+        return state;
+    }
+    if (from == state.leader_ && !view.isSelf_) {
+        state.contactAt_ = std::min(state.contactAt_, now - state.tuning_.silence_);
+        return state;
+    }
+    Duration contactAge = view.isSelf_ ? Duration(0) : view.contactAge_;
+    state.contactAt_ = std::max(state.contactAt_, now - contactAge);
+    state.writeAt_ = std::max(state.writeAt_, now - view.writeAge_);
+    return state;
+}
+
+LeadershipState learnRefusal(LeadershipState state, Instant now)
+{
+    state.contactAt_ = std::min(state.contactAt_, now - state.tuning_.silence_ + state.tuning_.refusedSilence_);
+    return state;
+}
+
+workflow::LeaderView viewOf(const LeadershipState& state, Instant now)
+{
+    return { state.epoch_, state.leader_, false, now - state.writeAt_, now - state.contactAt_ };
+}
+
+} // namespace persimmondoor::scheduler
--- /dev/null
+++ b/scheduler/tests/SchedulerActorTest.cpp
@@ -0,0 +1,97 @@
+#include "SchedulerWorld.h"
+
+#include "persimmondoor/core/Text.h"
+
+namespace persimmondoor::scheduler {
+
+namespace asio = boost::asio;
+
+static workflow::ClientCall submission(const std::string& id)
+{
+    workflow::Step step;
+    step.demand_ = *Resources::create(500, 1000, 0);
+    return { "h.example", concat("/tests/", id), workflow::Submit { *workflow::JobSpec::create("spec", { step }, {}) }, std::chrono::seconds(3) };
+}
+
+static workflow::ClientCall look(const std::string& path)
+{
+    return { "h.example", path, workflow::Look {}, std::chrono::seconds(3) };
+}
+
+BOOST_AUTO_TEST_SUITE(scheduler_actor)
+
+BOOST_AUTO_TEST_CASE(any_entry_takes_a_job_once)
+{
+    SchedulerWorld world(3);
+    world.run([](SchedulerWorld& world) -> asio::awaitable<void> {
+        for (size_t index = 0; index < 3; ++index) {
+            auto answer = co_await serveClient(world.entry(index), submission("00000000000000aa"));
+            BOOST_TEST(workflow::describe(answer) == "accepted");
+        }
+        BOOST_TEST(world.store().count("jobs") == 1U);
+        auto state = co_await serveClient(world.entry(2), look("/tests/00000000000000aa"));
+        BOOST_TEST(workflow::describe(state) == "pending");
+        auto count = co_await serveClient(world.entry(1), look("/tests/"));
+        BOOST_TEST(workflow::describe(count) == "1 waiting");
+        auto other = co_await serveClient(world.entry(1), look("/other/"));
+        BOOST_TEST(workflow::describe(other) == "no such queue");
+    }(world));
+}
+
+BOOST_AUTO_TEST_CASE(another_entry_takes_over_with_all_jobs)
+{
+    SchedulerWorld world(3);
+    world.run([](SchedulerWorld& world) -> asio::awaitable<void> {
+        auto answer = co_await serveClient(world.entry(0), submission("00000000000000aa"));
+        BOOST_TEST(workflow::describe(answer) == "accepted");
+        auto owner = co_await locateOwner(platform::RowStore::create(world.executor(), world.store().address()));
+        size_t index = 0;
+        while (world.address(index) != owner)
+            ++index;
+        world.kill(index);
+        size_t other = (index + 1) % 3;
+        auto second = co_await serveClient(world.entry(other), submission("00000000000000bb"));
+        BOOST_TEST(workflow::describe(second) == "accepted");
+        auto state = co_await serveClient(world.entry(other), look("/tests/00000000000000aa"));
+        BOOST_TEST(workflow::describe(state) == "pending");
+    }(world));
+}
+
+BOOST_AUTO_TEST_CASE(lost_reply_is_read_back)
+{
+    SchedulerWorld world(1);
+    world.run([](SchedulerWorld& world) -> asio::awaitable<void> {
+        auto first = co_await serveClient(world.entry(0), submission("00000000000000aa"));
+        BOOST_TEST(workflow::describe(first) == "accepted");
+        platform::StoreFaults faults;
+        faults.lostReplies_ = 1;
+        world.store().setFaults(faults);
+        auto second = co_await serveClient(world.entry(0), submission("00000000000000bb"));
+        BOOST_TEST(workflow::describe(second) == "accepted");
+        BOOST_TEST(world.store().count("jobs") == 2U);
+    }(world));
+}
+
+BOOST_AUTO_TEST_CASE(store_that_is_down_takes_nothing)
+{
+    SchedulerWorld world(1);
+    world.run([](SchedulerWorld& world) -> asio::awaitable<void> {
+        auto first = co_await serveClient(world.entry(0), submission("00000000000000aa"));
+        BOOST_TEST(workflow::describe(first) == "accepted");
+        platform::StoreFaults faults;
+        faults.isDown_ = true;
+        world.store().setFaults(faults);
+        workflow::ClientCall call = submission("00000000000000bb");
+        call.timeLeft_ = std::chrono::milliseconds(600);
+        auto second = co_await serveClient(world.entry(0), std::move(call));
+        BOOST_TEST(workflow::describe(second) != "accepted");
+        world.store().setFaults({});
+        auto third = co_await serveClient(world.entry(0), submission("00000000000000bb"));
+        BOOST_TEST(workflow::describe(third) == "accepted");
+        BOOST_TEST(world.store().count("jobs") == 2U);
+    }(world));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::scheduler
--- a/settings/include/persimmondoor/settings/Follower.h
+++ b/settings/include/persimmondoor/settings/Follower.h
@@ -7,9 +7,9 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/platform/TableClient.h"
 #include "persimmondoor/settings/SettingsActor.h"
 #include "persimmondoor/settings/Team.h"
+#include "persimmondoor/store/TableClient.h"
 
 namespace persimmondoor::settings {
 
@@ -41,7 +41,7 @@
 
 /// The entry's side: reads the store, at first also the peers, writes `seeds` where the store has no row, and goes on
 /// until `settings` is stopped.
-boost::asio::awaitable<void> keepSettings(SettingsActor settings, platform::TableClient table, std::vector<Address> peers, std::vector<Seed> seeds);
+boost::asio::awaitable<void> keepSettings(SettingsActor settings, store::TableClient table, std::vector<Address> peers, std::vector<Seed> seeds);
 
 /// Tells the peers of an accepted change, best effort: their polls find it too.
 boost::asio::awaitable<void> pushToPeers(std::vector<Address> peers, Subtree subtree);
--- a/settings/include/persimmondoor/settings/OperatorsAPI.h
+++ b/settings/include/persimmondoor/settings/OperatorsAPI.h
@@ -17,8 +17,8 @@
 #pragma once
 
 #include "persimmondoor/http/Routes.h"
-#include "persimmondoor/platform/TableClient.h"
 #include "persimmondoor/settings/SettingsActor.h"
+#include "persimmondoor/store/TableClient.h"
 
 namespace persimmondoor::settings {
 
@@ -26,7 +26,7 @@
 struct OperatorsAPI {
     ProcessName process_;
     SettingsActor settings_;
-    platform::TableClient table_;
+    store::TableClient table_;
     /// The other entries, told of each accepted change.
     std::vector<Address> peers_;
 };
--- a/settings/include/persimmondoor/settings/Store.h
+++ b/settings/include/persimmondoor/settings/Store.h
@@ -6,9 +6,9 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/platform/TableClient.h"
 #include "persimmondoor/settings/Team.h"
 #include "persimmondoor/settings/Write.h"
+#include "persimmondoor/store/TableClient.h"
 
 namespace persimmondoor::settings {
 
@@ -18,22 +18,22 @@
 /// Reads the subtrees that are newer in the store than in `tree`: one scan of the heads, and one read of the contents
 /// if any is newer.
 /// \return the subtrees, or Unavailable, DeadlineExceeded or DataLoss.
-boost::asio::awaitable<absl::StatusOr<std::vector<Subtree>>> loadNewer(platform::TableClient, Tree tree);
+boost::asio::awaitable<absl::StatusOr<std::vector<Subtree>>> loadNewer(store::TableClient, Tree tree);
 
 /// Makes a change by compare-and-set on the subtree's revision. After a lost reply it reads back whether the change
 /// was made. Changes of the operators subtree that run at the same time make it a conflict.
-boost::asio::awaitable<WriteOutcome> writeSubtree(platform::TableClient, WriteRequest);
+boost::asio::awaitable<WriteOutcome> writeSubtree(store::TableClient, WriteRequest);
 
 /// Reads one revision with its contents.
 /// \return the revision, or NotFound, Unavailable, DeadlineExceeded or DataLoss.
-boost::asio::awaitable<absl::StatusOr<Subtree>> loadRevision(platform::TableClient, SubtreeName, Revision);
+boost::asio::awaitable<absl::StatusOr<Subtree>> loadRevision(store::TableClient, SubtreeName, Revision);
 
 /// Reads the newest revisions of a subtree, oldest first, at most `limit`.
 /// \return the revisions, or Unavailable, DeadlineExceeded or DataLoss.
-boost::asio::awaitable<absl::StatusOr<std::vector<Subtree>>> loadHistory(platform::TableClient, SubtreeName, Revision newest, size_t limit);
+boost::asio::awaitable<absl::StatusOr<std::vector<Subtree>>> loadHistory(store::TableClient, SubtreeName, Revision newest, size_t limit);
 
 /// Writes the first revision of a subtree if the store has none.
 /// \return OK if the store has a revision now, else Unavailable.
-boost::asio::awaitable<absl::Status> seedSubtree(platform::TableClient, SubtreeName, std::string text);
+boost::asio::awaitable<absl::Status> seedSubtree(store::TableClient, SubtreeName, std::string text);
 
 } // namespace persimmondoor::settings
--- /dev/null
+++ b/settings/src/Deployment.cpp
@@ -0,0 +1,64 @@
+#include "persimmondoor/settings/Deployment.h"
+
+#include "Reader.h"
+
+namespace persimmondoor::settings {
+
+static constexpr int64_t highestPort = 65'535;
+static constexpr int64_t longestBoundMs = 3'600'000;
+
+static std::optional<Address> readOptionalAddress(const Reader& reader, std::string_view name)
+{
+    if (!reader.has(name))
+        return std::nullopt;
+    return reader.field(name).address();
+}
+
+static Duration readMilliseconds(const Reader& reader, std::string_view name, Duration otherwise)
+{
+    if (!reader.has(name))
+        return otherwise;
+    return std::chrono::milliseconds(reader.field(name).integer(1, longestBoundMs));
+}
+
+static DeploymentBounds readBounds(const Reader& reader)
+{
+    DeploymentBounds bounds;
+    if (!reader.expectObject({ "shutdown_ms", "status_retention_ms", "longest_lease_ms", "harm_ms" }))
+        return bounds;
+    bounds.shutdown_ = readMilliseconds(reader, "shutdown_ms", bounds.shutdown_);
+    bounds.statusRetention_ = readMilliseconds(reader, "status_retention_ms", bounds.statusRetention_);
+    bounds.longestLease_ = readMilliseconds(reader, "longest_lease_ms", bounds.longestLease_);
+    bounds.harm_ = readMilliseconds(reader, "harm_ms", bounds.harm_);
+    return bounds;
+}
+
+static Deployment readDeployment(const Reader& reader)
+{
+    Deployment deployment;
+    if (!reader.expectObject({ "name", "domain", "domains", "host", "internal_port", "clients", "readiness", "workers", "seeds", "store", "bounds" }))
+        return deployment;
+    deployment.name_ = reader.field("name").name<ProcessName>();
+    deployment.domain_ = reader.field("domain").name<FailureDomainName>();
+    reader.field("domains").forEachItem([&](const Reader& item) { deployment.domains_.push_back(item.name<FailureDomainName>()); });
+    deployment.host_ = reader.field("host").text();
+    deployment.internalPort_ = static_cast<uint16_t>(reader.field("internal_port").integer(1, highestPort));
+    deployment.clients_ = readOptionalAddress(reader, "clients");
+    deployment.readiness_ = readOptionalAddress(reader, "readiness");
+    deployment.workers_ = readOptionalAddress(reader, "workers");
+    reader.field("seeds").forEachItem([&](const Reader& item) { deployment.seeds_.push_back(item.address()); });
+    deployment.store_ = reader.field("store").address();
+    deployment.bounds_ = readBounds(reader.field("bounds"));
+    return deployment;
+}
+
+absl::StatusOr<Deployment> parseDeployment(std::string_view text)
+{
+    Deployment deployment;
+    absl::Status status = readTree(text, [&](const Reader& reader) { deployment = readDeployment(reader); });
+    if (!status.ok())
+        return status;
+    return deployment;
+}
+
+} // namespace persimmondoor::settings
--- a/settings/src/Follower.cpp
+++ b/settings/src/Follower.cpp
@@ -60,7 +60,7 @@
 }
 
 // Reads the store once. False if it could not be read.
-static asio::awaitable<bool> poll(SettingsActor settings, platform::TableClient table)
+static asio::awaitable<bool> poll(SettingsActor settings, store::TableClient table)
 {
     Snapshot snapshot = co_await settings.snapshot();
     auto newer = co_await loadNewer(std::move(table), std::move(snapshot.tree_));
@@ -71,7 +71,7 @@
 }
 
 // Writes the first settings of a new cell. False if the store did not confirm all.
-static asio::awaitable<bool> seed(platform::TableClient table, Tree tree, std::vector<Seed> seeds)
+static asio::awaitable<bool> seed(store::TableClient table, Tree tree, std::vector<Seed> seeds)
 {
     bool confirmed = true;
     for (const Seed& item : seeds) {
@@ -83,7 +83,7 @@
     co_return confirmed;
 }
 
-asio::awaitable<void> keepSettings(SettingsActor settings, platform::TableClient table, std::vector<Address> peers, std::vector<Seed> seeds)
+asio::awaitable<void> keepSettings(SettingsActor settings, store::TableClient table, std::vector<Address> peers, std::vector<Seed> seeds)
 {
     bool seeded = seeds.empty();
     for (;;) {
--- a/settings/src/Rows.cpp
+++ b/settings/src/Rows.cpp
@@ -64,7 +64,7 @@
     return found ? found->to_number<int64_t>(error) : 0;
 }
 
-absl::StatusOr<Subtree> decodeRow(const SubtreeName& name, const platform::Row& row)
+absl::StatusOr<Subtree> decodeRow(const SubtreeName& name, const store::Row& row)
 {
     boost::system::error_code error;
     json::value value = json::parse(row.value_, error);
--- a/settings/src/Rows.h
+++ b/settings/src/Rows.h
@@ -2,8 +2,8 @@
 // `settings-history/<name>/<revision>` the contents of each revision.
 #pragma once
 
-#include "persimmondoor/platform/Table.h"
 #include "persimmondoor/settings/Tree.h"
+#include "persimmondoor/store/Table.h"
 
 #include <absl/status/statusor.h>
 
@@ -22,6 +22,6 @@
 std::string encodeRevision(const Subtree&);
 // Reads either kind of row; the text of a head is empty.
 // Returns DataLoss for a row that this program did not write.
-absl::StatusOr<Subtree> decodeRow(const SubtreeName&, const platform::Row&);
+absl::StatusOr<Subtree> decodeRow(const SubtreeName&, const store::Row&);
 
 } // namespace persimmondoor::settings
