--- a/settings/src/Store.cpp
+++ b/settings/src/Store.cpp
@@ -21,14 +21,14 @@
     // A subtree's head with the version of its row.
     struct StoredHead {
         Subtree subtree_;
-        platform::RowVersion version_;
+        store::RowVersion version_;
     };
 
 } // namespace
 
-static absl::StatusOr<StoredHead> decodeHead(const SubtreeName& name, const platform::Row& row)
+static absl::StatusOr<StoredHead> decodeHead(const SubtreeName& name, const store::Row& row)
 {
-    if (row.version_ == platform::RowVersion())
+    if (row.version_ == store::RowVersion())
         return StoredHead { Subtree { name, Revision(), "", WriteId(), OperatorName(), 0 }, row.version_ };
     auto subtree = decodeRow(name, row);
     if (!subtree.ok())
@@ -37,10 +37,10 @@
 }
 
 // The keys of the revisions that `tree` lacks, with their names.
-static absl::StatusOr<std::vector<std::pair<SubtreeName, std::string>>> missingRevisions(const Tree& tree, const std::vector<platform::Row>& heads)
+static absl::StatusOr<std::vector<std::pair<SubtreeName, std::string>>> missingRevisions(const Tree& tree, const std::vector<store::Row>& heads)
 {
     std::vector<std::pair<SubtreeName, std::string>> missing;
-    for (const platform::Row& row : heads) {
+    for (const store::Row& row : heads) {
         auto name = SubtreeName::create(row.key_.substr(headPrefix.size()));
         if (!name.ok())
             return absl::DataLossError(concat("row ", row.key_, " is not understood"));
@@ -62,7 +62,7 @@
     return keys;
 }
 
-static absl::StatusOr<std::vector<Subtree>> decodeRevisions(const std::vector<std::pair<SubtreeName, std::string>>& revisions, const std::vector<platform::Row>& rows)
+static absl::StatusOr<std::vector<Subtree>> decodeRevisions(const std::vector<std::pair<SubtreeName, std::string>>& revisions, const std::vector<store::Row>& rows)
 {
     std::vector<Subtree> subtrees;
     for (size_t index = 0; index < rows.size(); ++index) {
@@ -74,12 +74,12 @@
     return subtrees;
 }
 
-asio::awaitable<absl::StatusOr<std::vector<Subtree>>> loadNewer(platform::TableClient table, Tree tree)
+asio::awaitable<absl::StatusOr<std::vector<Subtree>>> loadNewer(store::TableClient table, Tree tree)
 {
-    platform::Scan range;
+    store::Scan range;
     range.prefix_ = headPrefix;
     range.limit_ = maximumSubtrees;
-    auto heads = co_await platform::scan(table, std::move(range));
+    auto heads = co_await store::scan(table, std::move(range));
     if (!heads.ok())
         co_return heads.status();
     auto missing = missingRevisions(tree, *heads);
@@ -87,34 +87,34 @@
         co_return missing.status();
     if (missing->empty())
         co_return std::vector<Subtree>();
-    auto rows = co_await platform::read(table, keysOf(*missing));
+    auto rows = co_await store::read(table, keysOf(*missing));
     if (!rows.ok())
         co_return rows.status();
     co_return decodeRevisions(*missing, *rows);
 }
 
-asio::awaitable<absl::StatusOr<Subtree>> loadRevision(platform::TableClient table, SubtreeName name, Revision revision)
+asio::awaitable<absl::StatusOr<Subtree>> loadRevision(store::TableClient table, SubtreeName name, Revision revision)
 {
     std::vector<std::string> keys(1, historyKey(name, revision));
-    auto rows = co_await platform::read(table, std::move(keys));
+    auto rows = co_await store::read(table, std::move(keys));
     if (!rows.ok())
         co_return rows.status();
-    if (rows->front().version_ == platform::RowVersion())
+    if (rows->front().version_ == store::RowVersion())
         co_return absl::NotFoundError(concat("no revision ", revision.value(), " of ", name.value()));
     co_return decodeRow(name, rows->front());
 }
 
-asio::awaitable<absl::StatusOr<std::vector<Subtree>>> loadHistory(platform::TableClient table, SubtreeName name, Revision newest, size_t limit)
+asio::awaitable<absl::StatusOr<std::vector<Subtree>>> loadHistory(store::TableClient table, SubtreeName name, Revision newest, size_t limit)
 {
-    platform::Scan range;
+    store::Scan range;
     range.prefix_ = historyPrefix(name);
     range.after_ = historyKey(name, Revision(newest.value() > limit ? newest.value() - limit : 0));
     range.limit_ = limit;
-    auto rows = co_await platform::scan(table, std::move(range));
+    auto rows = co_await store::scan(table, std::move(range));
     if (!rows.ok())
         co_return rows.status();
     std::vector<Subtree> revisions;
-    for (const platform::Row& row : *rows) {
+    for (const store::Row& row : *rows) {
         auto subtree = decodeRow(name, row);
         if (!subtree.ok())
             co_return subtree.status();
@@ -123,21 +123,21 @@
     co_return revisions;
 }
 
-static platform::Transaction commitOf(const Subtree& next, platform::RowVersion headVersion, std::optional<platform::RowVersion> operatorsVersion)
+static store::Transaction commitOf(const Subtree& next, store::RowVersion headVersion, std::optional<store::RowVersion> operatorsVersion)
 {
-    platform::Transaction transaction;
+    store::Transaction transaction;
     transaction.conditions_.push_back({ headKey(next.name_), headVersion });
     if (operatorsVersion)
         transaction.conditions_.push_back({ headKey(SubtreeName::of(std::string(operatorsSubtree))), *operatorsVersion });
-    transaction.writes_.emplace_back(platform::Put { headKey(next.name_), encodeHead(next) });
-    transaction.writes_.emplace_back(platform::Put { historyKey(next.name_, next.revision_), encodeRevision(next) });
+    transaction.writes_.emplace_back(store::Put { headKey(next.name_), encodeHead(next) });
+    transaction.writes_.emplace_back(store::Put { historyKey(next.name_, next.revision_), encodeRevision(next) });
     if (next.revision_.value() > keptRevisions)
-        transaction.writes_.emplace_back(platform::Erase { historyKey(next.name_, Revision(next.revision_.value() - keptRevisions)) });
+        transaction.writes_.emplace_back(store::Erase { historyKey(next.name_, Revision(next.revision_.value() - keptRevisions)) });
     return transaction;
 }
 
 // Whether the revision that `next` was to become is `next`. The history row tells it even when later changes followed.
-static asio::awaitable<WriteOutcome> readBack(platform::TableClient table, Subtree next)
+static asio::awaitable<WriteOutcome> readBack(store::TableClient table, Subtree next)
 {
     for (int attempt = 0; attempt < readBackAttempts; ++attempt) {
         if (attempt > 0)
@@ -153,10 +153,10 @@
     co_return WriteUnknown { "the store lost the reply and cannot be read; repeat the change with the same --write-id" };
 }
 
-static asio::awaitable<absl::StatusOr<std::optional<std::vector<Operator>>>> loadOperators(platform::TableClient table, StoredHead head)
+static asio::awaitable<absl::StatusOr<std::optional<std::vector<Operator>>>> loadOperators(store::TableClient table, StoredHead head)
 {
     std::optional<std::vector<Operator>> operators;
-    if (head.version_ == platform::RowVersion())
+    if (head.version_ == store::RowVersion())
         co_return operators;
     auto stored = co_await loadRevision(table, head.subtree_.name_, head.subtree_.revision_);
     if (!stored.ok())
@@ -173,14 +173,14 @@
     return { WriteRefusal::StoreUnavailable, concat("the table service: ", std::string(status.message())) };
 }
 
-static asio::awaitable<WriteOutcome> commitWrite(platform::TableClient table, Subtree next, platform::Transaction transaction)
+static asio::awaitable<WriteOutcome> commitWrite(store::TableClient table, Subtree next, store::Transaction transaction)
 {
-    platform::CommitOutcome outcome = co_await platform::commit(table, std::move(transaction));
-    if (std::holds_alternative<platform::Committed>(outcome))
+    store::CommitOutcome outcome = co_await store::commit(table, std::move(transaction));
+    if (std::holds_alternative<store::Committed>(outcome))
         co_return WriteAccepted { std::move(next), false };
-    if (const auto* conflict = std::get_if<platform::Conflict>(&outcome))
+    if (const auto* conflict = std::get_if<store::Conflict>(&outcome))
         co_return WriteRefused { WriteRefusal::Conflict, concat("a racing change won on ", conflict->key_) };
-    if (const auto* unavailable = std::get_if<platform::Unavailable>(&outcome))
+    if (const auto* unavailable = std::get_if<store::Unavailable>(&outcome))
         co_return WriteRefused { WriteRefusal::StoreUnavailable, concat("the table service: ", unavailable->detail_) };
     co_return co_await readBack(table, std::move(next));
 }
@@ -190,11 +190,11 @@
     return { headKey(name), headKey(SubtreeName::of(std::string(operatorsSubtree))) };
 }
 
-asio::awaitable<WriteOutcome> writeSubtree(platform::TableClient table, WriteRequest request)
+asio::awaitable<WriteOutcome> writeSubtree(store::TableClient table, WriteRequest request)
 {
     if (absl::Status status = checkSubtree(request.name_, request.text_); !status.ok())
         co_return WriteRefused { WriteRefusal::Invalid, std::string(status.message()) };
-    auto rows = co_await platform::read(table, headKeys(request.name_));
+    auto rows = co_await store::read(table, headKeys(request.name_));
     if (!rows.ok())
         co_return refusedByStore(rows.status());
     auto head = decodeHead(request.name_, rows->at(0));
@@ -218,16 +218,16 @@
     if (request.dryRun_)
         co_return WriteAccepted { std::move(next), true };
     bool changesOperators = request.name_.value() == operatorsSubtree;
-    platform::Transaction transaction
+    store::Transaction transaction
         = commitOf(next, head->version_, changesOperators ? std::nullopt : std::optional(operatorsHead->version_));
     co_return co_await commitWrite(table, std::move(next), std::move(transaction));
 }
 
-asio::awaitable<absl::Status> seedSubtree(platform::TableClient table, SubtreeName name, std::string text)
+asio::awaitable<absl::Status> seedSubtree(store::TableClient table, SubtreeName name, std::string text)
 {
     Subtree first { std::move(name), Revision(1), std::move(text), WriteId::of("site-file"), OperatorName::of("site-file"), wallMilliseconds() };
-    platform::CommitOutcome outcome = co_await platform::commit(table, commitOf(first, platform::RowVersion(), std::nullopt));
-    if (std::holds_alternative<platform::Unavailable>(outcome) || std::holds_alternative<platform::ReplyLost>(outcome))
+    store::CommitOutcome outcome = co_await store::commit(table, commitOf(first, store::RowVersion(), std::nullopt));
+    if (std::holds_alternative<store::Unavailable>(outcome) || std::holds_alternative<store::ReplyLost>(outcome))
         co_return absl::UnavailableError("the table service did not confirm the first settings");
     co_return absl::OkStatus();
 }
--- a/settings/tests/StoreTest.cpp
+++ b/settings/tests/StoreTest.cpp
@@ -14,7 +14,7 @@
 
 struct Cell {
     rpc::Loop loop_;
-    platform::MemoryTable table_ = platform::MemoryTable::create();
+    store::MemoryTable table_ = store::MemoryTable::create();
 
     WriteOutcome write(WriteRequest request) { return runToEnd(loop_.context(), writeSubtree(table_, std::move(request))); }
     std::vector<Subtree> stored() { return *runToEnd(loop_.context(), loadNewer(table_, Tree())); }
@@ -56,7 +56,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(store)
+BOOST_AUTO_TEST_SUITE(settings_store)
 
 BOOST_AUTO_TEST_CASE(racing_writes_give_one_success_and_one_conflict)
 {
@@ -69,7 +69,7 @@
         conflicts += std::holds_alternative<WriteRefused>(outcome) && refusalOf(outcome) == WriteRefusal::Conflict ? 1 : 0;
     };
     // The delay lets both read the same revision before either commits.
-    platform::TableFaults slow;
+    store::TableFaults slow;
     slow.delay_ = std::chrono::milliseconds(5);
     cell.table_.inject(slow);
     boost::asio::co_spawn(cell.loop_.context(), writeSubtree(cell.table_, change(1, "left", slowerTeam)), race);
@@ -91,7 +91,7 @@
 BOOST_AUTO_TEST_CASE(lost_reply_is_read_back_and_the_change_is_made_once)
 {
     Cell cell;
-    platform::TableFaults faults;
+    store::TableFaults faults;
     faults.repliesToLose_ = 1;
     cell.table_.inject(faults);
     BOOST_TEST(acceptedRevision(cell.write(change(0, "first"))) == 1U);
@@ -111,7 +111,7 @@
 BOOST_AUTO_TEST_CASE(store_that_is_down_refuses_and_writes_nothing)
 {
     Cell cell;
-    platform::TableFaults faults;
+    store::TableFaults faults;
     faults.down_ = true;
     cell.table_.inject(faults);
     BOOST_TEST((refusalOf(cell.write(change(0, "first"))) == WriteRefusal::StoreUnavailable));
@@ -202,7 +202,7 @@
     auto server = rpc::Server::listen(executor, *Address::parse("127.0.0.1:0"), std::move(interfaces));
     BOOST_REQUIRE(server.ok());
 
-    platform::TableFaults faults;
+    store::TableFaults faults;
     faults.down_ = true;
     cell.table_.inject(faults);
     SettingsActor starting(executor, SteadyClock(), [](const InForce&, Digest) {});
@@ -216,7 +216,7 @@
 {
     Cell cell;
     auto executor = cell.loop_.context().get_executor();
-    platform::TableFaults faults;
+    store::TableFaults faults;
     faults.down_ = true;
     cell.table_.inject(faults);
     // A peer that knows nothing itself must not count.
--- a/platform/include/persimmondoor/platform/Faults.h
+++ b/store/include/persimmondoor/store/Faults.h
@@ -7,7 +7,7 @@
 
 #include "persimmondoor/core/Time.h"
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 struct StoreFaults {
     /// Every call fails and nothing is written.
@@ -22,4 +22,4 @@
 using TableFaults = StoreFaults;
 using ObjectFaults = StoreFaults;
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/HTTPPlatform.h
+++ b/store/include/persimmondoor/store/HTTPPlatform.h
@@ -6,43 +6,21 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/core/Address.h"
-#include "persimmondoor/platform/MemoryObjects.h"
-#include "persimmondoor/platform/Table.h"
-#include "persimmondoor/platform/Worker.h"
+#include "persimmondoor/http/Pool.h"
+#include "persimmondoor/store/MemoryObjects.h"
+#include "persimmondoor/store/Table.h"
+#include "persimmondoor/store/Worker.h"
 
 #include <absl/status/statusor.h>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <memory>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 /// Longest wait for an answer of the platform, beyond what a call itself asks it to wait.
 inline constexpr Duration platformTimeout = std::chrono::seconds(2);
-/// Longest wait for a connection to the platform.
-inline constexpr Duration platformConnectTimeout = std::chrono::milliseconds(500);
-
-/// Connections to one address that are used again. At most `idleConnectionLimit` are kept.
-class HTTPPool {
-public:
-    static constexpr size_t idleConnectionLimit = 8;
-
-    static HTTPPool create(const boost::asio::any_io_executor&, const Address&);
-
-    struct Shared;
-    Shared& shared() const { return *shared_; }
-    const std::shared_ptr<Shared>& handle() const { return shared_; }
-    bool operator==(const HTTPPool&) const = default;
-
-private:
-    explicit HTTPPool(std::shared_ptr<Shared> shared)
-        : shared_(std::move(shared))
-    {
-    }
-
-    std::shared_ptr<Shared> shared_;
-};
+using HTTPPool = http::Pool;
 
 class HTTPTable {
 public:
@@ -98,4 +76,4 @@
     HTTPPool pool_;
 };
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/MemoryObjects.h
+++ b/store/include/persimmondoor/store/MemoryObjects.h
@@ -6,7 +6,7 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/platform/Faults.h"
+#include "persimmondoor/store/Faults.h"
 
 #include <absl/status/statusor.h>
 #include <boost/asio/awaitable.hpp>
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 /// Keys that start with `prefix_` and sort after `after_`, at most `limit_`, in order.
 struct ObjectList {
@@ -57,4 +57,4 @@
     std::shared_ptr<Shared> shared_;
 };
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/MemoryTable.h
+++ b/store/include/persimmondoor/store/MemoryTable.h
@@ -6,14 +6,14 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/platform/Faults.h"
-#include "persimmondoor/platform/TableState.h"
+#include "persimmondoor/store/Faults.h"
+#include "persimmondoor/store/TableState.h"
 
 #include <absl/status/statusor.h>
 #include <boost/asio/awaitable.hpp>
 #include <memory>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 class MemoryTable {
 public:
@@ -43,4 +43,4 @@
     std::shared_ptr<Shared> shared_;
 };
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/MemoryWorkers.h
+++ b/store/include/persimmondoor/store/MemoryWorkers.h
@@ -6,13 +6,13 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/platform/WorkerState.h"
+#include "persimmondoor/store/WorkerState.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <deque>
 #include <memory>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 struct WorkerFaults {
     /// Calls fail and nothing is done; tasks run on.
@@ -67,4 +67,4 @@
     std::shared_ptr<Shared> shared_;
 };
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/ObjectClient.h
+++ b/store/include/persimmondoor/store/ObjectClient.h
@@ -6,12 +6,12 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/platform/HTTPPlatform.h"
-#include "persimmondoor/platform/MemoryObjects.h"
+#include "persimmondoor/store/HTTPPlatform.h"
+#include "persimmondoor/store/MemoryObjects.h"
 
 #include <variant>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 using ObjectClient = std::variant<MemoryObjects, HTTPObjects>;
 
@@ -29,4 +29,4 @@
 /// \return the keys, or Unavailable or DeadlineExceeded.
 boost::asio::awaitable<absl::StatusOr<std::vector<std::string>>> listObjects(ObjectClient, ObjectList);
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/PlatformClients.h
+++ b/store/include/persimmondoor/store/PlatformClients.h
@@ -6,11 +6,11 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/platform/ObjectClient.h"
-#include "persimmondoor/platform/TableClient.h"
-#include "persimmondoor/platform/WorkerClient.h"
+#include "persimmondoor/store/ObjectClient.h"
+#include "persimmondoor/store/TableClient.h"
+#include "persimmondoor/store/WorkerClient.h"
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 struct PlatformClients {
     TableClient table_;
@@ -26,4 +26,4 @@
     return { HTTPTable(pool), HTTPObjects(pool), HTTPWorkers(pool) };
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/StandinServer.h
+++ b/store/include/persimmondoor/store/StandinServer.h
@@ -9,13 +9,13 @@
 
 #include "persimmondoor/core/Address.h"
 #include "persimmondoor/http/Server.h"
-#include "persimmondoor/platform/MemoryObjects.h"
-#include "persimmondoor/platform/MemoryTable.h"
-#include "persimmondoor/platform/MemoryWorkers.h"
+#include "persimmondoor/store/MemoryObjects.h"
+#include "persimmondoor/store/MemoryTable.h"
+#include "persimmondoor/store/MemoryWorkers.h"
 
 #include <memory>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 /// Largest request that the stand-ins take, in bytes.
 inline constexpr size_t standinBodyBytes = size_t(64) * 1024 * 1024;
@@ -32,4 +32,4 @@
 /// \return the server, or Unavailable if `address` can't be listened on.
 absl::StatusOr<std::unique_ptr<http::Server>> serveStandins(const boost::asio::any_io_executor&, const Address& address, const PlatformStandins&);
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/Table.h
+++ b/store/include/persimmondoor/store/Table.h
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 /// Version of a row: 0 when absent, else the number of the transaction that wrote it.
 using RowVersion = Counter<struct RowVersionTag>;
@@ -86,4 +86,4 @@
     auto operator<=>(const Scan&) const = default;
 };
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/TableClient.h
+++ b/store/include/persimmondoor/store/TableClient.h
@@ -6,12 +6,12 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/platform/HTTPPlatform.h"
-#include "persimmondoor/platform/MemoryTable.h"
+#include "persimmondoor/store/HTTPPlatform.h"
+#include "persimmondoor/store/MemoryTable.h"
 
 #include <variant>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 using TableClient = std::variant<MemoryTable, HTTPTable>;
 
@@ -26,4 +26,4 @@
 /// \return the rows, or Unavailable or DeadlineExceeded.
 boost::asio::awaitable<absl::StatusOr<std::vector<Row>>> scan(TableClient, Scan);
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/TableState.h
+++ b/store/include/persimmondoor/store/TableState.h
@@ -6,11 +6,11 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/platform/Table.h"
+#include "persimmondoor/store/Table.h"
 
 #include <map>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 /// Work done by a table since it was made.
 struct TableCounts {
@@ -42,4 +42,4 @@
     TableCounts counts_;
 };
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/Worker.h
+++ b/store/include/persimmondoor/store/Worker.h
@@ -8,13 +8,13 @@
 #include "persimmondoor/core/Ids.h"
 #include "persimmondoor/core/Resources.h"
 #include "persimmondoor/core/Time.h"
-#include "persimmondoor/platform/Table.h"
+#include "persimmondoor/store/Table.h"
 
 #include <string>
 #include <variant>
 #include <vector>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 /// One run of a task.
 struct TaskAttempt {
@@ -109,4 +109,4 @@
     auto operator<=>(const ReportQuery&) const = default;
 };
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/include/persimmondoor/platform/WorkerState.h
+++ b/store/include/persimmondoor/store/WorkerState.h
@@ -11,13 +11,13 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/platform/Worker.h"
+#include "persimmondoor/store/Worker.h"
 
 #include <absl/status/statusor.h>
 #include <map>
 #include <optional>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 class WorkerState {
 public:
@@ -95,4 +95,4 @@
     bool failsEverything_ { false };
 };
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/HTTPObjects.cpp
+++ b/store/src/HTTPObjects.cpp
@@ -2,7 +2,7 @@
 #include "JSON.h"
 #include "persimmondoor/core/Text.h"
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 namespace asio = boost::asio;
 
@@ -54,4 +54,4 @@
     co_return readJSON(*body, [](const json::value& value) { return member<std::vector<std::string>>(value, "keys"); });
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/HTTPTable.cpp
+++ b/store/src/HTTPTable.cpp
@@ -3,7 +3,7 @@
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/core/Visitor.h"
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 namespace asio = boost::asio;
 
@@ -39,7 +39,7 @@
 
 asio::awaitable<CommitOutcome> HTTPTable::commit(Transaction transaction) const
 {
-    http::ExchangeOutcome outcome = co_await exchange(pool_, postTo("/v1/table/commit", toJSON(transaction)), platformTimeout, Repeat::Never);
+    http::ExchangeOutcome outcome = co_await http::exchange(pool_, postTo("/v1/table/commit", toJSON(transaction)), platformTimeout, http::Repeat::Never);
     co_return std::visit([](const auto& alternative) { return toOutcome(alternative); }, outcome);
 }
 
@@ -61,4 +61,4 @@
     co_return readRows(co_await fetch(pool_, postTo("/v1/table/scan", toJSON(scan)), platformTimeout));
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/HTTPWorkers.cpp
+++ b/store/src/HTTPWorkers.cpp
@@ -2,7 +2,7 @@
 #include "JSON.h"
 #include "persimmondoor/core/Text.h"
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 namespace asio = boost::asio;
 
@@ -86,4 +86,4 @@
     co_return fromJSON<WorkerUsage>(*result);
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/JSON.cpp
+++ b/store/src/JSON.cpp
@@ -5,7 +5,7 @@
 
 #include <absl/strings/escaping.h>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 static std::string toBase64(const std::string& bytes)
 {
@@ -203,4 +203,4 @@
     return { counterMember<WorkerRevision>(value, "since"), durationMember(value, "wait_us") };
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/JSON.h
+++ b/store/src/JSON.h
@@ -1,10 +1,10 @@
 // The platform's messages as JSON. Values of rows and labels of tasks are base64, as they may be any bytes.
 #pragma once
 
-#include "persimmondoor/platform/MemoryObjects.h"
-#include "persimmondoor/platform/MemoryWorkers.h"
-#include "persimmondoor/platform/Table.h"
-#include "persimmondoor/platform/TableState.h"
+#include "persimmondoor/store/MemoryObjects.h"
+#include "persimmondoor/store/MemoryWorkers.h"
+#include "persimmondoor/store/Table.h"
+#include "persimmondoor/store/TableState.h"
 
 #include <absl/status/statusor.h>
 #include <boost/json/object.hpp>
@@ -14,7 +14,7 @@
 #include <boost/json/value_to.hpp>
 #include <string>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 namespace json = boost::json;
 
@@ -76,4 +76,4 @@
     return json::value_to<T>(*found);
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/MemoryObjects.cpp
+++ b/store/src/MemoryObjects.cpp
@@ -1,9 +1,9 @@
-#include "persimmondoor/platform/MemoryObjects.h"
+#include "persimmondoor/store/MemoryObjects.h"
 
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Text.h"
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 namespace asio = boost::asio;
 
@@ -71,4 +71,4 @@
     co_return keys;
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/MemoryTable.cpp
+++ b/store/src/MemoryTable.cpp
@@ -1,8 +1,8 @@
-#include "persimmondoor/platform/MemoryTable.h"
+#include "persimmondoor/store/MemoryTable.h"
 
 #include "persimmondoor/core/Coroutine.h"
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 namespace asio = boost::asio;
 
@@ -50,4 +50,4 @@
     co_return shared->state_.scan(scan);
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/MemoryWorkers.cpp
+++ b/store/src/MemoryWorkers.cpp
@@ -1,4 +1,4 @@
-#include "persimmondoor/platform/MemoryWorkers.h"
+#include "persimmondoor/store/MemoryWorkers.h"
 
 #include "persimmondoor/core/Invariant.h"
 #include "persimmondoor/core/Text.h"
@@ -10,7 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <set>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 namespace asio = boost::asio;
 
@@ -234,4 +234,4 @@
     return worker->state_;
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/ObjectClient.cpp
+++ b/store/src/ObjectClient.cpp
@@ -1,6 +1,6 @@
-#include "persimmondoor/platform/ObjectClient.h"
+#include "persimmondoor/store/ObjectClient.h"
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 namespace asio = boost::asio;
 
@@ -24,4 +24,4 @@
     co_return co_await std::visit([&](const auto& objects) { return objects.list(std::move(query)); }, client);
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/StandinFaults.cpp
+++ b/store/src/StandinFaults.cpp
@@ -6,7 +6,7 @@
 #include <absl/strings/str_join.h>
 #include <functional>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 static json::object toJSON(const StoreFaults& faults)
 {
@@ -148,4 +148,4 @@
     return absl::OkStatus();
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/StandinFaults.h
+++ b/store/src/StandinFaults.h
@@ -1,9 +1,9 @@
 // The faults of the stand-ins as JSON, for drills.
 #pragma once
 
-#include "persimmondoor/platform/StandinServer.h"
+#include "persimmondoor/store/StandinServer.h"
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 // The faults of all stand-ins.
 std::string describeFaults(const PlatformStandins&);
@@ -12,4 +12,4 @@
 // its path; nothing is set then.
 absl::Status injectFaults(const PlatformStandins&, const std::string& text);
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/StandinServer.cpp
+++ b/store/src/StandinServer.cpp
@@ -1,4 +1,4 @@
-#include "persimmondoor/platform/StandinServer.h"
+#include "persimmondoor/store/StandinServer.h"
 
 #include "JSON.h"
 #include "StandinFaults.h"
@@ -8,7 +8,7 @@
 
 #include <absl/strings/numbers.h>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 namespace asio = boost::asio;
 
@@ -203,4 +203,4 @@
     return http::Server::listen(executor, address, limits, routes.handler());
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/TableClient.cpp
+++ b/store/src/TableClient.cpp
@@ -1,6 +1,6 @@
-#include "persimmondoor/platform/TableClient.h"
+#include "persimmondoor/store/TableClient.h"
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 namespace asio = boost::asio;
 
@@ -19,4 +19,4 @@
     co_return co_await std::visit([&](const auto& table) { return table.scan(std::move(range)); }, client);
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/TableState.cpp
+++ b/store/src/TableState.cpp
@@ -1,8 +1,8 @@
-#include "persimmondoor/platform/TableState.h"
+#include "persimmondoor/store/TableState.h"
 
 #include "persimmondoor/core/Visitor.h"
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 CommitOutcome TableState::apply(const Transaction& transaction)
 {
@@ -49,4 +49,4 @@
     return result;
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/src/WorkerState.cpp
+++ b/store/src/WorkerState.cpp
@@ -1,4 +1,4 @@
-#include "persimmondoor/platform/WorkerState.h"
+#include "persimmondoor/store/WorkerState.h"
 
 #include "persimmondoor/core/Text.h"
 
@@ -6,7 +6,7 @@
 #include <absl/strings/str_split.h>
 #include <algorithm>
 
-namespace persimmondoor::platform {
+namespace persimmondoor::store {
 
 namespace {
 
@@ -241,4 +241,4 @@
     touch(run);
 }
 
-} // namespace persimmondoor::platform
+} // namespace persimmondoor::store
--- a/platform/tests/HTTPPlatformTest.cpp
+++ b/store/tests/HTTPPlatformTest.cpp
@@ -1,14 +1,14 @@
 #include "Run.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/http/Client.h"
-#include "persimmondoor/platform/PlatformClients.h"
-#include "persimmondoor/platform/StandinServer.h"
+#include "persimmondoor/store/PlatformClients.h"
+#include "persimmondoor/store/StandinServer.h"
 
 #include <boost/asio/this_coro.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace persimmondoor;
-using namespace persimmondoor::platform;
+using namespace persimmondoor::store;
 
 namespace {
 
--- a/platform/tests/TableStateTest.cpp
+++ b/store/tests/TableStateTest.cpp
@@ -1,11 +1,11 @@
-#include "persimmondoor/platform/TableClient.h"
+#include "persimmondoor/store/TableClient.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
-using namespace persimmondoor::platform;
+using namespace persimmondoor::store;
 
 BOOST_AUTO_TEST_SUITE(table_state)
 
--- a/platform/tests/WorkerStateTest.cpp
+++ b/store/tests/WorkerStateTest.cpp
@@ -1,9 +1,9 @@
-#include "persimmondoor/platform/WorkerState.h"
+#include "persimmondoor/store/WorkerState.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace persimmondoor;
-using namespace persimmondoor::platform;
+using namespace persimmondoor::store;
 
 namespace {
 
--- /dev/null
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -0,0 +1,197 @@
+/// Decisions of the agent: which workers live on its host, what runs there, how long their leases may last, and what
+/// is reported to the owner of the queues. Pure: messages and time come in, calls to make go out.
+///
+/// \code
+/// SupervisorDecision decision = decide(std::move(state), heartbeat, now);
+/// \endcode
+#pragma once
+
+#include "persimmondoor/workflow/WorkerCalls.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace persimmondoor::supervision {
+
+/// Times of the agent.
+struct SupervisorTuning {
+    /// A worker's list is asked for again at least this often; half a period of its readings of load.
+    Duration listWait_ { std::chrono::milliseconds(500) };
+    /// A list that shows ends which are not durable yet would be answered at once; it is asked for again when they are,
+    /// or after this time.
+    Duration listInterval_ { std::chrono::milliseconds(100) };
+    /// The pace of filling tasks is set once for each new reading of load.
+    Duration paceInterval_ { std::chrono::milliseconds(500) };
+    /// A call that failed is made again after this time.
+    Duration retryInterval_ { std::chrono::milliseconds(100) };
+    /// A worker's clock may run this share slow, in percent (stated by the platform).
+    int64_t clockDriftPercent_ { 2 };
+    /// Allowance for the delivery of a lease, on top of the drift.
+    Duration leaseSlack_ { std::chrono::milliseconds(200) };
+    /// How long the end of a worker's life is repeated in reports.
+    Duration goneRetention_ { std::chrono::seconds(10) };
+    /// Reports under way at once: one that waits for orders, and one with news.
+    uint32_t maximumReports_ { 2 };
+    bool operator==(const SupervisorTuning&) const = default;
+};
+
+/// A worker on this host.
+struct LocalWorker {
+    workflow::WorkerTraits traits_;
+    Address address_;
+    uint64_t heartbeat_ { 0 };
+    bool draining_ { false };
+    Instant leavesAt_;
+    /// Its clock, and when it was read here.
+    int64_t clockMs_ { 0 };
+    Instant clockReadAt_;
+    /// Its lists have been read under the present fence.
+    bool listed_ { false };
+    /// A call for its lists is under way.
+    bool listing_ { false };
+    Instant listAgainAt_;
+    /// The last call for its lists succeeded.
+    bool reachable_ { false };
+    /// Latest end of lease that any call to it named.
+    Instant leaseEnd_;
+    std::map<workflow::RunKey, workflow::ActiveRun> active_;
+    /// Runs that the worker confirmed and that no list has shown yet, with the time of the confirmation.
+    std::map<workflow::RunKey, Instant> confirmed_;
+    std::vector<workflow::EndedRun> ended_;
+    std::vector<workflow::RefusedStart> refused_;
+    uint64_t durableEnd_ { 0 };
+    Instant paceAgainAt_;
+    /// Pace of the filling tasks, and what each was told last.
+    uint32_t fillingPace_ { 100 };
+    std::map<workflow::RunKey, uint32_t> paces_;
+    bool operator==(const LocalWorker&) const = default;
+};
+
+struct SupervisorState {
+    std::string name_;
+    std::string domain_;
+    uint64_t session_ { 0 };
+    SupervisorTuning tuning_;
+    workflow::LeaderEpoch epoch_;
+    workflow::Fence fence_;
+    Sequence sequence_;
+    /// When each report that may still be answered was sent.
+    std::map<Sequence, Instant> sent_;
+    /// Leases may last until then.
+    Instant horizon_;
+    /// All orders up to this one are settled.
+    workflow::OrderNumber settled_;
+    /// Orders taken beyond it, and whether each is settled.
+    std::map<workflow::OrderNumber, bool> orders_;
+    /// Stops that have no outcome yet, with the time of the next try.
+    std::map<workflow::OrderNumber, std::pair<workflow::StopRun, Instant>> stops_;
+    std::map<workflow::WorkerLife, LocalWorker> workers_;
+    std::map<workflow::WorkerLife, Instant> gone_;
+    std::map<workflow::RunKey, workflow::RunTraits> traits_;
+    uint32_t reports_ { 0 };
+    /// Something has changed since the last report.
+    bool hasNews_ { true };
+    Instant reportAgainAt_;
+    bool operator==(const SupervisorState&) const = default;
+};
+
+/// The owner's answer to a report.
+struct DirectiveArrived {
+    workflow::Directive directive_;
+    bool operator==(const DirectiveArrived&) const = default;
+};
+/// A report has no answer, or one without a directive.
+struct ReportFailed {
+    auto operator<=>(const ReportFailed&) const = default;
+};
+struct ListArrived {
+    workflow::WorkerLife worker_;
+    workflow::Fence fence_;
+    Instant askedAt_;
+    workflow::Lists lists_;
+    bool operator==(const ListArrived&) const = default;
+};
+struct ListFailed {
+    workflow::WorkerLife worker_;
+    /// Another worker answers at that address.
+    bool isOther_ { false };
+    auto operator<=>(const ListFailed&) const = default;
+};
+struct StartSettled {
+    workflow::Fence fence_;
+    workflow::StartRun order_;
+    workflow::StartOutcome outcome_;
+    bool operator==(const StartSettled&) const = default;
+};
+struct StopSettled {
+    workflow::Fence fence_;
+    workflow::OrderNumber order_;
+    bool done_ { false };
+    auto operator<=>(const StopSettled&) const = default;
+};
+struct SupervisorTick {
+    auto operator<=>(const SupervisorTick&) const = default;
+};
+
+using SupervisorMessage = std::variant<workflow::Heartbeat, workflow::Leaving, DirectiveArrived, ReportFailed, ListArrived, ListFailed, StartSettled, StopSettled, SupervisorTick>;
+
+struct CallStart {
+    workflow::StartRun order_;
+    workflow::Fence fence_;
+    /// On the worker's clock.
+    int64_t leaseEndMs_ { 0 };
+    bool operator==(const CallStart&) const = default;
+};
+struct CallStop {
+    workflow::StopRun order_;
+    workflow::Fence fence_;
+    bool operator==(const CallStop&) const = default;
+};
+struct CallList {
+    workflow::WorkerLife worker_;
+    workflow::Listing listing_;
+    auto operator<=>(const CallList&) const = default;
+};
+struct CallPace {
+    workflow::WorkerLife worker_;
+    workflow::RunKey run_;
+    workflow::Fence fence_;
+    uint32_t percent_ { 100 };
+    auto operator<=>(const CallPace&) const = default;
+};
+struct SendReport {
+    workflow::AgentReport report_;
+    bool operator==(const SendReport&) const = default;
+};
+/// A new life of a worker; calls to it go to this address.
+struct MeetWorker {
+    workflow::WorkerLife worker_;
+    Address address_;
+    auto operator<=>(const MeetWorker&) const = default;
+};
+struct ForgetWorker {
+    workflow::WorkerLife worker_;
+    auto operator<=>(const ForgetWorker&) const = default;
+};
+/// A decision for the log.
+struct SupervisorRemark {
+    std::string event_;
+    std::string subject_;
+    std::string detail_;
+    auto operator<=>(const SupervisorRemark&) const = default;
+};
+
+using SupervisorAction = std::variant<CallStart, CallStop, CallList, CallPace, SendReport, MeetWorker, ForgetWorker, SupervisorRemark>;
+
+struct SupervisorDecision {
+    SupervisorState state_;
+    std::vector<SupervisorAction> actions_;
+    bool operator==(const SupervisorDecision&) const = default;
+};
+
+SupervisorDecision decide(SupervisorState, const SupervisorMessage&, Instant now);
+
+} // namespace persimmondoor::supervision
--- /dev/null
+++ b/supervision/src/SupervisorActor.cpp
@@ -0,0 +1,187 @@
+#include "persimmondoor/supervision/SupervisorActor.h"
+
+#include "OwnerLink.h"
+#include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
+#include "persimmondoor/core/Visitor.h"
+#include "persimmondoor/platform/WorkerClient.h"
+
+namespace persimmondoor::supervision {
+
+namespace asio = boost::asio;
+
+// Messages that wait for the actor; a worker's end or an order takes one each.
+static constexpr size_t mailboxCapacity = 4096;
+// Time for a worker on the same host to answer a call.
+static constexpr Duration callTimeout = std::chrono::milliseconds(400);
+// Looks after retries and lapsed leases.
+static constexpr Duration tickInterval = std::chrono::milliseconds(100);
+
+struct SupervisorActor::State {
+    State(const asio::any_io_executor& executor, SupervisorOptions options)
+        : executor_(executor)
+        , mailbox_(executor, mailboxCapacity)
+        , owner_(executor, std::move(options.entries_), std::move(options.locateOwner_))
+    {
+        supervisor_.name_ = std::move(options.name_);
+        supervisor_.domain_ = std::move(options.domain_);
+        supervisor_.session_ = options.session_;
+    }
+
+    asio::any_io_executor executor_;
+    Mailbox<SupervisorMessage> mailbox_;
+    OwnerLink owner_;
+    SupervisorState supervisor_;
+    std::map<workflow::WorkerLife, platform::WorkerClient> clients_;
+    Clock clock_ { SteadyClock() };
+};
+
+namespace {
+
+    template <typename State>
+    asio::awaitable<void> callStart(std::shared_ptr<State> state, platform::WorkerClient client, CallStart call)
+    {
+        workflow::StartOutcome outcome = co_await client.start(call.order_, call.leaseEndMs_, call.fence_, callTimeout);
+        SupervisorMessage message = StartSettled { call.fence_, std::move(call.order_), std::move(outcome) };
+        co_await state->mailbox_.post(std::move(message));
+    }
+
+    template <typename State>
+    asio::awaitable<void> callStop(std::shared_ptr<State> state, platform::WorkerClient client, CallStop call)
+    {
+        absl::Status status = co_await client.stop(call.order_.run_, call.fence_, callTimeout);
+        // A worker with another name, or under a higher fence, carries nothing of ours out any more.
+        bool done = status.ok() || absl::IsNotFound(status) || absl::IsFailedPrecondition(status);
+        if (!status.ok())
+            logWarning("run.stop_failed", { { "run", workflow::describe(call.order_.run_) }, { "reason", std::string(status.message()) } });
+        SupervisorMessage message = StopSettled { call.fence_, call.order_.number_, done };
+        co_await state->mailbox_.post(std::move(message));
+    }
+
+    template <typename State>
+    asio::awaitable<void> callList(std::shared_ptr<State> state, platform::WorkerClient client, CallList call)
+    {
+        Instant askedAt = now(state->clock_);
+        auto lists = co_await client.list(call.listing_, call.listing_.wait_ + callTimeout);
+        SupervisorMessage message = ListFailed { call.worker_, absl::IsNotFound(lists.status()) };
+        if (lists.ok())
+            message = ListArrived { call.worker_, call.listing_.fence_, askedAt, *std::move(lists) };
+        co_await state->mailbox_.post(std::move(message));
+    }
+
+    template <typename State>
+    asio::awaitable<void> callPace(std::shared_ptr<State>, platform::WorkerClient client, CallPace call)
+    {
+        absl::Status status = co_await client.pace(call.run_, call.percent_, call.fence_, callTimeout);
+        // The run may have ended meanwhile; a pace that was lost is set again with the next change.
+        if (!status.ok())
+            logDebug("run.pace_failed", { { "run", workflow::describe(call.run_) }, { "reason", std::string(status.message()) } });
+    }
+
+    template <typename State>
+    asio::awaitable<void> sendReport(std::shared_ptr<State> state, SendReport call)
+    {
+        auto directive = co_await state->owner_.exchange(std::move(call.report_));
+        SupervisorMessage message = ReportFailed {};
+        if (directive.ok())
+            message = DirectiveArrived { *std::move(directive) };
+        co_await state->mailbox_.post(std::move(message));
+    }
+
+    // Carries out what the decisions ask for.
+    template <typename State>
+    class ActionVisitor {
+    public:
+        explicit ActionVisitor(std::shared_ptr<State> state)
+            : state_(std::move(state))
+        {
+        }
+
+        void operator()(CallStart& call)
+        {
+            withClient(call.order_.worker_, "start", [&](auto client) { return callStart(state_, std::move(client), std::move(call)); });
+        }
+        void operator()(CallStop& call)
+        {
+            withClient(call.order_.worker_, "stop", [&](auto client) { return callStop(state_, std::move(client), std::move(call)); });
+        }
+        void operator()(CallList& call)
+        {
+            withClient(call.worker_, "list", [&](auto client) { return callList(state_, std::move(client), std::move(call)); });
+        }
+        void operator()(CallPace& call)
+        {
+            withClient(call.worker_, "pace", [&](auto client) { return callPace(state_, std::move(client), std::move(call)); });
+        }
+        void operator()(SendReport& call) { spawn(state_->executor_, "report", sendReport(state_, std::move(call))); }
+        void operator()(MeetWorker& meet)
+        {
+            state_->clients_.insert_or_assign(meet.worker_, platform::WorkerClient::create(state_->executor_, meet.address_, meet.worker_.name_));
+        }
+        void operator()(ForgetWorker& forget) { state_->clients_.erase(forget.worker_); }
+        void operator()(SupervisorRemark& remark) { logInfo(remark.event_, { { "subject", remark.subject_ }, { "detail", remark.detail_ } }); }
+
+    private:
+        template <typename Call>
+        void withClient(const workflow::WorkerLife& life, const char* name, Call call)
+        {
+            auto client = state_->clients_.find(life);
+            if (client != state_->clients_.end())
+                spawn(state_->executor_, name, call(client->second));
+        }
+
+        std::shared_ptr<State> state_;
+    };
+
+    template <typename State>
+    void handle(const std::shared_ptr<State>& state, const SupervisorMessage& message)
+    {
+        SupervisorDecision decision = decide(std::move(state->supervisor_), message, now(state->clock_));
+        state->supervisor_ = std::move(decision.state_);
+        ActionVisitor<State> visitor(state);
+        // An action on a worker that the same decision meets or forgets comes in its order.
+        for (SupervisorAction& action : decision.actions_)
+            std::visit(visitor, action);
+    }
+
+    template <typename State>
+    asio::awaitable<void> run(std::shared_ptr<State> state)
+    {
+        for (;;) {
+            SupervisorMessage message = co_await state->mailbox_.receive();
+            handle(state, message);
+        }
+    }
+
+    template <typename State>
+    asio::awaitable<void> tick(std::shared_ptr<State> state)
+    {
+        while (state->mailbox_.isOpen()) {
+            state->mailbox_.tryPost(SupervisorTick {});
+            co_await sleepFor(tickInterval);
+        }
+    }
+
+} // namespace
+
+SupervisorActor SupervisorActor::start(const asio::any_io_executor& executor, SupervisorOptions options)
+{
+    auto state = std::make_shared<State>(executor, std::move(options));
+    spawn(executor, "supervisor", run(state));
+    spawn(executor, "supervisor ticks", tick(state));
+    return SupervisorActor(std::move(state));
+}
+
+void SupervisorActor::take(std::variant<workflow::Heartbeat, workflow::Leaving> message) const
+{
+    SupervisorMessage posted = std::visit([](auto& alternative) { return SupervisorMessage(std::move(alternative)); }, message);
+    if (!state_->mailbox_.tryPost(std::move(posted)))
+        logWarning("heartbeat.dropped", { { "reason", "the mailbox is full" } });
+}
+
+void SupervisorActor::stop() const
+{
+    state_->mailbox_.close();
+}
+
+} // namespace persimmondoor::supervision
--- /dev/null
+++ b/workflow/include/persimmondoor/workflow/Client.h
@@ -0,0 +1,100 @@
+/// What clients ask of queues, and the outcomes, free of any protocol.
+///
+/// \code
+/// ClientCall call { "nony24.example", "/lohu930/5c0e7a21d94b36f8", Cancel {}, std::chrono::seconds(3) };
+/// \endcode
+#pragma once
+
+#include "persimmondoor/workflow/Exchange.h"
+
+#include <string>
+#include <variant>
+
+namespace persimmondoor::workflow {
+
+/// Hand in a job under the path's id. Idempotent by that id.
+struct Submit {
+    JobSpec spec_;
+    bool operator==(const Submit&) const = default;
+};
+/// State of a job, or the count of waiting jobs if the path names a queue only.
+struct Look {
+    auto operator<=>(const Look&) const = default;
+};
+struct Cancel {
+    auto operator<=>(const Cancel&) const = default;
+};
+
+using ClientVerb = std::variant<Submit, Look, Cancel>;
+
+struct ClientCall {
+    std::string host_;
+    std::string path_;
+    ClientVerb verb_;
+    /// Time that the client still waits.
+    Duration timeLeft_ { 0 };
+    /// False once the call has been passed on.
+    bool mayRelay_ { true };
+    bool operator==(const ClientCall&) const = default;
+};
+
+enum class JobPhase : uint8_t {
+    Pending,
+    Running,
+    Completed,
+    Failed,
+    Cancelled,
+};
+
+/// The job is stored.
+struct Accepted {
+    auto operator<=>(const Accepted&) const = default;
+};
+/// The job was not taken and never will be by this call.
+struct NotAccepted {
+    std::string reason_;
+    Duration retryAfter_ { 0 };
+    auto operator<=>(const NotAccepted&) const = default;
+};
+/// The request is at fault.
+struct Malformed {
+    std::string reason_;
+    auto operator<=>(const Malformed&) const = default;
+};
+struct NoSuchQueue {
+    auto operator<=>(const NoSuchQueue&) const = default;
+};
+struct NoSuchJob {
+    auto operator<=>(const NoSuchJob&) const = default;
+};
+struct JobStatus {
+    JobPhase phase_ { JobPhase::Pending };
+    auto operator<=>(const JobStatus&) const = default;
+};
+struct WaitingCount {
+    uint64_t jobs_ { 0 };
+    auto operator<=>(const WaitingCount&) const = default;
+};
+/// The cancellation is stored.
+struct CancelAccepted {
+    auto operator<=>(const CancelAccepted&) const = default;
+};
+/// The call may or may not have taken effect; the same call again is safe.
+struct OutcomeUnknown {
+    std::string reason_;
+    auto operator<=>(const OutcomeUnknown&) const = default;
+};
+/// This process does not own the queues; nothing was done.
+struct NotOwner {
+    std::string reason_;
+    auto operator<=>(const NotOwner&) const = default;
+};
+
+using ClientAnswer = std::variant<Accepted, NotAccepted, Malformed, NoSuchQueue, NoSuchJob, JobStatus, WaitingCount, CancelAccepted, OutcomeUnknown, NotOwner>;
+
+/// Text of a state for log lines.
+std::string_view describe(JobPhase);
+/// Text of an answer for log lines.
+std::string describe(const ClientAnswer&);
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -0,0 +1,304 @@
+/// Decisions of the process that owns the queues: what runs where, what is durable before it takes effect, and what a
+/// new owner makes of its predecessor's rows. Pure: time and messages come in, actions and rows to write go out.
+///
+/// Every change of a job is staged and reaches the store in batches; what it causes outside (an answer, an order to
+/// start a run, the acknowledgement of an end) is released when its batch is durable.
+///
+/// \code
+/// OwnerState state = takeOver(epoch, tuning, rows, now);
+/// Decision decision = decide(std::move(state), ReportArrived { report }, now);
+/// Batch batch = takeBatch(decision.state_);
+/// ... // write it
+/// decision = decide(std::move(decision.state_), BatchDurable { batch, sentAt }, now);
+/// \endcode
+#pragma once
+
+#include "persimmondoor/workflow/Catalog.h"
+#include "persimmondoor/workflow/Client.h"
+#include "persimmondoor/workflow/Exchange.h"
+#include "persimmondoor/workflow/Record.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace persimmondoor::workflow {
+
+/// Times and bounds of the owner. Those that the deployment states are read from its settings.
+struct Tuning {
+    /// Lease of the tasks on a worker, granted with each answer to its agent. Below the 10 s that workers allow at
+    /// most, and above the cuts of 5 to 6 s that tasks shall survive.
+    Duration taskLease_ { std::chrono::milliseconds(7500) };
+    /// How long after its last durable write an owner grants leases. A successor waits this long and a task lease
+    /// longer for workers that it cannot reach.
+    Duration leadershipLease_ { std::chrono::milliseconds(4000) };
+    /// A worker's clock may run this share slow, in percent (stated by the platform).
+    int64_t clockDriftPercent_ { 2 };
+    /// Allowance for the delivery of a lease, on top of the drift.
+    Duration leaseSlack_ { std::chrono::milliseconds(300) };
+    /// No new run goes to a worker whose agent has been silent for longer; agents report at least every 500 ms.
+    Duration silenceBeforeNoStarts_ { std::chrono::milliseconds(1500) };
+    /// An order without outcome is sent again after this time.
+    Duration resendAfter_ { std::chrono::milliseconds(400) };
+    /// A run whose progress stands still this long is stopped and started elsewhere; four periods of the agents'
+    /// readings.
+    Duration hungAfter_ { std::chrono::milliseconds(2000) };
+    /// A worker that refused a run for want of room gets no other for this time.
+    Duration fullFor_ { std::chrono::milliseconds(200) };
+    /// First failures of different tasks in a row after which a worker is quarantined.
+    uint32_t failuresBeforeQuarantine_ { 3 };
+    /// First quarantine; doubled with each further one up to the maximum.
+    Duration quarantine_ { std::chrono::milliseconds(2000) };
+    Duration longestQuarantine_ { std::chrono::milliseconds(8000) };
+    /// Finished jobs are kept at least this long; settings state the time for which clients may ask.
+    Duration retention_ { std::chrono::seconds(120) };
+    /// Unfinished jobs beyond which new ones are refused; keeps an entry of 160 MB within its memory.
+    size_t maximumOpenJobs_ { 8000 };
+    /// Time after which a refused client should come back.
+    Duration retryAfter_ { std::chrono::milliseconds(1000) };
+    bool operator==(const Tuning&) const = default;
+};
+
+/// A task in the owner's memory: what is durable, and what is only known.
+struct Task {
+    TaskProgress progress_;
+    /// The order may have left this process.
+    bool released_ { false };
+    /// The order of the newest run within the agent's session; 0 if an earlier session or owner gave it.
+    OrderNumber order_;
+    /// The worker lists the run.
+    bool present_ { false };
+    bool stopping_ { false };
+    uint32_t percent_ { 0 };
+    /// When the newest run was assigned.
+    Instant assigned_;
+    /// When its progress was last seen to change.
+    Instant progressed_;
+    /// Worker on which it failed or hung last.
+    std::string avoided_;
+    bool operator==(const Task&) const = default;
+};
+
+/// Order in which jobs are served: priority, then time of acceptance.
+using ServiceOrder = std::tuple<uint32_t, int64_t, JobId>;
+
+struct Job {
+    JobRecord record_;
+    std::vector<Task> tasks_;
+    /// Tasks not yet done, for each step of each occurrence.
+    std::vector<uint32_t> undone_;
+    bool cancelled_ { false };
+    bool failed_ { false };
+    bool started_ { false };
+    /// Phase as of the last durable batch; nothing before the first.
+    std::optional<JobPhase> durable_;
+    /// When the job ended, for its retention.
+    std::optional<Instant> ended_;
+    bool operator==(const Job&) const = default;
+};
+
+/// Worker as the owner knows it.
+struct Worker {
+    std::string agent_;
+    WorkerTraits traits_;
+    bool draining_ { false };
+    Instant leavesAt_;
+    /// Its lists are complete under the session's fence.
+    bool listed_ { false };
+    /// Until its agent has reported it: when a lease of the predecessor has surely expired.
+    Instant unreachableUntil_;
+    std::set<TaskKey> assigned_;
+    /// Demand of the assigned tasks; cores of filling tasks apart.
+    Resources used_;
+    int64_t fillingMilliCores_ { 0 };
+    uint32_t longRunning_ { 0 };
+    /// Ends taken in, and those of them that are not durable yet.
+    uint64_t takenEnd_ { 0 };
+    std::set<uint64_t> pendingEnds_;
+    /// Ends up to this one were reported as durable.
+    uint64_t announcedEnd_ { 0 };
+    Instant fullUntil_;
+    uint32_t failureStreak_ { 0 };
+    uint32_t quarantines_ { 0 };
+    Instant quarantinedUntil_;
+    /// Runs ordered to stop that belong to no assigned task, with the time of the order.
+    std::map<RunKey, Instant> strays_;
+    bool operator==(const Worker&) const = default;
+};
+
+struct Agent {
+    std::string domain_;
+    uint64_t session_ { 0 };
+    Fence fence_;
+    Sequence answered_;
+    Instant heard_;
+    /// The leases it was granted end by then.
+    Instant leaseEnd_;
+    OrderNumber lastOrder_;
+    OrderNumber settled_;
+    /// Orders without outcome.
+    std::vector<Order> outbox_;
+    OrderNumber sent_;
+    Instant sentAt_;
+    /// There is something to tell before the next report.
+    bool hasNews_ { false };
+    bool operator==(const Agent&) const = default;
+};
+
+/// Identifies a waiting client.
+using CallToken = Counter<struct CallTokenTag>;
+
+struct AnswerClient {
+    CallToken token_;
+    ClientAnswer answer_;
+    bool operator==(const AnswerClient&) const = default;
+};
+struct ReleaseStart {
+    RunKey run_;
+    auto operator<=>(const ReleaseStart&) const = default;
+};
+struct ReleaseEnd {
+    WorkerLife worker_;
+    uint64_t number_ { 0 };
+    auto operator<=>(const ReleaseEnd&) const = default;
+};
+/// What waits for a job's batch.
+using Effect = std::variant<AnswerClient, ReleaseStart, ReleaseEnd>;
+
+struct StagedJob {
+    bool withRecord_ { false };
+    bool dropped_ { false };
+    std::vector<Effect> effects_;
+    bool operator==(const StagedJob&) const = default;
+};
+
+/// Rows to be written in one transaction and what it releases.
+struct Batch {
+    struct Item {
+        JobId job_;
+        JobPhase phase_ { JobPhase::Pending };
+        StagedJob staged_;
+        bool operator==(const Item&) const = default;
+    };
+    std::vector<Item> items_;
+    bool operator==(const Batch&) const = default;
+};
+
+struct OwnerState {
+    LeaderEpoch epoch_;
+    Tuning tuning_;
+    Catalog catalog_;
+    std::set<std::string> evacuated_;
+    std::map<JobId, Job> jobs_;
+    /// Unfinished jobs.
+    std::set<JobId> open_;
+    /// Jobs that may have a task to start.
+    std::set<ServiceOrder> ready_;
+    std::map<WorkerLife, Worker> workers_;
+    std::map<std::string, Agent> agents_;
+    /// Leases may be granted until then.
+    Instant grantsUntil_;
+    uint64_t sessions_ { 0 };
+    /// Newest time of day, for jobs with stated times.
+    int64_t wallMs_ { 0 };
+    std::vector<JobId> stagedOrder_;
+    std::map<JobId, StagedJob> staged_;
+    bool operator==(const OwnerState&) const = default;
+};
+
+struct CallArrived {
+    CallToken token_;
+    ClientCall call_;
+    /// Time of day, in milliseconds since 1970 UTC.
+    int64_t wallMs_ { 0 };
+    bool operator==(const CallArrived&) const = default;
+};
+struct ReportArrived {
+    AgentReport report_;
+    bool operator==(const ReportArrived&) const = default;
+};
+struct CatalogChanged {
+    Catalog catalog_;
+    bool operator==(const CatalogChanged&) const = default;
+};
+struct EvacuationsChanged {
+    std::set<std::string> domains_;
+    bool operator==(const EvacuationsChanged&) const = default;
+};
+struct BatchDurable {
+    Batch batch_;
+    /// When the write was sent; the leadership held at that time.
+    Instant sentAt_;
+    bool operator==(const BatchDurable&) const = default;
+};
+struct Tick {
+    int64_t wallMs_ { 0 };
+    auto operator<=>(const Tick&) const = default;
+};
+
+using OwnerMessage = std::variant<CallArrived, ReportArrived, CatalogChanged, EvacuationsChanged, BatchDurable, Tick>;
+
+/// The agent's waiting report should be answered now.
+struct WakeAgent {
+    std::string agent_;
+    auto operator<=>(const WakeAgent&) const = default;
+};
+/// A decision for the log: what, on which job, run or worker, and why.
+struct Remark {
+    std::string event_;
+    std::string subject_;
+    std::string detail_;
+    auto operator<=>(const Remark&) const = default;
+};
+
+using OwnerAction = std::variant<AnswerClient, WakeAgent, Remark>;
+
+struct Decision {
+    OwnerState state_;
+    std::vector<OwnerAction> actions_;
+    bool operator==(const Decision&) const = default;
+};
+
+/// Rows of one job, as read from the store.
+struct StoredJob {
+    JobRecord record_;
+    Progress progress_;
+    bool operator==(const StoredJob&) const = default;
+};
+
+/// The state of a new owner. Every worker named in the rows may still run what was assigned to it until its agent
+/// reports or its lease has surely expired.
+OwnerState takeOver(LeaderEpoch, Tuning, std::vector<StoredJob>, Instant now);
+
+/// Takes in one message.
+Decision decide(OwnerState, const OwnerMessage&, Instant now);
+
+/// Largest number of jobs in one batch: a transaction holds at most 100 entries, of which a new job takes two.
+inline constexpr size_t maximumBatchJobs = 40;
+
+/// Takes the oldest staged jobs out of `state`. Only one batch is under way at a time.
+/// \return the batch; empty if nothing is staged.
+Batch takeBatch(OwnerState&);
+
+/// Puts back a batch that did not become durable.
+void restage(OwnerState&, Batch);
+
+/// The progress of a job, to be written with its batch.
+/// \return the progress; nothing if the job is gone.
+std::optional<Progress> progressOf(const OwnerState&, const JobId&);
+
+/// The answer to the agent's newest report, with all that is new since the last one; records what was told and until
+/// when the leases then granted hold.
+Directive directiveFor(OwnerState&, const std::string& agent, Instant now);
+
+/// True if `directiveFor` has something to tell before the agent reports again.
+bool hasNews(const OwnerState&, const std::string& agent, Instant now);
+
+/// Phase of a job from its present state.
+JobPhase phaseOf(const Job&);
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/include/persimmondoor/workflow/Remote.h
@@ -0,0 +1,69 @@
+/// Scheduler calls between processes over Cap'n Proto: clients' calls, agents' reports, and pings among entries.
+///
+/// \code
+/// absl::StatusOr<ClientAnswer> answer = co_await callAt(link, call, std::chrono::seconds(2));
+/// \endcode
+#pragma once
+
+#include "persimmondoor/core/Address.h"
+#include "persimmondoor/rpc/Link.h"
+#include "persimmondoor/rpc/Server.h"
+#include "persimmondoor/workflow/Client.h"
+#include "persimmondoor/workflow/Exchange.h"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace persimmondoor::workflow {
+
+/// What a process knows of the leadership.
+struct LeaderView {
+    LeaderEpoch epoch_;
+    /// Where the leader's scheduler listens; nothing if no leader is known.
+    std::optional<Address> address_;
+    /// The process that tells this is the leader.
+    bool isSelf_ { false };
+    /// Time since the leader last wrote durably, as far as the process knows.
+    Duration writeAge_ { 0 };
+    /// Time since the leader last answered the process, or another that told it.
+    Duration contactAge_ { 0 };
+    auto operator<=>(const LeaderView&) const = default;
+};
+
+/// Answer to a report: a directive from the owner, or where the owner may be.
+struct ExchangeAnswer {
+    std::optional<Directive> directive_;
+    LeaderView leader_;
+    bool operator==(const ExchangeAnswer&) const = default;
+};
+
+struct PingAnswer {
+    LeaderView leader_;
+    /// Entries heard of lately.
+    std::vector<Address> peers_;
+    bool operator==(const PingAnswer&) const = default;
+};
+
+/// What serves the calls of other processes.
+struct SchedulerHandlers {
+    std::function<boost::asio::awaitable<ClientAnswer>(ClientCall)> call_;
+    std::function<boost::asio::awaitable<ExchangeAnswer>(AgentReport)> exchange_;
+    /// \param from where the asking entry listens.
+    std::function<boost::asio::awaitable<PingAnswer>(Address from, LeaderView)> ping_;
+};
+
+/// Offers the scheduler on `interfaces`.
+void offerScheduler(rpc::Interfaces&, const boost::asio::any_io_executor&, SchedulerHandlers);
+
+/// Sends a client's call to another entry.
+/// \return the answer; Unavailable if nothing was sent; any other error leaves open whether the call ran.
+boost::asio::awaitable<absl::StatusOr<ClientAnswer>> callAt(rpc::Link, ClientCall, Duration limit);
+
+/// Sends an agent's report. \return the answer, or the error of the connection or DeadlineExceeded.
+boost::asio::awaitable<absl::StatusOr<ExchangeAnswer>> exchangeAt(rpc::Link, AgentReport, Duration limit);
+
+/// Pings another entry. \return its answer, or the error of the connection or DeadlineExceeded.
+boost::asio::awaitable<absl::StatusOr<PingAnswer>> pingAt(rpc::Link, Address self, LeaderView, Duration limit);
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/src/ExchangeCodec.cpp
@@ -0,0 +1,372 @@
+#include "ExchangeCodec.h"
+
+#include "persimmondoor/core/Text.h"
+
+namespace persimmondoor::workflow {
+
+static capnp::Text::Reader toWire(const std::string& text)
+{
+    return { text.c_str(), text.size() };
+}
+
+static std::string fromWire(capnp::Text::Reader text)
+{
+    return { text.cStr(), text.size() };
+}
+
+static void encode(const WorkerLife& life, wire::Life::Builder builder)
+{
+    builder.setName(toWire(life.name_));
+    builder.setBornMs(life.bornMs_);
+}
+
+static WorkerLife decode(wire::Life::Reader reader)
+{
+    return { fromWire(reader.getName()), reader.getBornMs() };
+}
+
+static void encode(const RunKey& run, wire::Run::Builder builder)
+{
+    builder.setJob(toWire(run.task_.job_.value()));
+    builder.setOccurrence(run.task_.occurrence_);
+    builder.setStep(run.task_.step_);
+    builder.setIndex(run.task_.index_);
+    builder.setRun(run.run_);
+}
+
+static absl::StatusOr<RunKey> decode(wire::Run::Reader reader)
+{
+    auto job = JobId::create(fromWire(reader.getJob()));
+    if (!job.ok())
+        return job.status();
+    return RunKey { { *std::move(job), reader.getOccurrence(), reader.getStep(), reader.getIndex() }, reader.getRun() };
+}
+
+static void encodeLists(const WorkerReport& report, wire::Worker::Builder builder)
+{
+    auto active = builder.initActive(static_cast<unsigned>(report.active_.size()));
+    for (unsigned index = 0; index < active.size(); ++index) {
+        const ActiveRun& run = report.active_[index];
+        encode(run.run_, active[index].initRun());
+        active[index].setCheckpoint(toWire(run.checkpoint_));
+        active[index].setPercent(run.percent_);
+        active[index].setLoad(run.load_);
+        active[index].setPace(run.pace_);
+    }
+    auto ended = builder.initEnded(static_cast<unsigned>(report.ended_.size()));
+    for (unsigned index = 0; index < ended.size(); ++index) {
+        const EndedRun& run = report.ended_[index];
+        ended[index].setNumber(run.number_);
+        encode(run.run_, ended[index].initRun());
+        ended[index].setEnd(static_cast<uint8_t>(run.end_));
+        ended[index].setCheckpoint(toWire(run.checkpoint_));
+    }
+    auto refused = builder.initRefused(static_cast<unsigned>(report.refused_.size()));
+    for (unsigned index = 0; index < refused.size(); ++index) {
+        encode(report.refused_[index].run_, refused[index].initRun());
+        refused[index].setReason(static_cast<uint8_t>(report.refused_[index].reason_));
+    }
+}
+
+static void encode(const WorkerReport& report, wire::Worker::Builder builder)
+{
+    encode(report.life_, builder.initLife());
+    builder.setService(toWire(report.traits_.service_));
+    builder.setDomain(toWire(report.traits_.domain_));
+    auto labels = builder.initLabels(static_cast<unsigned>(report.traits_.labels_.size()));
+    for (unsigned index = 0; index < labels.size(); ++index)
+        labels.set(index, toWire(report.traits_.labels_[index]));
+    builder.setMilliCores(report.traits_.capacity_.milliCores());
+    builder.setMemoryBytes(report.traits_.capacity_.memoryBytes());
+    builder.setAccelerators(report.traits_.capacity_.accelerators());
+    builder.setDraining(report.draining_);
+    builder.setRemainingMs(report.remainingMs_);
+    builder.setListed(report.listed_);
+    encodeLists(report, builder);
+}
+
+static absl::Status decodeLists(wire::Worker::Reader reader, WorkerReport& report)
+{
+    for (auto active : reader.getActive()) {
+        auto run = decode(active.getRun());
+        if (!run.ok())
+            return run.status();
+        report.active_.push_back({ *std::move(run), fromWire(active.getCheckpoint()), active.getPercent(), active.getLoad(), active.getPace() });
+    }
+    for (auto ended : reader.getEnded()) {
+        auto run = decode(ended.getRun());
+        if (!run.ok())
+            return run.status();
+        if (ended.getEnd() > static_cast<uint8_t>(RunEnd::Alone))
+            return absl::InvalidArgumentError("unknown kind of end");
+        report.ended_.push_back({ ended.getNumber(), *std::move(run), static_cast<RunEnd>(ended.getEnd()), fromWire(ended.getCheckpoint()) });
+    }
+    for (auto refused : reader.getRefused()) {
+        auto run = decode(refused.getRun());
+        if (!run.ok())
+            return run.status();
+        if (refused.getReason() > static_cast<uint8_t>(StartRefusal::Malformed))
+            return absl::InvalidArgumentError("unknown reason of a refusal");
+        report.refused_.push_back({ *std::move(run), static_cast<StartRefusal>(refused.getReason()) });
+    }
+    return absl::OkStatus();
+}
+
+static absl::StatusOr<WorkerReport> decode(wire::Worker::Reader reader)
+{
+    WorkerReport report;
+    report.life_ = decode(reader.getLife());
+    report.traits_.service_ = fromWire(reader.getService());
+    report.traits_.domain_ = fromWire(reader.getDomain());
+    for (auto label : reader.getLabels())
+        report.traits_.labels_.push_back(fromWire(label));
+    auto capacity = Resources::create(reader.getMilliCores(), reader.getMemoryBytes(), reader.getAccelerators());
+    if (!capacity.ok())
+        return capacity.status();
+    report.traits_.capacity_ = *capacity;
+    report.draining_ = reader.getDraining();
+    report.remainingMs_ = reader.getRemainingMs();
+    report.listed_ = reader.getListed();
+    if (absl::Status status = decodeLists(reader, report); !status.ok())
+        return status;
+    return report;
+}
+
+void encode(const AgentReport& report, wire::Report::Builder builder)
+{
+    builder.setAgent(toWire(report.agent_));
+    builder.setDomain(toWire(report.domain_));
+    builder.setSession(report.session_);
+    builder.setEpoch(report.epoch_.value());
+    builder.setFence(report.fence_.value());
+    builder.setSequence(report.sequence_.value());
+    builder.setSettled(report.settled_.value());
+    builder.setMayRelay(report.mayRelay_);
+    auto workers = builder.initWorkers(static_cast<unsigned>(report.workers_.size()));
+    for (unsigned index = 0; index < workers.size(); ++index)
+        encode(report.workers_[index], workers[index]);
+    auto gone = builder.initGone(static_cast<unsigned>(report.gone_.size()));
+    for (unsigned index = 0; index < gone.size(); ++index)
+        encode(report.gone_[index], gone[index]);
+}
+
+absl::StatusOr<AgentReport> decode(wire::Report::Reader reader)
+{
+    AgentReport report { fromWire(reader.getAgent()), fromWire(reader.getDomain()), reader.getSession(), LeaderEpoch(reader.getEpoch()), Fence(reader.getFence()),
+        Sequence(reader.getSequence()), OrderNumber(reader.getSettled()), {}, {}, reader.getMayRelay() };
+    for (auto worker : reader.getWorkers()) {
+        auto decoded = decode(worker);
+        if (!decoded.ok())
+            return decoded.status();
+        report.workers_.push_back(*std::move(decoded));
+    }
+    for (auto life : reader.getGone())
+        report.gone_.push_back(decode(life));
+    return report;
+}
+
+namespace {
+
+    struct OrderEncoder {
+        wire::Order::Builder builder_;
+
+        void operator()(const StartRun& order)
+        {
+            auto start = builder_.initStart();
+            start.setPayload(toWire(order.payload_));
+            start.setCheckpoint(toWire(order.checkpoint_));
+            start.setTicket(toWire(order.ticket_));
+            encodeCommon(order);
+        }
+        void operator()(const StopRun& order)
+        {
+            builder_.setStop();
+            encodeCommon(order);
+        }
+
+    private:
+        template <typename Kind>
+        void encodeCommon(const Kind& order)
+        {
+            builder_.setNumber(order.number_.value());
+            encode(order.worker_, builder_.initWorker());
+            encode(order.run_, builder_.initRun());
+        }
+    };
+
+} // namespace
+
+static absl::StatusOr<Order> decode(wire::Order::Reader reader)
+{
+    auto run = decode(reader.getRun());
+    if (!run.ok())
+        return run.status();
+    OrderNumber number(reader.getNumber());
+    WorkerLife worker = decode(reader.getWorker());
+    if (reader.isStop())
+        return StopRun { number, std::move(worker), *std::move(run) };
+    if (!reader.isStart())
+        return absl::InvalidArgumentError("unknown kind of order");
+    auto start = reader.getStart();
+    return StartRun { number, std::move(worker), *std::move(run), fromWire(start.getPayload()), fromWire(start.getCheckpoint()), fromWire(start.getTicket()) };
+}
+
+void encode(const Directive& directive, wire::Directive::Builder builder)
+{
+    builder.setEpoch(directive.epoch_.value());
+    builder.setFence(directive.fence_.value());
+    builder.setAnswered(directive.answered_.value());
+    builder.setLease(directive.lease_.count());
+    auto orders = builder.initOrders(static_cast<unsigned>(directive.orders_.size()));
+    for (unsigned index = 0; index < orders.size(); ++index)
+        std::visit(OrderEncoder { orders[index] }, directive.orders_[index]);
+    auto durable = builder.initDurable(static_cast<unsigned>(directive.durable_.size()));
+    for (unsigned index = 0; index < durable.size(); ++index) {
+        encode(directive.durable_[index].worker_, durable[index].initWorker());
+        durable[index].setNumber(directive.durable_[index].number_);
+    }
+    auto traits = builder.initTraits(static_cast<unsigned>(directive.traits_.size()));
+    for (unsigned index = 0; index < traits.size(); ++index) {
+        encode(directive.traits_[index].run_, traits[index].initRun());
+        traits[index].setFills(directive.traits_[index].fills_);
+        traits[index].setTargetTailMs(directive.traits_[index].targetTailMs_);
+    }
+}
+
+absl::StatusOr<Directive> decode(wire::Directive::Reader reader)
+{
+    Directive directive { LeaderEpoch(reader.getEpoch()), Fence(reader.getFence()), Sequence(reader.getAnswered()), Duration(reader.getLease()), {}, {}, {} };
+    for (auto order : reader.getOrders()) {
+        auto decoded = decode(order);
+        if (!decoded.ok())
+            return decoded.status();
+        directive.orders_.push_back(*std::move(decoded));
+    }
+    for (auto durable : reader.getDurable())
+        directive.durable_.push_back({ decode(durable.getWorker()), durable.getNumber() });
+    for (auto traits : reader.getTraits()) {
+        auto run = decode(traits.getRun());
+        if (!run.ok())
+            return run.status();
+        directive.traits_.push_back({ *std::move(run), traits.getFills(), traits.getTargetTailMs() });
+    }
+    return directive;
+}
+
+namespace {
+
+    struct VerbEncoder {
+        wire::ClientCall::Builder builder_;
+
+        void operator()(const Submit& submit)
+        {
+            std::string spec = encodeSpec(submit.spec_);
+            builder_.setSubmit(capnp::Data::Reader(reinterpret_cast<const kj::byte*>(spec.data()), spec.size()));
+        }
+        void operator()(const Look&) { builder_.setLook(); }
+        void operator()(const Cancel&) { builder_.setCancel(); }
+    };
+
+    struct AnswerEncoder {
+        wire::ClientAnswer::Builder builder_;
+
+        void operator()(const Accepted&) { builder_.setAccepted(); }
+        void operator()(const NotAccepted& answer)
+        {
+            auto group = builder_.initNotAccepted();
+            group.setReason(toWire(answer.reason_));
+            group.setRetryAfter(answer.retryAfter_.count());
+        }
+        void operator()(const Malformed& answer) { builder_.setMalformed(toWire(answer.reason_)); }
+        void operator()(const NoSuchQueue&) { builder_.setNoSuchQueue(); }
+        void operator()(const NoSuchJob&) { builder_.setNoSuchJob(); }
+        void operator()(const JobStatus& answer) { builder_.setStatus(static_cast<uint8_t>(answer.phase_)); }
+        void operator()(const WaitingCount& answer) { builder_.setWaiting(answer.jobs_); }
+        void operator()(const CancelAccepted&) { builder_.setCancelAccepted(); }
+        void operator()(const OutcomeUnknown& answer) { builder_.setOutcomeUnknown(toWire(answer.reason_)); }
+        void operator()(const NotOwner& answer) { builder_.setNotOwner(toWire(answer.reason_)); }
+    };
+
+} // namespace
+
+void encode(const ClientCall& call, wire::ClientCall::Builder builder)
+{
+    builder.setHost(toWire(call.host_));
+    builder.setPath(toWire(call.path_));
+    builder.setTimeLeft(call.timeLeft_.count());
+    builder.setMayRelay(call.mayRelay_);
+    std::visit(VerbEncoder { builder }, call.verb_);
+}
+
+absl::StatusOr<ClientCall> decode(wire::ClientCall::Reader reader)
+{
+    ClientCall call { fromWire(reader.getHost()), fromWire(reader.getPath()), Look {}, Duration(reader.getTimeLeft()), reader.getMayRelay() };
+    if (reader.isSubmit()) {
+        auto bytes = reader.getSubmit();
+        auto spec = decodeSpec({ reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
+        if (!spec.ok())
+            return spec.status();
+        call.verb_ = Submit { *std::move(spec) };
+    } else if (reader.isCancel()) {
+        call.verb_ = Cancel {};
+    }
+    return call;
+}
+
+void encode(const ClientAnswer& answer, wire::ClientAnswer::Builder builder)
+{
+    std::visit(AnswerEncoder { builder }, answer);
+}
+
+absl::StatusOr<ClientAnswer> decode(wire::ClientAnswer::Reader reader)
+{
+    switch (reader.which()) {
+    case wire::ClientAnswer::ACCEPTED:
+        return Accepted {};
+    case wire::ClientAnswer::NOT_ACCEPTED:
+        return NotAccepted { fromWire(reader.getNotAccepted().getReason()), Duration(reader.getNotAccepted().getRetryAfter()) };
+    case wire::ClientAnswer::MALFORMED:
+        return Malformed { fromWire(reader.getMalformed()) };
+    case wire::ClientAnswer::NO_SUCH_QUEUE:
+        return NoSuchQueue {};
+    case wire::ClientAnswer::NO_SUCH_JOB:
+        return NoSuchJob {};
+    case wire::ClientAnswer::STATUS:
+        if (reader.getStatus() > static_cast<uint8_t>(JobPhase::Cancelled))
+            return absl::InvalidArgumentError("unknown phase of a job");
+        return JobStatus { static_cast<JobPhase>(reader.getStatus()) };
+    case wire::ClientAnswer::WAITING:
+        return WaitingCount { reader.getWaiting() };
+    case wire::ClientAnswer::CANCEL_ACCEPTED:
+        return CancelAccepted {};
+    case wire::ClientAnswer::OUTCOME_UNKNOWN:
+        return OutcomeUnknown { fromWire(reader.getOutcomeUnknown()) };
+    case wire::ClientAnswer::NOT_OWNER:
+        return NotOwner { fromWire(reader.getNotOwner()) };
+    }
+    return absl::InvalidArgumentError("unknown kind of answer");
+}
+
+void encode(const LeaderView& leader, wire::Leader::Builder builder)
+{
+    builder.setEpoch(leader.epoch_.value());
+    builder.setAddress(toWire(leader.address_ ? leader.address_->text() : ""));
+    builder.setIsSelf(leader.isSelf_);
+    builder.setWriteAge(leader.writeAge_.count());
+    builder.setContactAge(leader.contactAge_.count());
+}
+
+absl::StatusOr<LeaderView> decode(wire::Leader::Reader reader)
+{
+    LeaderView leader { LeaderEpoch(reader.getEpoch()), std::nullopt, reader.getIsSelf(), Duration(reader.getWriteAge()), Duration(reader.getContactAge()) };
+    std::string text = fromWire(reader.getAddress());
+    if (text.empty())
+        return leader;
+    auto address = Address::parse(text);
+    if (!address.ok())
+        return address.status();
+    leader.address_ = *std::move(address);
+    return leader;
+}
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/src/ExchangeCodec.h
@@ -0,0 +1,26 @@
+// Between the messages of the scheduler and their Cap'n Proto form. Decoders return InvalidArgument for names that
+// are not valid and for unknown alternatives.
+#pragma once
+
+#include "Workflow.capnp.h"
+#include "persimmondoor/workflow/Record.h"
+#include "persimmondoor/workflow/Remote.h"
+
+namespace persimmondoor::workflow {
+
+void encode(const AgentReport&, wire::Report::Builder);
+absl::StatusOr<AgentReport> decode(wire::Report::Reader);
+
+void encode(const Directive&, wire::Directive::Builder);
+absl::StatusOr<Directive> decode(wire::Directive::Reader);
+
+void encode(const ClientCall&, wire::ClientCall::Builder);
+absl::StatusOr<ClientCall> decode(wire::ClientCall::Reader);
+
+void encode(const ClientAnswer&, wire::ClientAnswer::Builder);
+absl::StatusOr<ClientAnswer> decode(wire::ClientAnswer::Reader);
+
+void encode(const LeaderView&, wire::Leader::Builder);
+absl::StatusOr<LeaderView> decode(wire::Leader::Reader);
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/src/RecordCodec.cpp
@@ -0,0 +1,192 @@
+#include "persimmondoor/workflow/Record.h"
+
+#include "persimmondoor/core/Text.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <map>
+
+namespace persimmondoor::workflow {
+
+namespace json = boost::json;
+
+static json::object encodeStep(const Step& step)
+{
+    json::object object { { "count", step.count_ }, { "cores", step.demand_.milliCores() }, { "memory", step.demand_.memoryBytes() }, { "accelerators", step.demand_.accelerators() },
+        { "estimate", step.estimate_.count() }, { "gang", step.gang_ }, { "saves", step.savesProgress_ }, { "one_rack", step.rackSensitive_ }, { "copies", step.speculative_ },
+        { "long", step.longRunning_ }, { "fills", step.fills_ }, { "label", step.requiredLabel_ }, { "rack", step.dataRack_ }, { "per_worker", step.maxPerWorker_ },
+        { "may_miss", step.mayMiss_ }, { "target", step.targetTailMs_ }, { "image", step.image_ } };
+    json::array after;
+    for (uint32_t earlier : step.after_)
+        after.emplace_back(earlier);
+    object["after"] = std::move(after);
+    return object;
+}
+
+static json::object encodeSpecObject(const JobSpec& spec)
+{
+    json::array steps;
+    for (const Step& step : spec.steps())
+        steps.emplace_back(encodeStep(step));
+    return { { "payload", spec.payload() }, { "steps", std::move(steps) }, { "occurrences", spec.schedule().occurrences_ }, { "first_due", spec.schedule().firstDueMs_ }, { "period", spec.schedule().periodMs_ } };
+}
+
+static std::string textOf(const json::object& object, std::string_view name)
+{
+    return std::string(object.at(name).as_string());
+}
+
+static uint32_t countOf(const json::object& object, std::string_view name)
+{
+    return object.at(name).to_number<uint32_t>();
+}
+
+static Step decodeStep(const json::object& object)
+{
+    Step step;
+    step.count_ = countOf(object, "count");
+    auto demand = Resources::create(object.at("cores").to_number<int64_t>(), object.at("memory").to_number<int64_t>(), object.at("accelerators").to_number<int64_t>());
+    if (!demand.ok())
+        throw std::invalid_argument(std::string(demand.status().message()));
+    step.demand_ = *demand;
+    step.estimate_ = Duration(object.at("estimate").to_number<int64_t>());
+    step.gang_ = object.at("gang").as_bool();
+    step.savesProgress_ = object.at("saves").as_bool();
+    step.rackSensitive_ = object.at("one_rack").as_bool();
+    step.speculative_ = object.at("copies").as_bool();
+    step.longRunning_ = object.at("long").as_bool();
+    step.fills_ = object.at("fills").as_bool();
+    step.requiredLabel_ = textOf(object, "label");
+    step.dataRack_ = textOf(object, "rack");
+    step.maxPerWorker_ = countOf(object, "per_worker");
+    step.mayMiss_ = countOf(object, "may_miss");
+    step.targetTailMs_ = countOf(object, "target");
+    step.image_ = textOf(object, "image");
+    for (const json::value& earlier : object.at("after").as_array())
+        step.after_.push_back(earlier.to_number<uint32_t>());
+    return step;
+}
+
+static absl::StatusOr<JobSpec> decodeSpecObject(const json::object& object)
+{
+    std::vector<Step> steps;
+    for (const json::value& step : object.at("steps").as_array())
+        steps.push_back(decodeStep(step.as_object()));
+    Schedule schedule { countOf(object, "occurrences"), object.at("first_due").to_number<int64_t>(), object.at("period").to_number<int64_t>() };
+    return JobSpec::create(textOf(object, "payload"), std::move(steps), schedule);
+}
+
+// Runs `decode` on the object in `text`; Boost.JSON reports missing and mistyped fields by exceptions.
+template <typename Decode>
+static auto decodeObject(std::string_view text, Decode decode) -> decltype(decode(json::object()))
+{
+    std::string error;
+    try {
+        return decode(json::parse(text).as_object());
+    } catch (const std::exception& failure) {
+        error = failure.what();
+    }
+    return absl::InvalidArgumentError(concat("unreadable row: ", error));
+}
+
+std::string encodeSpec(const JobSpec& spec)
+{
+    return json::serialize(encodeSpecObject(spec));
+}
+
+absl::StatusOr<JobSpec> decodeSpec(std::string_view text)
+{
+    return decodeObject(text, decodeSpecObject);
+}
+
+std::string encodeRecord(const JobRecord& record)
+{
+    const Queue& queue = record.queue_;
+    json::object object { { "id", record.id_.value() }, { "queue", queue.name_ }, { "host", queue.host_ }, { "prefix", queue.pathPrefix_ }, { "service", queue.service_ },
+        { "priority", queue.priority_ }, { "attempts", queue.maxAttempts_ }, { "stretch", queue.stretch_ }, { "target", queue.targetLatency_.count() },
+        { "timeout", queue.timeout_.count() }, { "accepted", record.acceptedMs_ }, { "spec", encodeSpecObject(record.spec_) } };
+    return json::serialize(object);
+}
+
+static absl::StatusOr<JobRecord> decodeRecordObject(const json::object& object)
+{
+    JobRecord record;
+    auto id = JobId::create(textOf(object, "id"));
+    if (!id.ok())
+        return id.status();
+    record.id_ = *std::move(id);
+    record.queue_ = { textOf(object, "queue"), textOf(object, "host"), textOf(object, "prefix"), textOf(object, "service"), countOf(object, "priority"), countOf(object, "attempts"),
+        object.at("stretch").to_number<double>(), Duration(object.at("target").to_number<int64_t>()), Duration(object.at("timeout").to_number<int64_t>()) };
+    record.acceptedMs_ = object.at("accepted").to_number<int64_t>();
+    auto spec = decodeSpecObject(object.at("spec").as_object());
+    if (!spec.ok())
+        return spec.status();
+    record.spec_ = *std::move(spec);
+    return record;
+}
+
+absl::StatusOr<JobRecord> decodeRecord(std::string_view text)
+{
+    return decodeObject(text, decodeRecordObject);
+}
+
+// A task is [phase, run, failures, number of the worker, checkpoint]; what is empty at the end is left out. Workers
+// stand in a list of their own, as most tasks of a job share few of them.
+std::string encodeProgress(const Progress& progress)
+{
+    json::array workers;
+    json::array tasks;
+    std::map<WorkerLife, int64_t> numbers;
+    for (const TaskProgress& task : progress.tasks_) {
+        json::array fields { static_cast<int>(task.phase_), task.run_, task.failures_ };
+        bool hasWorker = task.phase_ == TaskPhase::Assigned;
+        if (hasWorker || !task.checkpoint_.empty()) {
+            auto [number, isNew] = numbers.try_emplace(task.worker_, static_cast<int64_t>(numbers.size()));
+            if (isNew)
+                workers.emplace_back(json::array { task.worker_.name_, task.worker_.bornMs_ });
+            fields.emplace_back(number->second);
+        }
+        if (!task.checkpoint_.empty())
+            fields.emplace_back(task.checkpoint_);
+        tasks.emplace_back(std::move(fields));
+    }
+    return json::serialize(json::object { { "cancelled", progress.cancelled_ }, { "failed", progress.failed_ }, { "started", progress.started_ }, { "workers", std::move(workers) }, { "tasks", std::move(tasks) } });
+}
+
+static TaskProgress decodeTask(const json::array& fields, const std::vector<WorkerLife>& workers)
+{
+    TaskProgress task;
+    auto phase = fields.at(0).to_number<uint8_t>();
+    if (phase > static_cast<uint8_t>(TaskPhase::Done))
+        throw std::invalid_argument("unknown phase of a task");
+    task.phase_ = static_cast<TaskPhase>(phase);
+    task.run_ = fields.at(1).to_number<uint32_t>();
+    task.failures_ = fields.at(2).to_number<uint32_t>();
+    if (fields.size() > 3)
+        task.worker_ = workers.at(fields.at(3).to_number<size_t>());
+    if (fields.size() > 4)
+        task.checkpoint_ = std::string(fields.at(4).as_string());
+    return task;
+}
+
+static absl::StatusOr<Progress> decodeProgressObject(const json::object& object)
+{
+    Progress progress;
+    progress.cancelled_ = object.at("cancelled").as_bool();
+    progress.failed_ = object.at("failed").as_bool();
+    progress.started_ = object.at("started").as_bool();
+    std::vector<WorkerLife> workers;
+    for (const json::value& worker : object.at("workers").as_array())
+        workers.push_back({ std::string(worker.as_array().at(0).as_string()), worker.as_array().at(1).to_number<int64_t>() });
+    for (const json::value& task : object.at("tasks").as_array())
+        progress.tasks_.push_back(decodeTask(task.as_array(), workers));
+    return progress;
+}
+
+absl::StatusOr<Progress> decodeProgress(std::string_view text)
+{
+    return decodeObject(text, decodeProgressObject);
+}
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/src/decisions/Catalog.cpp
@@ -0,0 +1,25 @@
+#include "persimmondoor/workflow/Catalog.h"
+
+namespace persimmondoor::workflow {
+
+const Queue* Catalog::find(std::string_view host, std::string_view path) const
+{
+    const Queue* best = nullptr;
+    for (const Queue& queue : queues_) {
+        bool matches = queue.host_ == host && path.substr(0, queue.pathPrefix_.size()) == queue.pathPrefix_;
+        if (matches && (!best || queue.pathPrefix_.size() > best->pathPrefix_.size()))
+            best = &queue;
+    }
+    return best;
+}
+
+const Queue* Catalog::findExact(std::string_view host, std::string_view prefix) const
+{
+    for (const Queue& queue : queues_) {
+        if (queue.host_ == host && queue.pathPrefix_ == prefix)
+            return &queue;
+    }
+    return nullptr;
+}
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/src/decisions/Messages.cpp
@@ -0,0 +1,72 @@
+#include "persimmondoor/core/Text.h"
+#include "persimmondoor/workflow/Client.h"
+#include "persimmondoor/workflow/WorkerCalls.h"
+
+namespace persimmondoor::workflow {
+
+OrderNumber numberOf(const Order& order)
+{
+    return std::visit([](const auto& alternative) { return alternative.number_; }, order);
+}
+
+std::string_view describe(JobPhase phase)
+{
+    switch (phase) {
+    case JobPhase::Pending:
+        return "pending";
+    case JobPhase::Running:
+        return "running";
+    case JobPhase::Completed:
+        return "completed";
+    case JobPhase::Failed:
+        return "failed";
+    case JobPhase::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+std::string_view describe(StartRefusal refusal)
+{
+    switch (refusal) {
+    case StartRefusal::Fenced:
+        return "a higher fence has been seen";
+    case StartRefusal::Outdated:
+        return "a run as new has ended or was stopped there";
+    case StartRefusal::Late:
+        return "the order came after its lease";
+    case StartRefusal::NoRoom:
+        return "no room";
+    case StartRefusal::NoTicket:
+        return "no valid ticket";
+    case StartRefusal::Unavailable:
+        return "the worker is unavailable";
+    case StartRefusal::Malformed:
+        return "the worker could not read the order";
+    }
+    return "unknown";
+}
+
+namespace {
+
+    struct AnswerText {
+        std::string operator()(const Accepted&) const { return "accepted"; }
+        std::string operator()(const NotAccepted& answer) const { return concat("not accepted: ", answer.reason_); }
+        std::string operator()(const Malformed& answer) const { return concat("malformed: ", answer.reason_); }
+        std::string operator()(const NoSuchQueue&) const { return "no such queue"; }
+        std::string operator()(const NoSuchJob&) const { return "no such job"; }
+        std::string operator()(const JobStatus& answer) const { return std::string(describe(answer.phase_)); }
+        std::string operator()(const WaitingCount& answer) const { return concat(answer.jobs_, " waiting"); }
+        std::string operator()(const CancelAccepted&) const { return "cancellation stored"; }
+        std::string operator()(const OutcomeUnknown& answer) const { return concat("unknown: ", answer.reason_); }
+        std::string operator()(const NotOwner& answer) const { return concat("not the owner: ", answer.reason_); }
+    };
+
+} // namespace
+
+std::string describe(const ClientAnswer& answer)
+{
+    return std::visit(AnswerText(), answer);
+}
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/src/decisions/Placement.cpp
@@ -0,0 +1,100 @@
+#include "OwnerRules.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace persimmondoor::workflow {
+
+// Weights of the score of a worker, in percent of its free capacity.
+// Data on another rack makes a task take half as long again or more.
+static constexpr int64_t dataRackWeight = 200;
+// A worker on which this task failed or hung is taken only if no other has room.
+static constexpr int64_t avoidedWeight = 1000;
+static constexpr int64_t failureWeight = 100;
+// Long-running tasks of one step are spread, so that one worker's end takes few of them.
+static constexpr int64_t siblingWeight = 60;
+// Filling work slows the long-running tasks beside it.
+static constexpr int64_t longRunningWeight = 120;
+
+bool takesRuns(const OwnerState& state, const Worker& worker, Instant now)
+{
+    if (!worker.listed_ || worker.draining_ || now < worker.quarantinedUntil_ || state.evacuated_.count(worker.traits_.domain_) > 0)
+        return false;
+    auto agent = state.agents_.find(worker.agent_);
+    return agent != state.agents_.end() && now - agent->second.heard_ < state.tuning_.silenceBeforeNoStarts_;
+}
+
+static bool hasLabel(const Worker& worker, const std::string& label)
+{
+    return std::find(worker.traits_.labels_.begin(), worker.traits_.labels_.end(), label) != worker.traits_.labels_.end();
+}
+
+// Tasks of the same step and occurrence on the worker.
+static int64_t countSiblings(const Worker& worker, const TaskKey& key)
+{
+    auto first = worker.assigned_.lower_bound({ key.job_, key.occurrence_, key.step_, 0 });
+    auto last = worker.assigned_.lower_bound({ key.job_, key.occurrence_, key.step_ + 1, 0 });
+    return std::distance(first, last);
+}
+
+// Free processors in thousandths; cores of filling tasks are not counted against the capacity.
+static int64_t freeMilliCores(const Worker& worker)
+{
+    return worker.traits_.capacity_.milliCores() - worker.used_.milliCores() + worker.fillingMilliCores_;
+}
+
+static bool fits(const Worker& worker, const Step& step)
+{
+    const Resources& capacity = worker.traits_.capacity_;
+    bool cores = step.fills_ || step.demand_.milliCores() <= freeMilliCores(worker);
+    return cores && worker.used_.memoryBytes() + step.demand_.memoryBytes() <= capacity.memoryBytes()
+        && worker.used_.accelerators() + step.demand_.accelerators() <= capacity.accelerators();
+}
+
+static bool isEligible(const OwnerState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+{
+    const Step& step = stepOf(job, key);
+    if (worker.traits_.service_ != queueOf(state, job).service_ || now < worker.fullUntil_ || !takesRuns(state, worker, now))
+        return false;
+    if (!step.requiredLabel_.empty() && !hasLabel(worker, step.requiredLabel_))
+        return false;
+    if (step.maxPerWorker_ > 0 && countSiblings(worker, key) >= step.maxPerWorker_)
+        return false;
+    return fits(worker, step);
+}
+
+static int64_t scoreOf(const Job& job, const TaskKey& key, const WorkerLife& life, const Worker& worker)
+{
+    const Step& step = stepOf(job, key);
+    int64_t capacity = std::max<int64_t>(worker.traits_.capacity_.milliCores(), 1);
+    int64_t left = freeMilliCores(worker) - worker.fillingMilliCores_ - step.demand_.milliCores();
+    int64_t score = 100 * left / capacity;
+    if (!step.dataRack_.empty() && hasLabel(worker, step.dataRack_))
+        score += dataRackWeight;
+    if (life.name_ == job.tasks_[taskNumber(job, key)].avoided_)
+        score -= avoidedWeight;
+    score -= failureWeight * worker.failureStreak_;
+    if (step.longRunning_)
+        score -= siblingWeight * countSiblings(worker, key);
+    if (step.fills_)
+        score -= longRunningWeight * worker.longRunning_;
+    return score;
+}
+
+std::optional<WorkerLife> chooseWorker(const OwnerState& state, const Job& job, const TaskKey& key, Instant now)
+{
+    std::optional<WorkerLife> best;
+    int64_t bestScore = 0;
+    for (const auto& [life, worker] : state.workers_) {
+        if (!isEligible(state, job, key, worker, now))
+            continue;
+        int64_t score = scoreOf(job, key, life, worker);
+        if (!best || score > bestScore) {
+            best = life;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace persimmondoor::workflow
