Pace and place filling work by what each image does to its neighbours

Cause: filling tasks of some images raise the tails of long-running tasks beside them tenfold; all were paced down. Change: images are learnt as harmless or harmful from readings; harmful ones stay away from long-running tasks, suspects are paced first. Long-running tasks share workers. Filling tasks wait instead of slowing each other. Jobs are served by deadline, those that cannot be on time last.

--- a/http/include/persimmondoor/http/Pool.h
+++ b/http/include/persimmondoor/http/Pool.h
@@ -20,7 +20,7 @@
 /// close them. A connection that failed or timed out is closed.
 class Pool {
 public:
-    static constexpr size_t idleConnectionLimit = 8;
+    static constexpr size_t idleConnectionLimit = 24;
 
     static Pool create(const boost::asio::any_io_executor&, const Address&);
 
--- a/supervision/include/persimmondoor/supervision/Pacing.h
+++ b/supervision/include/persimmondoor/supervision/Pacing.h
@@ -1,30 +1,30 @@
 /// How fast filling tasks may work beside long-running tasks with a bound on their tail latency: additive increase,
 /// multiplicative decrease (Chiu, Jain: "Analysis of the increase and decrease algorithms for congestion avoidance",
-/// 1989) on the worst ratio of tail to target, once for each reading.
+/// 1989) on the worst ratio of tail to target, once for each reading. Images that are known to be harmless are slowed
+/// down only once the others stand still.
 ///
 /// \code
-/// uint32_t pace = nextPace(80, { { 5, 4 } });
+/// Paces paces = nextPaces({ 80, 100 }, 140, true);
 /// \endcode
 #pragma once
 
 #include <compare>
 #include <cstdint>
-#include <vector>
 
 namespace persimmondoor::supervision {
 
-/// Tail latency of one long-running task and its target, in milliseconds.
-struct TailReading {
-    uint32_t tailMs_ { 0 };
-    uint32_t targetMs_ { 0 };
-    auto operator<=>(const TailReading&) const = default;
+/// Shares of their speed that filling tasks on a worker are given, in percent.
+struct Paces {
+    /// For images that are not known to be harmless.
+    uint32_t suspect_ { 100 };
+    uint32_t harmless_ { 100 };
+    auto operator<=>(const Paces&) const = default;
 };
 
-/// Pace of filling tasks on a worker with no reading yet that has a target to keep, in percent.
-inline constexpr uint32_t firstPace = 60;
-
-/// \param pace of the filling tasks while the readings were taken, 0 to 100.
-/// \return the pace for the next period, 0 to 100; 100 if there is no target to keep.
-uint32_t nextPace(uint32_t pace, const std::vector<TailReading>& readings);
+/// \param paces while the tails were read.
+/// \param tailPercent worst tail latency on the worker, in percent of its target; 0 if there is no target to keep.
+/// \param hasSuspects a task with a suspect image is on the worker.
+/// \return the paces for the next period.
+Paces nextPaces(Paces paces, uint64_t tailPercent, bool hasSuspects);
 
 } // namespace persimmondoor::supervision
--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -6,6 +6,8 @@
 /// \endcode
 #pragma once
 
+#include "persimmondoor/supervision/Pacing.h"
+#include "persimmondoor/workflow/Interference.h"
 #include "persimmondoor/workflow/WorkerCalls.h"
 
 #include <map>
@@ -65,7 +67,7 @@
     uint64_t durableEnd_ { 0 };
     Instant paceAgainAt_;
     /// Pace of the filling tasks, and what each was told last.
-    uint32_t fillingPace_ { 100 };
+    Paces fillingPaces_;
     std::map<workflow::RunKey, uint32_t> paces_;
     bool operator==(const LocalWorker&) const = default;
 };
@@ -91,6 +93,7 @@
     std::map<workflow::WorkerLife, LocalWorker> workers_;
     std::map<workflow::WorkerLife, Instant> gone_;
     std::map<workflow::RunKey, workflow::RunTraits> traits_;
+    workflow::Interference interference_;
     uint32_t reports_ { 0 };
     /// Something has changed since the last report.
     bool hasNews_ { true };
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -1,7 +1,6 @@
 #include "persimmondoor/supervision/Supervisor.h"
 
 #include "persimmondoor/core/Text.h"
-#include "persimmondoor/supervision/Pacing.h"
 
 #include <algorithm>
 
@@ -212,29 +211,56 @@
     askForList(turn, beat.life_, worker);
 }
 
-// The readings of long-running tasks decide how fast those that fill may work.
-static void paceFillingRuns(const Turn& turn, const WorkerLife& life, LocalWorker& worker)
+namespace {
+
+    // What a worker's list shows of the tasks that fill and of those that they may disturb.
+    struct Reading {
+        std::vector<workflow::FillingTask> filling_;
+        uint64_t tailPercent_ { 0 };
+        bool hasSuspects_ { false };
+    };
+
+} // namespace
+
+static Reading readLoad(const SupervisorState& state, const LocalWorker& worker)
 {
-    std::vector<TailReading> readings;
+    Reading reading;
     for (const auto& [run, active] : worker.active_) {
-        auto traits = turn.state_.traits_.find(run);
-        if (traits != turn.state_.traits_.end() && traits->second.targetTailMs_ > 0)
-            readings.push_back({ active.load_, traits->second.targetTailMs_ });
+        auto traits = state.traits_.find(run);
+        if (traits == state.traits_.end())
+            continue;
+        if (traits->second.targetTailMs_ > 0)
+            reading.tailPercent_ = std::max({ reading.tailPercent_, uint64_t(1), uint64_t(active.load_) * 100 / traits->second.targetTailMs_ });
+        if (!traits->second.fills_)
+            continue;
+        reading.filling_.push_back({ traits->second.image_, active.pace_ });
+        reading.hasSuspects_ = reading.hasSuspects_ || workflow::harmOf(state.interference_, traits->second.image_) != workflow::Harm::Harmless;
     }
+    return reading;
+}
+
+// The tails of long-running tasks decide how fast those that fill may work.
+static void paceFillingRuns(const Turn& turn, const WorkerLife& life, LocalWorker& worker)
+{
+    Reading reading = readLoad(turn.state_, worker);
     if (turn.now_ >= worker.paceAgainAt_) {
         worker.paceAgainAt_ = turn.now_ + turn.state_.tuning_.paceInterval_;
-        worker.fillingPace_ = nextPace(worker.fillingPace_, readings);
+        if (reading.tailPercent_ > 0)
+            turn.state_.interference_ = workflow::observe(std::move(turn.state_.interference_), reading.filling_, reading.tailPercent_);
+        worker.fillingPaces_ = nextPaces(worker.fillingPaces_, reading.tailPercent_, reading.hasSuspects_);
     }
     for (const auto& [run, active] : worker.active_) {
         auto traits = turn.state_.traits_.find(run);
         if (traits == turn.state_.traits_.end() || !traits->second.fills_)
             continue;
+        bool harmless = workflow::harmOf(turn.state_.interference_, traits->second.image_) == workflow::Harm::Harmless;
+        uint32_t pace = harmless ? worker.fillingPaces_.harmless_ : worker.fillingPaces_.suspect_;
         auto [told, isNew] = worker.paces_.try_emplace(run, 100);
-        if (told->second == worker.fillingPace_)
+        if (told->second == pace)
             continue;
-        turn.remark("run.paced", workflow::describe(run), concat(told->second, " to ", worker.fillingPace_, " percent, ", readings.size(), " tasks with a target"));
-        told->second = worker.fillingPace_;
-        turn.act(CallPace { life, run, turn.state_.fence_, worker.fillingPace_ });
+        turn.remark("run.paced", workflow::describe(run), concat(told->second, " to ", pace, " percent, tails at ", reading.tailPercent_, " percent of their target, image ", traits->second.image_));
+        told->second = pace;
+        turn.act(CallPace { life, run, turn.state_.fence_, pace });
     }
     std::erase_if(worker.paces_, [&](const auto& entry) { return worker.active_.count(entry.first) == 0; });
 }
--- a/workflow/include/persimmondoor/workflow/Exchange.h
+++ b/workflow/include/persimmondoor/workflow/Exchange.h
@@ -117,6 +117,7 @@
     bool fills_ { false };
     /// 0 if the task has no target.
     uint32_t targetTailMs_ { 0 };
+    std::string image_;
     auto operator<=>(const RunTraits&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -16,13 +16,13 @@
 #include "persimmondoor/workflow/Catalog.h"
 #include "persimmondoor/workflow/Client.h"
 #include "persimmondoor/workflow/Exchange.h"
+#include "persimmondoor/workflow/Interference.h"
 #include "persimmondoor/workflow/Record.h"
 
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -54,6 +54,8 @@
     /// First quarantine; doubled with each further one up to the maximum.
     Duration quarantine_ { std::chrono::milliseconds(2000) };
     Duration longestQuarantine_ { std::chrono::milliseconds(8000) };
+    /// Workers read the load of their tasks anew this often (stated by the platform).
+    Duration readingInterval_ { std::chrono::milliseconds(500) };
     /// Finished jobs are kept at least this long; settings state the time for which clients may ask.
     Duration retention_ { std::chrono::seconds(120) };
     /// Unfinished jobs beyond which new ones are refused; keeps an entry of 160 MB within its memory.
@@ -83,8 +85,6 @@
     bool operator==(const Task&) const = default;
 };
 
-/// Order in which jobs are served: priority, then time of acceptance.
-using ServiceOrder = std::tuple<uint32_t, int64_t, JobId>;
 
 struct Job {
     JobRecord record_;
@@ -115,13 +115,17 @@
     /// Demand of the assigned tasks; cores of filling tasks apart.
     Resources used_;
     int64_t fillingMilliCores_ { 0 };
+    /// Long-running tasks among them, and their cores.
     uint32_t longRunning_ { 0 };
+    int64_t longRunningMilliCores_ { 0 };
     /// Ends taken in, and those of them that are not durable yet.
     uint64_t takenEnd_ { 0 };
     std::set<uint64_t> pendingEnds_;
     /// Ends up to this one were reported as durable.
     uint64_t announcedEnd_ { 0 };
     Instant fullUntil_;
+    /// When the tails of its long-running tasks are looked at again.
+    Instant observeAt_;
     uint32_t failureStreak_ { 0 };
     uint32_t quarantines_ { 0 };
     Instant quarantinedUntil_;
@@ -197,9 +201,10 @@
     /// Unfinished jobs.
     std::set<JobId> open_;
     /// Jobs that may have a task to start.
-    std::set<ServiceOrder> ready_;
+    std::set<JobId> ready_;
     std::map<WorkerLife, Worker> workers_;
     std::map<std::string, Agent> agents_;
+    Interference interference_;
     /// Leases may be granted until then.
     Instant grantsUntil_;
     uint64_t sessions_ { 0 };
--- /dev/null
+++ b/workflow/include/persimmondoor/workflow/Urgency.h
@@ -0,0 +1,38 @@
+/// The order in which jobs are served: by priority; within it those that can still meet their objective, by deadline
+/// (earliest deadline first: Liu, Layland: "Scheduling algorithms for multiprogramming in a hard-real-time environment",
+/// 1973); then those that can only be late; then those that have lost all their worth, in order of acceptance. Work that
+/// can no longer be on time thus never delays work that can.
+///
+/// \code
+/// std::sort(urgencies.begin(), urgencies.end());
+/// \endcode
+#pragma once
+
+#include "persimmondoor/workflow/Owner.h"
+
+#include <compare>
+
+namespace persimmondoor::workflow {
+
+/// What can become of a job that is served next.
+enum class Prospect : uint8_t {
+    OnTime,
+    Late,
+    Worthless,
+};
+
+struct Urgency {
+    uint32_t priority_ { 0 };
+    Prospect prospect_ { Prospect::OnTime };
+    /// In milliseconds since 1970 UTC.
+    int64_t deadlineMs_ { 0 };
+    JobId job_;
+    auto operator<=>(const Urgency&) const = default;
+};
+
+/// A job that ends within this many times its objective still has a part of its worth (stated by the platform).
+inline constexpr int64_t lateFactor = 3;
+
+Urgency urgencyOf(const OwnerState&, const Job&);
+
+} // namespace persimmondoor::workflow
--- a/workflow/schema/Workflow.capnp
+++ b/workflow/schema/Workflow.capnp
@@ -87,6 +87,7 @@
   run @0 :Run;
   fills @1 :Bool;
   targetTailMs @2 :UInt32;
+  image @3 :Text;
 }
 
 struct Directive {
--- a/workflow/src/ExchangeCodec.cpp
+++ b/workflow/src/ExchangeCodec.cpp
@@ -230,6 +230,7 @@
         encode(directive.traits_[index].run_, traits[index].initRun());
         traits[index].setFills(directive.traits_[index].fills_);
         traits[index].setTargetTailMs(directive.traits_[index].targetTailMs_);
+        traits[index].setImage(toWire(directive.traits_[index].image_));
     }
 }
 
@@ -248,7 +249,7 @@
         auto run = decode(traits.getRun());
         if (!run.ok())
             return run.status();
-        directive.traits_.push_back({ *std::move(run), traits.getFills(), traits.getTargetTailMs() });
+        directive.traits_.push_back({ *std::move(run), traits.getFills(), traits.getTargetTailMs(), fromWire(traits.getImage()) });
     }
     return directive;
 }
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -60,7 +60,7 @@
 static void cancelJob(const Turn& turn, Job& job)
 {
     job.cancelled_ = true;
-    turn.state_.ready_.erase(serviceOrder(job));
+    turn.state_.ready_.erase(job.record_.id_);
     for (uint32_t number = 0; number < job.tasks_.size(); ++number) {
         Task& task = job.tasks_[number];
         if (task.progress_.phase_ != TaskPhase::Assigned)
--- a/workflow/src/decisions/Owner.cpp
+++ b/workflow/src/decisions/Owner.cpp
@@ -45,15 +45,9 @@
         if (progress.phase_ != TaskPhase::Assigned)
             continue;
         TaskKey key = keyOf(job, number);
-        const Step& step = stepOf(job, key);
         Worker& worker = state.workers_[progress.worker_];
         worker.unreachableUntil_ = unreachableUntil;
-        worker.assigned_.insert(key);
-        worker.used_ = worker.used_ + step.demand_;
-        if (step.fills_)
-            worker.fillingMilliCores_ += step.demand_.milliCores();
-        if (step.longRunning_)
-            ++worker.longRunning_;
+        book(worker, key, stepOf(job, key));
     }
 }
 
@@ -236,7 +230,7 @@
         const Job& job = state.jobs_.at(key.job_);
         const Step& step = stepOf(job, key);
         if (step.fills_ || step.targetTailMs_ > 0)
-            directive.traits_.push_back({ { key, job.tasks_[taskNumber(job, key)].progress_.run_ }, step.fills_, step.targetTailMs_ });
+            directive.traits_.push_back({ { key, job.tasks_[taskNumber(job, key)].progress_.run_ }, step.fills_, step.targetTailMs_, step.image_ });
     }
 }
 
--- a/workflow/src/decisions/OwnerRules.h
+++ b/workflow/src/decisions/OwnerRules.h
@@ -25,7 +25,8 @@
 uint32_t& undoneOf(Job&, const TaskKey&);
 // The task, or null if there is no such job or task.
 Task* findTask(OwnerState&, const TaskKey&);
-ServiceOrder serviceOrder(const Job&);
+// Books a task on its worker.
+void book(Worker&, const TaskKey&, const Step&);
 // The settings of the job's queue in force; those of its acceptance if the queue has been removed.
 const Queue& queueOf(const OwnerState&, const Job&);
 bool isOpen(const Job&);
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -11,10 +11,15 @@
 // A worker on which this task failed or hung is taken only if no other has room.
 static constexpr int64_t avoidedWeight = 1000;
 static constexpr int64_t failureWeight = 100;
-// Long-running tasks of one step are spread, so that one worker's end takes few of them.
-static constexpr int64_t siblingWeight = 60;
-// Filling work slows the long-running tasks beside it.
-static constexpr int64_t longRunningWeight = 120;
+// Long-running tasks share workers, so that the others are free for filling work.
+static constexpr int64_t companyWeight = 100;
+// Those of one step are spread as far as that allows, so that one worker's end takes few of them.
+static constexpr int64_t siblingWeight = 20;
+// Filling work may slow the long-running tasks beside it: it goes there only if no other worker has room.
+static constexpr int64_t besideLongRunningWeight = 150;
+
+// Long-running tasks use less than they ask for most of the time, in percent.
+static constexpr int64_t idlePartOfLongRunning = 45;
 
 bool takesRuns(const OwnerState& state, const Worker& worker, Instant now)
 {
@@ -43,11 +48,18 @@
     return worker.traits_.capacity_.milliCores() - worker.used_.milliCores() + worker.fillingMilliCores_;
 }
 
+// What filling tasks can still have: long-running tasks leave a part of their cores unused.
+static int64_t leftMilliCores(const Worker& worker)
+{
+    return freeMilliCores(worker) + worker.longRunningMilliCores_ * idlePartOfLongRunning / 100 - worker.fillingMilliCores_;
+}
+
 static bool fits(const Worker& worker, const Step& step)
 {
     const Resources& capacity = worker.traits_.capacity_;
-    bool cores = step.fills_ || step.demand_.milliCores() <= freeMilliCores(worker);
-    return cores && worker.used_.memoryBytes() + step.demand_.memoryBytes() <= capacity.memoryBytes()
+    // Filling tasks beyond what is left would only slow each other down: they wait instead.
+    int64_t cores = step.fills_ ? leftMilliCores(worker) : freeMilliCores(worker);
+    return step.demand_.milliCores() <= cores && worker.used_.memoryBytes() + step.demand_.memoryBytes() <= capacity.memoryBytes()
         && worker.used_.accelerators() + step.demand_.accelerators() <= capacity.accelerators();
 }
 
@@ -60,6 +72,9 @@
         return false;
     if (step.maxPerWorker_ > 0 && countSiblings(worker, key) >= step.maxPerWorker_)
         return false;
+    // Work that is not known to be harmless stays away from tasks whose tails it could raise.
+    if (step.fills_ && worker.longRunning_ > 0 && harmOf(state.interference_, step.image_) == Harm::Harmful)
+        return false;
     return fits(worker, step);
 }
 
@@ -67,7 +82,7 @@
 {
     const Step& step = stepOf(job, key);
     int64_t capacity = std::max<int64_t>(worker.traits_.capacity_.milliCores(), 1);
-    int64_t left = freeMilliCores(worker) - worker.fillingMilliCores_ - step.demand_.milliCores();
+    int64_t left = leftMilliCores(worker) - step.demand_.milliCores();
     int64_t score = 100 * left / capacity;
     if (!step.dataRack_.empty() && hasLabel(worker, step.dataRack_))
         score += dataRackWeight;
@@ -75,9 +90,9 @@
         score -= avoidedWeight;
     score -= failureWeight * worker.failureStreak_;
     if (step.longRunning_)
-        score -= siblingWeight * countSiblings(worker, key);
-    if (step.fills_)
-        score -= longRunningWeight * worker.longRunning_;
+        score += companyWeight * worker.longRunning_ - siblingWeight * countSiblings(worker, key);
+    if (step.fills_ && worker.longRunning_ > 0)
+        score -= besideLongRunningWeight;
     return score;
 }
 
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -41,7 +41,7 @@
 static void failJob(const Turn& turn, Job& job, const TaskKey& culprit)
 {
     job.failed_ = true;
-    turn.state_.ready_.erase(serviceOrder(job));
+    turn.state_.ready_.erase(job.record_.id_);
     turn.remark("job.failed", job.record_.id_.value(), concat("task ", describe(culprit), " failed ", queueOf(turn.state_, job).maxAttempts_, " times"));
     for (uint32_t number = 0; number < job.tasks_.size(); ++number) {
         Task& task = job.tasks_[number];
@@ -248,6 +248,31 @@
     return next != state.workers_.end() && next->first.name_ == life.name_;
 }
 
+// Learns from the tails of the worker's long-running tasks which filling tasks disturb them.
+static void observeTails(const Turn& turn, const WorkerReport& report, Worker& worker)
+{
+    if (turn.now_ < worker.observeAt_)
+        return;
+    std::vector<FillingTask> filling;
+    uint64_t worst = 0;
+    bool hasTarget = false;
+    for (const ActiveRun& active : report.active_) {
+        if (!findTask(turn.state_, active.run_.task_))
+            continue;
+        const Step& step = stepOf(turn.state_.jobs_.at(active.run_.task_.job_), active.run_.task_);
+        if (step.fills_)
+            filling.push_back({ step.image_, active.pace_ });
+        if (step.targetTailMs_ == 0)
+            continue;
+        hasTarget = true;
+        worst = std::max(worst, uint64_t(active.load_) * 100 / step.targetTailMs_);
+    }
+    if (!hasTarget || filling.empty())
+        return;
+    worker.observeAt_ = turn.now_ + turn.state_.tuning_.readingInterval_;
+    turn.state_.interference_ = observe(std::move(turn.state_.interference_), filling, worst);
+}
+
 static void takeWorker(const Turn& turn, const AgentReport& message, const WorkerReport& report)
 {
     if (hasLaterLife(turn.state_, report.life_))
@@ -276,6 +301,7 @@
         else
             stopStray(turn, message.agent_, report.life_, worker, active.run_);
     }
+    observeTails(turn, report, worker);
     noteRefusals(turn, report, worker);
     loseAbsentRuns(turn, report, worker, seen, message.settled_);
     if (worker.draining_)
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -44,11 +44,6 @@
     return &job->second.tasks_[taskNumber(job->second, task)];
 }
 
-ServiceOrder serviceOrder(const Job& job)
-{
-    return { job.record_.queue_.priority_, job.record_.acceptedMs_, job.record_.id_ };
-}
-
 const Queue& queueOf(const OwnerState& state, const Job& job)
 {
     const Queue* current = state.catalog_.findExact(job.record_.queue_.host_, job.record_.queue_.pathPrefix_);
@@ -95,7 +90,7 @@
 void makeReady(OwnerState& state, const Job& job)
 {
     if (!job.cancelled_ && !job.failed_)
-        state.ready_.insert(serviceOrder(job));
+        state.ready_.insert(job.record_.id_);
 }
 
 void closeIfEnded(const Turn& turn, Job& job)
@@ -104,7 +99,7 @@
         return;
     job.ended_ = turn.now_;
     turn.state_.open_.erase(job.record_.id_);
-    turn.state_.ready_.erase(serviceOrder(job));
+    turn.state_.ready_.erase(job.record_.id_);
     turn.remark("job.ended", job.record_.id_.value(), std::string(describe(phaseOf(job))));
 }
 
@@ -144,6 +139,18 @@
     turn.remark("run.stop", describe(run), concat(why, "; worker ", life.name_));
 }
 
+void book(Worker& worker, const TaskKey& key, const Step& step)
+{
+    worker.assigned_.insert(key);
+    worker.used_ = worker.used_ + step.demand_;
+    if (step.fills_)
+        worker.fillingMilliCores_ += step.demand_.milliCores();
+    if (!step.longRunning_)
+        return;
+    ++worker.longRunning_;
+    worker.longRunningMilliCores_ += step.demand_.milliCores();
+}
+
 static void release(Worker& worker, const TaskKey& key, const Step& step)
 {
     if (worker.assigned_.erase(key) == 0)
@@ -151,8 +158,10 @@
     worker.used_ = worker.used_ - step.demand_;
     if (step.fills_)
         worker.fillingMilliCores_ -= step.demand_.milliCores();
-    if (step.longRunning_)
-        --worker.longRunning_;
+    if (!step.longRunning_)
+        return;
+    --worker.longRunning_;
+    worker.longRunningMilliCores_ -= step.demand_.milliCores();
 }
 
 // A gang runs whole or not at all: if one member is off its worker, the others are stopped.
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -1,6 +1,7 @@
 #include "OwnerRules.h"
 
 #include "persimmondoor/core/Text.h"
+#include "persimmondoor/workflow/Urgency.h"
 
 #include <algorithm>
 
@@ -21,7 +22,6 @@
 static void assign(const Turn& turn, Job& job, const TaskKey& key, const WorkerLife& life, uint32_t run)
 {
     Task& task = job.tasks_[taskNumber(job, key)];
-    const Step& step = stepOf(job, key);
     task.progress_.phase_ = TaskPhase::Assigned;
     task.progress_.run_ = run;
     task.progress_.worker_ = life;
@@ -31,13 +31,7 @@
     task.percent_ = 0;
     task.assigned_ = turn.now_;
     task.progressed_ = turn.now_;
-    Worker& worker = turn.state_.workers_.at(life);
-    worker.assigned_.insert(key);
-    worker.used_ = worker.used_ + step.demand_;
-    if (step.fills_)
-        worker.fillingMilliCores_ += step.demand_.milliCores();
-    if (step.longRunning_)
-        ++worker.longRunning_;
+    book(turn.state_.workers_.at(life), key, stepOf(job, key));
     stage(turn.state_, key.job_, ReleaseStart { { key, run } });
 }
 
@@ -114,12 +108,18 @@
 
 void startReadyTasks(const Turn& turn)
 {
-    std::vector<ServiceOrder> ready(turn.state_.ready_.begin(), turn.state_.ready_.end());
-    for (const ServiceOrder& order : ready) {
-        auto job = turn.state_.jobs_.find(std::get<JobId>(order));
-        bool waits = job != turn.state_.jobs_.end() && !job->second.cancelled_ && !job->second.failed_ && startTasksOf(turn, job->second);
+    std::vector<Urgency> ready;
+    for (const JobId& id : turn.state_.ready_) {
+        auto job = turn.state_.jobs_.find(id);
+        if (job != turn.state_.jobs_.end())
+            ready.push_back(urgencyOf(turn.state_, job->second));
+    }
+    std::sort(ready.begin(), ready.end());
+    for (const Urgency& urgency : ready) {
+        Job& job = turn.state_.jobs_.at(urgency.job_);
+        bool waits = !job.cancelled_ && !job.failed_ && startTasksOf(turn, job);
         if (!waits)
-            turn.state_.ready_.erase(order);
+            turn.state_.ready_.erase(urgency.job_);
     }
 }
 
--- /dev/null
+++ b/workflow/src/decisions/Urgency.cpp
@@ -0,0 +1,48 @@
+#include "persimmondoor/workflow/Urgency.h"
+
+#include "OwnerRules.h"
+
+#include <algorithm>
+
+namespace persimmondoor::workflow {
+
+static int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+// Estimated time of the longest chain of steps; only those that are not done if `isRest`.
+static Duration chainOf(const Job& job, bool isRest)
+{
+    const std::vector<Step>& steps = job.record_.spec_.steps();
+    std::vector<Duration> ends(steps.size());
+    Duration longest(0);
+    for (size_t number = 0; number < steps.size(); ++number) {
+        Duration start(0);
+        for (uint32_t earlier : steps[number].after_)
+            start = std::max(start, ends[earlier]);
+        bool counts = !isRest || job.undone_[number] > 0;
+        ends[number] = start + (counts ? steps[number].estimate_ : Duration(0));
+        longest = std::max(longest, ends[number]);
+    }
+    return longest;
+}
+
+Urgency urgencyOf(const OwnerState& state, const Job& job)
+{
+    const Queue& queue = queueOf(state, job);
+    int64_t accepted = job.record_.spec_.isTimed() ? job.record_.spec_.schedule().firstDueMs_ : job.record_.acceptedMs_;
+    auto objective = static_cast<int64_t>(queue.stretch_ * static_cast<double>(milliseconds(chainOf(job, false)))) + milliseconds(queue.targetLatency_);
+    int64_t soonest = state.wallMs_ + milliseconds(chainOf(job, true));
+    Urgency urgency { job.record_.queue_.priority_, Prospect::OnTime, accepted + objective, job.record_.id_ };
+    bool lasts = std::any_of(job.record_.spec_.steps().begin(), job.record_.spec_.steps().end(), [](const Step& step) { return step.longRunning_; });
+    if (lasts || soonest <= urgency.deadlineMs_)
+        return urgency;
+    if (soonest <= accepted + objective * lateFactor) {
+        urgency.prospect_ = Prospect::Late;
+        return urgency;
+    }
+    return { urgency.priority_, Prospect::Worthless, accepted, urgency.job_ };
+}
+
+} // namespace persimmondoor::workflow
