Give up on a silent worker once its leases have expired; count only contacts after a refusal

And what peers had heard of a leader before its host refused connections kept it alive by 0.7 s. Ruled out: the owner (it was told nothing), placement (room was there). Change: only workers that answer get leases; contacts older than a refused connection do not count.

--- a/scheduler/include/persimmondoor/scheduler/Leadership.h
+++ b/scheduler/include/persimmondoor/scheduler/Leadership.h
@@ -44,6 +44,8 @@
     /// The row has been read since this process started.
     bool rowKnown_ { false };
     Instant contactAt_;
+    /// When the leader's host last refused a connection; what others heard of it before does not count.
+    Instant refusedAt_;
     Instant writeAt_;
     bool operator==(const LeadershipState&) const = default;
 };
--- a/scheduler/src/decisions/Leadership.cpp
+++ b/scheduler/src/decisions/Leadership.cpp
@@ -69,8 +69,9 @@
         state.contactAt_ = std::min(state.contactAt_, now - state.tuning_.silence_);
         return state;
     }
-    Duration contactAge = view.isSelf_ ? Duration(0) : view.contactAge_;
-    state.contactAt_ = std::max(state.contactAt_, now - contactAge);
+    Instant contactAt = view.isSelf_ ? now : now - view.contactAge_;
+    if (contactAt > state.refusedAt_)
+        state.contactAt_ = std::max(state.contactAt_, contactAt);
     state.writeAt_ = std::max(state.writeAt_, now - view.writeAge_);
     return state;
 }
@@ -78,6 +79,7 @@
 LeadershipState learnRefusal(LeadershipState state, Instant now)
 {
     state.contactAt_ = std::min(state.contactAt_, now - state.tuning_.silence_ + state.tuning_.refusedSilence_);
+    state.refusedAt_ = now;
     return state;
 }
 
--- /dev/null
+++ b/scheduler/tests/LeadershipTest.cpp
@@ -0,0 +1,105 @@
+#include "persimmondoor/scheduler/Leadership.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace persimmondoor::scheduler {
+
+using workflow::LeaderEpoch;
+using workflow::LeaderView;
+
+static Instant at(int64_t milliseconds)
+{
+    return Instant::fromMicroseconds((1'000'000 + milliseconds) * 1000);
+}
+
+static const Address self = *Address::parse("127.0.0.1:1");
+static const Address leader = *Address::parse("127.0.0.1:2");
+static const Address peer = *Address::parse("127.0.0.1:3");
+
+static LeadershipState following(int64_t milliseconds)
+{
+    LeadershipState state;
+    state.self_ = self;
+    return learnRow(std::move(state), LeaderEpoch(3), leader, store::RowVersion(9), at(milliseconds));
+}
+
+static bool follows(const LeadershipState& state, int64_t milliseconds)
+{
+    return std::holds_alternative<KeepFollowing>(nextStep(state, at(milliseconds)));
+}
+
+static LeaderView viewOfLeader(int64_t writeAgeMs)
+{
+    return { LeaderEpoch(3), leader, true, std::chrono::milliseconds(writeAgeMs), Duration(0) };
+}
+
+BOOST_AUTO_TEST_SUITE(leadership)
+
+BOOST_AUTO_TEST_CASE(row_is_read_first)
+{
+    BOOST_TEST(!follows(LeadershipState(), 0));
+    BOOST_TEST(follows(following(0), 100));
+}
+
+BOOST_AUTO_TEST_CASE(silent_leader_is_replaced)
+{
+    LeadershipState state = following(0);
+    state = learnView(std::move(state), leader, viewOfLeader(100), at(500));
+    BOOST_TEST(follows(state, 1300));
+    BOOST_TEST(!follows(state, 500 + 900 + 450 + 1));
+}
+
+BOOST_AUTO_TEST_CASE(leader_that_another_entry_still_hears_is_kept)
+{
+    LeadershipState state = following(0);
+    LeaderView indirect { LeaderEpoch(3), leader, false, std::chrono::milliseconds(100), std::chrono::milliseconds(50) };
+    for (int64_t time = 0; time < 5000; time += 300)
+        state = learnView(std::move(state), peer, indirect, at(time));
+    BOOST_TEST(follows(state, 5000));
+}
+
+BOOST_AUTO_TEST_CASE(leader_without_writes_is_replaced)
+{
+    LeadershipState state = following(0);
+    for (int64_t time = 0; time <= 3000; time += 250)
+        state = learnView(std::move(state), leader, viewOfLeader(time), at(time));
+    BOOST_TEST(!follows(state, 3000));
+}
+
+BOOST_AUTO_TEST_CASE(refused_connection_is_not_outweighed_by_what_others_heard_before)
+{
+    LeadershipState state = following(0);
+    state = learnRefusal(std::move(state), at(400));
+    LeaderView before { LeaderEpoch(3), leader, false, Duration(0), std::chrono::milliseconds(300) };
+    state = learnView(std::move(state), peer, before, at(450));
+    BOOST_TEST(!follows(state, 400 + 200 + 450 + 1));
+}
+
+BOOST_AUTO_TEST_CASE(restarted_leader_is_replaced_at_once)
+{
+    LeadershipState state = following(0);
+    LeaderView restarted { LeaderEpoch(0), std::nullopt, false, Duration(0), Duration(0) };
+    state = learnView(std::move(state), leader, restarted, at(300));
+    BOOST_TEST(!follows(state, 300 + 450 + 1));
+}
+
+BOOST_AUTO_TEST_CASE(leader_that_resigned_is_replaced_at_once)
+{
+    LeadershipState state = following(0);
+    state = learnRow(std::move(state), LeaderEpoch(3), std::nullopt, store::RowVersion(10), at(300));
+    BOOST_TEST(!follows(state, 300 + 450 + 1));
+}
+
+BOOST_AUTO_TEST_CASE(later_epoch_is_followed)
+{
+    LeadershipState state = following(0);
+    LeaderView later { LeaderEpoch(4), peer, true, Duration(0), Duration(0) };
+    state = learnView(std::move(state), peer, later, at(300));
+    BOOST_TEST((state.leader_ == peer));
+    state = learnView(std::move(state), leader, viewOfLeader(0), at(400));
+    BOOST_TEST((state.epoch_ == LeaderEpoch(4)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::scheduler
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -58,10 +58,11 @@
     return worker.clockMs_ + std::chrono::duration_cast<std::chrono::milliseconds>(time - worker.clockReadAt_).count();
 }
 
-// The end of lease for the next call, or 0 if none may be given.
+// The end of lease for the next call, or 0 if none may be given. A worker that does not answer gets none: each call to
+// it may be carried out late and would put off the time from which its tasks are known to have ended.
 static int64_t grantLease(const Turn& turn, LocalWorker& worker)
 {
-    if (turn.state_.horizon_ <= turn.now_ || worker.clockReadAt_ == Instant())
+    if (turn.state_.horizon_ <= turn.now_ || !worker.reachable_)
         return 0;
     worker.leaseEnd_ = std::max(worker.leaseEnd_, turn.state_.horizon_);
     return onWorkerClock(worker, turn.state_.horizon_);
