Learn the harm of pairs of images; send filling work where tails leave room

Tails also swing with the tasks' own load, and each further filling task adds to them. Change: evidence by pair; a worker's worst tail and the pace of its filling tasks decide whether it takes more.

--- a/supervision/src/decisions/Pacing.cpp
+++ b/supervision/src/decisions/Pacing.cpp
@@ -11,7 +11,7 @@
 static constexpr uint64_t stopAbove = 150;
 // Below this share of the target the pace is raised.
 static constexpr uint64_t increaseBelow = 75;
-static constexpr uint32_t increaseStep = 10;
+static constexpr uint32_t increaseStep = 20;
 // Harmless tasks are back at full pace within a few readings.
 static constexpr uint32_t harmlessIncreaseStep = 34;
 // A pace below this is as good as none.
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -217,8 +217,9 @@
     // What a worker's list shows of the tasks that fill and of those that they may disturb.
     struct Reading {
         std::vector<workflow::FillingTask> filling_;
-        uint64_t tailPercent_ { 0 };
-        bool hasSuspects_ { false };
+        std::vector<workflow::TailReading> tails_;
+        std::set<std::string> images_;
+        uint64_t worstPercent_ { 0 };
     };
 
 } // namespace
@@ -230,36 +231,45 @@
         auto traits = state.traits_.find(run);
         if (traits == state.traits_.end())
             continue;
-        if (traits->second.targetTailMs_ > 0)
-            reading.tailPercent_ = std::max({ reading.tailPercent_, uint64_t(1), uint64_t(active.load_) * 100 / traits->second.targetTailMs_ });
-        if (!traits->second.fills_)
+        if (traits->second.fills_)
+            reading.filling_.push_back({ traits->second.image_, active.pace_ });
+        if (traits->second.targetTailMs_ == 0)
             continue;
-        reading.filling_.push_back({ traits->second.image_, active.pace_ });
-        reading.hasSuspects_ = reading.hasSuspects_ || workflow::harmOf(state.interference_, traits->second.image_) != workflow::Harm::Harmless;
+        reading.tails_.push_back({ traits->second.image_, uint64_t(active.load_) * 100 / traits->second.targetTailMs_ });
+        reading.images_.insert(traits->second.image_);
+        reading.worstPercent_ = std::max({ reading.worstPercent_, uint64_t(1), reading.tails_.back().tailPercent_ });
     }
     return reading;
 }
 
+static bool isSuspect(const SupervisorState& state, const Reading& reading, const std::string& image)
+{
+    return workflow::worstHarm(state.interference_, image, reading.images_) != workflow::Harm::Harmless;
+}
+
+static void learnFrom(const Turn& turn, const Reading& reading, LocalWorker& worker)
+{
+    worker.paceAgainAt_ = turn.now_ + turn.state_.tuning_.paceInterval_;
+    turn.state_.interference_ = workflow::observe(std::move(turn.state_.interference_), reading.filling_, reading.tails_);
+    bool hasSuspects = std::any_of(reading.filling_.begin(), reading.filling_.end(), [&](const workflow::FillingTask& task) { return isSuspect(turn.state_, reading, task.image_); });
+    worker.fillingPaces_ = nextPaces(worker.fillingPaces_, reading.worstPercent_, hasSuspects);
+}
+
 // The tails of long-running tasks decide how fast those that fill may work.
 static void paceFillingRuns(const Turn& turn, const WorkerLife& life, LocalWorker& worker)
 {
     Reading reading = readLoad(turn.state_, worker);
-    if (turn.now_ >= worker.paceAgainAt_) {
-        worker.paceAgainAt_ = turn.now_ + turn.state_.tuning_.paceInterval_;
-        if (reading.tailPercent_ > 0)
-            turn.state_.interference_ = workflow::observe(std::move(turn.state_.interference_), reading.filling_, reading.tailPercent_);
-        worker.fillingPaces_ = nextPaces(worker.fillingPaces_, reading.tailPercent_, reading.hasSuspects_);
-    }
+    if (turn.now_ >= worker.paceAgainAt_)
+        learnFrom(turn, reading, worker);
     for (const auto& [run, active] : worker.active_) {
         auto traits = turn.state_.traits_.find(run);
         if (traits == turn.state_.traits_.end() || !traits->second.fills_)
             continue;
-        bool harmless = workflow::harmOf(turn.state_.interference_, traits->second.image_) == workflow::Harm::Harmless;
-        uint32_t pace = harmless ? worker.fillingPaces_.harmless_ : worker.fillingPaces_.suspect_;
+        uint32_t pace = isSuspect(turn.state_, reading, traits->second.image_) ? worker.fillingPaces_.suspect_ : worker.fillingPaces_.harmless_;
         auto [told, isNew] = worker.paces_.try_emplace(run, 100);
         if (told->second == pace)
             continue;
-        turn.remark("run.paced", workflow::describe(run), concat(told->second, " to ", pace, " percent, tails at ", reading.tailPercent_, " percent of their target, image ", traits->second.image_));
+        turn.remark("run.paced", workflow::describe(run), concat(told->second, " to ", pace, " percent, worst tail at ", reading.worstPercent_, " percent of its target, image ", traits->second.image_));
         told->second = pace;
         turn.act(CallPace { life, run, turn.state_.fence_, pace });
     }
--- a/workflow/include/persimmondoor/workflow/Interference.h
+++ b/workflow/include/persimmondoor/workflow/Interference.h
@@ -1,16 +1,18 @@
-/// What has been learnt of how much filling tasks of each image disturb the long-running tasks beside them. Tasks of one
-/// image behave alike, so a few readings with and without an image tell those that hurt.
+/// What has been learnt of which filling tasks disturb which long-running tasks. Tasks of one image behave alike, and how
+/// much they disturb depends on the pair of images, so a few readings of a pair tell whether it may share a worker.
 ///
 /// \code
-/// Interference learnt = observe(std::move(learnt), { { "encoder", 100 } }, 140);
-/// bool apart = harms(learnt, "encoder");
+/// Interference learnt = observe(std::move(learnt), { { "encoder", 100 } }, { { "search", 140 } });
+/// bool apart = harmOf(learnt, "encoder", "search") == Harm::Harmful;
 /// \endcode
 #pragma once
 
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace persimmondoor::workflow {
@@ -23,29 +25,39 @@
     auto operator<=>(const FillingTask&) const = default;
 };
 
-/// Readings for and against an image; older ones fade.
-struct ImageEvidence {
+/// A long-running task and its tail latency, in percent of its target.
+struct TailReading {
+    std::string image_;
+    uint64_t tailPercent_ { 0 };
+    auto operator<=>(const TailReading&) const = default;
+};
+
+/// Readings for and against a pair; older ones fade.
+struct PairEvidence {
     double harmless_ { 0 };
     double harmful_ { 0 };
-    auto operator<=>(const ImageEvidence&) const = default;
+    auto operator<=>(const PairEvidence&) const = default;
 };
 
 struct Interference {
-    std::map<std::string, ImageEvidence> images_;
+    /// By the images of the filling and of the long-running task.
+    std::map<std::pair<std::string, std::string>, PairEvidence> pairs_;
     bool operator==(const Interference&) const = default;
 };
 
 enum class Harm : uint8_t {
-    Unknown,
     Harmless,
+    Unknown,
     Harmful,
 };
 
 /// Takes in one reading of a worker.
-/// \param tasks that fill on it.
-/// \param tailPercent worst tail latency there, in percent of its target.
-Interference observe(Interference, const std::vector<FillingTask>& tasks, uint64_t tailPercent);
+Interference observe(Interference, const std::vector<FillingTask>&, const std::vector<TailReading>&);
+
+/// What a filling task would do to one long-running task.
+Harm harmOf(const Interference&, const std::string& filling, const std::string& longRunning);
 
-Harm harmOf(const Interference&, const std::string& image);
+/// The worst that a filling task would do to any of the long-running tasks on a worker.
+Harm worstHarm(const Interference&, const std::string& filling, const std::set<std::string>& longRunning);
 
 } // namespace persimmondoor::workflow
--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -126,6 +126,11 @@
     Instant fullUntil_;
     /// When the tails of its long-running tasks are looked at again.
     Instant observeAt_;
+    /// The worst of them, in percent of its target, and the images of these tasks, as last reported.
+    uint64_t tailPercent_ { 0 };
+    std::set<std::string> images_;
+    /// Lowest pace of a filling task there, in percent.
+    uint32_t fillingPace_ { 100 };
     uint32_t failureStreak_ { 0 };
     uint32_t quarantines_ { 0 };
     Instant quarantinedUntil_;
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -11,13 +11,17 @@
 // A worker on which this task failed or hung is taken only if no other has room.
 static constexpr int64_t avoidedWeight = 1000;
 static constexpr int64_t failureWeight = 100;
-// Long-running tasks share workers, so that the others are free for filling work.
-static constexpr int64_t companyWeight = 100;
+// Long-running tasks share as few workers as they can, the largest first, so that others are free for filling work that
+// would disturb them.
+static constexpr int64_t companyWeight = 1000;
 // Those of one step are spread as far as that allows, so that one worker's end takes few of them.
-static constexpr int64_t siblingWeight = 20;
-// Filling work may slow the long-running tasks beside it: it goes there only if no other worker has room.
+static constexpr int64_t siblingWeight = 5;
+// Short work and harmless filling work go where long-running tasks are, as they do not disturb them.
 static constexpr int64_t besideLongRunningWeight = 150;
-
+// Tails above this share of their target leave no room for more filling work, in percent.
+static constexpr uint64_t fullTailPercent = 85;
+// Where filling tasks are slowed down below this pace, in percent, more of them would only share it.
+static constexpr uint32_t leastSharedPace = 50;
 // Long-running tasks use less than they ask for most of the time, in percent.
 static constexpr int64_t idlePartOfLongRunning = 45;
 
@@ -63,6 +67,15 @@
         && worker.used_.accelerators() + step.demand_.accelerators() <= capacity.accelerators();
 }
 
+// Filling work stays away from long-running tasks that it is known to disturb, and from workers whose tails are high
+// or whose filling tasks are slowed down already.
+static bool mayFill(const OwnerState& state, const Step& step, const Worker& worker)
+{
+    if (worker.longRunning_ == 0)
+        return true;
+    return worker.tailPercent_ < fullTailPercent && worker.fillingPace_ >= leastSharedPace && worstHarm(state.interference_, step.image_, worker.images_) != Harm::Harmful;
+}
+
 static bool isEligible(const OwnerState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
 {
     const Step& step = stepOf(job, key);
@@ -72,28 +85,41 @@
         return false;
     if (step.maxPerWorker_ > 0 && countSiblings(worker, key) >= step.maxPerWorker_)
         return false;
-    // Work that is not known to be harmless stays away from tasks whose tails it could raise.
-    if (step.fills_ && worker.longRunning_ > 0 && harmOf(state.interference_, step.image_) == Harm::Harmful)
+    if (step.fills_ && !mayFill(state, step, worker))
         return false;
     return fits(worker, step);
 }
 
-static int64_t scoreOf(const Job& job, const TaskKey& key, const WorkerLife& life, const Worker& worker)
+// Score of a worker for a long-running task: the fullest that already has some, else the largest.
+static int64_t companyScore(const Worker& worker, const TaskKey& key, int64_t leftPercent)
+{
+    int64_t siblings = siblingWeight * countSiblings(worker, key);
+    if (worker.longRunning_ > 0)
+        return companyWeight - leftPercent - siblings;
+    return worker.traits_.capacity_.milliCores() / 1000 - siblings;
+}
+
+// Score of a worker for other tasks: the emptiest, beside long-running tasks only if it does them no harm.
+static int64_t spreadScore(const OwnerState& state, const Step& step, const Worker& worker, int64_t leftPercent)
+{
+    if (worker.longRunning_ == 0)
+        return leftPercent;
+    bool harmless = !step.fills_ || worstHarm(state.interference_, step.image_, worker.images_) == Harm::Harmless;
+    int64_t headroom = step.fills_ ? -static_cast<int64_t>(worker.tailPercent_) : 0;
+    return leftPercent + headroom + (harmless ? besideLongRunningWeight : -besideLongRunningWeight);
+}
+
+static int64_t scoreOf(const OwnerState& state, const Job& job, const TaskKey& key, const WorkerLife& life, const Worker& worker)
 {
     const Step& step = stepOf(job, key);
     int64_t capacity = std::max<int64_t>(worker.traits_.capacity_.milliCores(), 1);
-    int64_t left = leftMilliCores(worker) - step.demand_.milliCores();
-    int64_t score = 100 * left / capacity;
+    int64_t leftPercent = 100 * (leftMilliCores(worker) - step.demand_.milliCores()) / capacity;
+    int64_t score = step.longRunning_ ? companyScore(worker, key, leftPercent) : spreadScore(state, step, worker, leftPercent);
     if (!step.dataRack_.empty() && hasLabel(worker, step.dataRack_))
         score += dataRackWeight;
     if (life.name_ == job.tasks_[taskNumber(job, key)].avoided_)
         score -= avoidedWeight;
-    score -= failureWeight * worker.failureStreak_;
-    if (step.longRunning_)
-        score += companyWeight * worker.longRunning_ - siblingWeight * countSiblings(worker, key);
-    if (step.fills_ && worker.longRunning_ > 0)
-        score -= besideLongRunningWeight;
-    return score;
+    return score - failureWeight * worker.failureStreak_;
 }
 
 std::optional<WorkerLife> chooseWorker(const OwnerState& state, const Job& job, const TaskKey& key, Instant now)
@@ -103,7 +129,7 @@
     for (const auto& [life, worker] : state.workers_) {
         if (!isEligible(state, job, key, worker, now))
             continue;
-        int64_t score = scoreOf(job, key, life, worker);
+        int64_t score = scoreOf(state, job, key, life, worker);
         if (!best || score > bestScore) {
             best = life;
             bestScore = score;
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -251,26 +251,29 @@
 // Learns from the tails of the worker's long-running tasks which filling tasks disturb them.
 static void observeTails(const Turn& turn, const WorkerReport& report, Worker& worker)
 {
-    if (turn.now_ < worker.observeAt_)
-        return;
     std::vector<FillingTask> filling;
-    uint64_t worst = 0;
-    bool hasTarget = false;
+    std::vector<TailReading> readings;
+    worker.images_.clear();
+    worker.tailPercent_ = 0;
+    worker.fillingPace_ = 100;
     for (const ActiveRun& active : report.active_) {
         if (!findTask(turn.state_, active.run_.task_))
             continue;
         const Step& step = stepOf(turn.state_.jobs_.at(active.run_.task_.job_), active.run_.task_);
-        if (step.fills_)
+        if (step.fills_) {
             filling.push_back({ step.image_, active.pace_ });
+            worker.fillingPace_ = std::min(worker.fillingPace_, active.pace_);
+        }
         if (step.targetTailMs_ == 0)
             continue;
-        hasTarget = true;
-        worst = std::max(worst, uint64_t(active.load_) * 100 / step.targetTailMs_);
+        readings.push_back({ step.image_, uint64_t(active.load_) * 100 / step.targetTailMs_ });
+        worker.tailPercent_ = std::max(worker.tailPercent_, readings.back().tailPercent_);
+        worker.images_.insert(step.image_);
     }
-    if (!hasTarget || filling.empty())
+    if (filling.empty() || turn.now_ < worker.observeAt_)
         return;
     worker.observeAt_ = turn.now_ + turn.state_.tuning_.readingInterval_;
-    turn.state_.interference_ = observe(std::move(turn.state_.interference_), filling, worst);
+    turn.state_.interference_ = observe(std::move(turn.state_.interference_), filling, readings);
 }
 
 static void takeWorker(const Turn& turn, const AgentReport& message, const WorkerReport& report)
