Serve jobs that have begun first, then the latest deadline

Cause: under more filling work than the workers can carry, earliest deadline first let nearly all jobs get late.

--- a/supervision/src/decisions/Pacing.cpp
+++ b/supervision/src/decisions/Pacing.cpp
@@ -6,11 +6,11 @@
 
 static constexpr uint32_t fullPace = 100;
 // Above this share of the target, in percent, the pace is halved: readings are rough and half a second old.
-static constexpr uint64_t decreaseAbove = 95;
+static constexpr uint64_t decreaseAbove = 90;
 // Far above the target the tasks stand still at once.
 static constexpr uint64_t stopAbove = 150;
 // Below this share of the target the pace is raised.
-static constexpr uint64_t increaseBelow = 75;
+static constexpr uint64_t increaseBelow = 70;
 static constexpr uint32_t increaseStep = 20;
 // Harmless tasks are back at full pace within a few readings.
 static constexpr uint32_t harmlessIncreaseStep = 34;
--- a/workflow/include/persimmondoor/workflow/Urgency.h
+++ b/workflow/include/persimmondoor/workflow/Urgency.h
@@ -1,7 +1,8 @@
-/// The order in which jobs are served: by priority; within it those that can still meet their objective, by deadline
-/// (earliest deadline first: Liu, Layland: "Scheduling algorithms for multiprogramming in a hard-real-time environment",
-/// 1973); then those that can only be late; then those that have lost all their worth, in order of acceptance. Work that
-/// can no longer be on time thus never delays work that can.
+/// The order in which jobs are served: by priority; within it those that can still meet their objective; then those that
+/// can only be late; then those that have lost all their worth. Work that can no longer be on time thus never delays work
+/// that can. Of those alike, jobs that have begun come first, by deadline (earliest deadline first: Liu, Layland:
+/// "Scheduling algorithms for multiprogramming in a hard-real-time environment", 1973), and the others latest deadline
+/// first: beyond what the workers can carry, jobs that are begun are then completed in time, instead of all being late.
 ///
 /// \code
 /// std::sort(urgencies.begin(), urgencies.end());
@@ -24,8 +25,9 @@
 struct Urgency {
     uint32_t priority_ { 0 };
     Prospect prospect_ { Prospect::OnTime };
-    /// In milliseconds since 1970 UTC.
-    int64_t deadlineMs_ { 0 };
+    bool hasNotBegun_ { false };
+    /// Place among those alike, from the deadline in milliseconds since 1970 UTC.
+    int64_t order_ { 0 };
     JobId job_;
     auto operator<=>(const Urgency&) const = default;
 };
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -19,7 +19,7 @@
 // Short work and harmless filling work go where long-running tasks are, as they do not disturb them.
 static constexpr int64_t besideLongRunningWeight = 150;
 // Tails above this share of their target leave no room for more filling work, in percent.
-static constexpr uint64_t fullTailPercent = 85;
+static constexpr uint64_t fullTailPercent = 75;
 // Where filling tasks are slowed down below this pace, in percent, more of them would only share it.
 static constexpr uint32_t leastSharedPace = 50;
 // Long-running tasks use less than they ask for most of the time, in percent.
--- a/workflow/src/decisions/Urgency.cpp
+++ b/workflow/src/decisions/Urgency.cpp
@@ -34,15 +34,16 @@
     int64_t accepted = job.record_.spec_.isTimed() ? job.record_.spec_.schedule().firstDueMs_ : job.record_.acceptedMs_;
     auto objective = static_cast<int64_t>(queue.stretch_ * static_cast<double>(milliseconds(chainOf(job, false)))) + milliseconds(queue.targetLatency_);
     int64_t soonest = state.wallMs_ + milliseconds(chainOf(job, true));
-    Urgency urgency { job.record_.queue_.priority_, Prospect::OnTime, accepted + objective, job.record_.id_ };
+    int64_t deadline = accepted + objective;
+    Urgency urgency { job.record_.queue_.priority_, Prospect::OnTime, !job.started_, job.started_ ? deadline : -deadline, job.record_.id_ };
     bool lasts = std::any_of(job.record_.spec_.steps().begin(), job.record_.spec_.steps().end(), [](const Step& step) { return step.longRunning_; });
-    if (lasts || soonest <= urgency.deadlineMs_)
+    if (lasts || soonest <= deadline)
         return urgency;
     if (soonest <= accepted + objective * lateFactor) {
         urgency.prospect_ = Prospect::Late;
         return urgency;
     }
-    return { urgency.priority_, Prospect::Worthless, accepted, urgency.job_ };
+    return { urgency.priority_, Prospect::Worthless, false, accepted, urgency.job_ };
 }
 
 } // namespace persimmondoor::workflow
