--- a/scheduler/src/SchedulerActor.cpp
+++ b/scheduler/src/SchedulerActor.cpp
@@ -19,8 +19,6 @@
 // A call that is passed on is answered by then, or its outcome is unknown.
 static constexpr Duration passOnTimeout = std::chrono::milliseconds(1500);
 static constexpr Duration readTimeout = std::chrono::milliseconds(1000);
-// Without a durable write for so long, an owner takes no new job; it writes at least twice a second.
-static constexpr Duration storeSilence = std::chrono::milliseconds(1500);
 static constexpr Duration retryAfter = std::chrono::milliseconds(1000);
 
 Scheduler::Scheduler(const asio::any_io_executor& executor, SchedulerOptions options)
@@ -94,10 +92,6 @@
 void Scheduler::take(CallMessage message)
 {
     if (auto* role = std::get_if<Owning>(&role_)) {
-        // What cannot be stored now is refused while it has not been taken: nothing of it will run.
-        bool isSubmission = std::holds_alternative<workflow::Submit>(message.call_.verb_);
-        if (isSubmission && time() - role->writtenAt_ > storeSilence)
-            return message.reply_.send(workflow::NotAccepted { "the store does not answer", retryAfter });
         role->lastToken_ = role->lastToken_.next();
         role->calls_.emplace(role->lastToken_, message.reply_);
         return decide(*role, workflow::CallArrived { role->lastToken_, std::move(message.call_), wallMilliseconds() });
--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -36,6 +36,8 @@
     /// How long after its last durable write an owner grants leases. A successor waits this long and a task lease
     /// longer for workers that it cannot reach.
     Duration leadershipLease_ { std::chrono::milliseconds(4000) };
+    /// Without a durable write for so long, an owner takes no new job; it writes at least twice a second.
+    Duration storeSilence_ { std::chrono::milliseconds(1500) };
     /// A worker's clock may run this share slow, in percent (stated by the platform).
     int64_t clockDriftPercent_ { 2 };
     /// Allowance for the delivery of a lease, on top of the drift.
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -46,6 +46,12 @@
         turn.remark("job.refused", id.value(), concat(turn.state_.open_.size(), " unfinished jobs are held, the most allowed"));
         return turn.act(AnswerClient { message.token_, NotAccepted { "too many unfinished jobs", turn.state_.tuning_.retryAfter_ } });
     }
+    // What cannot be stored now is refused before it is taken, so that nothing of it will run.
+    Instant writtenAt = turn.state_.grantsUntil_ - turn.state_.tuning_.leadershipLease_;
+    if (turn.now_ - writtenAt > turn.state_.tuning_.storeSilence_) {
+        turn.remark("job.refused", id.value(), concat("no durable write for ", (turn.now_ - writtenAt).count() / 1000, " ms"));
+        return turn.act(AnswerClient { message.token_, NotAccepted { "the store does not answer", turn.state_.tuning_.retryAfter_ } });
+    }
     Job job = newJob({ id, queue, message.wallMs_, request.spec_ });
     turn.remark("job.taken", id.value(), concat("queue ", queue.name_, ", ", job.tasks_.size(), " tasks, configuration ", turn.state_.catalog_.version_));
     turn.state_.open_.insert(id);
--- /dev/null
+++ b/workflow/tests/OwnerTest.cpp
@@ -0,0 +1,223 @@
+#include "OwnerWorld.h"
+
+namespace persimmondoor::workflow {
+
+static RunKey runOf(uint32_t step, uint32_t index, uint32_t run, const std::string& job = "00000000000000aa")
+{
+    return { { JobId::of(job), 0, step, index }, run };
+}
+
+BOOST_AUTO_TEST_SUITE(workflow_owner)
+
+BOOST_AUTO_TEST_CASE(job_is_accepted_once_it_is_durable)
+{
+    OwnerWorld world;
+    uint64_t first = world.submit({ stepOfTasks(1) }, 10);
+    uint64_t again = world.submit({ stepOfTasks(1) }, 11);
+    BOOST_TEST(world.answer(first) == "none");
+    world.commit(20);
+    BOOST_TEST(world.answer(first) == "accepted");
+    BOOST_TEST(world.answer(again) == "accepted");
+    uint64_t later = world.submit({ stepOfTasks(1) }, 30);
+    BOOST_TEST(world.answer(later) == "accepted");
+    BOOST_TEST(world.rows().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(order_leaves_only_after_its_row_is_durable)
+{
+    OwnerWorld world;
+    world.report("w-1", 5);
+    world.submit({ stepOfTasks(2) }, 10);
+    BOOST_TEST(world.starts("w-1", 11).empty());
+    world.commit(20);
+    BOOST_TEST(world.starts("w-1", 21).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(next_step_waits_for_all_tasks_of_the_first)
+{
+    OwnerWorld world;
+    world.report("w-1", 5);
+    world.submit({ stepOfTasks(2), stepOfTasks(1, { 0 }) }, 10);
+    world.commit(20);
+    world.directive("w-1", 21);
+    world.settled_ = OrderNumber(2);
+    world.report("w-1", 30, { { runOf(0, 1, 1), "", 50, 0, 100 } }, { { 1, runOf(0, 0, 1), RunEnd::Done, "" } });
+    world.commit(40);
+    BOOST_TEST(world.starts("w-1", 41).empty());
+    world.report("w-1", 50, {}, { { 1, runOf(0, 0, 1), RunEnd::Done, "" }, { 2, runOf(0, 1, 1), RunEnd::Done, "" } });
+    world.commit(60);
+    auto starts = world.starts("w-1", 61);
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST((starts[0] == runOf(1, 0, 1)));
+}
+
+BOOST_AUTO_TEST_CASE(end_is_acknowledged_only_when_durable)
+{
+    OwnerWorld world;
+    world.report("w-1", 5);
+    world.submit({ stepOfTasks(1) }, 10);
+    world.commit(20);
+    world.directive("w-1", 21);
+    world.settled_ = OrderNumber(1);
+    world.report("w-1", 30, {}, { { 1, runOf(0, 0, 1), RunEnd::Done, "" } });
+    Directive before = directiveFor(world.state_, "w-1", at(31));
+    BOOST_REQUIRE(before.durable_.size() == 1U);
+    BOOST_TEST(before.durable_[0].number_ == 0U);
+    BOOST_TEST(world.answer(world.call(Look {}, 32)) == "running");
+    world.commit(40);
+    BOOST_TEST(directiveFor(world.state_, "w-1", at(41)).durable_[0].number_ == 1U);
+    BOOST_TEST(world.answer(world.call(Look {}, 42)) == "completed");
+}
+
+BOOST_AUTO_TEST_CASE(failed_task_is_tried_again_until_its_attempts_are_spent)
+{
+    OwnerWorld world;
+    world.report("w-1", 5);
+    world.submit({ stepOfTasks(1) }, 10);
+    world.commit(20);
+    world.directive("w-1", 21);
+    world.settled_ = OrderNumber(1);
+    world.report("w-1", 30, {}, { { 1, runOf(0, 0, 1), RunEnd::Failed, "" } });
+    world.commit(40);
+    auto second = world.starts("w-1", 41);
+    BOOST_REQUIRE(second.size() == 1U);
+    BOOST_TEST(second[0].run_ == 2U);
+    world.settled_ = OrderNumber(2);
+    world.report("w-1", 50, {}, { { 2, runOf(0, 0, 2), RunEnd::Failed, "" } });
+    world.commit(60);
+    BOOST_TEST(world.starts("w-1", 61).empty());
+    BOOST_TEST(world.answer(world.call(Look {}, 62)) == "failed");
+}
+
+BOOST_AUTO_TEST_CASE(successor_takes_runs_as_its_workers_list_them)
+{
+    OwnerWorld first;
+    first.report("w-1", 5);
+    first.submit({ stepOfTasks(2) }, 10);
+    first.commit(20);
+    first.directive("w-1", 21);
+    OwnerWorld second(first.rows(), 2);
+    BOOST_TEST(second.state_.open_.size() == 1U);
+    // The worker runs one of the two; the order of the other never arrived.
+    second.report("w-1", 100, { { runOf(0, 0, 1), "", 10, 0, 100 } });
+    second.commit(110);
+    auto starts = second.starts("w-1", 111);
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST((starts[0] == runOf(0, 1, 2)));
+}
+
+BOOST_AUTO_TEST_CASE(successor_waits_for_the_leases_of_workers_that_it_cannot_reach)
+{
+    OwnerWorld first;
+    first.report("w-1", 5);
+    first.submit({ stepOfTasks(1) }, 10);
+    first.commit(20);
+    first.directive("w-1", 21);
+    OwnerWorld second(first.rows(), 2);
+    Tuning tuning;
+    int64_t bound = (tuning.leadershipLease_ + tuning.taskLease_ * (100 + tuning.clockDriftPercent_) / 100).count() / 1000;
+    for (int64_t time = 100; time < bound; time += 500) {
+        second.commit(time);
+        second.report("w-2", time);
+        second.take(Tick { 0 }, time);
+        BOOST_TEST(second.starts("w-2", time).empty());
+    }
+    for (int64_t time = bound + 1000; time < bound + 3000; time += 500) {
+        second.commit(time);
+        second.report("w-2", time);
+        second.take(Tick { 0 }, time);
+    }
+    second.commit(bound + 3000);
+    BOOST_TEST(second.state_.jobs_.at(JobId::of("00000000000000aa")).tasks_[0].progress_.run_ == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(cancelled_job_is_stopped_and_starts_nothing)
+{
+    OwnerWorld world;
+    world.report("w-1", 5);
+    world.submit({ stepOfTasks(1), stepOfTasks(1, { 0 }) }, 10);
+    world.commit(20);
+    world.directive("w-1", 21);
+    uint64_t cancel = world.call(Cancel {}, 30);
+    auto orders = world.directive("w-1", 31);
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST(std::holds_alternative<StopRun>(orders[0]));
+    BOOST_TEST(world.answer(cancel) == "none");
+    world.commit(40);
+    BOOST_TEST(world.answer(cancel) == "cancellation stored");
+    world.settled_ = OrderNumber(2);
+    world.report("w-1", 50, {}, { { 1, runOf(0, 0, 1), RunEnd::Done, "" } });
+    world.commit(60);
+    BOOST_TEST(world.starts("w-1", 61).empty());
+    BOOST_TEST(world.answer(world.call(Look {}, 62)) == "cancelled");
+    BOOST_TEST(world.state_.open_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(no_start_in_an_evacuated_domain)
+{
+    OwnerWorld world;
+    world.report("w-1", 5);
+    world.submit({ stepOfTasks(1) }, 10);
+    // The change comes between the decision and its durability.
+    world.take(EvacuationsChanged { { "north" } }, 15);
+    world.commit(20);
+    BOOST_TEST(world.starts("w-1", 21).empty());
+    world.take(EvacuationsChanged { {} }, 30);
+    world.commit(40);
+    BOOST_TEST(world.starts("w-1", 41).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(draining_worker_is_given_nothing_and_long_work_moves)
+{
+    OwnerWorld world;
+    Step step = stepOfTasks(1);
+    step.longRunning_ = true;
+    world.report("w-1", 5);
+    world.submit({ step }, 10);
+    world.commit(20);
+    world.directive("w-1", 21);
+    world.settled_ = OrderNumber(1);
+    world.draining_ = true;
+    world.report("w-1", 30, { { runOf(0, 0, 1), "", 100, 0, 100 } });
+    auto orders = world.directive("w-1", 31);
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST(std::holds_alternative<StopRun>(orders[0]));
+    world.settled_ = OrderNumber(2);
+    world.report("w-1", 40, {}, { { 1, runOf(0, 0, 1), RunEnd::Stopped, "ck" } });
+    world.draining_ = false;
+    world.settled_ = OrderNumber(0);
+    world.report("w-2", 50);
+    world.commit(60);
+    auto starts = world.directive("w-2", 61);
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(std::get<StartRun>(starts[0]).checkpoint_ == "ck");
+}
+
+BOOST_AUTO_TEST_CASE(submission_that_may_have_been_taken_is_not_refused_while_the_store_is_away)
+{
+    OwnerWorld world;
+    uint64_t first = world.submit({ stepOfTasks(1) }, 10);
+    // No write has been durable for long: what is new is refused, what was taken stays open.
+    uint64_t again = world.submit({ stepOfTasks(1) }, 2500);
+    uint64_t other = world.submit({ stepOfTasks(1) }, 2500, "00000000000000bb");
+    BOOST_TEST(world.answer(again) == "none");
+    BOOST_TEST(world.answer(other) == "not accepted: the store does not answer");
+    world.commit(3000);
+    BOOST_TEST(world.answer(first) == "accepted");
+    BOOST_TEST(world.answer(again) == "accepted");
+}
+
+BOOST_AUTO_TEST_CASE(job_without_a_known_queue_or_with_a_bad_id_is_refused_at_once)
+{
+    OwnerWorld world;
+    uint64_t bad = world.submit({ stepOfTasks(1) }, 10, "short");
+    BOOST_TEST(world.answer(bad) == "malformed: the id of a job is 16 hexadecimal digits");
+    world.take(CallArrived { CallToken(99), { "h.example", "/other/00000000000000aa", Look {}, std::chrono::seconds(1) }, 0 }, 11);
+    BOOST_TEST(world.answer(99) == "no such queue");
+    BOOST_TEST(!JobSpec::create("", { stepOfTasks(10'000) }, {}).ok());
+    BOOST_TEST(!JobSpec::create("", { stepOfTasks(1, { 0 }) }, {}).ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/tests/OwnerWorld.h
@@ -0,0 +1,133 @@
+// An owner of queues with a store that the test answers for, for tests of its decisions.
+#pragma once
+
+#include "persimmondoor/workflow/Owner.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace persimmondoor::workflow {
+
+inline Instant at(int64_t milliseconds)
+{
+    // Far from zero, which stands for "never" in the state.
+    return Instant::fromMicroseconds((1'000'000 + milliseconds) * 1000);
+}
+
+class OwnerWorld {
+public:
+    explicit OwnerWorld(std::vector<StoredJob> rows = {}, uint64_t epoch = 1)
+        : state_(takeOver(LeaderEpoch(epoch), {}, std::move(rows), at(0)))
+    {
+        state_.grantsUntil_ = at(4000);
+        Catalog catalog { 3, { { "tests", "h.example", "/tests/", "packs", 0, 2, 1.5, std::chrono::milliseconds(250), std::chrono::seconds(3) } }, { { "packs", true, false } } };
+        take(CatalogChanged { catalog }, 0);
+    }
+
+    template <typename Message>
+    void take(Message message, int64_t milliseconds)
+    {
+        OwnerMessage wrapped = std::move(message);
+        Decision decision = decide(std::move(state_), wrapped, at(milliseconds));
+        state_ = std::move(decision.state_);
+        for (OwnerAction& action : decision.actions_) {
+            if (auto* answer = std::get_if<AnswerClient>(&action))
+                answers_[answer->token_.value()] = answer->answer_;
+        }
+    }
+
+    // Writes what is staged and tells the owner.
+    void commit(int64_t milliseconds)
+    {
+        Batch batch = takeBatch(state_);
+        for (const Batch::Item& item : batch.items_) {
+            auto progress = progressOf(state_, item.job_);
+            if (!progress) {
+                rows_.erase(item.job_);
+                continue;
+            }
+            rows_[item.job_] = { state_.jobs_.at(item.job_).record_, *progress };
+        }
+        take(BatchDurable { std::move(batch), at(milliseconds) }, milliseconds);
+    }
+
+    std::vector<StoredJob> rows() const
+    {
+        std::vector<StoredJob> rows;
+        for (const auto& [id, row] : rows_)
+            rows.push_back(row);
+        return rows;
+    }
+
+    // A client's call; its answer stands under the token.
+    uint64_t call(ClientVerb verb, int64_t milliseconds, const std::string& id = "00000000000000aa")
+    {
+        take(CallArrived { CallToken(++token_), { "h.example", "/tests/" + id, std::move(verb), std::chrono::seconds(3) }, 1'000'000 + milliseconds }, milliseconds);
+        return token_;
+    }
+    uint64_t submit(std::vector<Step> steps, int64_t milliseconds, const std::string& id = "00000000000000aa")
+    {
+        return call(Submit { *JobSpec::create("spec", std::move(steps), {}) }, milliseconds, id);
+    }
+    std::string answer(uint64_t token) const
+    {
+        auto found = answers_.find(token);
+        return found == answers_.end() ? "none" : describe(found->second);
+    }
+
+    // A report of one worker; the agent has the worker's name. Under another epoch or session the owner gives a fence first.
+    void report(const std::string& worker, int64_t milliseconds, std::vector<ActiveRun> active = {}, std::vector<EndedRun> ended = {}, uint64_t session = 7)
+    {
+        WorkerReport lists { { worker, 1000 }, { "packs", domain_, { "a", "r1" }, *Resources::create(4000, 1'000'000, 0) }, draining_, 0, true, std::move(active), std::move(ended), {} };
+        AgentReport report { worker, domain_, session, state_.epoch_, fenceOf(worker), Sequence(++sequence_), settled_, { lists }, gone_, true };
+        take(ReportArrived { report }, milliseconds);
+        if (report.fence_ == fenceOf(worker))
+            return;
+        directive(worker, milliseconds);
+        report.fence_ = fenceOf(worker);
+        report.sequence_ = Sequence(++sequence_);
+        take(ReportArrived { std::move(report) }, milliseconds);
+    }
+
+    std::vector<Order> directive(const std::string& worker, int64_t milliseconds) { return directiveFor(state_, worker, at(milliseconds)).orders_; }
+
+    // The runs that the next directive to the worker starts.
+    std::vector<RunKey> starts(const std::string& worker, int64_t milliseconds)
+    {
+        std::vector<RunKey> runs;
+        for (const Order& order : directive(worker, milliseconds)) {
+            if (const auto* start = std::get_if<StartRun>(&order))
+                runs.push_back(start->run_);
+        }
+        return runs;
+    }
+
+    Fence fenceOf(const std::string& agent) const
+    {
+        auto found = state_.agents_.find(agent);
+        return found == state_.agents_.end() ? Fence() : found->second.fence_;
+    }
+
+    OwnerState state_;
+    std::string domain_ { "north" };
+    bool draining_ { false };
+    OrderNumber settled_;
+    std::vector<WorkerLife> gone_;
+
+private:
+    std::map<JobId, StoredJob> rows_;
+    std::map<uint64_t, ClientAnswer> answers_;
+    uint64_t token_ { 0 };
+    uint64_t sequence_ { 0 };
+};
+
+inline Step stepOfTasks(uint32_t count, std::vector<uint32_t> after = {})
+{
+    Step step;
+    step.count_ = count;
+    step.demand_ = *Resources::create(1000, 1000, 0);
+    step.estimate_ = std::chrono::milliseconds(800);
+    step.after_ = std::move(after);
+    return step;
+}
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/tests/RecordTest.cpp
@@ -0,0 +1,42 @@
+#include "persimmondoor/workflow/Record.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace persimmondoor::workflow {
+
+BOOST_AUTO_TEST_SUITE(workflow_record)
+
+BOOST_AUTO_TEST_CASE(record_and_progress_survive_their_encoding)
+{
+    Step step;
+    step.count_ = 3;
+    step.demand_ = *Resources::create(960, 1'900'000'000, 1);
+    step.estimate_ = std::chrono::milliseconds(800);
+    step.fills_ = true;
+    step.image_ = "encoder";
+    Step last = step;
+    last.after_ = { 0 };
+    last.longRunning_ = true;
+    last.targetTailMs_ = 18;
+    JobRecord record { JobId::of("00000000000000aa"), { "tests", "h.example", "/tests/", "packs", 2, 4, 1.5, std::chrono::milliseconds(250), std::chrono::seconds(3) }, 1234, *JobSpec::create("payload", { step, last }, { 2, 5000, 100 }) };
+    auto decoded = decodeRecord(encodeRecord(record));
+    BOOST_REQUIRE(decoded.ok());
+    BOOST_TEST((*decoded == record));
+    Progress progress { false, true, true, { { TaskPhase::Assigned, 3, 1, { "w-1", 99 }, "ck" }, { TaskPhase::Done, 1, 0, {}, "" }, { TaskPhase::Waiting, 0, 0, {}, "" } } };
+    auto read = decodeProgress(encodeProgress(progress));
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST((*read == progress));
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_rows_are_errors)
+{
+    BOOST_TEST(!decodeRecord("{").ok());
+    BOOST_TEST(!decodeRecord("{}").ok());
+    BOOST_TEST(!decodeProgress(R"({"cancelled":1})").ok());
+    BOOST_TEST(!decodeProgress(R"({"cancelled":false,"failed":false,"started":false,"workers":[],"tasks":[[7,0,0]]})").ok());
+    BOOST_TEST(!decodeSpec(R"({"payload":"","steps":[]})").ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::workflow
