Give up on workers that their restarted agent does not report

Change: each worker has its own time of report and end of lease; agents get leases only after their first report. Test: workflow_owner/worker_that_its_restarted_agent_does_not_know_is_given_up failed before, passes now.

--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -111,8 +111,10 @@
     Instant leavesAt_;
     /// Its lists are complete under the session's fence.
     bool listed_ { false };
-    /// Until its agent has reported it: when a lease of the predecessor has surely expired.
-    Instant unreachableUntil_;
+    /// When its agent last reported it.
+    Instant reportedAt_;
+    /// By then the leases of its tasks have surely expired, unless they are renewed.
+    Instant leaseEnd_;
     std::set<TaskKey> assigned_;
     /// Demand of the assigned tasks; cores of filling tasks apart.
     Resources used_;
@@ -147,8 +149,9 @@
     Fence fence_;
     Sequence answered_;
     Instant heard_;
-    /// The leases it was granted end by then.
-    Instant leaseEnd_;
+    /// It has reported its workers under this fence; before, it is granted no leases, as they could be for workers that
+    /// this owner does not know of.
+    bool hasReported_ { false };
     OrderNumber lastOrder_;
     OrderNumber settled_;
     /// Orders without outcome.
--- a/workflow/src/decisions/Owner.cpp
+++ b/workflow/src/decisions/Owner.cpp
@@ -38,7 +38,7 @@
 }
 
 // Books the tasks that the predecessor's rows say are assigned.
-static void rememberAssignments(OwnerState& state, const Job& job, Instant unreachableUntil)
+static void rememberAssignments(OwnerState& state, const Job& job, Instant leaseEnd)
 {
     for (uint32_t number = 0; number < job.tasks_.size(); ++number) {
         const TaskProgress& progress = job.tasks_[number].progress_;
@@ -46,7 +46,7 @@
             continue;
         TaskKey key = keyOf(job, number);
         Worker& worker = state.workers_[progress.worker_];
-        worker.unreachableUntil_ = unreachableUntil;
+        worker.leaseEnd_ = leaseEnd;
         book(worker, key, stepOf(job, key));
     }
 }
@@ -56,10 +56,10 @@
     OwnerState state;
     state.epoch_ = epoch;
     state.tuning_ = tuning;
-    Instant unreachableUntil = now + tuning.leadershipLease_ + leaseBound(tuning);
+    Instant leaseEnd = now + tuning.leadershipLease_ + leaseBound(tuning);
     for (StoredJob& stored : rows) {
         Job job = restoreJob(std::move(stored), now);
-        rememberAssignments(state, job, unreachableUntil);
+        rememberAssignments(state, job, leaseEnd);
         if (isOpen(job)) {
             state.open_.insert(job.record_.id_);
             makeReady(state, job);
@@ -76,17 +76,14 @@
 {
     std::vector<WorkerLife> lapsed;
     for (const auto& [life, worker] : turn.state_.workers_) {
-        auto agent = turn.state_.agents_.find(worker.agent_);
-        bool isSilent = agent == turn.state_.agents_.end() || turn.now_ - agent->second.heard_ > turn.state_.tuning_.silenceBeforeNoStarts_;
-        Instant leaseEnd = agent == turn.state_.agents_.end() ? Instant() : agent->second.leaseEnd_;
-        if (isSilent && turn.now_ > std::max(leaseEnd, worker.unreachableUntil_))
+        bool isSilent = turn.now_ - worker.reportedAt_ > turn.state_.tuning_.silenceBeforeNoStarts_;
+        if (isSilent && turn.now_ > worker.leaseEnd_)
             lapsed.push_back(life);
     }
     for (const WorkerLife& life : lapsed)
-        dropWorker(turn, life, "its agent is silent and its leases have expired");
-    std::erase_if(turn.state_.agents_, [&](const auto& entry) {
-        return turn.now_ > entry.second.leaseEnd_ && turn.now_ - entry.second.heard_ > turn.state_.tuning_.taskLease_;
-    });
+        dropWorker(turn, life, "no agent reports it and its leases have expired");
+    Duration longest = leaseBound(turn.state_.tuning_);
+    std::erase_if(turn.state_.agents_, [&](const auto& entry) { return turn.now_ - entry.second.heard_ > longest; });
 }
 
 static void stopHungRuns(const Turn& turn)
@@ -243,10 +240,8 @@
 {
     Agent& agent = state.agents_.at(name);
     Directive directive { state.epoch_, agent.fence_, agent.answered_, Duration(0), {}, {}, {} };
-    if (now < state.grantsUntil_) {
+    if (agent.hasReported_ && now < state.grantsUntil_)
         directive.lease_ = state.tuning_.taskLease_;
-        agent.leaseEnd_ = std::max(agent.leaseEnd_, now + leaseBound(state.tuning_));
-    }
     bool resend = isResendDue(state, agent, now);
     for (const Order& order : agent.outbox_) {
         if (resend || numberOf(order) > agent.sent_)
@@ -259,6 +254,8 @@
     for (auto& [life, worker] : state.workers_) {
         if (worker.agent_ != name)
             continue;
+        if (directive.lease_ > Duration(0) && worker.reportedAt_ >= agent.heard_)
+            worker.leaseEnd_ = std::max(worker.leaseEnd_, now + leaseBound(state.tuning_));
         worker.announcedEnd_ = durableEnd(worker);
         directive.durable_.push_back({ life, worker.announcedEnd_ });
         describeRuns(state, worker, directive);
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -29,8 +29,7 @@
 {
     if (!worker.listed_ || worker.draining_ || now < worker.quarantinedUntil_ || state.evacuated_.count(worker.traits_.domain_) > 0)
         return false;
-    auto agent = state.agents_.find(worker.agent_);
-    return agent != state.agents_.end() && now - agent->second.heard_ < state.tuning_.silenceBeforeNoStarts_;
+    return state.agents_.count(worker.agent_) > 0 && now - worker.reportedAt_ < state.tuning_.silenceBeforeNoStarts_;
 }
 
 static bool hasLabel(const Worker& worker, const std::string& label)
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -19,12 +19,10 @@
 // The agent has restarted or meets this owner for the first time: orders of before are void under the new fence.
 static void beginSession(const Turn& turn, const AgentReport& report, Agent& agent)
 {
-    Instant leaseEnd = agent.leaseEnd_;
     agent = Agent {};
     agent.domain_ = report.domain_;
     agent.session_ = report.session_;
     agent.fence_ = nextFence(turn.state_);
-    agent.leaseEnd_ = leaseEnd;
     for (auto& [life, worker] : turn.state_.workers_) {
         if (worker.agent_ != report.agent_)
             continue;
@@ -288,6 +286,7 @@
         turn.remark("worker.draining", report.life_.name_, concat(report.remainingMs_, " ms left"));
     worker.agent_ = message.agent_;
     worker.traits_ = report.traits_;
+    worker.reportedAt_ = turn.now_;
     worker.draining_ = report.draining_;
     worker.leavesAt_ = turn.now_ + std::chrono::milliseconds(report.remainingMs_);
     if (!report.listed_)
@@ -325,6 +324,7 @@
     }
     if (!isNewest)
         return;
+    agent.hasReported_ = true;
     agent.settled_ = std::max(agent.settled_, report.settled_);
     std::erase_if(agent.outbox_, [&](const Order& order) { return numberOf(order) <= agent.settled_; });
     for (const WorkerLife& life : report.gone_)
--- a/workflow/tests/OwnerTest.cpp
+++ b/workflow/tests/OwnerTest.cpp
@@ -131,6 +131,30 @@
     BOOST_TEST(second.state_.jobs_.at(JobId::of("00000000000000aa")).tasks_[0].progress_.run_ == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(worker_that_its_restarted_agent_does_not_know_is_given_up)
+{
+    OwnerWorld world;
+    world.reportBy("agent", 7, "w-1", 5);
+    world.submit({ stepOfTasks(1) }, 10);
+    world.commit(20);
+    world.directive("agent", 21);
+    // Host and worker have lost power; another worker is there now.
+    int64_t bound = 21 + Tuning().taskLease_.count() / 1000 * 102 / 100;
+    for (int64_t time = 1000; time < bound; time += 500) {
+        world.commit(time);
+        world.reportBy("agent", 8, "w-2", time);
+        world.take(Tick { 0 }, time);
+        BOOST_TEST(world.starts("agent", time).empty());
+    }
+    for (int64_t time = bound + 500; time < bound + 2500; time += 500) {
+        world.commit(time);
+        world.reportBy("agent", 8, "w-2", time);
+        world.take(Tick { 0 }, time);
+    }
+    world.commit(bound + 2500);
+    BOOST_TEST(world.state_.jobs_.at(JobId::of("00000000000000aa")).tasks_[0].progress_.run_ == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(cancelled_job_is_stopped_and_starts_nothing)
 {
     OwnerWorld world;
--- a/workflow/tests/OwnerWorld.h
+++ b/workflow/tests/OwnerWorld.h
@@ -75,15 +75,21 @@
     }
 
     // A report of one worker; the agent has the worker's name. Under another epoch or session the owner gives a fence first.
-    void report(const std::string& worker, int64_t milliseconds, std::vector<ActiveRun> active = {}, std::vector<EndedRun> ended = {}, uint64_t session = 7)
+    void report(const std::string& worker, int64_t milliseconds, std::vector<ActiveRun> active = {}, std::vector<EndedRun> ended = {})
+    {
+        reportBy(worker, 7, worker, milliseconds, std::move(active), std::move(ended));
+    }
+
+    // As `report`, by an agent of another name.
+    void reportBy(const std::string& agent, uint64_t session, const std::string& worker, int64_t milliseconds, std::vector<ActiveRun> active = {}, std::vector<EndedRun> ended = {})
     {
         WorkerReport lists { { worker, 1000 }, { "packs", domain_, { "a", "r1" }, *Resources::create(4000, 1'000'000, 0) }, draining_, 0, true, std::move(active), std::move(ended), {} };
-        AgentReport report { worker, domain_, session, state_.epoch_, fenceOf(worker), Sequence(++sequence_), settled_, { lists }, gone_, true };
+        AgentReport report { agent, domain_, session, state_.epoch_, fenceOf(agent), Sequence(++sequence_), settled_, { lists }, gone_, true };
         take(ReportArrived { report }, milliseconds);
-        if (report.fence_ == fenceOf(worker))
+        if (report.fence_ == fenceOf(agent))
             return;
-        directive(worker, milliseconds);
-        report.fence_ = fenceOf(worker);
+        directive(agent, milliseconds);
+        report.fence_ = fenceOf(agent);
         report.sequence_ = Sequence(++sequence_);
         take(ReportArrived { std::move(report) }, milliseconds);
     }
