Deny queues and jobs only with news from the store

Change: without an answer of the operators' feed for 1.4 s the owner answers only about jobs that it knows; other calls wait for an owner with news. Test: scheduler_actor/owner_without_the_store_denies_nothing failed before, passes now.

--- a/scheduler/src/Operators.cpp
+++ b/scheduler/src/Operators.cpp
@@ -74,10 +74,6 @@
     while (isWanted()) {
         auto outcome = co_await rows.follow(std::string(platform::operatorTable), view.version_, feedWait);
         const auto* changes = outcome.ok() ? std::get_if<platform::Changes>(&*outcome) : nullptr;
-        if (changes && changes->items_.empty()) {
-            view.version_ = std::max(view.version_, changes->version_);
-            continue;
-        }
         if (changes) {
             view = apply(std::move(view), *changes);
         } else {
--- a/scheduler/src/Operators.h
+++ b/scheduler/src/Operators.h
@@ -27,7 +27,8 @@
 
 std::set<std::string> evacuatedDomains(const OperatorView&);
 
-// Reads the operators' table whenever it changes and hands it to `take`, until `isWanted` says no.
+// Reads the operators' table whenever it changes, and about once a second that it has not, and hands it to `take` each
+// time, until `isWanted` says no.
 boost::asio::awaitable<void> followOperators(platform::RowStore, OperatorView, std::function<bool()> isWanted, std::function<boost::asio::awaitable<void>(OperatorView)> take);
 
 } // namespace persimmondoor::scheduler
--- a/scheduler/src/Owning.cpp
+++ b/scheduler/src/Owning.cpp
@@ -116,6 +116,9 @@
 {
     if (view.version_ < role.operators_.version_)
         return;
+    role.operatorsAt_ = time();
+    if (view == role.operators_ && role.owner_.catalog_.version_ > 0)
+        return;
     auto before = role.operators_.rows_.find(platform::configurationRow());
     auto row = view.rows_.find(platform::configurationRow());
     bool changed = row != view.rows_.end() && (before == role.operators_.rows_.end() || before->second.version_ != row->second.version_);
--- a/scheduler/src/Scheduler.h
+++ b/scheduler/src/Scheduler.h
@@ -108,6 +108,8 @@
     store::RowVersion chain_;
     workflow::OwnerState owner_;
     OperatorView operators_;
+    // When the operators' documents were last known to be those in force.
+    Instant operatorsAt_;
     std::map<workflow::CallToken, Reply<workflow::ClientAnswer>> calls_;
     workflow::CallToken lastToken_;
     std::map<std::string, std::deque<WaitingReport>> reports_;
--- a/scheduler/src/SchedulerActor.cpp
+++ b/scheduler/src/SchedulerActor.cpp
@@ -19,6 +19,8 @@
 // A call that is passed on is answered by then, or its outcome is unknown.
 static constexpr Duration passOnTimeout = std::chrono::milliseconds(1500);
 static constexpr Duration readTimeout = std::chrono::milliseconds(1000);
+// The store tells at least every 900 ms that the operators have changed nothing; changes must be in force within 2 s.
+static constexpr Duration operatorsFreshFor = std::chrono::milliseconds(1400);
 static constexpr Duration retryAfter = std::chrono::milliseconds(1000);
 
 Scheduler::Scheduler(const asio::any_io_executor& executor, SchedulerOptions options)
@@ -92,6 +94,10 @@
 void Scheduler::take(CallMessage message)
 {
     if (auto* role = std::get_if<Owning>(&role_)) {
+        // Without news from the store another entry may lead by now, and the operators may have changed the queues.
+        bool mayBeOutdated = time() - role->operatorsAt_ > operatorsFreshFor;
+        if (mayBeOutdated && !workflow::concernsKnownJob(role->owner_, message.call_))
+            return message.reply_.send(workflow::NotOwner { "the store does not answer" });
         role->lastToken_ = role->lastToken_.next();
         role->calls_.emplace(role->lastToken_, message.reply_);
         return decide(*role, workflow::CallArrived { role->lastToken_, std::move(message.call_), wallMilliseconds() });
--- a/scheduler/tests/SchedulerActorTest.cpp
+++ b/scheduler/tests/SchedulerActorTest.cpp
@@ -92,6 +92,31 @@
     }(world));
 }
 
+BOOST_AUTO_TEST_CASE(owner_without_the_store_denies_nothing)
+{
+    SchedulerWorld world(1);
+    world.run([](SchedulerWorld& world) -> asio::awaitable<void> {
+        auto first = co_await serveClient(world.entry(0), submission("00000000000000aa"));
+        BOOST_TEST(workflow::describe(first) == "accepted");
+        platform::StoreFaults faults;
+        faults.isDown_ = true;
+        world.store().setFaults(faults);
+        // The stand-in still answers the feed that waits, which is at most 900 ms long.
+        co_await sleepFor(std::chrono::milliseconds(2500));
+        // The operators may have added this queue, and another owner taken this job.
+        workflow::ClientCall probe = look("/new/");
+        probe.timeLeft_ = std::chrono::milliseconds(400);
+        auto queue = co_await serveClient(world.entry(0), std::move(probe));
+        BOOST_TEST(workflow::describe(queue) == "not accepted: no owner of the queues can be reached");
+        workflow::ClientCall unknown = look("/tests/00000000000000bb");
+        unknown.timeLeft_ = std::chrono::milliseconds(400);
+        auto job = co_await serveClient(world.entry(0), std::move(unknown));
+        BOOST_TEST(workflow::describe(job) == "not accepted: no owner of the queues can be reached");
+        auto known = co_await serveClient(world.entry(0), look("/tests/00000000000000aa"));
+        BOOST_TEST(workflow::describe(known) == "pending");
+    }(world));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::scheduler
--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -313,6 +313,9 @@
 /// True if `directiveFor` has something to tell before the agent reports again.
 bool hasNews(const OwnerState&, const std::string& agent, Instant now);
 
+/// True if the call is about a job that the owner knows; it can be answered whatever else has changed.
+bool concernsKnownJob(const OwnerState&, const ClientCall&);
+
 /// Phase of a job from its present state.
 JobPhase phaseOf(const Job&);
 
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -141,6 +141,13 @@
 
 } // namespace
 
+bool concernsKnownJob(const OwnerState& state, const ClientCall& call)
+{
+    const Queue* queue = state.catalog_.find(call.host_, call.path_);
+    std::string id = queue ? call.path_.substr(queue->pathPrefix_.size()) : "";
+    return isJobId(id) && state.jobs_.count(JobId::of(id)) > 0;
+}
+
 void takeCall(const Turn& turn, const CallArrived& message)
 {
     const ClientCall& call = message.call_;
