--- a/app/src/Deployed.cpp
+++ b/app/src/Deployed.cpp
@@ -4,6 +4,7 @@
 #include "persimmondoor/app/Main.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
+#include "persimmondoor/core/Metrics.h"
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/http/Routes.h"
 #include "persimmondoor/platform/ClientCalls.h"
@@ -63,10 +64,8 @@
 
 static asio::awaitable<http::Response> serveMetrics(http::Request)
 {
-    std::string text;
-    for (const auto& [event, count] : countedEvents())
-        absl::StrAppend(&text, "persimmondoor_events_total{event=\"", event, "\"} ", count, "\n");
-    co_return http::Response { 200, { { "Content-Type", "text/plain" } }, std::move(text) };
+    http::Response response { 200, { { "Content-Type", "text/plain" } }, metricsText() };
+    co_return response;
 }
 
 static absl::StatusOr<std::unique_ptr<http::Server>> startMetrics(const asio::any_io_executor& executor, const settings::Deployment& deployment)
--- a/build.sh
+++ b/build.sh
@@ -64,6 +64,7 @@
   build
   cmake/lint.sh "$build_dir"
   cmake/include_lint.sh "$build_dir"
+  cmake/wire_lint.sh
   ;;
 *)
   sed -n '2,9s/^# \{0,1\}//p' "$0" >&2
--- /dev/null
+++ b/core/include/persimmondoor/core/Metrics.h
@@ -0,0 +1,22 @@
+/// Latencies by name, for a process's metrics page. One thread only, like the log.
+///
+/// \code
+/// recordLatency("commit", took);
+/// std::string page = metricsText();
+/// \endcode
+#pragma once
+
+#include "persimmondoor/core/Time.h"
+
+#include <string>
+#include <string_view>
+
+namespace persimmondoor {
+
+/// Adds one observation to the histogram of that name.
+void recordLatency(std::string_view name, Duration);
+
+/// All histograms, and the counts of logged events, in the text format of Prometheus.
+std::string metricsText();
+
+} // namespace persimmondoor
--- a/scheduler/src/Front.cpp
+++ b/scheduler/src/Front.cpp
@@ -2,6 +2,8 @@
 
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
+#include "persimmondoor/core/Metrics.h"
+#include "persimmondoor/core/Visitor.h"
 
 namespace persimmondoor::scheduler {
 
@@ -30,7 +32,7 @@
     co_return workflow::OutcomeUnknown { "the owner of the queues did not answer in time" };
 }
 
-asio::awaitable<workflow::ClientAnswer> serveClient(SchedulerActor scheduler, workflow::ClientCall call)
+static asio::awaitable<workflow::ClientAnswer> findAnswer(SchedulerActor scheduler, workflow::ClientCall call)
 {
     Clock clock = SteadyClock();
     Instant start = now(clock);
@@ -61,4 +63,25 @@
     }
 }
 
+static std::string_view nameOf(const workflow::ClientVerb& verb)
+{
+    return std::visit(Visitor { [](const workflow::Submit&) { return "submit"; }, [](const workflow::Look&) { return "look"; }, [](const workflow::Cancel&) { return "cancel"; } }, verb);
+}
+
+asio::awaitable<workflow::ClientAnswer> serveClient(SchedulerActor scheduler, workflow::ClientCall call)
+{
+    Clock clock = SteadyClock();
+    Instant start = now(clock);
+    std::string name(nameOf(call.verb_));
+    std::string path = call.path_;
+    workflow::ClientAnswer answer = co_await findAnswer(std::move(scheduler), std::move(call));
+    Duration took = now(clock) - start;
+    recordLatency(name, took);
+    // States are asked for often; they are logged only when something is wrong with them.
+    bool isRoutine = std::holds_alternative<workflow::JobStatus>(answer) || std::holds_alternative<workflow::WaitingCount>(answer);
+    if (!isRoutine)
+        logInfo("call.answered", { { "call", name }, { "path", path }, { "answer", workflow::describe(answer) }, { "took_ms", std::to_string(took.count() / 1000) } });
+    co_return answer;
+}
+
 } // namespace persimmondoor::scheduler
--- a/scheduler/src/Owning.cpp
+++ b/scheduler/src/Owning.cpp
@@ -3,6 +3,7 @@
 
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
+#include "persimmondoor/core/Metrics.h"
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/core/Visitor.h"
 
@@ -22,6 +23,8 @@
 static constexpr int64_t commitLimitFactor = 6;
 static constexpr Duration leastCommitLimit = std::chrono::milliseconds(150);
 static constexpr Duration greatestCommitLimit = std::chrono::milliseconds(2000);
+// A commit that takes longer delays every step of every job; a dozen milliseconds are usual.
+static constexpr Duration slowCommit = std::chrono::milliseconds(100);
 static constexpr Duration refusedRetryInterval = std::chrono::milliseconds(60);
 
 static absl::StatusOr<std::vector<workflow::StoredJob>> joinRows(const std::vector<store::Row>& records, const std::vector<store::Row>& progress)
@@ -300,6 +303,9 @@
         return;
     std::visit(Visitor { [&](const store::Committed& committed) {
                             Duration took = time() - message.sentAt_;
+                            recordLatency("commit", took);
+                            if (took > slowCommit)
+                                logInfo("commit.slow", { { "commit", std::to_string(role->commit_->number_) }, { "took_ms", std::to_string(took.count() / 1000) }, { "jobs", std::to_string(role->commit_->batch_.items_.size()) } });
                             role->commitTime_ = (role->commitTime_ * 7 + took) / 8;
                             role->commitLimit_ = std::clamp(role->commitTime_ * commitLimitFactor, leastCommitLimit, greatestCommitLimit);
                             finishCommit(*role, committed.version_, message.sentAt_);
--- a/scheduler/tests/SchedulerWorld.h
+++ b/scheduler/tests/SchedulerWorld.h
@@ -27,7 +27,7 @@
     explicit SchedulerWorld(size_t entries)
         : store_(*platform::StoreStandin::start(executor(), *Address::parse("127.0.0.1:0")))
     {
-        store_->put("op", "config", R"({"version":3,"routes":[{"name":"tests","host":"h.example","pathPrefix":"/tests/","service":"packs","priority":0,"maxAttempts":2}],"services":[{"name":"packs","admissionCheck":true}],"limits":{}})");
+        store_->configure("h.example", "/tests/", "packs");
         std::vector<Address> addresses;
         for (size_t index = 0; index < entries; ++index)
             addresses.push_back(freeAddress(executor()));
--- /dev/null
+++ b/settings/tests/DeploymentTest.cpp
@@ -0,0 +1,32 @@
+#include "persimmondoor/settings/Deployment.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace persimmondoor::settings {
+
+static const std::string good = R"({"name":"front-1","domain":"north","domains":["north","south"],"host":"10.1.0.1","internal_port":7720,"clients":"10.1.0.1:80","seeds":["10.1.0.2:81"],"store":"10.2.0.1:82","bounds":{"shutdown_ms":6000,"longest_lease_ms":10000}})";
+
+BOOST_AUTO_TEST_SUITE(deployment)
+
+BOOST_AUTO_TEST_CASE(file_is_read)
+{
+    auto deployment = parseDeployment(good);
+    BOOST_REQUIRE(deployment.ok());
+    BOOST_TEST(deployment->domains_.size() == 2U);
+    BOOST_TEST(deployment->clients_->text() == "10.1.0.1:80");
+    BOOST_TEST(!deployment->workers_.has_value());
+    BOOST_TEST(deployment->bounds_.shutdown_.count() == 6'000'000);
+}
+
+BOOST_AUTO_TEST_CASE(every_fault_is_named)
+{
+    auto deployment = parseDeployment(R"({"name":"front 1","domain":"north","domains":[],"host":"10.1.0.1","internal_port":0,"seeds":["x"],"bounds":{},"extra":1})");
+    BOOST_REQUIRE(!deployment.ok());
+    std::string message(deployment.status().message());
+    for (const char* path : { "name", "internal_port", "seeds", "store", "extra" })
+        BOOST_TEST(message.find(path) != std::string::npos, path);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::settings
--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -48,7 +48,7 @@
     bool draining_ { false };
     Instant leavesAt_;
     /// Its clock, and when it was read here.
-    int64_t clockMs_ { 0 };
+    int64_t workerTimeMs_ { 0 };
     Instant clockReadAt_;
     /// Its lists have been read under the present fence.
     bool listed_ { false };
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -55,7 +55,7 @@
 // early rather than late.
 static int64_t onWorkerClock(const LocalWorker& worker, Instant time)
 {
-    return worker.clockMs_ + std::chrono::duration_cast<std::chrono::milliseconds>(time - worker.clockReadAt_).count();
+    return worker.workerTimeMs_ + std::chrono::duration_cast<std::chrono::milliseconds>(time - worker.clockReadAt_).count();
 }
 
 // The end of lease for the next call, or 0 if none may be given. A worker that does not answer gets none: each call to
@@ -316,7 +316,7 @@
     if (!worker.reachable_)
         turn.remark("worker.reached", describe(message.worker_), concat(lists.active_.size(), " runs"));
     worker.reachable_ = true;
-    worker.clockMs_ = lists.clockMs_;
+    worker.workerTimeMs_ = lists.workerTimeMs_;
     worker.clockReadAt_ = turn.now_;
     if (message.fence_ == turn.state_.fence_) {
         takeLists(turn, lists, message.askedAt_, worker);
--- a/workflow/include/persimmondoor/workflow/Catalog.h
+++ b/workflow/include/persimmondoor/workflow/Catalog.h
@@ -18,7 +18,7 @@
 struct Queue {
     std::string name_;
     std::string host_;
-    std::string pathPrefix_;
+    std::string prefix_;
     std::string service_;
     /// 0 comes first.
     uint32_t priority_ { 0 };
--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -87,7 +87,6 @@
     bool operator==(const Task&) const = default;
 };
 
-
 struct Job {
     JobRecord record_;
     std::vector<Task> tasks_;
--- a/workflow/include/persimmondoor/workflow/WorkerCalls.h
+++ b/workflow/include/persimmondoor/workflow/WorkerCalls.h
@@ -58,7 +58,7 @@
 
 struct Lists {
     /// The worker's clock when it answered, in milliseconds.
-    int64_t clockMs_ { 0 };
+    int64_t workerTimeMs_ { 0 };
     /// Birth of the life that answered; 0 if not stated.
     int64_t bornMs_ { 0 };
     std::vector<ActiveRun> active_;
--- a/workflow/src/RecordCodec.cpp
+++ b/workflow/src/RecordCodec.cpp
@@ -103,7 +103,7 @@
 std::string encodeRecord(const JobRecord& record)
 {
     const Queue& queue = record.queue_;
-    json::object object { { "id", record.id_.value() }, { "queue", queue.name_ }, { "host", queue.host_ }, { "prefix", queue.pathPrefix_ }, { "service", queue.service_ },
+    json::object object { { "id", record.id_.value() }, { "queue", queue.name_ }, { "host", queue.host_ }, { "prefix", queue.prefix_ }, { "service", queue.service_ },
         { "priority", queue.priority_ }, { "attempts", queue.maxAttempts_ }, { "stretch", queue.stretch_ }, { "target", queue.targetLatency_.count() },
         { "timeout", queue.timeout_.count() }, { "accepted", record.acceptedMs_ }, { "spec", encodeSpecObject(record.spec_) } };
     return json::serialize(object);
--- a/workflow/src/decisions/Catalog.cpp
+++ b/workflow/src/decisions/Catalog.cpp
@@ -6,8 +6,8 @@
 {
     const Queue* best = nullptr;
     for (const Queue& queue : queues_) {
-        bool matches = queue.host_ == host && path.substr(0, queue.pathPrefix_.size()) == queue.pathPrefix_;
-        if (matches && (!best || queue.pathPrefix_.size() > best->pathPrefix_.size()))
+        bool matches = queue.host_ == host && path.substr(0, queue.prefix_.size()) == queue.prefix_;
+        if (matches && (!best || queue.prefix_.size() > best->prefix_.size()))
             best = &queue;
     }
     return best;
@@ -16,7 +16,7 @@
 const Queue* Catalog::findExact(std::string_view host, std::string_view prefix) const
 {
     for (const Queue& queue : queues_) {
-        if (queue.host_ == host && queue.pathPrefix_ == prefix)
+        if (queue.host_ == host && queue.prefix_ == prefix)
             return &queue;
     }
     return nullptr;
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -119,7 +119,7 @@
     uint64_t waiting = 0;
     for (const JobId& id : turn.state_.open_) {
         const Job& job = turn.state_.jobs_.at(id);
-        bool sameQueue = job.record_.queue_.host_ == queue.host_ && job.record_.queue_.pathPrefix_ == queue.pathPrefix_;
+        bool sameQueue = job.record_.queue_.host_ == queue.host_ && job.record_.queue_.prefix_ == queue.prefix_;
         if (sameQueue && job.durable_ && !job.started_ && !job.cancelled_ && !job.failed_)
             ++waiting;
     }
@@ -144,7 +144,7 @@
 bool concernsKnownJob(const OwnerState& state, const ClientCall& call)
 {
     const Queue* queue = state.catalog_.find(call.host_, call.path_);
-    std::string id = queue ? call.path_.substr(queue->pathPrefix_.size()) : "";
+    std::string id = queue ? call.path_.substr(queue->prefix_.size()) : "";
     return isJobId(id) && state.jobs_.count(JobId::of(id)) > 0;
 }
 
@@ -156,7 +156,7 @@
     const Queue* queue = turn.state_.catalog_.find(call.host_, call.path_);
     if (!queue)
         return turn.act(AnswerClient { message.token_, NoSuchQueue {} });
-    std::string rest = call.path_.substr(queue->pathPrefix_.size());
+    std::string rest = call.path_.substr(queue->prefix_.size());
     if (rest.empty() && std::holds_alternative<Look>(call.verb_))
         return countWaiting(turn, message.token_, *queue);
     if (!isJobId(rest))
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -46,7 +46,7 @@
 
 const Queue& queueOf(const OwnerState& state, const Job& job)
 {
-    const Queue* current = state.catalog_.findExact(job.record_.queue_.host_, job.record_.queue_.pathPrefix_);
+    const Queue* current = state.catalog_.findExact(job.record_.queue_.host_, job.record_.queue_.prefix_);
     return current ? *current : job.record_.queue_;
 }
 
