Settle the stops of a worker that is gone; stop again what a stop left running

Two ways for a stop to be lost were found by reading: an agent never settled stops of a worker it had given up, which held up all later orders of the session, and the owner ordered a stop only once, whatever became of it. Tests: workflow_owner/run_that_is_still_there_after_its_stop_is_stopped_again and supervisor/stops_of_a_worker_that_is_gone_are_settled failed before, pass now.

--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -41,10 +41,33 @@
     return concat(life.name_, "@", life.bornMs_);
 }
 
+static void settle(const Turn& turn, OrderNumber order)
+{
+    auto found = turn.state_.orders_.find(order);
+    if (found == turn.state_.orders_.end())
+        return;
+    found->second = true;
+    while (!turn.state_.orders_.empty() && turn.state_.orders_.begin()->second && turn.state_.orders_.begin()->first == turn.state_.settled_.next()) {
+        turn.state_.settled_ = turn.state_.settled_.next();
+        turn.state_.orders_.erase(turn.state_.orders_.begin());
+    }
+    turn.state_.hasNews_ = true;
+}
+
 static void forget(const Turn& turn, const WorkerLife& life, std::string_view why)
 {
     if (turn.state_.workers_.erase(life) == 0)
         return;
+    // Nothing runs there any more, so its stops have their outcome.
+    std::vector<OrderNumber> stopped;
+    for (const auto& [number, stop] : turn.state_.stops_) {
+        if (stop.first.worker_ == life)
+            stopped.push_back(number);
+    }
+    for (OrderNumber number : stopped) {
+        turn.state_.stops_.erase(number);
+        settle(turn, number);
+    }
     turn.state_.gone_[life] = turn.now_;
     turn.state_.hasNews_ = true;
     turn.act(ForgetWorker { life });
@@ -77,19 +100,6 @@
     turn.act(CallList { life, { turn.state_.fence_, worker.durableEnd_, grantLease(turn, worker), wait } });
 }
 
-static void settle(const Turn& turn, OrderNumber order)
-{
-    auto found = turn.state_.orders_.find(order);
-    if (found == turn.state_.orders_.end())
-        return;
-    found->second = true;
-    while (!turn.state_.orders_.empty() && turn.state_.orders_.begin()->second && turn.state_.orders_.begin()->first == turn.state_.settled_.next()) {
-        turn.state_.settled_ = turn.state_.settled_.next();
-        turn.state_.orders_.erase(turn.state_.orders_.begin());
-    }
-    turn.state_.hasNews_ = true;
-}
-
 static void refuse(const Turn& turn, const StartRun& order, StartRefusal reason)
 {
     auto worker = turn.state_.workers_.find(order.worker_);
--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -179,6 +179,18 @@
     BOOST_TEST(agent.state_.workers_.count(life) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(stops_of_a_worker_that_is_gone_are_settled)
+{
+    Agent agent;
+    agent.attach();
+    agent.direct(110, { start(1), workflow::StopRun { OrderNumber(2), life, firstRun } });
+    agent.take(StartSettled { Fence(5), start(1), workflow::Started {} }, 120);
+    BOOST_TEST((agent.state_.settled_ == OrderNumber(1)));
+    agent.take(workflow::Leaving { life.name_ }, 200);
+    BOOST_TEST((agent.state_.settled_ == OrderNumber(2)));
+    BOOST_TEST(agent.state_.stops_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(new_fence_voids_orders_and_lists_anew)
 {
     Agent agent;
--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -46,6 +46,8 @@
     Duration silenceBeforeNoStarts_ { std::chrono::milliseconds(1500) };
     /// An order without outcome is sent again after this time.
     Duration resendAfter_ { std::chrono::milliseconds(400) };
+    /// A run that is still there so long after its stop was settled is ordered to stop again; a stop takes at most 0.9 s.
+    Duration stopAgainAfter_ { std::chrono::milliseconds(1200) };
     /// A run whose progress stands still this long is stopped and started elsewhere; four periods of the agents'
     /// readings.
     Duration hungAfter_ { std::chrono::milliseconds(2000) };
@@ -77,6 +79,7 @@
     /// The worker lists the run.
     bool present_ { false };
     bool stopping_ { false };
+    Instant stopOrdered_;
     uint32_t percent_ { 0 };
     /// When the newest run was assigned.
     Instant assigned_;
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -153,7 +153,7 @@
 }
 
 // True if the run is the assigned one of its task.
-static bool takeActive(const Turn& turn, const WorkerLife& life, const ActiveRun& active)
+static bool takeActive(const Turn& turn, const WorkerLife& life, const ActiveRun& active, OrderNumber settled)
 {
     Task* task = findTask(turn.state_, active.run_.task_);
     if (!task || task->progress_.phase_ != TaskPhase::Assigned || task->progress_.run_ != active.run_.run_ || task->progress_.worker_ != life)
@@ -168,6 +168,11 @@
     job.started_ = true;
     if (!active.checkpoint_.empty())
         task->progress_.checkpoint_ = active.checkpoint_;
+    bool stopsInVain = task->stopping_ && task->order_ <= settled && turn.now_ - task->stopOrdered_ > turn.state_.tuning_.stopAgainAfter_;
+    if (stopsInVain) {
+        task->stopping_ = false;
+        orderStop(turn, active.run_.task_, *task, "still there after a stop");
+    }
     if (job.cancelled_ || job.failed_)
         orderStop(turn, active.run_.task_, *task, "job cancelled or failed");
     return true;
@@ -298,7 +303,7 @@
             takeEnd(turn, report.life_, end);
     }
     for (const ActiveRun& active : report.active_) {
-        if (takeActive(turn, report.life_, active))
+        if (takeActive(turn, report.life_, active, message.settled_))
             seen.insert(active.run_.task_);
         else
             stopStray(turn, message.agent_, report.life_, worker, active.run_);
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -131,6 +131,7 @@
     if (!agent)
         return;
     task.stopping_ = true;
+    task.stopOrdered_ = turn.now_;
     agent->lastOrder_ = agent->lastOrder_.next();
     // The run is gone only once this order too has its outcome.
     task.order_ = agent->lastOrder_;
--- a/workflow/tests/OwnerTest.cpp
+++ b/workflow/tests/OwnerTest.cpp
@@ -177,6 +177,23 @@
     BOOST_TEST(world.state_.open_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(run_that_is_still_there_after_its_stop_is_stopped_again)
+{
+    OwnerWorld world;
+    world.report("w-1", 5);
+    world.submit({ stepOfTasks(1) }, 10);
+    world.commit(20);
+    world.directive("w-1", 21);
+    world.call(Cancel {}, 30);
+    world.commit(31);
+    BOOST_TEST(world.directive("w-1", 32).size() == 1U);
+    world.settled_ = OrderNumber(2);
+    world.report("w-1", 500, { { runOf(0, 0, 1), "", 10, 0, 100 } });
+    BOOST_TEST(world.directive("w-1", 501).empty());
+    world.report("w-1", 2000, { { runOf(0, 0, 1), "", 10, 0, 100 } });
+    BOOST_TEST(world.directive("w-1", 2001).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(no_start_in_an_evacuated_domain)
 {
     OwnerWorld world;
