--- a/app/src/Deployed.cpp
+++ b/app/src/Deployed.cpp
@@ -127,7 +127,7 @@
     std::vector<std::string> domains;
     for (const FailureDomainName& domain : deployment.domains_)
         domains.push_back(domain.value());
-    return { deployment.name_.value(), self, seedEntries(deployment), std::move(domains), tuningFor(deployment), deployment.store_ };
+    return { deployment.name_.value(), self, seedEntries(deployment), std::move(domains), tuningFor(deployment), deployment.store_, deployment.processors_ };
 }
 
 static workflow::SchedulerHandlers handlersOf(const scheduler::SchedulerActor& scheduler)
--- a/scheduler/include/persimmondoor/scheduler/Leadership.h
+++ b/scheduler/include/persimmondoor/scheduler/Leadership.h
@@ -31,12 +31,18 @@
     /// Entries claim one after another by rank, to spare the store needless conflicts.
     Duration stagger_ { std::chrono::milliseconds(150) };
     uint32_t ranks_ { 4 };
+    /// Entries with less of a processor than this claim only after the others have had their time: the owner of some
+    /// fifty workers uses a tenth of a processor on a quiet day.
+    double ownersProcessors_ { 0.2 };
+    Duration smallEntryDelay_ { std::chrono::milliseconds(1000) };
     bool operator==(const FailoverTuning&) const = default;
 };
 
 struct LeadershipState {
     FailoverTuning tuning_;
     Address self_;
+    /// Processors that this entry has.
+    double processors_ { 1 };
     /// The leader as known, and the version of its row; 0 if no row has been read.
     workflow::LeaderEpoch epoch_;
     std::optional<Address> leader_;
--- a/scheduler/include/persimmondoor/scheduler/SchedulerActor.h
+++ b/scheduler/include/persimmondoor/scheduler/SchedulerActor.h
@@ -26,6 +26,8 @@
     std::vector<std::string> domains_;
     workflow::Tuning tuning_;
     Address store_;
+    /// Processors that this entry has.
+    double processors_ { 1 };
 };
 
 /// A handle: copies refer to the same actor.
--- a/scheduler/src/SchedulerActor.cpp
+++ b/scheduler/src/SchedulerActor.cpp
@@ -30,6 +30,7 @@
     , rows_(platform::RowStore::create(executor, options_.store_))
 {
     leadership_.self_ = options_.self_;
+    leadership_.processors_ = options_.processors_;
     for (const Address& peer : options_.peers_)
         peers_[peer] = time();
 }
--- a/scheduler/src/decisions/Leadership.cpp
+++ b/scheduler/src/decisions/Leadership.cpp
@@ -9,7 +9,8 @@
 static Duration waitForRank(const LeadershipState& state)
 {
     uint64_t rank = hashOf(state.self_.text(), state.epoch_.value()) % std::max(state.tuning_.ranks_, 1U);
-    return state.tuning_.stagger_ * rank;
+    bool isSmall = state.processors_ < state.tuning_.ownersProcessors_;
+    return state.tuning_.stagger_ * rank + (isSmall ? state.tuning_.smallEntryDelay_ : Duration(0));
 }
 
 LeadershipStep nextStep(const LeadershipState& state, Instant now)
--- a/scheduler/tests/LeadershipTest.cpp
+++ b/scheduler/tests/LeadershipTest.cpp
@@ -90,6 +90,14 @@
     BOOST_TEST(!follows(state, 300 + 450 + 1));
 }
 
+BOOST_AUTO_TEST_CASE(small_entries_claim_after_the_others)
+{
+    LeadershipState state = following(0);
+    state.processors_ = 0.12;
+    BOOST_TEST(follows(state, 900 + 450 + 1));
+    BOOST_TEST(!follows(state, 900 + 450 + 1000 + 1));
+}
+
 BOOST_AUTO_TEST_CASE(later_epoch_is_followed)
 {
     LeadershipState state = following(0);
--- a/settings/include/persimmondoor/settings/Deployment.h
+++ b/settings/include/persimmondoor/settings/Deployment.h
@@ -46,6 +46,8 @@
     /// Hosts of a few entries; they may be stale or down.
     std::vector<Address> seeds_;
     Address store_;
+    /// Processors that the process may use, as a share of one.
+    double processors_ { 1 };
     DeploymentBounds bounds_;
     bool operator==(const Deployment&) const = default;
 };
--- a/settings/src/Deployment.cpp
+++ b/settings/src/Deployment.cpp
@@ -5,6 +5,8 @@
 namespace persimmondoor::settings {
 
 static constexpr int64_t highestPort = 65'535;
+static constexpr double leastProcessors = 0.001;
+static constexpr double mostProcessors = 1024;
 static constexpr int64_t longestBoundMs = 3'600'000;
 
 static std::optional<Address> readOptionalAddress(const Reader& reader, std::string_view name)
@@ -36,7 +38,7 @@
 static Deployment readDeployment(const Reader& reader)
 {
     Deployment deployment;
-    if (!reader.expectObject({ "name", "domain", "domains", "host", "internal_port", "clients", "readiness", "workers", "seeds", "store", "bounds" }))
+    if (!reader.expectObject({ "name", "domain", "domains", "host", "internal_port", "clients", "readiness", "workers", "seeds", "store", "processors", "bounds" }))
         return deployment;
     deployment.name_ = reader.field("name").name<ProcessName>();
     deployment.domain_ = reader.field("domain").name<FailureDomainName>();
@@ -48,6 +50,8 @@
     deployment.workers_ = readOptionalAddress(reader, "workers");
     reader.field("seeds").forEachItem([&](const Reader& item) { deployment.seeds_.push_back(item.address()); });
     deployment.store_ = reader.field("store").address();
+    if (reader.has("processors"))
+        deployment.processors_ = reader.field("processors").number(leastProcessors, mostProcessors);
     deployment.bounds_ = readBounds(reader.field("bounds"));
     return deployment;
 }
