--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -60,6 +60,8 @@
     Duration longestQuarantine_ { std::chrono::milliseconds(8000) };
     /// Workers read the load of their tasks anew this often (stated by the platform).
     Duration readingInterval_ { std::chrono::milliseconds(500) };
+    /// Lapsed leases, hung runs and old jobs are looked for this often; a tenth of the shortest time they concern.
+    Duration checkInterval_ { std::chrono::milliseconds(200) };
     /// Finished jobs are kept at least this long; settings state the time for which clients may ask.
     Duration retention_ { std::chrono::seconds(120) };
     /// Unfinished jobs beyond which new ones are refused; keeps an entry of 160 MB within its memory.
@@ -92,6 +94,8 @@
 
 struct Job {
     JobRecord record_;
+    /// The queue as configured now; as it was at the acceptance if it has been removed.
+    Queue queue_;
     std::vector<Task> tasks_;
     /// Tasks not yet done, for each step of each occurrence.
     std::vector<uint32_t> undone_;
@@ -162,6 +166,8 @@
     Instant sentAt_;
     /// There is something to tell before the next report.
     bool hasNews_ { false };
+    /// The workers that it has reported in this session.
+    std::set<WorkerLife> workers_;
     bool operator==(const Agent&) const = default;
 };
 
@@ -220,6 +226,8 @@
     /// Leases may be granted until then.
     Instant grantsUntil_;
     uint64_t sessions_ { 0 };
+    /// When lapsed leases, hung runs and old jobs are looked for again.
+    Instant checkAt_;
     /// Newest time of day, for jobs with stated times.
     int64_t wallMs_ { 0 };
     std::vector<JobId> stagedOrder_;
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -24,6 +24,7 @@
         for (const Step& step : spec.steps())
             job.undone_.push_back(step.count_);
     }
+    job.queue_ = record.queue_;
     job.record_ = std::move(record);
     return job;
 }
--- a/workflow/src/decisions/Owner.cpp
+++ b/workflow/src/decisions/Owner.cpp
@@ -17,6 +17,7 @@
 {
     Job job;
     job.record_ = std::move(stored.record_);
+    job.queue_ = job.record_.queue_;
     const JobSpec& spec = job.record_.spec_;
     job.cancelled_ = stored.progress_.cancelled_;
     job.failed_ = stored.progress_.failed_;
@@ -121,6 +122,9 @@
 void takeTick(const Turn& turn, const Tick& tick)
 {
     turn.state_.wallMs_ = tick.wallMs_;
+    if (turn.now_ < turn.state_.checkAt_)
+        return;
+    turn.state_.checkAt_ = turn.now_ + turn.state_.tuning_.checkInterval_;
     dropUnreachableWorkers(turn);
     stopHungRuns(turn);
     forgetOldJobs(turn);
@@ -144,6 +148,8 @@
                 return;
             turn_.remark("configuration.changed", concat("version ", message.catalog_.version_), concat(message.catalog_.queues_.size(), " queues"));
             turn_.state_.catalog_ = message.catalog_;
+            for (const JobId& id : turn_.state_.open_)
+                applyCatalog(turn_.state_.catalog_, turn_.state_.jobs_.at(id));
             withdrawForbiddenStarts(turn_);
             startReadyTasks(turn_);
         }
@@ -251,9 +257,11 @@
         agent.sentAt_ = now;
     agent.sent_ = agent.lastOrder_;
     agent.hasNews_ = false;
-    for (auto& [life, worker] : state.workers_) {
-        if (worker.agent_ != name)
+    for (const WorkerLife& life : agent.workers_) {
+        auto found = state.workers_.find(life);
+        if (found == state.workers_.end() || found->second.agent_ != name)
             continue;
+        Worker& worker = found->second;
         if (directive.lease_ > Duration(0) && worker.reportedAt_ >= agent.heard_)
             worker.leaseEnd_ = std::max(worker.leaseEnd_, now + leaseBound(state.tuning_));
         worker.announcedEnd_ = durableEnd(worker);
--- a/workflow/src/decisions/OwnerRules.h
+++ b/workflow/src/decisions/OwnerRules.h
@@ -27,8 +27,8 @@
 Task* findTask(OwnerState&, const TaskKey&);
 // Books a task on its worker.
 void book(Worker&, const TaskKey&, const Step&);
-// The settings of the job's queue in force; those of its acceptance if the queue has been removed.
-const Queue& queueOf(const OwnerState&, const Job&);
+// Gives the job the settings of its queue that are in force.
+void applyCatalog(const Catalog&, Job&);
 bool isOpen(const Job&);
 
 // Marks the job's row for the next batch.
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -78,7 +78,7 @@
 static bool isEligible(const OwnerState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
 {
     const Step& step = stepOf(job, key);
-    if (worker.traits_.service_ != queueOf(state, job).service_ || now < worker.fullUntil_ || !takesRuns(state, worker, now))
+    if (worker.traits_.service_ != job.queue_.service_ || now < worker.fullUntil_ || !takesRuns(state, worker, now))
         return false;
     if (!step.requiredLabel_.empty() && !hasLabel(worker, step.requiredLabel_))
         return false;
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -40,7 +40,7 @@
 {
     job.failed_ = true;
     turn.state_.ready_.erase(job.record_.id_);
-    turn.remark("job.failed", job.record_.id_.value(), concat("task ", describe(culprit), " failed ", queueOf(turn.state_, job).maxAttempts_, " times"));
+    turn.remark("job.failed", job.record_.id_.value(), concat("task ", describe(culprit), " failed ", job.queue_.maxAttempts_, " times"));
     for (uint32_t number = 0; number < job.tasks_.size(); ++number) {
         Task& task = job.tasks_[number];
         if (task.progress_.phase_ != TaskPhase::Assigned)
@@ -66,7 +66,7 @@
         worker.failureStreak_ = turn.state_.tuning_.failuresBeforeQuarantine_ - 1;
         turn.remark("worker.quarantined", task.progress_.worker_.name_, concat("failures in a row, last ", describe(key)));
     }
-    uint32_t maximum = queueOf(turn.state_, job).maxAttempts_;
+    uint32_t maximum = job.queue_.maxAttempts_;
     if (!stepOf(job, key).longRunning_ && maximum > 0 && task.progress_.failures_ >= maximum)
         failJob(turn, job, key);
 }
@@ -290,6 +290,7 @@
     if (report.draining_ && !worker.draining_)
         turn.remark("worker.draining", report.life_.name_, concat(report.remainingMs_, " ms left"));
     worker.agent_ = message.agent_;
+    turn.state_.agents_.at(message.agent_).workers_.insert(report.life_);
     worker.traits_ = report.traits_;
     worker.reportedAt_ = turn.now_;
     worker.draining_ = report.draining_;
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -44,10 +44,10 @@
     return &job->second.tasks_[taskNumber(job->second, task)];
 }
 
-const Queue& queueOf(const OwnerState& state, const Job& job)
+void applyCatalog(const Catalog& catalog, Job& job)
 {
-    const Queue* current = state.catalog_.findExact(job.record_.queue_.host_, job.record_.queue_.prefix_);
-    return current ? *current : job.record_.queue_;
+    const Queue* current = catalog.findExact(job.record_.queue_.host_, job.record_.queue_.prefix_);
+    job.queue_ = current ? *current : job.record_.queue_;
 }
 
 static bool hasAssigned(const Job& job)
@@ -219,6 +219,9 @@
         if (task.progress_.phase_ == TaskPhase::Assigned)
             loseRun(turn, job, key, task, why);
     }
+    auto agent = turn.state_.agents_.find(worker->second.agent_);
+    if (agent != turn.state_.agents_.end())
+        agent->second.workers_.erase(life);
     turn.state_.workers_.erase(life);
 }
 
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -69,27 +69,62 @@
     return false;
 }
 
+namespace {
+
+    // Needs for which no worker had room in this turn: one that asks for as much in every respect has none either.
+    class FullNeeds {
+    public:
+        bool contains(const Job& job, const Step& step) const
+        {
+            return std::any_of(needs_.begin(), needs_.end(), [&](const Need& need) {
+                return need.service_ == job.queue_.service_ && need.fills_ == step.fills_ && need.image_ == step.image_ && need.label_ == step.requiredLabel_ && need.demand_.fitsIn(step.demand_);
+            });
+        }
+        // A bound on tasks per worker is a reason of the step's own.
+        void add(const Job& job, const Step& step)
+        {
+            if (step.maxPerWorker_ == 0)
+                needs_.push_back({ job.queue_.service_, step.image_, step.requiredLabel_, step.fills_, step.demand_ });
+        }
+
+    private:
+        struct Need {
+            std::string service_;
+            std::string image_;
+            std::string label_;
+            bool fills_ { false };
+            Resources demand_;
+        };
+        std::vector<Need> needs_;
+    };
+
+} // namespace
+
 // Returns whether a task of the step still waits for room.
-static bool startStep(const Turn& turn, Job& job, uint32_t occurrence, uint32_t stepNumber)
+static bool startStep(const Turn& turn, Job& job, uint32_t occurrence, uint32_t stepNumber, FullNeeds& full)
 {
     const Step& step = job.record_.spec_.steps()[stepNumber];
     if (step.gang_)
         return startGang(turn, job, occurrence, stepNumber);
+    bool isFull = full.contains(job, step);
     for (uint32_t index = 0; index < step.count_; ++index) {
         TaskKey key = memberOf(job, occurrence, stepNumber, index);
         const TaskProgress& progress = job.tasks_[taskNumber(job, key)].progress_;
         if (progress.phase_ != TaskPhase::Waiting)
             continue;
-        auto life = chooseWorker(turn.state_, job, key, turn.now_);
-        if (!life)
+        auto life = isFull ? std::nullopt : chooseWorker(turn.state_, job, key, turn.now_);
+        if (!life) {
+            if (!isFull)
+                full.add(job, step);
             return true;
+        }
         assign(turn, job, key, *life, progress.run_ + 1);
     }
     return false;
 }
 
 // Returns whether the job must be looked at again when room is freed or time passes.
-static bool startTasksOf(const Turn& turn, Job& job)
+static bool startTasksOf(const Turn& turn, Job& job, FullNeeds& full)
 {
     bool waits = false;
     const JobSpec& spec = job.record_.spec_;
@@ -100,7 +135,7 @@
         }
         for (uint32_t step = 0; step < spec.steps().size(); ++step) {
             if (job.undone_[occurrence * spec.steps().size() + step] > 0 && mayRunStep(job, occurrence, spec.steps()[step]))
-                waits = startStep(turn, job, occurrence, step) || waits;
+                waits = startStep(turn, job, occurrence, step, full) || waits;
         }
     }
     return waits;
@@ -115,9 +150,10 @@
             ready.push_back(urgencyOf(turn.state_, job->second));
     }
     std::sort(ready.begin(), ready.end());
+    FullNeeds full;
     for (const Urgency& urgency : ready) {
         Job& job = turn.state_.jobs_.at(urgency.job_);
-        bool waits = !job.cancelled_ && !job.failed_ && startTasksOf(turn, job);
+        bool waits = !job.cancelled_ && !job.failed_ && startTasksOf(turn, job, full);
         if (!waits)
             turn.state_.ready_.erase(urgency.job_);
     }
@@ -133,7 +169,7 @@
         return "the worker is gone";
     if (!takesRuns(state, worker->second, now))
         return "the worker takes no runs";
-    if (worker->second.traits_.service_ != queueOf(state, job).service_)
+    if (worker->second.traits_.service_ != job.queue_.service_)
         return "the queue has another service now";
     return {};
 }
--- a/workflow/src/decisions/Urgency.cpp
+++ b/workflow/src/decisions/Urgency.cpp
@@ -30,7 +30,7 @@
 
 Urgency urgencyOf(const OwnerState& state, const Job& job)
 {
-    const Queue& queue = queueOf(state, job);
+    const Queue& queue = job.queue_;
     int64_t accepted = job.record_.spec_.isTimed() ? job.record_.spec_.schedule().firstDueMs_ : job.record_.acceptedMs_;
     auto objective = static_cast<int64_t>(queue.stretch_ * static_cast<double>(milliseconds(chainOf(job, false)))) + milliseconds(queue.targetLatency_);
     int64_t soonest = state.wallMs_ + milliseconds(chainOf(job, true));
