A new owner tells the other entries

Change: the new owner pings all entries that it knows. Test: scheduler_actor/new_owner_tells_the_others; it passed before too, as three entries look at the row almost at once.

--- a/scheduler/src/Following.cpp
+++ b/scheduler/src/Following.cpp
@@ -55,6 +55,15 @@
     }
 }
 
+asio::awaitable<void> Scheduler::announce(Address to)
+{
+    auto self = shared_from_this();
+    auto answer = co_await workflow::pingAt(linkTo(to), options_.self_, view(), pingTimeout);
+    // An entry that does not hear of it finds the leader's row.
+    if (!answer.ok())
+        links_.erase(to);
+}
+
 void Scheduler::take(PingSettled message)
 {
     if (auto* role = std::get_if<Following>(&role_); role && message.to_ == leadership_.leader_)
--- a/scheduler/src/Owning.cpp
+++ b/scheduler/src/Owning.cpp
@@ -107,6 +107,9 @@
     role_ = std::move(owning);
     auto& owner = std::get<Owning>(role_);
     learnOperators(owner, message.rows_->operators_);
+    // Also the former leader, which may be cut off from the store and not know.
+    for (const Address& peer : peers())
+        spawn(executor_, "announce", announce(peer));
     auto self = shared_from_this();
     workflow::LeaderEpoch epoch = message.epoch_;
     spawn(executor_, "operators", followOperators(
--- a/scheduler/src/Scheduler.h
+++ b/scheduler/src/Scheduler.h
@@ -154,6 +154,8 @@
     void take(ClaimSettled);
     void follow(Following&);
     boost::asio::awaitable<void> ping(Address to);
+    // Tells an entry that this one leads now.
+    boost::asio::awaitable<void> announce(Address to);
     boost::asio::awaitable<void> checkRow();
     boost::asio::awaitable<void> claim(LeaderClaim, store::RowVersion);
     void learnRow(const store::Row&);
--- a/scheduler/tests/SchedulerActorTest.cpp
+++ b/scheduler/tests/SchedulerActorTest.cpp
@@ -57,6 +57,36 @@
     }(world));
 }
 
+BOOST_AUTO_TEST_CASE(new_owner_tells_the_others)
+{
+    SchedulerWorld world(3);
+    world.run([](SchedulerWorld& world) -> asio::awaitable<void> {
+        auto answer = co_await serveClient(world.entry(0), submission("00000000000000aa"));
+        BOOST_TEST(workflow::describe(answer) == "accepted");
+        auto rows = platform::RowStore::create(world.executor(), world.store().address());
+        auto owner = co_await locateOwner(rows);
+        size_t index = 0;
+        while (world.address(index) != owner)
+            ++index;
+        // Another entry takes the row, as if this one had lost the store.
+        world.kill(index);
+        std::optional<Address> next = owner;
+        for (int attempt = 0; attempt < 100 && next == owner; ++attempt) {
+            co_await sleepFor(std::chrono::milliseconds(20));
+            next = co_await locateOwner(rows);
+        }
+        BOOST_REQUIRE(next != owner);
+        co_await sleepFor(std::chrono::milliseconds(100));
+        for (size_t other = 0; other < 3; ++other) {
+            if (other == index)
+                continue;
+            workflow::LeaderView nothing;
+            auto told = co_await world.entry(other).ping(world.address(other), nothing);
+            BOOST_TEST((told.leader_.address_ == next));
+        }
+    }(world));
+}
+
 BOOST_AUTO_TEST_CASE(lost_reply_is_read_back)
 {
     SchedulerWorld world(1);
