--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -79,6 +79,8 @@
     SupervisorTuning tuning_;
     workflow::LeaderEpoch epoch_;
     workflow::Fence fence_;
+    /// Directives of the present epoch with this fence or a lower one are void.
+    workflow::Fence voided_;
     Sequence sequence_;
     /// When each report that may still be answered was sent.
     std::map<Sequence, Instant> sent_;
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -74,6 +74,15 @@
     turn.remark("worker.gone", describe(life), std::string(why));
 }
 
+// A worker that has been given up may be back later in the same life. Orders that are still on their way to it belong to
+// runs that the owner has given up too, so the session ends with it: they are void under the fence of the next one.
+static void endSession(const Turn& turn)
+{
+    ++turn.state_.session_;
+    turn.state_.voided_ = std::max(turn.state_.voided_, turn.state_.fence_);
+    turn.state_.fence_ = workflow::Fence();
+}
+
 // A time of this host on the worker's clock. The clock was read a little before its reading arrived, so the result is
 // early rather than late.
 static int64_t onWorkerClock(const LocalWorker& worker, Instant time)
@@ -159,7 +168,8 @@
 
 static void takeDirective(const Turn& turn, const workflow::Directive& directive)
 {
-    bool isOld = directive.epoch_ < turn.state_.epoch_ || (directive.epoch_ == turn.state_.epoch_ && directive.fence_ < turn.state_.fence_);
+    workflow::Fence lowest = std::max(turn.state_.fence_, turn.state_.voided_.next());
+    bool isOld = directive.epoch_ < turn.state_.epoch_ || (directive.epoch_ == turn.state_.epoch_ && directive.fence_ < lowest);
     if (isOld)
         return;
     if (directive.epoch_ != turn.state_.epoch_ || directive.fence_ != turn.state_.fence_)
@@ -413,6 +423,8 @@
     }
     for (const WorkerLife& life : lapsed)
         forget(turn, life, "it cannot be reached and its leases have expired");
+    if (!lapsed.empty())
+        endSession(turn);
 }
 
 static void takeTick(const Turn& turn)
--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -191,6 +191,25 @@
     BOOST_TEST(agent.state_.stops_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(orders_for_a_worker_that_was_given_up_are_void_when_it_is_back)
+{
+    // Found by the protocol model, seed 436.
+    Agent agent;
+    agent.attach();
+    uint64_t session = agent.state_.session_;
+    for (int64_t time = 600; time < 9000; time += 400) {
+        agent.take(ListFailed { life, false }, time);
+        agent.take(SupervisorTick {}, time + 150);
+    }
+    BOOST_TEST(agent.state_.workers_.count(life) == 0U);
+    agent.beat(9100);
+    agent.direct(9110, { start(1) });
+    BOOST_TEST(agent.all<CallStart>().empty());
+    BOOST_TEST(agent.state_.session_ != session);
+    agent.direct(9200, {}, 6);
+    BOOST_TEST((agent.state_.fence_ == Fence(6)));
+}
+
 BOOST_AUTO_TEST_CASE(new_fence_voids_orders_and_lists_anew)
 {
     Agent agent;
--- a/workflow/src/decisions/Owner.cpp
+++ b/workflow/src/decisions/Owner.cpp
@@ -81,8 +81,11 @@
         if (isSilent && turn.now_ > worker.leaseEnd_)
             lapsed.push_back(life);
     }
-    for (const WorkerLife& life : lapsed)
+    for (const WorkerLife& life : lapsed) {
+        // Orders that its agent has not settled are void: the next session has a higher fence.
+        turn.state_.agents_.erase(turn.state_.workers_.at(life).agent_);
         dropWorker(turn, life, "no agent reports it and its leases have expired");
+    }
     Duration longest = leaseBound(turn.state_.tuning_);
     std::erase_if(turn.state_.agents_, [&](const auto& entry) { return turn.now_ - entry.second.heard_ > longest; });
 }
