--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -29,6 +29,8 @@
     Duration paceInterval_ { std::chrono::milliseconds(500) };
     /// A call that failed is made again after this time.
     Duration retryInterval_ { std::chrono::milliseconds(100) };
+    /// Longest lease that a worker grants (stated by the platform): what an earlier life of the agent may have given.
+    Duration longestLease_ { std::chrono::seconds(10) };
     /// A worker's clock may run this share slow, in percent (stated by the platform).
     int64_t clockDriftPercent_ { 2 };
     /// Allowance for the delivery of a lease, on top of the drift.
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -217,6 +217,7 @@
         return;
     if (isNew) {
         worker.address_ = beat.address_;
+        worker.leaseEnd_ = turn.now_ + turn.state_.tuning_.longestLease_;
         turn.state_.gone_.erase(beat.life_);
         turn.act(MeetWorker { beat.life_, beat.address_ });
         turn.remark("worker.seen", describe(beat.life_), concat("address ", beat.address_.text(), ", service ", beat.traits_.service_));
@@ -417,7 +418,7 @@
 {
     std::vector<WorkerLife> lapsed;
     for (const auto& [life, worker] : turn.state_.workers_) {
-        Duration margin = turn.state_.tuning_.leaseSlack_ + std::chrono::seconds(10) * turn.state_.tuning_.clockDriftPercent_ / 100;
+        Duration margin = turn.state_.tuning_.leaseSlack_ + turn.state_.tuning_.longestLease_ * turn.state_.tuning_.clockDriftPercent_ / 100;
         if (!worker.reachable_ && worker.clockReadAt_ != Instant() && turn.now_ > worker.leaseEnd_ + margin)
             lapsed.push_back(life);
     }
