Give a new leader time to settle; look through a backlog less often; write log lines together

Ruled out: loading the queues (0.16 s), small entries (the large ones claim). Change: a new leader counts as silent after 2.5 s for its first 4 s; a backlog of more than 20 jobs is looked through every 20 ms at most; collected log lines cost one system call instead of one each. Test: leadership/new_leader_is_given_time_to_settle failed before, passes now.

--- a/app/src/Deployed.cpp
+++ b/app/src/Deployed.cpp
@@ -31,6 +31,7 @@
 // The rest of the time for a shutdown, in which the process ends.
 static constexpr Duration shutdownMargin = std::chrono::milliseconds(1000);
 static constexpr Duration shutdownCheckInterval = std::chrono::milliseconds(20);
+static constexpr Duration logFlushInterval = std::chrono::milliseconds(100);
 
 static int fail(const std::string& path, const absl::Status& status, ExitCode code)
 {
@@ -78,6 +79,15 @@
     return http::Server::listen(executor, *address, {}, routes.handler());
 }
 
+// Writes collected lines of the log often enough to follow it.
+static asio::awaitable<void> flushLogs()
+{
+    for (;;) {
+        co_await sleepFor(logFlushInterval);
+        flushLog();
+    }
+}
+
 // Runs a daemon until SIGTERM or SIGINT; SIGHUP reads the file again and says what it finds.
 static asio::awaitable<void> waitForSignals(asio::io_context& context, std::string path, std::function<asio::awaitable<void>(Duration)> shutDown, Duration limit)
 {
@@ -95,6 +105,7 @@
     logInfo("process.stopping", { { "limit_ms", std::to_string(limit.count() / 1000) } });
     co_await shutDown(limit);
     logInfo("process.stopped", {});
+    flushLog();
     context.stop();
 }
 
@@ -174,6 +185,7 @@
     if (!deployment.ok())
         return fail(options->path_, deployment.status(), Usage);
     startLog(options->logLevel_, deployment->name_.value());
+    collectLog();
     auto self = hostAddress(*deployment, deployment->internalPort_);
     if (!self.ok())
         return fail(options->path_, self.status(), Usage);
@@ -186,6 +198,7 @@
     logInfo("process.started", { { "role", "entry" }, { "domain", deployment->domain_.value() }, { "clients", deployment->clients_->text() }, { "scheduler", self->text() } });
     spawn(context.get_executor(), "signals", waitForSignals(
                                                  context, options->path_, [&parts, scheduler](Duration limit) { return shutDownEntry(*parts, scheduler, limit); }, shutdownLimit(*deployment)));
+    spawn(context.get_executor(), "log", flushLogs());
     context.run();
     return Success;
 }
@@ -209,6 +222,7 @@
     if (!deployment->workers_)
         return fail(options->path_, absl::InvalidArgumentError("workers must be given to an agent"), Usage);
     startLog(options->logLevel_, deployment->name_.value());
+    collectLog();
     rpc::Loop loop;
     asio::io_context& context = loop.context();
     auto supervisor = supervision::SupervisorActor::start(context.get_executor(), supervisorOptions(context.get_executor(), *deployment));
@@ -225,6 +239,7 @@
         co_return;
     };
     spawn(context.get_executor(), "signals", waitForSignals(context, options->path_, shutDown, shutdownLimit(*deployment)));
+    spawn(context.get_executor(), "log", flushLogs());
     context.run();
     return Success;
 }
--- a/core/include/persimmondoor/core/Log.h
+++ b/core/include/persimmondoor/core/Log.h
@@ -35,6 +35,13 @@
 /// \return the level, or InvalidArgument.
 absl::Status parseLogLevel(std::string_view text, LogLevel& level);
 
+/// From now on lines are collected and written together, as each write costs a system call. Lines of level error are
+/// written at once, with all before them.
+void collectLog();
+
+/// Writes the collected lines, if standard output takes them at once; otherwise they are dropped and counted.
+void flushLog();
+
 /// How often each event was logged since the start, whatever the level; for metrics.
 std::vector<std::pair<std::string, uint64_t>> countedEvents();
 
--- a/core/src/Log.cpp
+++ b/core/src/Log.cpp
@@ -29,6 +29,9 @@
     int64_t credit_ { burstLines };
     Instant creditAt_;
     uint64_t dropped_ { 0 };
+    bool collects_ { false };
+    std::string collected_;
+    uint64_t collectedLines_ { 0 };
 };
 
 static LogState& logState()
@@ -52,16 +55,24 @@
     return true;
 }
 
-// Writes the line if standard output takes it at once.
-static bool writeLine(std::string line)
+// Writes `text` if standard output takes it at once.
+static bool writeAtOnce(const std::string& text)
 {
-    if (line.size() >= atomicBytes)
-        line.resize(atomicBytes - 1);
-    line += '\n';
     pollfd output { STDOUT_FILENO, POLLOUT, 0 };
     if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)
         return false;
-    return write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+    return write(STDOUT_FILENO, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+}
+
+static void appendLine(LogState& state, std::string line)
+{
+    if (line.size() >= atomicBytes)
+        line.resize(atomicBytes - 1);
+    if (state.collected_.size() + line.size() >= atomicBytes)
+        flushLog();
+    state.collected_ += line;
+    state.collected_ += '\n';
+    ++state.collectedLines_;
 }
 
 static std::string formatLine(std::string_view level, std::string_view event, std::initializer_list<LogField> fields);
@@ -78,10 +89,13 @@
                 ++state.dropped_;
                 return;
             }
-            if (state.dropped_ > 0 && writeLine(formatLine("warning", "log.dropped", { { "lines", std::to_string(state.dropped_) } })))
+            if (state.dropped_ > 0) {
+                appendLine(state, formatLine("warning", "log.dropped", { { "lines", std::to_string(state.dropped_) } }));
                 state.dropped_ = 0;
-            if (!writeLine(std::string(data->logMessage()->message())))
-                ++state.dropped_;
+            }
+            appendLine(state, std::string(data->logMessage()->message()));
+            if (!state.collects_ || data->logMessage()->level() == el::Level::Error)
+                flushLog();
         }
     };
 
@@ -100,6 +114,22 @@
     logState().process_ = std::move(process);
 }
 
+void collectLog()
+{
+    logState().collects_ = true;
+}
+
+void flushLog()
+{
+    LogState& state = logState();
+    if (state.collected_.empty())
+        return;
+    if (!writeAtOnce(state.collected_))
+        state.dropped_ += state.collectedLines_;
+    state.collected_.clear();
+    state.collectedLines_ = 0;
+}
+
 std::vector<std::pair<std::string, uint64_t>> countedEvents()
 {
     return { logState().events_.begin(), logState().events_.end() };
--- a/scheduler/include/persimmondoor/scheduler/Leadership.h
+++ b/scheduler/include/persimmondoor/scheduler/Leadership.h
@@ -23,6 +23,10 @@
     /// Without an answer from it, directly or through other entries, for so long, it counts as gone; two pings that
     /// time out and their intervals.
     Duration silence_ { std::chrono::milliseconds(900) };
+    /// A leader that has just taken over loads its queues and meets all agents and waiting clients at once. For this time
+    /// it counts as gone only after a longer silence, so that entries do not take over from each other in turn.
+    Duration settling_ { std::chrono::milliseconds(4000) };
+    Duration settlingSilence_ { std::chrono::milliseconds(2500) };
     /// What is left of that time once its host has refused a connection.
     Duration refusedSilence_ { std::chrono::milliseconds(200) };
     /// A leader that answers but has not written for so long has lost the store. Leaders write at least twice a second;
@@ -49,6 +53,8 @@
     store::RowVersion version_;
     /// The row has been read since this process started.
     bool rowKnown_ { false };
+    /// When this process learnt of the leader.
+    Instant learntAt_;
     Instant contactAt_;
     /// When the leader's host last refused a connection; what others heard of it before does not count.
     Instant refusedAt_;
--- a/scheduler/src/decisions/Leadership.cpp
+++ b/scheduler/src/decisions/Leadership.cpp
@@ -13,12 +13,23 @@
     return state.tuning_.stagger_ * rank + (isSmall ? state.tuning_.smallEntryDelay_ : Duration(0));
 }
 
+static Duration silenceOf(const LeadershipState& state, Instant now)
+{
+    return now - state.learntAt_ < state.tuning_.settling_ ? state.tuning_.settlingSilence_ : state.tuning_.silence_;
+}
+
+// Nobody leads any more: the time for which the leader may be silent is over.
+static void loseLeader(LeadershipState& state, Instant now)
+{
+    state.contactAt_ = std::min(state.contactAt_, now - silenceOf(state, now));
+}
+
 LeadershipStep nextStep(const LeadershipState& state, Instant now)
 {
     if (!state.rowKnown_)
         return CheckRow {};
     Duration wait = waitForRank(state);
-    bool isSilent = now - state.contactAt_ > state.tuning_.silence_ + wait;
+    bool isSilent = now - state.contactAt_ > silenceOf(state, now) + wait;
     bool isStalled = now - state.writeAt_ > state.tuning_.stall_ + wait;
     if (isSilent || isStalled)
         return CheckRow {};
@@ -28,6 +39,7 @@
 // A leader that has just been learnt gets its time to load and to answer.
 static void meetLeader(LeadershipState& state, Instant now)
 {
+    state.learntAt_ = now;
     state.contactAt_ = now;
     state.writeAt_ = now;
 }
@@ -44,8 +56,9 @@
     state.leader_ = std::move(leader);
     if (!state.leader_ || state.leader_ == state.self_) {
         // The last leader has resigned, or this process was the leader in an earlier life: nobody leads.
-        state.contactAt_ = now - state.tuning_.silence_;
+        state.contactAt_ = now;
         state.writeAt_ = now;
+        loseLeader(state, now);
     } else if (isOther) {
         meetLeader(state, now);
     }
@@ -57,7 +70,7 @@
     if (view.epoch_ < state.epoch_ || (view.epoch_ == state.epoch_ && !view.address_)) {
         // The process at the leader's address does not lead: it has been restarted.
         if (from == state.leader_ && !view.isSelf_)
-            state.contactAt_ = std::min(state.contactAt_, now - state.tuning_.silence_);
+            loseLeader(state, now);
         return state;
     }
     if (view.epoch_ > state.epoch_) {
@@ -67,7 +80,7 @@
         return state;
     }
     if (from == state.leader_ && !view.isSelf_) {
-        state.contactAt_ = std::min(state.contactAt_, now - state.tuning_.silence_);
+        loseLeader(state, now);
         return state;
     }
     Instant contactAt = view.isSelf_ ? now : now - view.contactAge_;
@@ -79,7 +92,7 @@
 
 LeadershipState learnRefusal(LeadershipState state, Instant now)
 {
-    state.contactAt_ = std::min(state.contactAt_, now - state.tuning_.silence_ + state.tuning_.refusedSilence_);
+    state.contactAt_ = std::min(state.contactAt_, now - silenceOf(state, now) + state.tuning_.refusedSilence_);
     state.refusedAt_ = now;
     return state;
 }
--- a/scheduler/tests/LeadershipTest.cpp
+++ b/scheduler/tests/LeadershipTest.cpp
@@ -23,6 +23,14 @@
     return learnRow(std::move(state), LeaderEpoch(3), leader, store::RowVersion(9), at(milliseconds));
 }
 
+// Follows a leader that has led for long.
+static LeadershipState settled(int64_t milliseconds)
+{
+    LeadershipState state = following(milliseconds - 10'000);
+    LeaderView view { LeaderEpoch(3), leader, true, Duration(0), Duration(0) };
+    return learnView(std::move(state), leader, view, at(milliseconds));
+}
+
 static bool follows(const LeadershipState& state, int64_t milliseconds)
 {
     return std::holds_alternative<KeepFollowing>(nextStep(state, at(milliseconds)));
@@ -41,9 +49,19 @@
     BOOST_TEST(follows(following(0), 100));
 }
 
-BOOST_AUTO_TEST_CASE(silent_leader_is_replaced)
+BOOST_AUTO_TEST_CASE(new_leader_is_given_time_to_settle)
 {
     LeadershipState state = following(0);
+    BOOST_TEST(follows(state, 1900));
+    BOOST_TEST(!follows(state, 2500 + 450 + 1));
+    // One whose process is gone is not.
+    state = learnRefusal(following(0), at(100));
+    BOOST_TEST(!follows(state, 100 + 200 + 450 + 1));
+}
+
+BOOST_AUTO_TEST_CASE(silent_leader_is_replaced)
+{
+    LeadershipState state = settled(0);
     state = learnView(std::move(state), leader, viewOfLeader(100), at(500));
     BOOST_TEST(follows(state, 1300));
     BOOST_TEST(!follows(state, 500 + 900 + 450 + 1));
@@ -92,7 +110,7 @@
 
 BOOST_AUTO_TEST_CASE(small_entries_claim_after_the_others)
 {
-    LeadershipState state = following(0);
+    LeadershipState state = settled(0);
     state.processors_ = 0.12;
     BOOST_TEST(follows(state, 900 + 450 + 1));
     BOOST_TEST(!follows(state, 900 + 450 + 1000 + 1));
--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -60,6 +60,10 @@
     Duration longestQuarantine_ { std::chrono::milliseconds(8000) };
     /// Workers read the load of their tasks anew this often (stated by the platform).
     Duration readingInterval_ { std::chrono::milliseconds(500) };
+    /// With more jobs than this waiting for room, they are looked through at most once in `startInterval_`: a look costs a
+    /// pass over all of them and all workers, and under a backlog the order matters more than milliseconds.
+    size_t backlog_ { 20 };
+    Duration startInterval_ { std::chrono::milliseconds(20) };
     /// Lapsed leases, hung runs and old jobs are looked for this often; a tenth of the shortest time they concern.
     Duration checkInterval_ { std::chrono::milliseconds(200) };
     /// Finished jobs are kept at least this long; settings state the time for which clients may ask.
@@ -226,6 +230,8 @@
     /// Leases may be granted until then.
     Instant grantsUntil_;
     uint64_t sessions_ { 0 };
+    /// When waiting jobs were last looked through.
+    Instant startedAt_;
     /// When lapsed leases, hung runs and old jobs are looked for again.
     Instant checkAt_;
     /// Newest time of day, for jobs with stated times.
--- a/workflow/src/decisions/Owner.cpp
+++ b/workflow/src/decisions/Owner.cpp
@@ -126,7 +126,7 @@
 {
     turn.state_.wallMs_ = tick.wallMs_;
     if (turn.now_ < turn.state_.checkAt_)
-        return;
+        return startReadyTasks(turn);
     turn.state_.checkAt_ = turn.now_ + turn.state_.tuning_.checkInterval_;
     dropUnreachableWorkers(turn);
     stopHungRuns(turn);
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -143,6 +143,10 @@
 
 void startReadyTasks(const Turn& turn)
 {
+    const Tuning& tuning = turn.state_.tuning_;
+    if (turn.state_.ready_.size() > tuning.backlog_ && turn.now_ - turn.state_.startedAt_ < tuning.startInterval_)
+        return;
+    turn.state_.startedAt_ = turn.now_;
     std::vector<Urgency> ready;
     for (const JobId& id : turn.state_.ready_) {
         auto job = turn.state_.jobs_.find(id);
