--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -68,16 +68,7 @@
 {
     job.cancelled_ = true;
     turn.state_.ready_.erase(job.record_.id_);
-    for (uint32_t number = 0; number < job.tasks_.size(); ++number) {
-        Task& task = job.tasks_[number];
-        if (task.progress_.phase_ != TaskPhase::Assigned)
-            continue;
-        TaskKey key = keyOf(job, number);
-        if (task.released_)
-            orderStop(turn, key, task, "job cancelled");
-        else
-            unassign(turn, job, key, task);
-    }
+    stopTasks(turn, job, "job cancelled");
     closeIfEnded(turn, job);
 }
 
--- a/workflow/src/decisions/OwnerRules.h
+++ b/workflow/src/decisions/OwnerRules.h
@@ -42,6 +42,8 @@
 
 // Orders the worker to stop the task's run, once.
 void orderStop(const Turn&, const TaskKey&, Task&, std::string_view why);
+// Stops all tasks of the job; starts that have not left yet are taken back.
+void stopTasks(const Turn&, Job&, std::string_view why);
 // Takes the task off its worker: the run is known not to be there any more, or never was.
 void unassign(const Turn&, Job&, const TaskKey&, Task&);
 // The run is not on its worker and has left no end.
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -41,16 +41,7 @@
     job.failed_ = true;
     turn.state_.ready_.erase(job.record_.id_);
     turn.remark("job.failed", job.record_.id_.value(), concat("task ", describe(culprit), " failed ", job.queue_.maxAttempts_, " times"));
-    for (uint32_t number = 0; number < job.tasks_.size(); ++number) {
-        Task& task = job.tasks_[number];
-        if (task.progress_.phase_ != TaskPhase::Assigned)
-            continue;
-        TaskKey key = keyOf(job, number);
-        if (task.released_)
-            orderStop(turn, key, task, "job failed");
-        else
-            unassign(turn, job, key, task);
-    }
+    stopTasks(turn, job, "job failed");
 }
 
 static void countFailure(const Turn& turn, Job& job, const TaskKey& key, Task& task, Worker& worker)
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -152,6 +152,20 @@
     worker.longRunningMilliCores_ += step.demand_.milliCores();
 }
 
+void stopTasks(const Turn& turn, Job& job, std::string_view why)
+{
+    for (uint32_t number = 0; number < job.tasks_.size(); ++number) {
+        Task& task = job.tasks_[number];
+        if (task.progress_.phase_ != TaskPhase::Assigned)
+            continue;
+        TaskKey key = keyOf(job, number);
+        if (task.released_)
+            orderStop(turn, key, task, why);
+        else
+            unassign(turn, job, key, task);
+    }
+}
+
 static void release(Worker& worker, const TaskKey& key, const Step& step)
 {
     if (worker.assigned_.erase(key) == 0)
