--- a/scheduler/include/persimmondoor/scheduler/Leadership.h
+++ b/scheduler/include/persimmondoor/scheduler/Leadership.h
@@ -10,7 +10,7 @@
 #pragma once
 
 #include "persimmondoor/store/Table.h"
-#include "persimmondoor/workflow/Remote.h"
+#include "persimmondoor/workflow/LeaderView.h"
 
 #include <variant>
 
--- a/workflow/include/persimmondoor/workflow/Remote.h
+++ b/workflow/include/persimmondoor/workflow/Remote.h
@@ -10,6 +10,7 @@
 #include "persimmondoor/rpc/Server.h"
 #include "persimmondoor/workflow/Client.h"
 #include "persimmondoor/workflow/Exchange.h"
+#include "persimmondoor/workflow/LeaderView.h"
 
 #include <functional>
 #include <optional>
@@ -17,20 +18,6 @@
 
 namespace persimmondoor::workflow {
 
-/// What a process knows of the leadership.
-struct LeaderView {
-    LeaderEpoch epoch_;
-    /// Where the leader's scheduler listens; nothing if no leader is known.
-    std::optional<Address> address_;
-    /// The process that tells this is the leader.
-    bool isSelf_ { false };
-    /// Time since the leader last wrote durably, as far as the process knows.
-    Duration writeAge_ { 0 };
-    /// Time since the leader last answered the process, or another that told it.
-    Duration contactAge_ { 0 };
-    auto operator<=>(const LeaderView&) const = default;
-};
-
 /// Answer to a report: a directive from the owner, or where the owner may be.
 struct ExchangeAnswer {
     std::optional<Directive> directive_;
