--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -6,7 +6,6 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/supervision/Pacing.h"
 #include "persimmondoor/workflow/Interference.h"
 #include "persimmondoor/workflow/WorkerCalls.h"
 
@@ -18,6 +17,9 @@
 
 namespace persimmondoor::supervision {
 
+/// Pace of a task that works at its own speed, in percent.
+inline constexpr uint32_t fullPace = 100;
+
 /// Times of the agent.
 struct SupervisorTuning {
     /// A worker's list is asked for again at least this often; half a period of its readings of load.
@@ -25,8 +27,8 @@
     /// A list that shows ends which are not durable yet would be answered at once; it is asked for again when they are,
     /// or after this time.
     Duration listInterval_ { std::chrono::milliseconds(100) };
-    /// The pace of filling tasks is set once for each new reading of load.
-    Duration paceInterval_ { std::chrono::milliseconds(500) };
+    /// Workers read the load of their runs anew this often (stated by the platform).
+    Duration readingInterval_ { std::chrono::milliseconds(500) };
     /// A call that failed is made again after this time.
     Duration retryInterval_ { std::chrono::milliseconds(100) };
     /// Longest lease that a worker grants (stated by the platform): what an earlier life of the agent may have given.
@@ -67,9 +69,18 @@
     std::vector<workflow::EndedRun> ended_;
     std::vector<workflow::RefusedStart> refused_;
     uint64_t durableEnd_ { 0 };
-    Instant paceAgainAt_;
-    /// Pace of the filling tasks, and what each was told last.
-    Paces fillingPaces_;
+    /// When the load of its runs is read again.
+    Instant readAgainAt_;
+    /// Number and contents of the newest reading of its load.
+    uint64_t readings_ { 0 };
+    workflow::LoadReading reading_;
+    /// What its long-running tasks bear according to it.
+    std::vector<workflow::Tolerance> tolerances_;
+    /// Readings in a row with a tail over its target.
+    uint32_t highReadings_ { 0 };
+    /// Paces of filling tasks by image, from 0 to 1.
+    std::map<std::string, double> imagePaces_;
+    /// What each filling task was told last, in percent of its speed.
     std::map<workflow::RunKey, uint32_t> paces_;
     bool operator==(const LocalWorker&) const = default;
 };
@@ -97,6 +108,7 @@
     std::map<workflow::WorkerLife, LocalWorker> workers_;
     std::map<workflow::WorkerLife, Instant> gone_;
     std::map<workflow::RunKey, workflow::RunTraits> traits_;
+    /// What the owner has learnt of the images here.
     workflow::Interference interference_;
     uint32_t reports_ { 0 };
     /// Something has changed since the last report.
--- a/supervision/src/decisions/FillingPace.cpp
+++ b/supervision/src/decisions/FillingPace.cpp
@@ -3,72 +3,140 @@
 #include "persimmondoor/core/Text.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace persimmondoor::supervision {
 
+using workflow::RunKey;
+using workflow::RunTraits;
 using workflow::WorkerLife;
 
-namespace {
+// Tails that stay over their target for so many readings although the harmful images are slowed down: the others stand
+// still too. Tails may not be high for 4 s.
+static constexpr uint32_t mostHighReadings = 3;
+// The pace of images that do harm rises by at most this much with each reading, from 0 to 1: a reading is half a second
+// old, and an overloaded task needs seconds to recover.
+static constexpr double paceRise = 0.25;
+// A pace below this, in percent, is as good as none.
+static constexpr uint32_t leastPace = 8;
+// Smaller changes of the pace, in percent, are not worth a call.
+static constexpr uint32_t leastChange = 5;
 
-    // What a worker's list shows of the tasks that fill and of those that they may disturb.
-    struct Reading {
-        std::vector<workflow::FillingTask> filling_;
-        std::vector<workflow::TailReading> tails_;
-        std::set<std::string> images_;
-        uint64_t worstPercent_ { 0 };
-    };
+static double shareOf(const LocalWorker& worker, int64_t milliCores)
+{
+    return static_cast<double>(milliCores) / static_cast<double>(std::max<int64_t>(worker.traits_.capacity_.milliCores(), 1));
+}
 
-} // namespace
+static const RunTraits* traitsOf(const SupervisorState& state, const RunKey& run)
+{
+    auto traits = state.traits_.find(run);
+    return traits == state.traits_.end() ? nullptr : &traits->second;
+}
 
-static Reading readLoad(const SupervisorState& state, const LocalWorker& worker)
+static workflow::LoadReading readLoad(const SupervisorState& state, const LocalWorker& worker)
 {
-    Reading reading;
+    workflow::LoadReading reading;
     for (const auto& [run, active] : worker.active_) {
-        auto traits = state.traits_.find(run);
-        if (traits == state.traits_.end())
-            continue;
-        if (traits->second.fills_)
-            reading.filling_.push_back({ traits->second.image_, active.pace_ });
-        if (traits->second.targetTailMs_ == 0)
+        const RunTraits* traits = traitsOf(state, run);
+        if (!traits)
             continue;
-        reading.tails_.push_back({ traits->second.image_, uint64_t(active.load_) * 100 / traits->second.targetTailMs_ });
-        reading.images_.insert(traits->second.image_);
-        reading.worstPercent_ = std::max({ reading.worstPercent_, uint64_t(1), reading.tails_.back().tailPercent_ });
+        if (traits->fills_)
+            reading.filling_[traits->image_] += shareOf(worker, active.load_);
+        else if (traits->targetTailMs_ > 0 && active.percent_ >= 100)
+            reading.longRunning_[run] = { traits->image_, active.load_, traits->targetTailMs_ };
     }
     return reading;
 }
 
-static bool isSuspect(const SupervisorState& state, const Reading& reading, const std::string& image)
+// The filling tasks on the worker, those included that no list has shown yet.
+static std::map<RunKey, const RunTraits*> fillingRuns(const SupervisorState& state, const LocalWorker& worker)
 {
-    return workflow::worstHarm(state.interference_, image, reading.images_) != workflow::Harm::Harmless;
+    std::map<RunKey, const RunTraits*> runs;
+    auto add = [&](const RunKey& run) {
+        const RunTraits* traits = traitsOf(state, run);
+        if (traits && traits->fills_)
+            runs[run] = traits;
+    };
+    for (const auto& [run, active] : worker.active_)
+        add(run);
+    for (const auto& [run, confirmedAt] : worker.confirmed_)
+        add(run);
+    return runs;
 }
 
-static void learnFrom(const Turn& turn, const Reading& reading, LocalWorker& worker)
+static uint64_t worstPercent(const workflow::LoadReading& reading)
 {
-    worker.paceAgainAt_ = turn.now_ + turn.state_.tuning_.paceInterval_;
-    turn.state_.interference_ = workflow::observe(std::move(turn.state_.interference_), reading.filling_, reading.tails_);
-    bool hasSuspects = std::any_of(reading.filling_.begin(), reading.filling_.end(), [&](const workflow::FillingTask& task) { return isSuspect(turn.state_, reading, task.image_); });
-    worker.fillingPaces_ = nextPaces(worker.fillingPaces_, reading.worstPercent_, hasSuspects);
+    uint64_t worst = 0;
+    for (const auto& [run, longRunning] : reading.longRunning_)
+        worst = std::max(worst, uint64_t(longRunning.tailMs_) * 100 / longRunning.targetMs_);
+    return worst;
 }
 
-void paceFillingRuns(const Turn& turn, const WorkerLife& life, LocalWorker& worker)
+static bool isHarmless(const SupervisorState& state, const LocalWorker& worker, const std::string& image)
 {
-    Reading reading = readLoad(turn.state_, worker);
-    if (turn.now_ >= worker.paceAgainAt_)
-        learnFrom(turn, reading, worker);
-    for (const auto& [run, active] : worker.active_) {
-        auto traits = turn.state_.traits_.find(run);
-        if (traits == turn.state_.traits_.end() || !traits->second.fills_)
-            continue;
-        uint32_t pace = isSuspect(turn.state_, reading, traits->second.image_) ? worker.fillingPaces_.suspect_ : worker.fillingPaces_.harmless_;
-        auto [told, isNew] = worker.paces_.try_emplace(run, 100);
-        if (told->second == pace)
+    return std::all_of(worker.tolerances_.begin(), worker.tolerances_.end(), [&](const workflow::Tolerance& tolerance) { return workflow::isHarmless(state.interference_, image, tolerance.image_); });
+}
+
+// The paces that the worker's filling tasks may have now, by image.
+static std::map<std::string, double> nextPaces(const SupervisorState& state, const LocalWorker& worker, const std::map<RunKey, const RunTraits*>& runs, double rise)
+{
+    std::map<std::string, double> shares;
+    for (const auto& [run, traits] : runs)
+        shares[traits->image_] += shareOf(worker, traits->milliCores_);
+    std::map<std::string, double> paces = workflow::bearablePaces(state.interference_, worker.tolerances_, shares);
+    for (auto& [image, pace] : paces) {
+        auto before = worker.imagePaces_.find(image);
+        if (worker.highReadings_ >= mostHighReadings)
+            pace = 0;
+        else if (!isHarmless(state, worker, image))
+            pace = std::min(pace, before == worker.imagePaces_.end() ? paceRise : before->second + rise);
+    }
+    return paces;
+}
+
+static uint32_t toPercent(double pace)
+{
+    auto percent = static_cast<uint32_t>(std::floor(pace * fullPace));
+    return percent < leastPace ? 0 : percent;
+}
+
+static bool isWorthACall(uint32_t told, uint32_t pace)
+{
+    bool isExtreme = pace == 0 || pace == fullPace;
+    return told != pace && (isExtreme || std::max(told, pace) - std::min(told, pace) >= leastChange);
+}
+
+static void tellPaces(const Turn& turn, const WorkerLife& life, LocalWorker& worker, double rise)
+{
+    std::map<RunKey, const RunTraits*> runs = fillingRuns(turn.state_, worker);
+    worker.imagePaces_ = nextPaces(turn.state_, worker, runs, rise);
+    for (const auto& [run, traits] : runs) {
+        uint32_t pace = toPercent(worker.imagePaces_.at(traits->image_));
+        auto [told, isNew] = worker.paces_.try_emplace(run, fullPace);
+        if (!isWorthACall(told->second, pace))
             continue;
-        turn.remark("run.paced", workflow::describe(run), concat(told->second, " to ", pace, " percent, worst tail at ", reading.worstPercent_, " percent of its target, image ", traits->second.image_));
+        turn.remark("run.paced", workflow::describe(run), concat(told->second, " to ", pace, " percent, worst tail at ", worstPercent(worker.reading_), " percent of its target, image ", traits->image_));
         told->second = pace;
         turn.act(CallPace { life, run, turn.state_.fence_, pace });
     }
-    std::erase_if(worker.paces_, [&](const auto& entry) { return worker.active_.count(entry.first) == 0; });
+    std::erase_if(worker.paces_, [&](const auto& entry) { return runs.count(entry.first) == 0; });
+}
+
+void takeReading(const Turn& turn, const WorkerLife& life, LocalWorker& worker)
+{
+    workflow::LoadReading reading = readLoad(turn.state_, worker);
+    worker.highReadings_ = worstPercent(reading) > 100 ? worker.highReadings_ + 1 : 0;
+    worker.tolerances_ = workflow::tolerancesOf(turn.state_.interference_, worker.reading_, reading);
+    worker.reading_ = std::move(reading);
+    worker.readAgainAt_ = turn.now_ + turn.state_.tuning_.readingInterval_;
+    ++worker.readings_;
+    turn.state_.hasNews_ = turn.state_.hasNews_ || !worker.tolerances_.empty();
+    tellPaces(turn, life, worker, paceRise);
+}
+
+void paceFillingRuns(const Turn& turn, const WorkerLife& life, LocalWorker& worker)
+{
+    tellPaces(turn, life, worker, 0);
 }
 
 } // namespace persimmondoor::supervision
--- a/supervision/src/decisions/LocalWorkers.cpp
+++ b/supervision/src/decisions/LocalWorkers.cpp
@@ -3,6 +3,7 @@
 #include "persimmondoor/core/Text.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace persimmondoor::supervision {
 
@@ -127,11 +128,15 @@
 static void takeLists(const Turn& turn, const workflow::Lists& lists, Instant askedAt, LocalWorker& worker)
 {
     std::map<RunKey, ActiveRun> active;
+    bool isReading = turn.now_ >= worker.readAgainAt_;
     for (const ActiveRun& run : lists.active_) {
+        ActiveRun& taken = active[run.run_] = run;
         auto pace = worker.paces_.find(run.run_);
-        active[run.run_] = run;
-        if (pace != worker.paces_.end())
-            active[run.run_].pace_ = pace->second;
+        auto earlier = worker.active_.find(run.run_);
+        if (isReading)
+            taken.pace_ = pace == worker.paces_.end() ? fullPace : pace->second;
+        else
+            std::tie(taken.load_, taken.pace_) = earlier == worker.active_.end() ? std::pair(0U, 0U) : std::pair(earlier->second.load_, earlier->second.pace_);
     }
     for (const EndedRun& end : lists.ended_)
         worker.confirmed_.erase(end.run_);
@@ -163,7 +168,10 @@
     worker.clockReadAt_ = turn.now_;
     if (message.fence_ == turn.state_.fence_) {
         takeLists(turn, lists, message.askedAt_, worker);
-        paceFillingRuns(turn, message.worker_, worker);
+        if (turn.now_ >= worker.readAgainAt_)
+            takeReading(turn, message.worker_, worker);
+        else
+            paceFillingRuns(turn, message.worker_, worker);
     }
     askForList(turn, message.worker_, worker);
 }
--- a/supervision/src/decisions/Reporting.cpp
+++ b/supervision/src/decisions/Reporting.cpp
@@ -14,11 +14,12 @@
     report.draining_ = worker.draining_;
     report.remainingMs_ = std::max<int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(worker.leavesAt_ - now).count());
     report.listed_ = worker.listed_ && state.fence_ != workflow::Fence();
+    report.readings_ = worker.readings_;
     for (const auto& [run, active] : worker.active_)
         report.active_.push_back(active);
     for (const auto& [run, time] : worker.confirmed_) {
         if (worker.active_.count(run) == 0)
-            report.active_.push_back({ run, "", 0, 0, 100 });
+            report.active_.push_back({ run, "", 0, 0, 0 });
     }
     report.ended_ = worker.ended_;
     report.refused_ = worker.refused_;
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -102,6 +102,7 @@
         worker->second.listAgainAt_ = turn.now_;
         askForList(turn, durable.worker_, worker->second);
     }
+    turn.state_.interference_ = directive.interference_;
     turn.state_.traits_.clear();
     for (const workflow::RunTraits& traits : directive.traits_)
         turn.state_.traits_[traits.run_] = traits;
@@ -124,6 +125,7 @@
         {
             worker_.confirmed_[order_.run_] = turn_.now_;
             turn_.remark("run.started", workflow::describe(order_.run_), concat("worker ", describe(order_.worker_)));
+            paceFillingRuns(turn_, order_.worker_, worker_);
             settle(turn_, order_.number_);
         }
         void operator()(const StartRefusal& reason) const { refuse(turn_, order_, reason); }
--- a/supervision/src/decisions/SupervisorRules.h
+++ b/supervision/src/decisions/SupervisorRules.h
@@ -47,7 +47,9 @@
 // Gives up workers that cannot be reached and whose leases have expired.
 void dropLapsedWorkers(const Turn&);
 
-// The tails of long-running tasks decide how fast those that fill may work.
+// Takes a new reading of the worker's load, which decides how fast filling tasks may work.
+void takeReading(const Turn&, const workflow::WorkerLife&, LocalWorker&);
+// Tells the filling tasks on the worker their paces where they have changed. Between readings no pace rises.
 void paceFillingRuns(const Turn&, const workflow::WorkerLife&, LocalWorker&);
 
 // Sends a report if there is news or none is under way.
--- /dev/null
+++ b/supervision/tests/FillingPaceTest.cpp
@@ -0,0 +1,143 @@
+#include "persimmondoor/supervision/Supervisor.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace persimmondoor::supervision {
+
+using workflow::ActiveRun;
+using workflow::Fence;
+using workflow::LeaderEpoch;
+using workflow::RunKey;
+using workflow::RunTraits;
+using workflow::WorkerLife;
+
+static const WorkerLife life { "w-1", 1000 };
+static const RunKey service { { JobId::of("00000000000000aa"), 0, 0, 0 }, 1 };
+static const RunKey heavy { { JobId::of("00000000000000bb"), 0, 0, 0 }, 1 };
+static const RunKey light { { JobId::of("00000000000000cc"), 0, 0, 0 }, 1 };
+static constexpr int64_t fillingMilliCores = 16'000;
+
+static Instant at(int64_t milliseconds)
+{
+    return Instant::fromMicroseconds((1'000'000 + milliseconds) * 1000);
+}
+
+// An agent with one worker; remembers the pace that each run was told last.
+class PacingAgent {
+public:
+    PacingAgent()
+    {
+        state_.name_ = "agent";
+        state_.session_ = 7;
+        workflow::Heartbeat beat { life, { "packs", "north", { "a", "r1" }, *Resources::create(64'000, 1'000'000, 0) }, *Address::parse("127.0.0.1:8001"), false, 0, 1 };
+        take(beat, 0);
+        workflow::Directive directive { LeaderEpoch(1), Fence(5), state_.sequence_, std::chrono::milliseconds(7500), {}, {}, traits(), {} };
+        workflow::Sensitivity& search = directive.interference_.sensitivities_["search"];
+        search = { 4, { { "heavy", 0.9 }, { "light", 0.05 } }, {} };
+        take(DirectiveArrived { directive }, 10);
+    }
+
+    static std::vector<RunTraits> traits()
+    {
+        return { { service, false, 18, "search", 13'000 }, { heavy, true, 0, "heavy", fillingMilliCores }, { light, true, 0, "light", fillingMilliCores } };
+    }
+
+    template <typename Message>
+    void take(Message message, int64_t milliseconds)
+    {
+        SupervisorMessage wrapped = std::move(message);
+        SupervisorDecision decision = decide(std::move(state_), wrapped, at(milliseconds));
+        state_ = std::move(decision.state_);
+        for (const SupervisorAction& action : decision.actions_) {
+            if (const auto* call = std::get_if<CallPace>(&action))
+                paces_[call->run_] = call->percent_;
+        }
+    }
+
+    // The worker's list, with the tail of the service in milliseconds.
+    void list(int64_t milliseconds, uint32_t tailMs, const std::vector<RunKey>& filling)
+    {
+        std::vector<ActiveRun> active { { service, "", 100, tailMs, 0 } };
+        for (const RunKey& run : filling)
+            active.push_back({ run, "", 10, static_cast<uint32_t>(fillingMilliCores * paceOf(run) / fullPace), 0 });
+        take(ListArrived { life, state_.fence_, at(milliseconds), { milliseconds, life.bornMs_, std::move(active), {} } }, milliseconds);
+    }
+
+    uint32_t paceOf(const RunKey& run) const
+    {
+        auto told = paces_.find(run);
+        return told == paces_.end() ? fullPace : told->second;
+    }
+
+    SupervisorState state_;
+    std::map<RunKey, uint32_t> paces_;
+};
+
+BOOST_AUTO_TEST_SUITE(filling_pace)
+
+BOOST_AUTO_TEST_CASE(harmful_task_is_slowed_down_as_soon_as_it_is_there)
+{
+    PacingAgent agent;
+    agent.list(1000, 8, {});
+    // Before the next reading of the load is due.
+    agent.list(1100, 8, { heavy, light });
+    BOOST_TEST(agent.paceOf(heavy) <= 25U);
+    BOOST_TEST(agent.paceOf(light) == fullPace);
+}
+
+BOOST_AUTO_TEST_CASE(pace_of_a_harmful_task_rises_step_by_step_and_falls_at_once)
+{
+    PacingAgent agent;
+    agent.list(1000, 5, { heavy });
+    uint32_t first = agent.paceOf(heavy);
+    agent.list(1500, 5, { heavy });
+    uint32_t second = agent.paceOf(heavy);
+    BOOST_TEST(first <= 25U);
+    BOOST_TEST(second > first);
+    BOOST_TEST(second <= first + 25);
+    agent.list(2000, 30, { heavy });
+    BOOST_TEST(agent.paceOf(heavy) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(pace_does_not_rise_between_readings)
+{
+    PacingAgent agent;
+    agent.list(1000, 5, { heavy });
+    uint32_t first = agent.paceOf(heavy);
+    agent.list(1100, 5, { heavy });
+    agent.list(1200, 5, { heavy });
+    BOOST_TEST(agent.paceOf(heavy) == first);
+}
+
+BOOST_AUTO_TEST_CASE(harmless_tasks_stand_still_before_a_tail_has_been_high_for_too_long)
+{
+    PacingAgent agent;
+    int64_t time = 1000;
+    agent.list(time, 25, { light });
+    BOOST_TEST(agent.paceOf(light) == fullPace);
+    // Tails may be high for 4 s.
+    while (agent.paceOf(light) > 0 && time < 5000)
+        agent.list(time += 500, 25, { light });
+    BOOST_TEST(time <= 3000);
+    agent.list(time + 500, 8, { light });
+    BOOST_TEST(agent.paceOf(light) == fullPace);
+}
+
+BOOST_AUTO_TEST_CASE(report_shows_load_and_pace_of_the_same_reading)
+{
+    PacingAgent agent;
+    agent.list(1000, 5, { heavy });
+    uint32_t told = agent.paceOf(heavy);
+    uint64_t readings = agent.state_.workers_.at(life).readings_;
+    // The list in between shows what the new pace does, but not for half a second yet.
+    agent.list(1200, 30, { heavy });
+    const LocalWorker& worker = agent.state_.workers_.at(life);
+    BOOST_TEST(worker.readings_ == readings);
+    BOOST_TEST(worker.active_.at(service).load_ == 5U);
+    agent.list(1500, 6, { heavy });
+    BOOST_TEST(agent.state_.workers_.at(life).active_.at(heavy).pace_ == told);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::supervision
--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -57,7 +57,7 @@
 
     void direct(int64_t milliseconds, std::vector<workflow::Order> orders = {}, uint64_t fence = 5)
     {
-        workflow::Directive directive { LeaderEpoch(1), Fence(fence), state_.sequence_, std::chrono::milliseconds(7500), std::move(orders), {}, {} };
+        workflow::Directive directive { LeaderEpoch(1), Fence(fence), state_.sequence_, std::chrono::milliseconds(7500), std::move(orders), {}, {}, {} };
         take(DirectiveArrived { directive }, milliseconds);
     }
 
--- a/workflow/include/persimmondoor/workflow/Exchange.h
+++ b/workflow/include/persimmondoor/workflow/Exchange.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "persimmondoor/core/Ids.h"
+#include "persimmondoor/workflow/Interference.h"
 #include "persimmondoor/workflow/Worker.h"
 
 #include <string>
@@ -56,6 +57,8 @@
     int64_t remainingMs_ { 0 };
     /// The agent has read the worker's list under the session's fence, so that `active_` and `ended_` are complete.
     bool listed_ { false };
+    /// Number of readings that the agent has taken of the load; `active_` shows load and pace of the newest.
+    uint64_t readings_ { 0 };
     std::vector<ActiveRun> active_;
     std::vector<EndedRun> ended_;
     std::vector<RefusedStart> refused_;
@@ -118,6 +121,8 @@
     /// 0 if the task has no target.
     uint32_t targetTailMs_ { 0 };
     std::string image_;
+    /// Processors that it asked for, in thousandths.
+    int64_t milliCores_ { 0 };
     auto operator<=>(const RunTraits&) const = default;
 };
 
@@ -132,6 +137,8 @@
     std::vector<Order> orders_;
     std::vector<EndsDurable> durable_;
     std::vector<RunTraits> traits_;
+    /// What has been learnt of the images on the agent's workers.
+    Interference interference_;
     bool operator==(const Directive&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -51,6 +51,11 @@
     /// A run whose progress stands still this long is stopped and started elsewhere; four periods of the agents'
     /// readings.
     Duration hungAfter_ { std::chrono::milliseconds(2000) };
+    /// A filling task that has been slowed down for so long is moved if another worker can give it nearly its full speed;
+    /// two readings and the time that a stop takes.
+    Duration slowedFor_ { std::chrono::milliseconds(1000) };
+    /// Filling tasks moved at once at most: each move changes what the others will find.
+    uint32_t movesAtOnce_ { 4 };
     /// A worker that refused a run for want of room gets no other for this time.
     Duration fullFor_ { std::chrono::milliseconds(200) };
     /// First failures of different tasks in a row after which a worker is quarantined.
@@ -58,8 +63,6 @@
     /// First quarantine; doubled with each further one up to the maximum.
     Duration quarantine_ { std::chrono::milliseconds(2000) };
     Duration longestQuarantine_ { std::chrono::milliseconds(8000) };
-    /// Workers read the load of their tasks anew this often (stated by the platform).
-    Duration readingInterval_ { std::chrono::milliseconds(500) };
     /// With more jobs than this waiting for room, they are looked through at most once in `startInterval_`: a look costs a
     /// pass over all of them and all workers, and under a backlog the order matters more than milliseconds.
     size_t backlog_ { 20 };
@@ -91,7 +94,9 @@
     Instant assigned_;
     /// When its progress was last seen to change.
     Instant progressed_;
-    /// Worker on which it failed or hung last.
+    /// Since when a filling task has been given less than half of its speed.
+    std::optional<Instant> slowedSince_;
+    /// Worker on which it failed, hung or was slowed down last.
     std::string avoided_;
     bool operator==(const Task&) const = default;
 };
@@ -132,19 +137,19 @@
     /// Long-running tasks among them, and their cores.
     uint32_t longRunning_ { 0 };
     int64_t longRunningMilliCores_ { 0 };
+    std::map<std::string, uint32_t> longRunningByImage_;
     /// Ends taken in, and those of them that are not durable yet.
     uint64_t takenEnd_ { 0 };
     std::set<uint64_t> pendingEnds_;
     /// Ends up to this one were reported as durable.
     uint64_t announcedEnd_ { 0 };
     Instant fullUntil_;
-    /// When the tails of its long-running tasks are looked at again.
-    Instant observeAt_;
-    /// The worst of them, in percent of its target, and the images of these tasks, as last reported.
-    uint64_t tailPercent_ { 0 };
-    std::set<std::string> images_;
-    /// Lowest pace of a filling task there, in percent.
-    uint32_t fillingPace_ { 100 };
+    /// Processors of the assigned filling tasks, in thousandths, by image.
+    std::map<std::string, int64_t> fillingByImage_;
+    /// Number and contents of the newest reading of its load, and what its long-running tasks bear according to it.
+    uint64_t readings_ { 0 };
+    LoadReading reading_;
+    std::vector<Tolerance> tolerances_;
     uint32_t failureStreak_ { 0 };
     uint32_t quarantines_ { 0 };
     Instant quarantinedUntil_;
--- a/workflow/include/persimmondoor/workflow/Worker.h
+++ b/workflow/include/persimmondoor/workflow/Worker.h
@@ -42,8 +42,8 @@
     uint32_t percent_ { 0 };
     /// Tail latency in milliseconds for a long-running task with a target, thousandths of a core in use for others.
     uint32_t load_ { 0 };
-    /// Share of its speed that the agent lets the task have, 0 to 100.
-    uint32_t pace_ { 100 };
+    /// Share of its speed that the agent let the task have while the load was read, 0 to 100; 0 if it is newer than that.
+    uint32_t pace_ { 0 };
     auto operator<=>(const ActiveRun&) const = default;
 };
 
--- a/workflow/schema/Workflow.capnp
+++ b/workflow/schema/Workflow.capnp
@@ -49,6 +49,7 @@
   active @10 :List(ActiveRun);
   ended @11 :List(EndedRun);
   refused @12 :List(RefusedStart);
+  readings @13 :UInt64;
 }
 
 struct Report {
@@ -88,6 +89,18 @@
   fills @1 :Bool;
   targetTailMs @2 :UInt32;
   image @3 :Text;
+  milliCores @4 :Int64;
+}
+
+struct HarmFactor {
+  filling @0 :Text;
+  factor @1 :Float64;
+}
+
+struct Sensitivity {
+  longRunning @0 :Text;
+  unloadedMs @1 :UInt32;
+  harms @2 :List(HarmFactor);
 }
 
 struct Directive {
@@ -99,6 +112,7 @@
   orders @4 :List(Order);
   durable @5 :List(DurableEnd);
   traits @6 :List(RunTraits);
+  sensitivities @7 :List(Sensitivity);
 }
 
 struct ClientCall {
--- a/workflow/src/ExchangeCodec.cpp
+++ b/workflow/src/ExchangeCodec.cpp
@@ -82,6 +82,7 @@
     builder.setDraining(report.draining_);
     builder.setRemainingMs(report.remainingMs_);
     builder.setListed(report.listed_);
+    builder.setReadings(report.readings_);
     encodeLists(report, builder);
 }
 
@@ -127,6 +128,7 @@
     report.draining_ = reader.getDraining();
     report.remainingMs_ = reader.getRemainingMs();
     report.listed_ = reader.getListed();
+    report.readings_ = reader.getReadings();
     if (absl::Status status = decodeLists(reader, report); !status.ok())
         return status;
     return report;
@@ -211,6 +213,35 @@
     return StartRun { number, std::move(worker), *std::move(run), fromWire(start.getPayload()), fromWire(start.getCheckpoint()), fromWire(start.getTicket()) };
 }
 
+static void encode(const Interference& learnt, wire::Directive::Builder builder)
+{
+    auto sensitivities = builder.initSensitivities(static_cast<unsigned>(learnt.sensitivities_.size()));
+    unsigned index = 0;
+    for (const auto& [longRunning, sensitivity] : learnt.sensitivities_) {
+        auto item = sensitivities[index++];
+        item.setLongRunning(toWire(longRunning));
+        item.setUnloadedMs(sensitivity.unloadedMs_);
+        auto harms = item.initHarms(static_cast<unsigned>(sensitivity.factors_.size()));
+        unsigned harm = 0;
+        for (const auto& [filling, factor] : sensitivity.factors_) {
+            harms[harm].setFilling(toWire(filling));
+            harms[harm++].setFactor(factor);
+        }
+    }
+}
+
+static Interference decodeInterference(wire::Directive::Reader reader)
+{
+    Interference learnt;
+    for (auto item : reader.getSensitivities()) {
+        Sensitivity& sensitivity = learnt.sensitivities_[fromWire(item.getLongRunning())];
+        sensitivity.unloadedMs_ = item.getUnloadedMs();
+        for (auto harm : item.getHarms())
+            sensitivity.factors_[fromWire(harm.getFilling())] = harm.getFactor();
+    }
+    return learnt;
+}
+
 void encode(const Directive& directive, wire::Directive::Builder builder)
 {
     builder.setEpoch(directive.epoch_.value());
@@ -227,16 +258,18 @@
     }
     auto traits = builder.initTraits(static_cast<unsigned>(directive.traits_.size()));
     for (unsigned index = 0; index < traits.size(); ++index) {
+        traits[index].setMilliCores(directive.traits_[index].milliCores_);
         encode(directive.traits_[index].run_, traits[index].initRun());
         traits[index].setFills(directive.traits_[index].fills_);
         traits[index].setTargetTailMs(directive.traits_[index].targetTailMs_);
         traits[index].setImage(toWire(directive.traits_[index].image_));
     }
+    encode(directive.interference_, builder);
 }
 
 absl::StatusOr<Directive> decode(wire::Directive::Reader reader)
 {
-    Directive directive { LeaderEpoch(reader.getEpoch()), Fence(reader.getFence()), Sequence(reader.getAnswered()), Duration(reader.getLease()), {}, {}, {} };
+    Directive directive { LeaderEpoch(reader.getEpoch()), Fence(reader.getFence()), Sequence(reader.getAnswered()), Duration(reader.getLease()), {}, {}, {}, {} };
     for (auto order : reader.getOrders()) {
         auto decoded = decode(order);
         if (!decoded.ok())
@@ -249,8 +282,9 @@
         auto run = decode(traits.getRun());
         if (!run.ok())
             return run.status();
-        directive.traits_.push_back({ *std::move(run), traits.getFills(), traits.getTargetTailMs(), fromWire(traits.getImage()) });
+        directive.traits_.push_back({ *std::move(run), traits.getFills(), traits.getTargetTailMs(), fromWire(traits.getImage()), traits.getMilliCores() });
     }
+    directive.interference_ = decodeInterference(reader);
     return directive;
 }
 
--- a/workflow/src/decisions/Interference.cpp
+++ b/workflow/src/decisions/Interference.cpp
@@ -4,90 +4,203 @@
 
 namespace persimmondoor::workflow {
 
-// A tail below this share of its target, in percent, clears the images that ran beside it at nearly full pace.
-static constexpr uint64_t clearBelow = 80;
-static constexpr uint64_t blameAbove = 100;
-static constexpr uint32_t nearlyFullPace = 80;
-// A task below this pace hardly disturbs.
-static constexpr uint32_t disturbingPace = 15;
-// Each reading weighs less with every later one on the same pair, as harm changes within seconds.
-static constexpr double fading = 0.9;
-// Evidence for a verdict: two readings, as they are rough.
-static constexpr double sufficientEvidence = 1.8;
-// Pairs with more evidence against them than this share of all are kept apart.
-static constexpr double harmfulShare = 0.3;
-
-static double harmfulPart(const PairEvidence& evidence)
+// Variance of the change of the busy part between two readings that filling tasks do not cause: the load of a
+// long-running task swings, and readings are rough.
+static constexpr double readingVariance = 0.006;
+// Factors change within seconds: what is known of a pair gets older with each reading that concerns it.
+static constexpr double agingVariance = 0.0005;
+// What is taken for granted of a pair that has not been seen: between the harmless and the harmful.
+static constexpr double firstFactor = 0.2;
+static constexpr double firstVariance = 0.09;
+// Above this busy part a queue has built up, and how fast it drains says nothing of the factors.
+static constexpr double congestedPart = 0.85;
+// Pairs below this factor are never slowed down: all of a worker's processors would add less than a tenth.
+static constexpr double harmlessFactor = 0.25;
+// The tail is kept below this share of its target, as readings are rough and half a second old.
+static constexpr double aimedShareOfTarget = 0.75;
+// Share of the target that stands for the unloaded tail before a lower one has been seen.
+static constexpr double firstUnloadedShare = 0.33;
+// Greatest rise between two readings that is taken to go on.
+static constexpr double greatestRise = 0.15;
+
+static const Sensitivity* sensitivityOf(const Interference& learnt, const std::string& longRunning)
 {
-    double all = evidence.harmless_ + evidence.harmful_;
-    return all > 0 ? evidence.harmful_ / all : 0;
+    auto known = learnt.sensitivities_.find(longRunning);
+    return known == learnt.sensitivities_.end() ? nullptr : &known->second;
 }
 
-static Harm verdict(const PairEvidence& evidence)
+static double unloadedTail(const Interference& learnt, const TailReading& reading)
 {
-    if (evidence.harmful_ > 0 && harmfulPart(evidence) >= harmfulShare)
-        return Harm::Harmful;
-    return evidence.harmless_ >= sufficientEvidence ? Harm::Harmless : Harm::Unknown;
+    double first = firstUnloadedShare * reading.targetMs_;
+    const Sensitivity* known = sensitivityOf(learnt, reading.image_);
+    return std::max(1.0, !known || known->unloadedMs_ == 0 ? first : std::min<double>(first, known->unloadedMs_));
 }
 
-static void addEvidence(PairEvidence& evidence, double harmless, double harmful)
+static double busyPart(const Interference& learnt, const TailReading& reading)
 {
-    evidence.harmless_ = evidence.harmless_ * fading + harmless;
-    evidence.harmful_ = evidence.harmful_ * fading + harmful;
+    double unloaded = unloadedTail(learnt, reading);
+    return 1 - unloaded / std::max<double>(reading.tailMs_, unloaded);
 }
 
-// Images of filling tasks at that pace or above.
-static std::set<std::string> imagesFrom(const std::vector<FillingTask>& tasks, uint32_t pace)
+static void noteUnloadedTails(Interference& learnt, const LoadReading& reading)
 {
-    std::set<std::string> images;
-    for (const FillingTask& task : tasks) {
-        if (task.pace_ >= pace)
-            images.insert(task.image_);
+    for (const auto& [run, longRunning] : reading.longRunning_) {
+        if (longRunning.tailMs_ == 0)
+            continue;
+        uint32_t& unloaded = learnt.sensitivities_[longRunning.image_].unloadedMs_;
+        unloaded = unloaded == 0 ? longRunning.tailMs_ : std::min(unloaded, longRunning.tailMs_);
     }
-    return images;
 }
 
-// The images that may have raised the tail: those not cleared before, or all if all were.
-static std::set<std::string> suspects(const Interference& learnt, const std::set<std::string>& images, const std::string& longRunning)
+namespace {
+
+    // Mean change of the busy part of a worker's tasks of one image.
+    struct BusyChange {
+        double sum_ { 0 };
+        uint32_t tasks_ { 0 };
+    };
+
+} // namespace
+
+static std::map<std::string, BusyChange> busyChanges(const Interference& learnt, const LoadReading& before, const LoadReading& after)
 {
-    std::set<std::string> open;
-    for (const std::string& image : images) {
-        if (harmOf(learnt, image, longRunning) != Harm::Harmless)
-            open.insert(image);
+    std::map<std::string, BusyChange> changes;
+    for (const auto& [run, reading] : after.longRunning_) {
+        auto earlier = before.longRunning_.find(run);
+        if (earlier == before.longRunning_.end() || earlier->second.tailMs_ == 0 || reading.tailMs_ == 0)
+            continue;
+        double was = busyPart(learnt, earlier->second);
+        if (was > congestedPart)
+            continue;
+        BusyChange& change = changes[reading.image_];
+        change.sum_ += busyPart(learnt, reading) - was;
+        ++change.tasks_;
     }
-    return open.empty() ? images : open;
+    return changes;
 }
 
-Interference observe(Interference learnt, const std::vector<FillingTask>& tasks, const std::vector<TailReading>& readings)
+// Changes of the shares that filling images were given.
+static std::map<std::string, double> fillingChanges(const LoadReading& before, const LoadReading& after)
 {
-    std::map<std::string, uint64_t> worst;
-    for (const TailReading& reading : readings)
-        worst[reading.image_] = std::max(worst[reading.image_], reading.tailPercent_);
-    for (const auto& [longRunning, tailPercent] : worst) {
-        if (tailPercent > blameAbove) {
-            std::set<std::string> blamed = suspects(learnt, imagesFrom(tasks, disturbingPace), longRunning);
-            for (const std::string& image : blamed)
-                addEvidence(learnt.pairs_[{ image, longRunning }], 0, 1.0 / static_cast<double>(blamed.size()));
-        } else if (tailPercent < clearBelow) {
-            for (const std::string& image : imagesFrom(tasks, nearlyFullPace))
-                addEvidence(learnt.pairs_[{ image, longRunning }], 1, 0);
-        }
+    std::map<std::string, double> changes = after.filling_;
+    for (const auto& [image, share] : before.filling_)
+        changes[image] -= share;
+    return changes;
+}
+
+static double& covariance(Sensitivity& sensitivity, const std::string& left, const std::string& right)
+{
+    return sensitivity.covariances_[left < right ? std::pair(left, right) : std::pair(right, left)];
+}
+
+static void meetImages(Sensitivity& sensitivity, const std::map<std::string, double>& filling)
+{
+    for (const auto& [image, share] : filling) {
+        bool isNew = sensitivity.factors_.try_emplace(image, firstFactor).second;
+        double& variance = covariance(sensitivity, image, image);
+        variance = isNew ? firstVariance : std::min(variance + agingVariance, firstVariance);
+    }
+}
+
+// One step of the filter.
+static void correct(Sensitivity& sensitivity, double busyChange, const std::map<std::string, double>& filling)
+{
+    meetImages(sensitivity, filling);
+    std::map<std::string, double> spread;
+    double expected = 0;
+    double variance = readingVariance;
+    for (const auto& [image, factor] : sensitivity.factors_) {
+        double& sum = spread[image];
+        for (const auto& [other, share] : filling)
+            sum += covariance(sensitivity, image, other) * share;
+    }
+    for (const auto& [image, share] : filling) {
+        expected += sensitivity.factors_.at(image) * share;
+        variance += spread.at(image) * share;
+    }
+    for (auto& [image, factor] : sensitivity.factors_)
+        factor = std::max(0.0, factor + spread.at(image) / variance * (busyChange - expected));
+    for (auto left = spread.begin(); left != spread.end(); ++left) {
+        for (auto right = left; right != spread.end(); ++right)
+            covariance(sensitivity, left->first, right->first) -= left->second * right->second / variance;
     }
+}
+
+Interference observe(Interference learnt, const LoadReading& before, const LoadReading& after)
+{
+    noteUnloadedTails(learnt, after);
+    std::map<std::string, double> filling = fillingChanges(before, after);
+    if (filling.empty())
+        return learnt;
+    for (const auto& [image, change] : busyChanges(learnt, before, after))
+        correct(learnt.sensitivities_[image], change.sum_ / change.tasks_, filling);
     return learnt;
 }
 
-Harm harmOf(const Interference& learnt, const std::string& filling, const std::string& longRunning)
+double harmOf(const Interference& learnt, const std::string& filling, const std::string& longRunning)
+{
+    const Sensitivity* sensitivity = sensitivityOf(learnt, longRunning);
+    if (!sensitivity)
+        return firstFactor;
+    auto known = sensitivity->factors_.find(filling);
+    return known == sensitivity->factors_.end() ? firstFactor : known->second;
+}
+
+bool isHarmless(const Interference& learnt, const std::string& filling, const std::string& longRunning)
+{
+    return harmOf(learnt, filling, longRunning) < harmlessFactor;
+}
+
+// The busy part that the task has of its own.
+static double ownPart(const Interference& learnt, const LoadReading& reading, const TailReading& longRunning)
+{
+    double part = busyPart(learnt, longRunning);
+    for (const auto& [image, share] : reading.filling_)
+        part -= harmOf(learnt, image, longRunning.image_) * share;
+    return std::max(part, 0.0);
+}
+
+std::vector<Tolerance> tolerancesOf(const Interference& learnt, const LoadReading& before, const LoadReading& after)
 {
-    auto known = learnt.pairs_.find({ filling, longRunning });
-    return known == learnt.pairs_.end() ? Harm::Unknown : verdict(known->second);
+    std::map<std::string, double> least;
+    for (const auto& [run, reading] : after.longRunning_) {
+        if (reading.tailMs_ == 0)
+            continue;
+        double limit = 1 - unloadedTail(learnt, reading) / (aimedShareOfTarget * reading.targetMs_);
+        double own = ownPart(learnt, after, reading);
+        auto earlier = before.longRunning_.find(run);
+        double rise = earlier == before.longRunning_.end() ? 0 : own - ownPart(learnt, before, earlier->second);
+        double left = limit - own - std::clamp(rise, 0.0, greatestRise);
+        auto [found, isNew] = least.try_emplace(reading.image_, left);
+        found->second = std::min(found->second, left);
+    }
+    std::vector<Tolerance> tolerances;
+    for (const auto& [image, left] : least)
+        tolerances.push_back({ image, left });
+    return tolerances;
 }
 
-Harm worstHarm(const Interference& learnt, const std::string& filling, const std::set<std::string>& longRunning)
+std::map<std::string, double> bearablePaces(const Interference& learnt, const std::vector<Tolerance>& tolerances, const std::map<std::string, double>& shares)
 {
-    Harm worst = Harm::Harmless;
-    for (const std::string& image : longRunning)
-        worst = std::max(worst, harmOf(learnt, filling, image));
-    return worst;
+    std::map<std::string, double> paces;
+    for (const auto& [image, share] : shares)
+        paces[image] = 1;
+    for (const Tolerance& tolerance : tolerances) {
+        double left = tolerance.busyPart_;
+        double harmful = 0;
+        for (const auto& [image, share] : shares) {
+            double harm = harmOf(learnt, image, tolerance.image_) * share;
+            (isHarmless(learnt, image, tolerance.image_) ? left : harmful) += isHarmless(learnt, image, tolerance.image_) ? -harm : harm;
+        }
+        if (harmful <= 0)
+            continue;
+        double pace = std::clamp(left / harmful, 0.0, 1.0);
+        for (const auto& [image, share] : shares) {
+            if (!isHarmless(learnt, image, tolerance.image_))
+                paces[image] = std::min(paces[image], pace);
+        }
+    }
+    return paces;
 }
 
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Owner.cpp
+++ b/workflow/src/decisions/Owner.cpp
@@ -109,6 +109,38 @@
     }
 }
 
+// Work that would be lost with a move is worth waiting for once this much of it is done, in percent.
+static constexpr uint32_t mostLostPercent = 50;
+
+static bool isSlowed(const Turn& turn, const Task& task, const Step& step)
+{
+    bool isRunning = task.progress_.phase_ == TaskPhase::Assigned && task.present_ && !task.stopping_;
+    if (!isRunning || !task.slowedSince_ || turn.now_ - *task.slowedSince_ < turn.state_.tuning_.slowedFor_)
+        return false;
+    return step.savesProgress_ || task.percent_ < mostLostPercent;
+}
+
+// Stops filling tasks that are slowed down where they are, if another worker can take them.
+static void moveSlowedRuns(const Turn& turn)
+{
+    uint32_t moved = 0;
+    for (const JobId& id : turn.state_.open_) {
+        Job& job = turn.state_.jobs_.at(id);
+        for (uint32_t number = 0; number < job.tasks_.size() && moved < turn.state_.tuning_.movesAtOnce_; ++number) {
+            Task& task = job.tasks_[number];
+            TaskKey key = keyOf(job, number);
+            if (!isSlowed(turn, task, stepOf(job, key)))
+                continue;
+            auto better = chooseWorker(turn.state_, job, key, turn.now_);
+            if (!better || *better == task.progress_.worker_)
+                continue;
+            task.avoided_ = task.progress_.worker_.name_;
+            orderStop(turn, key, task, "slowed down");
+            ++moved;
+        }
+    }
+}
+
 static void forgetOldJobs(const Turn& turn)
 {
     std::vector<JobId> old;
@@ -130,6 +162,7 @@
     turn.state_.checkAt_ = turn.now_ + turn.state_.tuning_.checkInterval_;
     dropUnreachableWorkers(turn);
     stopHungRuns(turn);
+    moveSlowedRuns(turn);
     forgetOldJobs(turn);
     startReadyTasks(turn);
 }
@@ -236,7 +269,23 @@
         const Job& job = state.jobs_.at(key.job_);
         const Step& step = stepOf(job, key);
         if (step.fills_ || step.targetTailMs_ > 0)
-            directive.traits_.push_back({ { key, job.tasks_[taskNumber(job, key)].progress_.run_ }, step.fills_, step.targetTailMs_, step.image_ });
+            directive.traits_.push_back({ { key, job.tasks_[taskNumber(job, key)].progress_.run_ }, step.fills_, step.targetTailMs_, step.image_, step.demand_.milliCores() });
+    }
+}
+
+// What the agent needs to know to pace the filling tasks on its worker.
+static void describeInterference(const OwnerState& state, const Worker& worker, Directive& directive)
+{
+    for (const Tolerance& tolerance : worker.tolerances_) {
+        auto known = state.interference_.sensitivities_.find(tolerance.image_);
+        if (known == state.interference_.sensitivities_.end())
+            continue;
+        Sensitivity& told = directive.interference_.sensitivities_[tolerance.image_];
+        told.unloadedMs_ = known->second.unloadedMs_;
+        for (const auto& [image, milliCores] : worker.fillingByImage_) {
+            if (auto factor = known->second.factors_.find(image); factor != known->second.factors_.end())
+                told.factors_.insert(*factor);
+        }
     }
 }
 
@@ -248,7 +297,7 @@
 Directive directiveFor(OwnerState& state, const std::string& name, Instant now)
 {
     Agent& agent = state.agents_.at(name);
-    Directive directive { state.epoch_, agent.fence_, agent.answered_, Duration(0), {}, {}, {} };
+    Directive directive { state.epoch_, agent.fence_, agent.answered_, Duration(0), {}, {}, {}, {} };
     if (agent.hasReported_ && now < state.grantsUntil_)
         directive.lease_ = state.tuning_.taskLease_;
     bool resend = isResendDue(state, agent, now);
@@ -270,6 +319,7 @@
         worker.announcedEnd_ = durableEnd(worker);
         directive.durable_.push_back({ life, worker.announcedEnd_ });
         describeRuns(state, worker, directive);
+        describeInterference(state, worker, directive);
     }
     return directive;
 }
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -11,17 +11,19 @@
 // A worker on which this task failed or hung is taken only if no other has room.
 static constexpr int64_t avoidedWeight = 1000;
 static constexpr int64_t failureWeight = 100;
-// Long-running tasks share as few workers as they can, the largest first, so that others are free for filling work that
-// would disturb them.
-static constexpr int64_t companyWeight = 1000;
+// Long-running tasks share a worker with those of their image, which the same filling work disturbs, so that each filling
+// image finds workers where it does no harm; otherwise with as few others as they can.
+static constexpr int64_t sameImageWeight = 3000;
+static constexpr int64_t otherImageWeight = 1000;
+static constexpr int64_t emptyWorkerWeight = 2500;
 // Those of one step are spread as far as that allows, so that one worker's end takes few of them.
 static constexpr int64_t siblingWeight = 5;
 // Short work and harmless filling work go where long-running tasks are, as they do not disturb them.
 static constexpr int64_t besideLongRunningWeight = 150;
-// Tails above this share of their target leave no room for more filling work, in percent.
-static constexpr uint64_t fullTailPercent = 75;
-// Where filling tasks are slowed down below this pace, in percent, more of them would only share it.
-static constexpr uint32_t leastSharedPace = 50;
+// Filling work that would be slowed down looks for a worker where it is slowed down least.
+static constexpr double harmWeight = 200;
+// Filling work goes to a worker only if it can be given this share of its speed there.
+static constexpr double leastPace = 0.8;
 // Long-running tasks use less than they ask for most of the time, in percent.
 static constexpr int64_t idlePartOfLongRunning = 45;
 
@@ -66,13 +68,31 @@
         && worker.used_.accelerators() + step.demand_.accelerators() <= capacity.accelerators();
 }
 
-// Filling work stays away from long-running tasks that it is known to disturb, and from workers whose tails are high
-// or whose filling tasks are slowed down already.
-static bool mayFill(const OwnerState& state, const Step& step, const Worker& worker)
+// Share of its speed that a filling task could be given on the worker, from 0 to 1, if all its filling tasks work.
+static double paceAt(const OwnerState& state, const Step& step, const Worker& worker)
 {
-    if (worker.longRunning_ == 0)
-        return true;
-    return worker.tailPercent_ < fullTailPercent && worker.fillingPace_ >= leastSharedPace && worstHarm(state.interference_, step.image_, worker.images_) != Harm::Harmful;
+    if (worker.tolerances_.empty())
+        return 1;
+    auto capacity = static_cast<double>(std::max<int64_t>(worker.traits_.capacity_.milliCores(), 1));
+    std::map<std::string, double> shares;
+    for (const auto& [image, milliCores] : worker.fillingByImage_)
+        shares[image] = static_cast<double>(milliCores) / capacity;
+    shares[step.image_] += static_cast<double>(step.demand_.milliCores()) / capacity;
+    return bearablePaces(state.interference_, worker.tolerances_, shares).at(step.image_);
+}
+
+static bool isHarmlessOn(const OwnerState& state, const Step& step, const Worker& worker)
+{
+    return std::all_of(worker.tolerances_.begin(), worker.tolerances_.end(), [&](const Tolerance& tolerance) { return isHarmless(state.interference_, step.image_, tolerance.image_); });
+}
+
+// True if some worker has no long-running task that filling work of the step would disturb; room there is worth waiting for.
+static bool hasHarmlessWorker(const OwnerState& state, const Job& job, const Step& step, Instant now)
+{
+    return std::any_of(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) {
+        const Worker& worker = entry.second;
+        return worker.traits_.service_ == job.queue_.service_ && takesRuns(state, worker, now) && isHarmlessOn(state, step, worker);
+    });
 }
 
 static bool isEligible(const OwnerState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
@@ -84,18 +104,19 @@
         return false;
     if (step.maxPerWorker_ > 0 && countSiblings(worker, key) >= step.maxPerWorker_)
         return false;
-    if (step.fills_ && !mayFill(state, step, worker))
-        return false;
     return fits(worker, step);
 }
 
-// Score of a worker for a long-running task: the fullest that already has some, else the largest.
-static int64_t companyScore(const Worker& worker, const TaskKey& key, int64_t leftPercent)
+// Score of a worker for a long-running task: the fullest with its image, else an empty one, the largest first.
+static int64_t companyScore(const Worker& worker, const TaskKey& key, const Step& step, int64_t leftPercent)
 {
     int64_t siblings = siblingWeight * countSiblings(worker, key);
-    if (worker.longRunning_ > 0)
-        return companyWeight - leftPercent - siblings;
-    return worker.traits_.capacity_.milliCores() / 1000 - siblings;
+    if (worker.longRunning_ == 0)
+        return emptyWorkerWeight + worker.traits_.capacity_.milliCores() / 1000 - siblings;
+    auto images = static_cast<int64_t>(worker.longRunningByImage_.size());
+    if (worker.longRunningByImage_.count(step.image_) > 0)
+        return sameImageWeight - leftPercent - siblings - otherImageWeight * (images - 1);
+    return -leftPercent - siblings - otherImageWeight * images;
 }
 
 // Score of a worker for other tasks: the emptiest, beside long-running tasks only if it does them no harm.
@@ -103,9 +124,9 @@
 {
     if (worker.longRunning_ == 0)
         return leftPercent;
-    bool harmless = !step.fills_ || worstHarm(state.interference_, step.image_, worker.images_) == Harm::Harmless;
-    int64_t headroom = step.fills_ ? -static_cast<int64_t>(worker.tailPercent_) : 0;
-    return leftPercent + headroom + (harmless ? besideLongRunningWeight : -besideLongRunningWeight);
+    if (!step.fills_ || isHarmlessOn(state, step, worker))
+        return leftPercent + besideLongRunningWeight;
+    return leftPercent - besideLongRunningWeight - static_cast<int64_t>((1 - paceAt(state, step, worker)) * harmWeight);
 }
 
 static int64_t scoreOf(const OwnerState& state, const Job& job, const TaskKey& key, const WorkerLife& life, const Worker& worker)
@@ -113,7 +134,7 @@
     const Step& step = stepOf(job, key);
     int64_t capacity = std::max<int64_t>(worker.traits_.capacity_.milliCores(), 1);
     int64_t leftPercent = 100 * (leftMilliCores(worker) - step.demand_.milliCores()) / capacity;
-    int64_t score = step.longRunning_ ? companyScore(worker, key, leftPercent) : spreadScore(state, step, worker, leftPercent);
+    int64_t score = step.longRunning_ ? companyScore(worker, key, step, leftPercent) : spreadScore(state, step, worker, leftPercent);
     if (!step.dataRack_.empty() && hasLabel(worker, step.dataRack_))
         score += dataRackWeight;
     if (life.name_ == job.tasks_[taskNumber(job, key)].avoided_)
@@ -125,9 +146,13 @@
 {
     std::optional<WorkerLife> best;
     int64_t bestScore = 0;
+    const Step& step = stepOf(job, key);
+    bool mayDisturb = step.fills_ && !hasHarmlessWorker(state, job, step, now);
     for (const auto& [life, worker] : state.workers_) {
         if (!isEligible(state, job, key, worker, now))
             continue;
+        if (step.fills_ && !isHarmlessOn(state, step, worker) && !(mayDisturb && paceAt(state, step, worker) >= leastPace))
+            continue;
         int64_t score = scoreOf(state, job, key, life, worker);
         if (!best || score > bestScore) {
             best = life;
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -11,6 +11,9 @@
 // A run that belongs to no assigned task is ordered to stop again after this time.
 static constexpr Duration strayStopInterval = std::chrono::seconds(1);
 
+// A filling task below this pace, in percent, is slowed down.
+static constexpr uint32_t slowPace = 50;
+
 static Fence nextFence(OwnerState& state)
 {
     return Fence((state.epoch_.value() << fenceBitsForSessions) + ++state.sessions_);
@@ -156,6 +159,10 @@
         turn.remark("run.seen", describe(active.run_), concat("worker ", life.name_));
     task->present_ = true;
     task->percent_ = active.percent_;
+    if (active.pace_ >= slowPace || !stepOf(job, active.run_.task_).fills_)
+        task->slowedSince_.reset();
+    else if (!task->slowedSince_)
+        task->slowedSince_ = turn.now_;
     job.started_ = true;
     if (!active.checkpoint_.empty())
         task->progress_.checkpoint_ = active.checkpoint_;
@@ -242,32 +249,36 @@
     return next != state.workers_.end() && next->first.name_ == life.name_;
 }
 
-// Learns from the tails of the worker's long-running tasks which filling tasks disturb them.
-static void observeTails(const Turn& turn, const WorkerReport& report, Worker& worker)
+static LoadReading readLoad(const OwnerState& state, const WorkerReport& report)
 {
-    std::vector<FillingTask> filling;
-    std::vector<TailReading> readings;
-    worker.images_.clear();
-    worker.tailPercent_ = 0;
-    worker.fillingPace_ = 100;
+    LoadReading reading;
+    auto capacity = static_cast<double>(std::max<int64_t>(report.traits_.capacity_.milliCores(), 1));
     for (const ActiveRun& active : report.active_) {
-        if (!findTask(turn.state_, active.run_.task_))
-            continue;
-        const Step& step = stepOf(turn.state_.jobs_.at(active.run_.task_.job_), active.run_.task_);
-        if (step.fills_) {
-            filling.push_back({ step.image_, active.pace_ });
-            worker.fillingPace_ = std::min(worker.fillingPace_, active.pace_);
-        }
-        if (step.targetTailMs_ == 0)
+        auto job = state.jobs_.find(active.run_.task_.job_);
+        if (job == state.jobs_.end())
             continue;
-        readings.push_back({ step.image_, uint64_t(active.load_) * 100 / step.targetTailMs_ });
-        worker.tailPercent_ = std::max(worker.tailPercent_, readings.back().tailPercent_);
-        worker.images_.insert(step.image_);
+        const Step& step = stepOf(job->second, active.run_.task_);
+        if (step.fills_)
+            reading.filling_[step.image_] += static_cast<double>(active.load_) / capacity;
+        else if (step.targetTailMs_ > 0 && active.percent_ >= 100)
+            reading.longRunning_[active.run_] = { step.image_, active.load_, step.targetTailMs_ };
     }
-    if (filling.empty() || turn.now_ < worker.observeAt_)
+    return reading;
+}
+
+// Learns from a new reading of the worker which filling tasks disturb its long-running tasks.
+static void observeLoad(const Turn& turn, const WorkerReport& report, Worker& worker)
+{
+    if (report.readings_ == worker.readings_)
         return;
-    worker.observeAt_ = turn.now_ + turn.state_.tuning_.readingInterval_;
-    turn.state_.interference_ = observe(std::move(turn.state_.interference_), filling, readings);
+    LoadReading reading = readLoad(turn.state_, report);
+    // Over a longer time the load of the long-running tasks changes more than the filling tasks explain.
+    bool follows = report.readings_ == worker.readings_ + 1;
+    if (follows)
+        turn.state_.interference_ = observe(std::move(turn.state_.interference_), worker.reading_, reading);
+    worker.tolerances_ = tolerancesOf(turn.state_.interference_, worker.reading_, reading);
+    worker.readings_ = report.readings_;
+    worker.reading_ = std::move(reading);
 }
 
 static void takeWorker(const Turn& turn, const AgentReport& message, const WorkerReport& report)
@@ -300,7 +311,7 @@
         else
             stopStray(turn, message.agent_, report.life_, worker, active.run_);
     }
-    observeTails(turn, report, worker);
+    observeLoad(turn, report, worker);
     noteRefusals(turn, report, worker);
     loseAbsentRuns(turn, report, worker, seen, message.settled_);
     if (worker.draining_)
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -144,11 +144,14 @@
 {
     worker.assigned_.insert(key);
     worker.used_ = worker.used_ + step.demand_;
-    if (step.fills_)
+    if (step.fills_) {
         worker.fillingMilliCores_ += step.demand_.milliCores();
+        worker.fillingByImage_[step.image_] += step.demand_.milliCores();
+    }
     if (!step.longRunning_)
         return;
     ++worker.longRunning_;
+    ++worker.longRunningByImage_[step.image_];
     worker.longRunningMilliCores_ += step.demand_.milliCores();
 }
 
@@ -171,11 +174,18 @@
     if (worker.assigned_.erase(key) == 0)
         return;
     worker.used_ = worker.used_ - step.demand_;
-    if (step.fills_)
+    if (step.fills_) {
         worker.fillingMilliCores_ -= step.demand_.milliCores();
+        auto image = worker.fillingByImage_.find(step.image_);
+        image->second -= step.demand_.milliCores();
+        if (image->second <= 0)
+            worker.fillingByImage_.erase(image);
+    }
     if (!step.longRunning_)
         return;
     --worker.longRunning_;
+    if (auto image = worker.longRunningByImage_.find(step.image_); --image->second == 0)
+        worker.longRunningByImage_.erase(image);
     worker.longRunningMilliCores_ -= step.demand_.milliCores();
 }
 
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -29,6 +29,7 @@
     task.present_ = false;
     task.stopping_ = false;
     task.percent_ = 0;
+    task.slowedSince_.reset();
     task.assigned_ = turn.now_;
     task.progressed_ = turn.now_;
     book(turn.state_.workers_.at(life), key, stepOf(job, key));
--- /dev/null
+++ b/workflow/tests/FillingTest.cpp
@@ -0,0 +1,144 @@
+#include "OwnerWorld.h"
+
+namespace persimmondoor::workflow {
+
+static Step longRunningStep(const std::string& image)
+{
+    Step step = stepOfTasks(1);
+    step.longRunning_ = true;
+    step.image_ = image;
+    step.targetTailMs_ = 18;
+    return step;
+}
+
+static Step fillingStep(uint32_t count, const std::string& image)
+{
+    Step step = stepOfTasks(count);
+    step.fills_ = true;
+    step.savesProgress_ = true;
+    step.image_ = image;
+    return step;
+}
+
+static RunKey runOf(const std::string& job, uint32_t index = 0, uint32_t run = 1)
+{
+    return { { JobId::of(job), 0, 0, index }, run };
+}
+
+static const std::string searchJob = "00000000000000aa";
+static const std::string rankingJob = "00000000000000bb";
+static const std::string fillingJob = "00000000000000cc";
+
+// Two workers, each with a long-running task of its own image; "heavy" is known to disturb that of the first only.
+class FillingWorld : public OwnerWorld {
+public:
+    FillingWorld()
+    {
+        report("w-1", 10);
+        report("w-2", 10);
+        submit({ longRunningStep("search") }, 20, searchJob);
+        submit({ longRunningStep("ranking") }, 21, rankingJob);
+        commit(30);
+        bool searchIsFirst = starts("w-1", 31).front().task_.job_.value() == searchJob;
+        search_ = searchIsFirst ? "w-1" : "w-2";
+        ranking_ = searchIsFirst ? "w-2" : "w-1";
+        starts("w-2", 31);
+        settled_ = OrderNumber(1);
+        state_.interference_.sensitivities_["search"] = { 4, { { "heavy", 0.9 } }, {} };
+        state_.interference_.sensitivities_["ranking"] = { 4, { { "heavy", 0.02 } }, {} };
+        show(100, {}, {});
+    }
+
+    // Both workers report: a new reading of their long-running tasks, and the filling runs on each.
+    void show(int64_t milliseconds, std::vector<ActiveRun> besideSearch, std::vector<ActiveRun> besideRanking)
+    {
+        besideSearch.push_back({ runOf(searchJob), "", 100, tailMs_, 0 });
+        besideRanking.push_back({ runOf(rankingJob), "", 100, tailMs_, 0 });
+        readings_ = static_cast<uint64_t>(milliseconds);
+        report(search_, milliseconds, std::move(besideSearch));
+        report(ranking_, milliseconds, std::move(besideRanking));
+    }
+
+    uint32_t tailMs_ { 8 };
+    std::string search_;
+    std::string ranking_;
+};
+
+BOOST_AUTO_TEST_SUITE(filling)
+
+BOOST_AUTO_TEST_CASE(long_running_tasks_of_an_image_share_workers)
+{
+    FillingWorld world;
+    world.submit({ longRunningStep("search") }, 200, "00000000000000dd");
+    world.submit({ longRunningStep("ranking") }, 201, "00000000000000ee");
+    world.commit(210);
+    BOOST_TEST(world.starts(world.search_, 211).front().task_.job_.value() == "00000000000000dd");
+    BOOST_TEST(world.starts(world.ranking_, 211).front().task_.job_.value() == "00000000000000ee");
+}
+
+BOOST_AUTO_TEST_CASE(filling_tasks_wait_for_room_where_they_do_no_harm)
+{
+    FillingWorld world;
+    world.submit({ fillingStep(6, "heavy") }, 200, fillingJob);
+    world.commit(210);
+    BOOST_TEST(world.starts(world.search_, 211).empty());
+    BOOST_TEST(!world.starts(world.ranking_, 211).empty());
+}
+
+BOOST_AUTO_TEST_CASE(image_that_disturbs_all_goes_where_it_can_be_borne)
+{
+    FillingWorld world;
+    world.state_.interference_.sensitivities_["ranking"].factors_["heavy"] = 0.9;
+    world.submit({ fillingStep(1, "heavy") }, 200, fillingJob);
+    world.commit(210);
+    BOOST_TEST(world.starts(world.search_, 211).size() + world.starts(world.ranking_, 211).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(slowed_filling_task_is_moved_once_another_worker_can_take_it)
+{
+    FillingWorld world;
+    // Nothing is known of the image yet, and it is started beside the task that it disturbs.
+    world.state_.interference_.sensitivities_["search"].factors_["heavy"] = 0.02;
+    world.state_.interference_.sensitivities_["ranking"].factors_["heavy"] = 3;
+    world.submit({ fillingStep(1, "heavy") }, 200, fillingJob);
+    world.commit(210);
+    BOOST_REQUIRE(world.starts(world.search_, 211).size() == 1U);
+    world.settled_ = OrderNumber(2);
+    world.state_.interference_.sensitivities_["search"].factors_["heavy"] = 0.9;
+    ActiveRun slowed { runOf(fillingJob), "ck", 10, 0, 0 };
+    world.show(700, { slowed }, {});
+    world.take(Tick { 1'000'000 }, 800);
+    BOOST_TEST(world.directive(world.search_, 801).empty());
+    world.show(1800, { slowed }, {});
+    world.take(Tick { 1'000'000 }, 1900);
+    BOOST_TEST(world.directive(world.search_, 1901).empty());
+    // The other worker bears it now.
+    world.state_.interference_.sensitivities_["ranking"].factors_["heavy"] = 0.02;
+    world.take(Tick { 1'000'000 }, 2200);
+    auto orders = world.directive(world.search_, 2201);
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST(std::holds_alternative<StopRun>(orders.front()));
+}
+
+BOOST_AUTO_TEST_CASE(owner_learns_from_readings_that_follow_each_other)
+{
+    FillingWorld world;
+    world.state_.interference_ = {};
+    world.submit({ fillingStep(1, "heavy") }, 200, fillingJob);
+    world.commit(210);
+    bool besideSearch = !world.starts(world.search_, 211).empty();
+    world.settled_ = OrderNumber(2);
+    ActiveRun filling { runOf(fillingJob), "", 10, 1000, 100 };
+    for (uint64_t reading = 1001; reading < 1009; ++reading) {
+        bool isThere = reading % 2 == 0;
+        world.tailMs_ = isThere ? 7 : 5;
+        filling.load_ = isThere ? 1000 : 0;
+        std::vector<ActiveRun> active { filling };
+        world.show(static_cast<int64_t>(reading), besideSearch ? active : std::vector<ActiveRun>(), besideSearch ? std::vector<ActiveRun>() : active);
+    }
+    BOOST_TEST(!isHarmless(world.state_.interference_, "heavy", besideSearch ? "search" : "ranking"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::workflow
--- a/workflow/tests/OwnerWorld.h
+++ b/workflow/tests/OwnerWorld.h
@@ -83,7 +83,7 @@
     // As `report`, by an agent of another name.
     void reportBy(const std::string& agent, uint64_t session, const std::string& worker, int64_t milliseconds, std::vector<ActiveRun> active = {}, std::vector<EndedRun> ended = {})
     {
-        WorkerReport lists { { worker, 1000 }, { "packs", domain_, { "a", "r1" }, *Resources::create(4000, 1'000'000, 0) }, draining_, 0, true, std::move(active), std::move(ended), {} };
+        WorkerReport lists { { worker, 1000 }, { "packs", domain_, { "a", "r1" }, *Resources::create(4000, 1'000'000, 0) }, draining_, 0, true, readings_, std::move(active), std::move(ended), {} };
         AgentReport report { agent, domain_, session, state_.epoch_, fenceOf(agent), Sequence(++sequence_), settled_, { lists }, gone_, true };
         take(ReportArrived { report }, milliseconds);
         if (report.fence_ == fenceOf(agent))
@@ -116,6 +116,8 @@
     OwnerState state_;
     std::string domain_ { "north" };
     bool draining_ { false };
+    // Number of the reading that the next report shows.
+    uint64_t readings_ { 0 };
     OrderNumber settled_;
     std::vector<WorkerLife> gone_;
 
