Ping the new leader although a ping to the former one is under way

Cause of the finding "owners in turn": an entry that learnt of a new leader while its ping to the former one was unanswered took that ping for one to the new leader, whose end never came. It pinged nobody any more, saw a silent leader after 3 s and took over from one that wrote all the time; so did the others in turn.

Ruled out: saturation.

Change: the ping under way is part of the leadership's state, by address. new_leader_is_pinged_while_a_ping_to_the_former_one_is_under_way failed with the old rule.

--- a/scheduler/include/persimmondoor/scheduler/Leadership.h
+++ b/scheduler/include/persimmondoor/scheduler/Leadership.h
@@ -59,6 +59,9 @@
     /// When the leader's host last refused a connection; what others heard of it before does not count.
     Instant refusedAt_;
     Instant writeAt_;
+    /// Where a ping is under way to, and when the next is due.
+    std::optional<Address> pinged_;
+    Instant pingAt_;
     bool operator==(const LeadershipState&) const = default;
 };
 
@@ -83,6 +86,15 @@
 /// Takes in that the leader's host refused a connection: its process has ended, unless another entry still reaches it.
 LeadershipState learnRefusal(LeadershipState, Instant now);
 
+/// The leader, if it is to be pinged now. A ping that is still under way to a former leader is no reason to wait.
+std::optional<Address> duePing(const LeadershipState&, Instant now);
+
+/// Takes in that a ping to `leader` has been sent.
+LeadershipState beginPing(LeadershipState, const Address& leader, Instant now);
+
+/// Takes in that the ping to `leader` has been answered or given up.
+LeadershipState endPing(LeadershipState, const Address& leader);
+
 /// What this process tells others while it follows.
 workflow::LeaderView viewOf(const LeadershipState&, Instant now);
 
--- a/scheduler/src/Following.cpp
+++ b/scheduler/src/Following.cpp
@@ -23,11 +23,9 @@
         role.isClaiming_ = true;
         spawn(executor_, "check leader", checkRow());
     }
-    bool canPing = leadership_.leader_ && leadership_.leader_ != options_.self_;
-    if (canPing && !role.isPinging_ && time() >= role.pingAt_) {
-        role.isPinging_ = true;
-        role.pingAt_ = time() + leadership_.tuning_.pingInterval_;
-        spawn(executor_, "ping", ping(*leadership_.leader_));
+    if (std::optional<Address> leader = duePing(leadership_, time())) {
+        leadership_ = beginPing(std::move(leadership_), *leader, time());
+        spawn(executor_, "ping", ping(*std::move(leader)));
     }
 }
 
@@ -66,8 +64,7 @@
 
 void Scheduler::take(PingSettled message)
 {
-    if (auto* role = std::get_if<Following>(&role_); role && message.to_ == leadership_.leader_)
-        role->isPinging_ = false;
+    leadership_ = endPing(std::move(leadership_), message.to_);
     if (!message.answer_.ok()) {
         if (absl::IsUnavailable(message.answer_.status()) && message.to_ == leadership_.leader_)
             leadership_ = learnRefusal(std::move(leadership_), time());
--- a/scheduler/src/Scheduler.h
+++ b/scheduler/src/Scheduler.h
@@ -88,9 +88,7 @@
 
 // This entry does not lead; perhaps it is about to.
 struct Following {
-    bool isPinging_ { false };
     bool isClaiming_ { false };
-    Instant pingAt_;
 };
 
 // The claim is won; the rows are being read.
--- a/scheduler/src/decisions/Leadership.cpp
+++ b/scheduler/src/decisions/Leadership.cpp
@@ -97,6 +97,26 @@
     return state;
 }
 
+std::optional<Address> duePing(const LeadershipState& state, Instant now)
+{
+    bool isWanted = state.leader_ && state.leader_ != state.self_ && state.leader_ != state.pinged_;
+    return isWanted && now >= state.pingAt_ ? state.leader_ : std::nullopt;
+}
+
+LeadershipState beginPing(LeadershipState state, const Address& leader, Instant now)
+{
+    state.pinged_ = leader;
+    state.pingAt_ = now + state.tuning_.pingInterval_;
+    return state;
+}
+
+LeadershipState endPing(LeadershipState state, const Address& leader)
+{
+    if (state.pinged_ == leader)
+        state.pinged_.reset();
+    return state;
+}
+
 workflow::LeaderView viewOf(const LeadershipState& state, Instant now)
 {
     return { state.epoch_, state.leader_, false, now - state.writeAt_, now - state.contactAt_ };
--- a/scheduler/tests/LeadershipTest.cpp
+++ b/scheduler/tests/LeadershipTest.cpp
@@ -126,6 +126,37 @@
     BOOST_TEST((state.epoch_ == LeaderEpoch(4)));
 }
 
+BOOST_AUTO_TEST_CASE(leader_is_pinged_again_once_a_ping_has_ended)
+{
+    LeadershipState state = following(0);
+    BOOST_TEST((duePing(state, at(0)) == leader));
+    state = beginPing(std::move(state), leader, at(0));
+    BOOST_TEST(!duePing(state, at(1000)));
+    state = endPing(std::move(state), leader);
+    BOOST_TEST(!duePing(state, at(249)));
+    BOOST_TEST((duePing(state, at(250)) == leader));
+}
+
+BOOST_AUTO_TEST_CASE(new_leader_is_pinged_while_a_ping_to_the_former_one_is_under_way)
+{
+    LeadershipState state = beginPing(following(0), leader, at(0));
+    state = learnRow(std::move(state), LeaderEpoch(4), peer, store::RowVersion(10), at(300));
+    BOOST_TEST((duePing(state, at(300)) == peer));
+    state = beginPing(std::move(state), peer, at(300));
+    // The ping to the former leader is given up only now.
+    state = endPing(std::move(state), leader);
+    BOOST_TEST(!duePing(state, at(600)));
+    state = endPing(std::move(state), peer);
+    BOOST_TEST((duePing(state, at(600)) == peer));
+}
+
+BOOST_AUTO_TEST_CASE(entry_does_not_ping_itself)
+{
+    LeadershipState state = following(0);
+    state.leader_ = self;
+    BOOST_TEST(!duePing(state, at(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::scheduler
