Push accepted settings to the agents through a tree

Change: the entry that accepts a change sends it to 16 processes, each with a share of the other addresses; four levels reach 6,300 agents. A process that does not answer is replaced by the next of its branch. An agent that was told to ask again does so after a second, not with its next keepalive.

--- a/app/src/Operators.cpp
+++ b/app/src/Operators.cpp
@@ -180,6 +180,14 @@
     return item;
 }
 
+static asio::awaitable<std::vector<Address>> agentAddresses(Directory directory)
+{
+    std::vector<Address> addresses;
+    for (const membership::Announcement& worker : co_await directory.workers())
+        addresses.push_back(worker.rpcAddress_);
+    co_return addresses;
+}
+
 static asio::awaitable<http::Response> listWorkers(Directory directory, http::Request)
 {
     json::array list;
@@ -225,7 +233,7 @@
 {
     http::Routes routes;
     routing::offerEndpoints(routes, router_);
-    settings::offerSettingsAPI(routes, { self_.name_, settings_, table_, peers_ });
+    settings::offerSettingsAPI(routes, { self_.name_, settings_, table_, peers_, [directory = directory_] { return agentAddresses(directory); } });
     burn::offerBurn(routes, burn_);
     routes.add("GET", "/v1/health", showHealth);
     routes.add("GET", "/v1/ready", [settings = settings_](http::Request request) { return showReady(settings, std::move(request)); });
--- a/bench/settings/main.cpp
+++ b/bench/settings/main.cpp
@@ -9,6 +9,7 @@
 #include "persimmondoor/rpc/Link.h"
 #include "persimmondoor/rpc/Loop.h"
 #include "persimmondoor/settings/Follower.h"
+#include "persimmondoor/settings/Spreading.h"
 #include "persimmondoor/settings/Store.h"
 #include "persimmondoor/store/MemoryTable.h"
 
@@ -94,7 +95,7 @@
     co_return progress->inForceAt_.size() >= agents;
 }
 
-static asio::awaitable<Revision> change(store::MemoryTable table, settings::SettingsActor entry, std::shared_ptr<Progress> progress, uint64_t revision)
+static asio::awaitable<Revision> change(store::MemoryTable table, settings::SettingsActor entry, std::vector<Address> agents, std::shared_ptr<Progress> progress, uint64_t revision)
 {
     progress->inForceAt_.clear();
     progress->revision_ = revision;
@@ -102,7 +103,9 @@
         settings::WriteId::of(concat("w", revision)), "", false };
     settings::WriteOutcome outcome = co_await settings::writeSubtree(table, std::move(request));
     std::vector<settings::Subtree> subtrees(1, std::get<settings::WriteAccepted>(outcome).subtree_);
-    entry.learn(std::move(subtrees));
+    std::vector<settings::Subtree> copy = subtrees;
+    entry.learn(std::move(copy));
+    co_await settings::spreadSubtrees(std::move(agents), std::move(subtrees));
     co_return Revision(revision);
 }
 
@@ -119,9 +122,12 @@
     auto server = rpc::Server::listen(executor, *Address::parse("127.0.0.1:0"), std::move(interfaces));
     std::vector<Agent> started;
     started.reserve(static_cast<size_t>(agents));
-    co_await change(table, entry, progress, 1);
+    co_await change(table, entry, {}, progress, 1);
     for (int number = 0; number < agents; ++number)
         started.push_back(startAgent(executor, number, (*server)->address(), progress));
+    std::vector<Address> addresses;
+    for (const Agent& agent : started)
+        addresses.push_back(agent.server_->address());
     bool ready = co_await waitFor(progress, static_cast<size_t>(agents));
     co_await sleepFor(std::chrono::seconds(2));
 
@@ -138,7 +144,7 @@
     bytes = rpc::bytesSent();
     processor = processorSeconds();
     Instant begin = readClock();
-    co_await change(table, entry, progress, 2);
+    co_await change(table, entry, addresses, progress, 2);
     ready = co_await waitFor(progress, static_cast<size_t>(agents)) && ready;
     if (!ready)
         std::cerr << "not all agents had the change within the limit\n";
--- a/membership/src/Announcer.cpp
+++ b/membership/src/Announcer.cpp
@@ -108,7 +108,11 @@
                 listener_(link_.address(), answer->settings_);
             bool asksForAll = isKnown_ && !answer->isKnown_;
             isKnown_ = answer->isKnown_;
-            co_return asksForAll ? Duration(0) : std::max(answer->interval_, announceRetryInterval);
+            if (asksForAll)
+                co_return Duration(0);
+            // Newer settings are there, but their holders were busy.
+            bool lacksSettings = std::holds_alternative<settings::AskAgain>(answer->settings_);
+            co_return lacksSettings ? announceRetryInterval : std::max(answer->interval_, announceRetryInterval);
         }
 
         rpc::Link link_;
--- a/settings/include/persimmondoor/settings/Follower.h
+++ b/settings/include/persimmondoor/settings/Follower.h
@@ -43,7 +43,4 @@
 /// until `settings` is stopped.
 boost::asio::awaitable<void> keepSettings(SettingsActor settings, store::TableClient table, std::vector<Address> peers, std::vector<Seed> seeds);
 
-/// Tells the peers of an accepted change, best effort: their polls find it too.
-boost::asio::awaitable<void> pushToPeers(std::vector<Address> peers, Subtree subtree);
-
 } // namespace persimmondoor::settings
--- a/settings/include/persimmondoor/settings/OperatorsAPI.h
+++ b/settings/include/persimmondoor/settings/OperatorsAPI.h
@@ -12,7 +12,7 @@
 /// | GET /v1/teams, GET /v1/quota | the teams, and their quotas |
 ///
 /// \code
-/// offerSettingsAPI(routes, OperatorsAPI { name, settings, table, peers });
+/// offerSettingsAPI(routes, OperatorsAPI { name, settings, table, peers, agents });
 /// \endcode
 #pragma once
 
@@ -20,6 +20,8 @@
 #include "persimmondoor/settings/SettingsActor.h"
 #include "persimmondoor/store/TableClient.h"
 
+#include <functional>
+
 namespace persimmondoor::settings {
 
 /// What the paths need.
@@ -29,6 +31,8 @@
     store::TableClient table_;
     /// The other entries, told of each accepted change.
     std::vector<Address> peers_;
+    /// Gives the agents that are there, told of it too.
+    std::function<boost::asio::awaitable<std::vector<Address>>()> agents_;
 };
 
 void offerSettingsAPI(http::Routes&, const OperatorsAPI&);
--- a/settings/schema/Settings.capnp
+++ b/settings/schema/Settings.capnp
@@ -23,6 +23,6 @@
   fetchSince @0 (digest :UInt64) -> (remembered :Bool, subtrees :List(Subtree));
   # What is newer than the caller's revisions; isKnown is false if this process knows no settings itself.
   fetchNewer @1 (known :List(KnownRevision)) -> (isKnown :Bool, subtrees :List(Subtree));
-  # Subtrees that were just accepted.
-  push @2 (subtrees :List(Subtree)) -> ();
+  # Subtrees that were just accepted; the receiver passes them on to the processes at these addresses.
+  push @2 (subtrees :List(Subtree), passOnTo :List(Text)) -> ();
 }
--- a/settings/src/Follower.cpp
+++ b/settings/src/Follower.cpp
@@ -99,15 +99,4 @@
     }
 }
 
-asio::awaitable<void> pushToPeers(std::vector<Address> peers, Subtree subtree)
-{
-    for (const Address& peer : peers) {
-        rpc::Link link(co_await asio::this_coro::executor, peer);
-        std::vector<Subtree> subtrees(1, subtree);
-        auto pushed = co_await push(std::move(link), std::move(subtrees));
-        if (!pushed.ok())
-            logDebug("settings.push_failed", { { "peer", peer.text() }, { "error", std::string(pushed.status().message()) } });
-    }
-}
-
 } // namespace persimmondoor::settings
--- a/settings/src/OperatorsAPI.cpp
+++ b/settings/src/OperatorsAPI.cpp
@@ -5,7 +5,7 @@
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/core/Visitor.h"
-#include "persimmondoor/settings/Follower.h"
+#include "persimmondoor/settings/Spreading.h"
 #include "persimmondoor/settings/Store.h"
 #include "persimmondoor/settings/Subtrees.h"
 
@@ -80,6 +80,20 @@
     return WriteRequest { *name, request.body_, *expected, *writeId, tokenDigestOf(request), dryRun };
 }
 
+// Puts an accepted change in force here and tells the other entries and the agents.
+static asio::awaitable<void> spreadAccepted(OperatorsAPI api, Subtree accepted)
+{
+    std::vector<Subtree> subtrees(1, std::move(accepted));
+    std::vector<Subtree> copy = subtrees;
+    api.settings_.learn(std::move(copy));
+    std::vector<Address> receivers = api.peers_;
+    if (api.agents_) {
+        for (Address& agent : co_await api.agents_())
+            receivers.push_back(std::move(agent));
+    }
+    co_await spreadSubtrees(std::move(receivers), std::move(subtrees));
+}
+
 static asio::awaitable<http::Response> put(OperatorsAPI api, http::Request request)
 {
     auto write = readWrite(request);
@@ -95,9 +109,7 @@
         logInfo("settings.accepted",
             { { "subtree", accepted.subtree_.name_.value() }, { "revision", std::to_string(accepted.subtree_.revision_.value()) },
                 { "operator", accepted.subtree_.operator_.value() } });
-        std::vector<Subtree> subtrees(1, accepted.subtree_);
-        api.settings_.learn(std::move(subtrees));
-        spawn(co_await asio::this_coro::executor, "settings push", pushToPeers(api.peers_, accepted.subtree_));
+        co_await spreadAccepted(api, accepted.subtree_);
     }
     co_return http::jsonResponse(200, acceptedDocument(accepted));
 }
--- a/settings/src/Remote.cpp
+++ b/settings/src/Remote.cpp
@@ -1,9 +1,11 @@
 #include "Remote.h"
 
 #include "Codec.h"
+#include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/rpc/Call.h"
 #include "persimmondoor/settings/SettingsActor.h"
+#include "persimmondoor/settings/Spreading.h"
 
 namespace persimmondoor::settings {
 
@@ -11,6 +13,19 @@
 
 static constexpr Duration fetchTimeout = std::chrono::seconds(2);
 
+static std::vector<Address> decodeAddresses(capnp::List<capnp::Text>::Reader wire)
+{
+    std::vector<Address> addresses;
+    for (auto item : wire) {
+        auto address = Address::parse({ item.cStr(), item.size() });
+        if (address.ok())
+            addresses.push_back(*std::move(address));
+        else
+            logWarning("settings.bad_address", { { "error", std::string(address.status().message()) } });
+    }
+    return addresses;
+}
+
 namespace {
 
     class SettingsServer final : public wire::Settings::Server {
@@ -28,10 +43,14 @@
         kj::Promise<void> push(PushContext context) override
         {
             auto subtrees = decode(context.getParams().getSubtrees());
-            if (subtrees.ok())
-                settings_.learn(*std::move(subtrees));
-            else
+            if (!subtrees.ok()) {
                 logWarning("settings.bad_push", { { "error", std::string(subtrees.status().message()) } });
+                return kj::READY_NOW;
+            }
+            std::vector<Address> receivers = decodeAddresses(context.getParams().getPassOnTo());
+            if (!receivers.empty())
+                spawn(executor_, "settings spread", spreadSubtrees(std::move(receivers), *subtrees));
+            settings_.learn(*std::move(subtrees));
             return kj::READY_NOW;
         }
 
@@ -118,13 +137,16 @@
     co_return co_await fetchByRevisions(peer, std::move(tree));
 }
 
-asio::awaitable<absl::StatusOr<bool>> push(rpc::Link link, std::vector<Subtree> subtrees)
+asio::awaitable<absl::StatusOr<bool>> push(rpc::Link link, std::vector<Subtree> subtrees, std::vector<Address> passOnTo)
 {
     auto found = co_await link.find("settings");
     if (!found.ok())
         co_return found.status();
     auto request = found->castAs<wire::Settings>().pushRequest();
     encode(subtrees, request.initSubtrees(static_cast<unsigned>(subtrees.size())));
+    auto addresses = request.initPassOnTo(static_cast<unsigned>(passOnTo.size()));
+    for (unsigned index = 0; index < addresses.size(); ++index)
+        addresses.set(index, passOnTo[index].text());
     co_return co_await rpc::call(
         request.send(), [](auto&) { return true; }, fetchTimeout);
 }
--- a/settings/src/Remote.h
+++ b/settings/src/Remote.h
@@ -11,7 +11,7 @@
 // InvalidArgument for an answer that is refused.
 boost::asio::awaitable<absl::StatusOr<std::vector<Subtree>>> fetchNewer(rpc::Link, Tree tree);
 
-// Sends accepted subtrees to the peer.
-boost::asio::awaitable<absl::StatusOr<bool>> push(rpc::Link, std::vector<Subtree>);
+// Sends accepted subtrees to the peer, which passes them on to the processes at `passOnTo`.
+boost::asio::awaitable<absl::StatusOr<bool>> push(rpc::Link, std::vector<Subtree>, std::vector<Address> passOnTo);
 
 } // namespace persimmondoor::settings
