Give a job of which nothing runs any room in time

Ruled out: a lost order or row; the tasks had no run, and no owner changed.

Change: after 1.5 s a job of which nothing runs gets any room; a job counts as lost after 3 s. job_of_which_nothing_runs_gets_any_room_in_time failed first.

--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -54,6 +54,9 @@
     /// A filling task that has been slowed down for so long is moved if another worker can give it nearly its full speed;
     /// two readings and the time that a stop takes.
     Duration slowedFor_ { std::chrono::milliseconds(1000) };
+    /// A job of which nothing runs, and whose filling tasks have waited for so long for room where they do no harm, gets
+    /// any room: after 3 s it counts as lost (stated by the platform).
+    Duration harmlessPatience_ { std::chrono::milliseconds(1500) };
     /// Filling tasks moved at once at most: each move changes what the others will find.
     uint32_t movesAtOnce_ { 4 };
     /// A worker that refused a run for want of room gets no other for this time.
@@ -113,6 +116,8 @@
     bool started_ { false };
     /// Phase as of the last durable batch; nothing before the first.
     std::optional<JobPhase> durable_;
+    /// Since when tasks of it wait for room while none is assigned.
+    std::optional<Instant> idleSince_;
     /// When the job ended, for its retention.
     std::optional<Instant> ended_;
     bool operator==(const Job&) const = default;
--- a/workflow/src/decisions/OwnerRules.h
+++ b/workflow/src/decisions/OwnerRules.h
@@ -30,6 +30,9 @@
 // Gives the job the settings of its queue that are in force.
 void applyCatalog(const Catalog&, Job&);
 bool isOpen(const Job&);
+bool hasAssigned(const Job&);
+// True if the job has waited for room where its filling tasks do no harm as long as it may.
+bool hasLostPatience(const OwnerState&, const Job&, Instant now);
 
 // Marks the job's row for the next batch.
 StagedJob& stage(OwnerState&, const JobId&);
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -142,16 +142,23 @@
     return score - failureWeight * worker.failureStreak_;
 }
 
+bool hasLostPatience(const OwnerState& state, const Job& job, Instant now)
+{
+    return job.idleSince_ && now - *job.idleSince_ > state.tuning_.harmlessPatience_;
+}
+
 std::optional<WorkerLife> chooseWorker(const OwnerState& state, const Job& job, const TaskKey& key, Instant now)
 {
     std::optional<WorkerLife> best;
     int64_t bestScore = 0;
     const Step& step = stepOf(job, key);
-    bool mayDisturb = step.fills_ && !hasHarmlessWorker(state, job, step, now);
+    bool takesAny = !step.fills_ || hasLostPatience(state, job, now);
+    bool mayDisturb = takesAny || !hasHarmlessWorker(state, job, step, now);
     for (const auto& [life, worker] : state.workers_) {
         if (!isEligible(state, job, key, worker, now))
             continue;
-        if (step.fills_ && !isHarmlessOn(state, step, worker) && !(mayDisturb && paceAt(state, step, worker) >= leastPace))
+        bool isBearable = takesAny || isHarmlessOn(state, step, worker) || (mayDisturb && paceAt(state, step, worker) >= leastPace);
+        if (!isBearable)
             continue;
         int64_t score = scoreOf(state, job, key, life, worker);
         if (!best || score > bestScore) {
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -50,7 +50,7 @@
     job.queue_ = current ? *current : job.record_.queue_;
 }
 
-static bool hasAssigned(const Job& job)
+bool hasAssigned(const Job& job)
 {
     return std::any_of(job.tasks_.begin(), job.tasks_.end(), [](const Task& task) { return task.progress_.phase_ == TaskPhase::Assigned; });
 }
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -75,8 +75,11 @@
     // Needs for which no worker had room in this turn: one that asks for as much in every respect has none either.
     class FullNeeds {
     public:
-        bool contains(const Job& job, const Step& step) const
+        // An impatient job finds room where others see none.
+        bool contains(const Job& job, const Step& step, bool isImpatient) const
         {
+            if (isImpatient)
+                return false;
             return std::any_of(needs_.begin(), needs_.end(), [&](const Need& need) {
                 return need.service_ == job.queue_.service_ && need.fills_ == step.fills_ && need.image_ == step.image_ && need.label_ == step.requiredLabel_ && need.demand_.fitsIn(step.demand_);
             });
@@ -107,7 +110,8 @@
     const Step& step = job.record_.spec_.steps()[stepNumber];
     if (step.gang_)
         return startGang(turn, job, occurrence, stepNumber);
-    bool isFull = full.contains(job, step);
+    bool isImpatient = hasLostPatience(turn.state_, job, turn.now_);
+    bool isFull = full.contains(job, step, isImpatient);
     for (uint32_t index = 0; index < step.count_; ++index) {
         TaskKey key = memberOf(job, occurrence, stepNumber, index);
         const TaskProgress& progress = job.tasks_[taskNumber(job, key)].progress_;
@@ -124,6 +128,14 @@
     return false;
 }
 
+static void noteIdle(const Turn& turn, Job& job, bool waits)
+{
+    if (!waits || hasAssigned(job))
+        job.idleSince_.reset();
+    else if (!job.idleSince_)
+        job.idleSince_ = turn.now_;
+}
+
 // Returns whether the job must be looked at again when room is freed or time passes.
 static bool startTasksOf(const Turn& turn, Job& job, FullNeeds& full)
 {
@@ -159,6 +171,7 @@
     for (const Urgency& urgency : ready) {
         Job& job = turn.state_.jobs_.at(urgency.job_);
         bool waits = !job.cancelled_ && !job.failed_ && startTasksOf(turn, job, full);
+        noteIdle(turn, job, waits);
         if (!waits)
             turn.state_.ready_.erase(urgency.job_);
     }
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -85,6 +85,27 @@
     BOOST_TEST(!world.starts(world.ranking_, 211).empty());
 }
 
+BOOST_AUTO_TEST_CASE(job_of_which_nothing_runs_gets_any_room_in_time)
+{
+    FillingWorld world;
+    // Only the second worker bears the image, and it has no room for so large a task.
+    Step large = fillingStep(1, "heavy");
+    large.demand_ = *Resources::create(3'400, 1000, 0);
+    Step filler = fillingStep(2, "other");
+    world.state_.interference_.sensitivities_["search"].factors_["other"] = 3;
+    world.submit({ filler }, 150, "00000000000000dd");
+    world.commit(160);
+    BOOST_REQUIRE(!world.starts(world.ranking_, 161).empty());
+    world.submit({ large }, 200, fillingJob);
+    world.commit(210);
+    BOOST_TEST(world.starts(world.search_, 211).empty());
+    for (int64_t time = 300; time <= 1900; time += 100)
+        world.show(time, {}, {});
+    world.commit(1950);
+    // A job counts as lost after 3 s.
+    BOOST_TEST(world.starts(world.search_, 1960).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(image_that_disturbs_all_goes_where_it_can_be_borne)
 {
     FillingWorld world;
