Give a stalled leader time to write once the store is back

A long-running task's end cannot be stored; once the store is back another entry, for which the leader has not written for long, claims before the leader writes. The successor knows neither the end nor that the worker has left for good with its agent, and waits 12 s for its leases; a task may be away for 6 s.

Ruled out: a lost stop (the end was taken in, 27.0 s) and a slow start (at once after the leases).

Change: an entry that could not read the leader's row gives a leader that answers 1 s to write after the first reading that succeeds. A silent one is replaced at once. leader_is_given_time_to_write_once_the_store_is_back failed without it.

--- a/scheduler/include/persimmondoor/scheduler/Leadership.h
+++ b/scheduler/include/persimmondoor/scheduler/Leadership.h
@@ -32,6 +32,9 @@
     /// A leader that answers but has not written for so long has lost the store. Leaders write at least twice a second;
     /// a slow store takes up to 0.6 s for a write.
     Duration stall_ { std::chrono::milliseconds(2000) };
+    /// Time that a stalled leader which can be reached is given to write once the store is back: it knows what its
+    /// successor could learn only from leases that expire. It tries about ten times in that time.
+    Duration writeGrace_ { std::chrono::milliseconds(1000) };
     /// Entries claim one after another by rank, to spare the store needless conflicts.
     Duration stagger_ { std::chrono::milliseconds(150) };
     uint32_t ranks_ { 4 };
@@ -59,6 +62,8 @@
     /// When the leader's host last refused a connection; what others heard of it before does not count.
     Instant refusedAt_;
     Instant writeAt_;
+    /// The store did not answer when the row was last read.
+    bool isStoreAway_ { false };
     /// Where a ping is under way to, and when the next is due.
     std::optional<Address> pinged_;
     Instant pingAt_;
@@ -80,6 +85,9 @@
 /// Takes in the leader's row.
 LeadershipState learnRow(LeadershipState, workflow::LeaderEpoch, std::optional<Address>, store::RowVersion, Instant now);
 
+/// Takes in that the leader's row could not be read.
+LeadershipState learnStoreFailure(LeadershipState);
+
 /// Takes in what the process at `from` told of the leadership.
 LeadershipState learnView(LeadershipState, const Address& from, const workflow::LeaderView&, Instant now);
 
--- a/scheduler/src/Following.cpp
+++ b/scheduler/src/Following.cpp
@@ -123,6 +123,7 @@
     role->isClaiming_ = false;
     if (!message.row_.ok()) {
         logWarning("store.lost", { { "reason", std::string(message.row_.status().message()) } });
+        leadership_ = learnStoreFailure(std::move(leadership_));
         return;
     }
     learnRow(*message.row_);
--- a/scheduler/src/decisions/Leadership.cpp
+++ b/scheduler/src/decisions/Leadership.cpp
@@ -46,6 +46,9 @@
 
 LeadershipState learnRow(LeadershipState state, workflow::LeaderEpoch epoch, std::optional<Address> leader, store::RowVersion version, Instant now)
 {
+    if (state.isStoreAway_)
+        state.writeAt_ = std::max(state.writeAt_, now - state.tuning_.stall_ + state.tuning_.writeGrace_);
+    state.isStoreAway_ = false;
     bool isNew = !state.rowKnown_ || version != state.version_;
     state.rowKnown_ = true;
     state.version_ = version;
@@ -65,6 +68,12 @@
     return state;
 }
 
+LeadershipState learnStoreFailure(LeadershipState state)
+{
+    state.isStoreAway_ = true;
+    return state;
+}
+
 LeadershipState learnView(LeadershipState state, const Address& from, const workflow::LeaderView& view, Instant now)
 {
     if (view.epoch_ < state.epoch_ || (view.epoch_ == state.epoch_ && !view.address_)) {
--- a/scheduler/tests/LeadershipTest.cpp
+++ b/scheduler/tests/LeadershipTest.cpp
@@ -126,6 +126,32 @@
     BOOST_TEST((state.epoch_ == LeaderEpoch(4)));
 }
 
+// A view of a leader that answers but has not written since `writtenAt`.
+static LeadershipState hearOfStalledLeader(LeadershipState state, int64_t writtenAt, int64_t now)
+{
+    LeaderView view { LeaderEpoch(3), leader, true, std::chrono::milliseconds(now - writtenAt), Duration(0) };
+    return learnView(std::move(state), leader, view, at(now));
+}
+
+BOOST_AUTO_TEST_CASE(leader_is_given_time_to_write_once_the_store_is_back)
+{
+    LeadershipState state = hearOfStalledLeader(settled(0), 0, 4000);
+    BOOST_TEST(!follows(state, 4000));
+    state = learnStoreFailure(std::move(state));
+    BOOST_TEST(!follows(state, 4000));
+    state = learnRow(std::move(state), LeaderEpoch(3), leader, store::RowVersion(9), at(4100));
+    BOOST_TEST(follows(state, 4100));
+    state = hearOfStalledLeader(std::move(state), 0, 4100 + 1000 + 450 + 1);
+    BOOST_TEST(!follows(state, 4100 + 1000 + 450 + 1));
+}
+
+BOOST_AUTO_TEST_CASE(silent_leader_gets_no_time_when_the_store_is_back)
+{
+    LeadershipState state = learnStoreFailure(settled(0));
+    state = learnRow(std::move(state), LeaderEpoch(3), leader, store::RowVersion(9), at(4100));
+    BOOST_TEST(!follows(state, 4100));
+}
+
 BOOST_AUTO_TEST_CASE(leader_is_pinged_again_once_a_ping_has_ended)
 {
     LeadershipState state = following(0);
