Refuse unsent jobs while the store fails; keep what was learnt for the next owner

Ruled out: refusing all of them, as a transaction without a reply may be carried out later.

Change: 0.7 s after the first failed write, jobs that no transaction was sent for are refused with a time to come back; one whose outcome is open stays. A lost commit is looked for until its outcome is known, and nothing else is sent meanwhile. What was learnt of images is a row, written at most every 2 s with another write.

--- a/scheduler/src/LeaderRow.h
+++ b/scheduler/src/LeaderRow.h
@@ -15,6 +15,8 @@
 // Rewritten by each of the owner's transactions and a condition of the next: a transaction without a reply that the
 // store carries out later finds the chain gone on.
 inline constexpr std::string_view chainRow = "chain/chain";
+// What the owner has learnt of its tasks.
+inline constexpr std::string_view learntRow = "learnt/interference";
 inline constexpr std::string_view recordTable = "jobs";
 inline constexpr std::string_view progressTable = "progress";
 
--- a/scheduler/src/Owning.cpp
+++ b/scheduler/src/Owning.cpp
@@ -14,6 +14,8 @@
 namespace asio = boost::asio;
 
 static constexpr Duration readTimeout = std::chrono::milliseconds(1500);
+// A commit without a reply is looked for again after this time; a slow store takes up to 0.4 s for a reading.
+static constexpr Duration chainReadTimeout = std::chrono::milliseconds(800);
 static constexpr Duration loadRetryInterval = std::chrono::milliseconds(200);
 // Without other writes the owner shows with an empty one that it still leads.
 static constexpr Duration renewalInterval = std::chrono::milliseconds(500);
@@ -27,6 +29,11 @@
 static constexpr Duration slowCommit = std::chrono::milliseconds(100);
 static constexpr Duration refusedRetryInterval = std::chrono::milliseconds(60);
 
+// What has been learnt is written at most this often: a successor that misses the last of it learns that within seconds.
+static constexpr Duration learntInterval = std::chrono::seconds(2);
+// A row holds at most 64 KiB, in base64.
+static constexpr size_t longestLearntValue = 40'000;
+
 static absl::StatusOr<std::vector<workflow::StoredJob>> joinRows(const std::vector<store::Row>& records, const std::vector<store::Row>& progress)
 {
     std::map<std::string_view, const store::Row*> progressByJob;
@@ -49,6 +56,18 @@
     return jobs;
 }
 
+// What the predecessor has learnt, or nothing: the queues go on without it.
+static workflow::Interference readLearnt(const absl::StatusOr<store::Row>& row)
+{
+    if (row.ok() && row->version_ == store::RowVersion())
+        return {};
+    auto learnt = row.ok() ? workflow::decodeInterference(row->value_) : absl::StatusOr<workflow::Interference>(row.status());
+    if (learnt.ok())
+        return *std::move(learnt);
+    logWarning("learnt.unreadable", { { "reason", std::string(learnt.status().message()) } });
+    return {};
+}
+
 static asio::awaitable<absl::StatusOr<LoadedRows>> readAll(platform::RowStore rows)
 {
     LoadedRows loaded;
@@ -66,6 +85,8 @@
     if (!operators.ok())
         co_return operators.status();
     loaded.operators_ = toView(*operators);
+    auto learnt = co_await rows.readRow(std::string(learntRow), readTimeout);
+    loaded.interference_ = readLearnt(learnt);
     auto jobs = joinRows(records->rows_, progress->rows_);
     if (!jobs.ok())
         co_return jobs.status();
@@ -102,6 +123,7 @@
     owning.chain_ = message.rows_->chain_;
     owning.writtenAt_ = role->since_;
     owning.owner_ = workflow::takeOver(message.epoch_, options_.tuning_, std::move(message.rows_->jobs_), time());
+    owning.owner_.interference_ = std::move(message.rows_->interference_);
     owning.owner_.grantsUntil_ = role->since_ + options_.tuning_.leadershipLease_;
     logInfo("queues.loaded", { { "epoch", std::to_string(message.epoch_.value()) }, { "jobs", std::to_string(jobs) }, { "open", std::to_string(owning.owner_.open_.size()) }, { "took_ms", std::to_string((time() - role->since_).count() / 1000) } });
     role_ = std::move(owning);
@@ -240,6 +262,18 @@
     return transaction;
 }
 
+void Scheduler::writeLearnt(Owning& role, store::Transaction& transaction) const
+{
+    if (time() - role.learntAt_ < learntInterval)
+        return;
+    role.learntAt_ = time();
+    std::string value = workflow::encodeInterference(role.owner_.interference_);
+    if (value == role.learntValue_ || value.size() > longestLearntValue)
+        return;
+    role.learntValue_ = value;
+    transaction.writes_.emplace_back(store::Put { std::string(learntRow), std::move(value) });
+}
+
 void Scheduler::commitIfDue(Owning& role)
 {
     if (role.commit_ || time() < role.commitAgainAt_)
@@ -249,6 +283,7 @@
     workflow::Batch batch = workflow::takeBatch(role.owner_);
     uint64_t number = ++role.commits_;
     store::Transaction transaction = transactionOf(role, batch, number);
+    writeLearnt(role, transaction);
     role.commit_ = PendingCommit { number, std::move(batch), time() };
     spawn(executor_, "commit", commit(role.claim_.epoch_, std::move(transaction), role.commitLimit_));
 }
@@ -262,10 +297,12 @@
     co_await mailbox_.post(std::move(settled));
 }
 
-asio::awaitable<void> Scheduler::readChain(workflow::LeaderEpoch epoch)
+asio::awaitable<void> Scheduler::readChain(workflow::LeaderEpoch epoch, Duration after)
 {
     auto self = shared_from_this();
-    auto row = co_await rows_.readRow(std::string(chainRow), readTimeout);
+    if (after > Duration(0))
+        co_await sleepFor(after);
+    auto row = co_await rows_.readRow(std::string(chainRow), chainReadTimeout);
     ChainSettled settled { epoch, std::move(row) };
     co_await mailbox_.post(std::move(settled));
 }
@@ -291,9 +328,9 @@
     decide(role, workflow::BatchDurable { std::move(batch), sentAt });
 }
 
-void Scheduler::retryCommit(Owning& role, Duration after)
+void Scheduler::retryCommit(Owning& role, Duration after, bool mayBeStored)
 {
-    workflow::restage(role.owner_, std::move(role.commit_->batch_));
+    workflow::restage(role.owner_, std::move(role.commit_->batch_), mayBeStored);
     role.commit_.reset();
     role.commitAgainAt_ = time() + after;
     commitIfDue(role);
@@ -318,23 +355,25 @@
                        if (conflict.key_ == leaderRow)
                            return stepDown("the leader's row has changed");
                        if (conflict.key_ == chainRow || conflict.key_.empty()) {
-                           spawn(executor_, "read chain", readChain(message.epoch_));
+                           spawn(executor_, "read chain", readChain(message.epoch_, Duration(0)));
                            return;
                        }
                        // Starts are decided anew once the operators' change is known.
-                       workflow::restage(role->owner_, std::move(role->commit_->batch_));
+                       workflow::restage(role->owner_, std::move(role->commit_->batch_), false);
                        role->commit_.reset();
                        role->commitAgainAt_ = time() + refusedRetryInterval;
                        spawn(executor_, "reread operators", rereadOperators(message.epoch_));
                    },
                    [&](const store::Unavailable& refusal) {
                        logWarning("store.refused", { { "reason", refusal.detail_ }, { "commit", std::to_string(role->commit_->number_) } });
-                       retryCommit(*role, refusedRetryInterval);
+                       decide(*role, workflow::StoreFailed {});
+                       retryCommit(*role, refusedRetryInterval, false);
                    },
                    [&](const store::ReplyLost& lost) {
                        logWarning("store.reply_lost", { { "reason", lost.detail_ }, { "commit", std::to_string(role->commit_->number_) }, { "limit_ms", std::to_string(role->commitLimit_.count() / 1000) } });
                        role->commitLimit_ = std::min(role->commitLimit_ * 2, greatestCommitLimit);
-                       spawn(executor_, "read chain", readChain(message.epoch_));
+                       decide(*role, workflow::StoreFailed {});
+                       spawn(executor_, "read chain", readChain(message.epoch_, Duration(0)));
                    } },
         message.outcome_);
 }
@@ -345,15 +384,17 @@
     if (!role || !role->commit_)
         return;
     if (!message.row_.ok()) {
+        // Until the outcome is known nothing else is sent, so that it can be refused as not run.
         logWarning("store.lost", { { "reason", std::string(message.row_.status().message()) } });
-        return retryCommit(*role, refusedRetryInterval);
+        spawn(executor_, "read chain", readChain(message.epoch_, refusedRetryInterval));
+        return;
     }
     const store::Row& row = *message.row_;
     if (row.value_ == chainValue(role->claim_.epoch_, role->commit_->number_))
         return finishCommit(*role, row.version_, role->commit_->sentAt_);
     // An earlier transaction of this owner, given up then, has been carried out after all; the one in hand was not.
     role->chain_ = row.version_;
-    retryCommit(*role, Duration(0));
+    retryCommit(*role, Duration(0), true);
 }
 
 void Scheduler::stepDown(std::string_view why)
--- a/scheduler/src/Scheduler.h
+++ b/scheduler/src/Scheduler.h
@@ -51,6 +51,7 @@
     std::vector<workflow::StoredJob> jobs_;
     store::RowVersion chain_;
     OperatorView operators_;
+    workflow::Interference interference_;
 };
 struct LoadSettled {
     workflow::LeaderEpoch epoch_;
@@ -113,6 +114,9 @@
     std::map<std::string, std::deque<WaitingReport>> reports_;
     std::optional<PendingCommit> commit_;
     uint64_t commits_ { 0 };
+    // When what has been learnt was last written, and its row.
+    Instant learntAt_;
+    std::string learntValue_;
     Instant commitAgainAt_;
     Instant writtenAt_;
     // Smoothed time of a commit, and the limit for the next.
@@ -173,11 +177,12 @@
     void answerReports(Owning&, const std::string& agent, bool all);
     void commitIfDue(Owning&);
     store::Transaction transactionOf(const Owning&, const workflow::Batch&, uint64_t number) const;
+    void writeLearnt(Owning&, store::Transaction&) const;
     boost::asio::awaitable<void> commit(workflow::LeaderEpoch, store::Transaction, Duration limit);
-    boost::asio::awaitable<void> readChain(workflow::LeaderEpoch);
+    boost::asio::awaitable<void> readChain(workflow::LeaderEpoch, Duration after);
     boost::asio::awaitable<void> rereadOperators(workflow::LeaderEpoch);
     void finishCommit(Owning&, store::RowVersion, Instant sentAt);
-    void retryCommit(Owning&, Duration after);
+    void retryCommit(Owning&, Duration after, bool mayBeStored);
     void stepDown(std::string_view why);
     // The role if this entry owns the queues under that epoch, or null.
     Owning* owning(workflow::LeaderEpoch);
--- a/supervision/tests/ProtocolModel.cpp
+++ b/supervision/tests/ProtocolModel.cpp
@@ -390,7 +390,7 @@
                 return;
             owner_->committing_ = false;
             if (refused)
-                workflow::restage(owner_->state_, std::move(batch));
+                workflow::restage(owner_->state_, std::move(batch), true);
             else
                 tellOwner(workflow::BatchDurable { std::move(batch), sentAt });
         });
--- a/workflow/include/persimmondoor/workflow/Owner.h
+++ b/workflow/include/persimmondoor/workflow/Owner.h
@@ -38,6 +38,9 @@
     Duration leadershipLease_ { std::chrono::milliseconds(4000) };
     /// Without a durable write for so long, an owner takes no new job; it writes at least twice a second.
     Duration storeSilence_ { std::chrono::milliseconds(1500) };
+    /// Once the store has failed for so long, jobs that have never been sent to it are refused, and new ones at once; below
+    /// half of the shortest time that clients wait.
+    Duration refuseAfter_ { std::chrono::milliseconds(700) };
     /// A worker's clock may run this share slow, in percent (stated by the platform).
     int64_t clockDriftPercent_ { 2 };
     /// Allowance for the delivery of a lease, on top of the drift.
@@ -207,6 +210,8 @@
 
 struct StagedJob {
     bool withRecord_ { false };
+    /// A transaction with these rows was sent and its outcome is open.
+    bool mayBeStored_ { false };
     bool dropped_ { false };
     std::vector<Effect> effects_;
     bool operator==(const StagedJob&) const = default;
@@ -237,6 +242,8 @@
     std::map<WorkerLife, Worker> workers_;
     std::map<std::string, Agent> agents_;
     Interference interference_;
+    /// When a write first failed after the last one that became durable.
+    std::optional<Instant> storeFailedAt_;
     /// Leases may be granted until then.
     Instant grantsUntil_;
     uint64_t sessions_ { 0 };
@@ -276,12 +283,16 @@
     Instant sentAt_;
     bool operator==(const BatchDurable&) const = default;
 };
+/// The store has refused a write or did not answer it.
+struct StoreFailed {
+    auto operator<=>(const StoreFailed&) const = default;
+};
 struct Tick {
     int64_t wallMs_ { 0 };
     auto operator<=>(const Tick&) const = default;
 };
 
-using OwnerMessage = std::variant<CallArrived, ReportArrived, CatalogChanged, EvacuationsChanged, BatchDurable, Tick>;
+using OwnerMessage = std::variant<CallArrived, ReportArrived, CatalogChanged, EvacuationsChanged, BatchDurable, StoreFailed, Tick>;
 
 /// The agent's waiting report should be answered now.
 struct WakeAgent {
@@ -326,7 +337,8 @@
 Batch takeBatch(OwnerState&);
 
 /// Puts back a batch that did not become durable.
-void restage(OwnerState&, Batch);
+/// \param mayBeStored its outcome is open.
+void restage(OwnerState&, Batch, bool mayBeStored);
 
 /// The progress of a job, to be written with its batch.
 /// \return the progress; nothing if the job is gone.
--- a/workflow/include/persimmondoor/workflow/Record.h
+++ b/workflow/include/persimmondoor/workflow/Record.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "persimmondoor/workflow/Catalog.h"
+#include "persimmondoor/workflow/Interference.h"
 #include "persimmondoor/workflow/Worker.h"
 
 #include <absl/status/statusor.h>
@@ -70,4 +71,9 @@
 /// \return the progress, or InvalidArgument.
 absl::StatusOr<Progress> decodeProgress(std::string_view);
 
+/// What has been learnt, for the next owner. Covariances of different images are left out: they are learnt anew.
+std::string encodeInterference(const Interference&);
+/// \return what was learnt, or InvalidArgument.
+absl::StatusOr<Interference> decodeInterference(std::string_view);
+
 } // namespace persimmondoor::workflow
--- a/workflow/src/RecordCodec.cpp
+++ b/workflow/src/RecordCodec.cpp
@@ -191,4 +191,40 @@
     return decodeObject(text, decodeProgressObject);
 }
 
+// An image is [lowest tail, { filling image: [factor, variance] }].
+std::string encodeInterference(const Interference& learnt)
+{
+    json::object images;
+    for (const auto& [longRunning, sensitivity] : learnt.sensitivities_) {
+        json::object factors;
+        for (const auto& [filling, factor] : sensitivity.factors_) {
+            auto variance = sensitivity.covariances_.find({ filling, filling });
+            factors[filling] = json::array { factor, variance == sensitivity.covariances_.end() ? 0.0 : variance->second };
+        }
+        images[longRunning] = json::array { sensitivity.unloadedMs_, std::move(factors) };
+    }
+    return json::serialize(images);
+}
+
+static absl::StatusOr<Interference> decodeInterferenceObject(const json::object& object)
+{
+    Interference learnt;
+    for (const auto& [longRunning, value] : object) {
+        const json::array& fields = value.as_array();
+        Sensitivity& sensitivity = learnt.sensitivities_[std::string(longRunning)];
+        sensitivity.unloadedMs_ = fields.at(0).to_number<uint32_t>();
+        for (const auto& [filling, factor] : fields.at(1).as_object()) {
+            std::string image(filling);
+            sensitivity.factors_[image] = factor.as_array().at(0).to_number<double>();
+            sensitivity.covariances_[{ image, image }] = factor.as_array().at(1).to_number<double>();
+        }
+    }
+    return learnt;
+}
+
+absl::StatusOr<Interference> decodeInterference(std::string_view text)
+{
+    return decodeObject(text, decodeInterferenceObject);
+}
+
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -49,7 +49,7 @@
     }
     // What cannot be stored now is refused before it is taken, so that nothing of it will run.
     Instant writtenAt = turn.state_.grantsUntil_ - turn.state_.tuning_.leadershipLease_;
-    if (turn.now_ - writtenAt > turn.state_.tuning_.storeSilence_) {
+    if (turn.now_ - writtenAt > turn.state_.tuning_.storeSilence_ || isStoreAway(turn.state_, turn.now_)) {
         turn.remark("job.refused", id.value(), concat("no durable write for ", (turn.now_ - writtenAt).count() / 1000, " ms"));
         return turn.act(AnswerClient { message.token_, NotAccepted { "the store does not answer", turn.state_.tuning_.retryAfter_ } });
     }
@@ -64,6 +64,52 @@
     startReadyTasks(turn);
 }
 
+bool isStoreAway(const OwnerState& state, Instant now)
+{
+    return state.storeFailedAt_ && now - *state.storeFailedAt_ > state.tuning_.refuseAfter_;
+}
+
+// True if all that waits for the job is its submission, and no transaction for it has been sent.
+static bool isUnsentSubmission(const StagedJob& staged)
+{
+    bool onlySubmitted = std::all_of(staged.effects_.begin(), staged.effects_.end(), [](const Effect& effect) {
+        const auto* answer = std::get_if<AnswerClient>(&effect);
+        return std::holds_alternative<ReleaseStart>(effect) || (answer && std::holds_alternative<Accepted>(answer->answer_));
+    });
+    return staged.withRecord_ && !staged.mayBeStored_ && onlySubmitted;
+}
+
+static void refuseUnsent(const Turn& turn, const JobId& id)
+{
+    Job& job = turn.state_.jobs_.at(id);
+    turn.remark("job.refused", id.value(), concat("the store has failed for ", (turn.now_ - *turn.state_.storeFailedAt_).count() / 1000, " ms; nothing was sent to it"));
+    // Nothing of it has left this process.
+    stopTasks(turn, job, "job refused");
+    StagedJob staged = std::move(turn.state_.staged_.at(id));
+    turn.state_.staged_.erase(id);
+    std::erase(turn.state_.stagedOrder_, id);
+    turn.state_.open_.erase(id);
+    turn.state_.ready_.erase(id);
+    turn.state_.jobs_.erase(id);
+    for (const Effect& effect : staged.effects_) {
+        if (const auto* answer = std::get_if<AnswerClient>(&effect))
+            turn.act(AnswerClient { answer->token_, NotAccepted { "the store does not answer", turn.state_.tuning_.retryAfter_ } });
+    }
+}
+
+void refuseUnsentJobs(const Turn& turn)
+{
+    if (!isStoreAway(turn.state_, turn.now_))
+        return;
+    std::vector<JobId> unsent;
+    for (const auto& [id, staged] : turn.state_.staged_) {
+        if (isUnsentSubmission(staged))
+            unsent.push_back(id);
+    }
+    for (const JobId& id : unsent)
+        refuseUnsent(turn, id);
+}
+
 static void cancelJob(const Turn& turn, Job& job)
 {
     job.cancelled_ = true;
--- a/workflow/src/decisions/Owner.cpp
+++ b/workflow/src/decisions/Owner.cpp
@@ -160,6 +160,7 @@
     if (turn.now_ < turn.state_.checkAt_)
         return startReadyTasks(turn);
     turn.state_.checkAt_ = turn.now_ + turn.state_.tuning_.checkInterval_;
+    refuseUnsentJobs(turn);
     dropUnreachableWorkers(turn);
     stopHungRuns(turn);
     moveSlowedRuns(turn);
@@ -199,6 +200,11 @@
             startReadyTasks(turn_);
         }
         void operator()(const BatchDurable& message) const { takeDurable(turn_, message); }
+        void operator()(const StoreFailed&) const
+        {
+            if (!turn_.state_.storeFailedAt_)
+                turn_.state_.storeFailedAt_ = turn_.now_;
+        }
         void operator()(const Tick& message) const { takeTick(turn_, message); }
     };
 
@@ -226,11 +232,12 @@
     return batch;
 }
 
-void restage(OwnerState& state, Batch batch)
+void restage(OwnerState& state, Batch batch, bool mayBeStored)
 {
     std::vector<JobId> order;
     for (Batch::Item& item : batch.items_) {
         order.push_back(item.job_);
+        item.staged_.mayBeStored_ = item.staged_.mayBeStored_ || mayBeStored;
         auto newer = state.staged_.find(item.job_);
         if (newer == state.staged_.end()) {
             state.staged_.emplace(item.job_, std::move(item.staged_));
--- a/workflow/src/decisions/OwnerRules.h
+++ b/workflow/src/decisions/OwnerRules.h
@@ -62,6 +62,10 @@
 void takeReport(const Turn&, const AgentReport&);
 void takeDurable(const Turn&, const BatchDurable&);
 void takeTick(const Turn&, const Tick&);
+// True if the store has failed for so long that nothing new is taken.
+bool isStoreAway(const OwnerState&, Instant now);
+// Refuses jobs that no transaction has been sent for while the store is away.
+void refuseUnsentJobs(const Turn&);
 
 // Starts what may be started.
 void startReadyTasks(const Turn&);
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -253,6 +253,7 @@
 
 void takeDurable(const Turn& turn, const BatchDurable& message)
 {
+    turn.state_.storeFailedAt_.reset();
     turn.state_.grantsUntil_ = std::max(turn.state_.grantsUntil_, message.sentAt_ + turn.state_.tuning_.leadershipLease_);
     for (const Batch::Item& item : message.batch_.items_) {
         auto job = turn.state_.jobs_.find(item.job_);
--- a/workflow/tests/OwnerTest.cpp
+++ b/workflow/tests/OwnerTest.cpp
@@ -248,6 +248,47 @@
     BOOST_TEST(world.answer(again) == "accepted");
 }
 
+BOOST_AUTO_TEST_CASE(job_that_was_never_sent_to_a_failing_store_is_refused_before_the_client_gives_up)
+{
+    OwnerWorld world;
+    world.report("w-1", 5);
+    uint64_t first = world.submit({ stepOfTasks(1) }, 10);
+    Batch sent = takeBatch(world.state_);
+    uint64_t second = world.submit({ stepOfTasks(1) }, 20, "00000000000000bb");
+    uint64_t repeated = world.submit({ stepOfTasks(1) }, 30, "00000000000000bb");
+    world.take(StoreFailed {}, 100);
+    restage(world.state_, std::move(sent), true);
+    world.take(Tick { 1'000'000 }, 750);
+    BOOST_TEST(world.answer(second) == "none");
+    world.take(Tick { 1'000'000 }, 1000);
+    // The outcome of the first is open; of the second nothing has left this process.
+    BOOST_TEST(world.answer(first) == "none");
+    BOOST_TEST(world.answer(second) == "not accepted: the store does not answer");
+    BOOST_TEST(world.answer(repeated) == "not accepted: the store does not answer");
+    uint64_t third = world.submit({ stepOfTasks(1) }, 1010, "00000000000000cc");
+    BOOST_TEST(world.answer(third) == "not accepted: the store does not answer");
+    world.commit(1020);
+    BOOST_TEST(world.answer(first) == "accepted");
+    BOOST_TEST(world.starts("w-1", 1030).size() == 1U);
+    // It may be handed in again, and is then a new job.
+    uint64_t again = world.submit({ stepOfTasks(1) }, 1040, "00000000000000bb");
+    world.commit(1050);
+    BOOST_TEST(world.answer(again) == "accepted");
+}
+
+BOOST_AUTO_TEST_CASE(cancelled_job_is_not_refused_while_the_store_fails)
+{
+    OwnerWorld world;
+    uint64_t submitted = world.submit({ stepOfTasks(1) }, 10);
+    uint64_t cancelled = world.call(Cancel {}, 20);
+    world.take(StoreFailed {}, 100);
+    world.take(Tick { 1'000'000 }, 1000);
+    BOOST_TEST(world.answer(submitted) == "none");
+    world.commit(1100);
+    BOOST_TEST(world.answer(submitted) == "accepted");
+    BOOST_TEST(world.answer(cancelled) == "cancellation stored");
+}
+
 BOOST_AUTO_TEST_CASE(job_without_a_known_queue_or_with_a_bad_id_is_refused_at_once)
 {
     OwnerWorld world;
--- a/workflow/tests/RecordTest.cpp
+++ b/workflow/tests/RecordTest.cpp
@@ -37,6 +37,19 @@
     BOOST_TEST(!decodeSpec(R"({"payload":"","steps":[]})").ok());
 }
 
+BOOST_AUTO_TEST_CASE(what_was_learnt_is_read_back)
+{
+    Interference learnt;
+    learnt.sensitivities_["search"] = { 4, { { "heavy", 0.9 }, { "light", 0.05 } }, { { { "heavy", "heavy" }, 0.01 }, { { "light", "light" }, 0.02 } } };
+    learnt.sensitivities_["ranking"] = { 7, {}, {} };
+    auto read = decodeInterference(encodeInterference(learnt));
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST((*read == learnt));
+    BOOST_TEST((*decodeInterference(encodeInterference({})) == Interference()));
+    for (const char* bad : { "", "[]", "{\"a\":1}", "{\"a\":[4]}", "{\"a\":[4,{\"b\":[1]}]}", "{\"a\":[\"x\",{}]}" })
+        BOOST_TEST(!decodeInterference(bad).ok());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
