--- a/bench/settings/main.cpp
+++ b/bench/settings/main.cpp
@@ -126,6 +126,7 @@
     for (int number = 0; number < agents; ++number)
         started.push_back(startAgent(executor, number, (*server)->address(), progress));
     std::vector<Address> addresses;
+    addresses.reserve(started.size());
     for (const Agent& agent : started)
         addresses.push_back(agent.server_->address());
     bool ready = co_await waitFor(progress, static_cast<size_t>(agents));
--- a/settings/src/OperatorsAPI.cpp
+++ b/settings/src/OperatorsAPI.cpp
@@ -81,9 +81,9 @@
 }
 
 // Puts an accepted change in force here and tells the other entries and the agents.
-static asio::awaitable<void> spreadAccepted(OperatorsAPI api, Subtree accepted)
+static asio::awaitable<void> spreadAccepted(OperatorsAPI api, const Subtree& accepted)
 {
-    std::vector<Subtree> subtrees(1, std::move(accepted));
+    std::vector<Subtree> subtrees(1, accepted);
     std::vector<Subtree> copy = subtrees;
     api.settings_.learn(std::move(copy));
     std::vector<Address> receivers = api.peers_;
--- a/settings/src/decisions/Spreading.cpp
+++ b/settings/src/decisions/PushBranches.cpp
@@ -1,4 +1,4 @@
-#include "persimmondoor/settings/Spreading.h"
+#include "persimmondoor/settings/PushBranches.h"
 
 #include <algorithm>
 
--- a/workflow/src/decisions/Interference.cpp
+++ b/workflow/src/decisions/Interference.cpp
@@ -175,6 +175,7 @@
         found->second = std::min(found->second, left);
     }
     std::vector<Tolerance> tolerances;
+    tolerances.reserve(least.size());
     for (const auto& [image, left] : least)
         tolerances.push_back({ image, left });
     return tolerances;
