Say where a job's time goes, and what waiting tasks wait for

Cause of the change: no line of a leader said why a task waits for a worker or how much of the reserved cores is at work, so overload, reserved but idle room and spare room could not be told apart.

Added: the parts of a completed job's time in job.ended (along the slowest chain of steps) and in histograms, job.late once for a job past its objective, job.interference_ignored, and queues.backlog at most once a second.

--- a/scheduler/src/Leading.cpp
+++ b/scheduler/src/Leading.cpp
@@ -190,6 +190,7 @@
             role_.calls_.erase(call);
         }
         void operator()(const workflow::AnswerAgent& answer) const { agentsToAnswer_.insert(answer.agent_); }
+        void operator()(const workflow::RecordLatency& observation) const { recordLatency(observation.name_, observation.latency_); }
         void operator()(const workflow::LogEvent& logEvent) const { logInfo(logEvent.event_, { { "subject", logEvent.subject_ }, { "detail", logEvent.detail_ } }); }
     };
 
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -16,6 +16,7 @@
 
 #include "persimmondoor/workflow/Catalog.h"
 #include "persimmondoor/workflow/Client.h"
+#include "persimmondoor/workflow/Delays.h"
 #include "persimmondoor/workflow/Exchange.h"
 #include "persimmondoor/workflow/Interference.h"
 #include "persimmondoor/workflow/Record.h"
@@ -81,6 +82,8 @@
     /// of `hungAfter_`. The time-outs that the checks enforce are prolonged by up to this time, the shortest of them
     /// (`refuseAfterStoreFailure_`) included.
     Duration checkInterval_ { std::chrono::milliseconds(200) };
+    /// Interval of the log lines on the backlog while tasks wait for a worker.
+    Duration backlogReportInterval_ { std::chrono::milliseconds(1000) };
     /// Finished jobs are kept for at least this long; the settings state how long clients may query them.
     Duration finishedJobRetention_ { std::chrono::seconds(120) };
     /// Bound on the unfinished jobs, beyond which new ones are refused; keeps an entry within its 160 MB of memory.
@@ -102,8 +105,12 @@
     bool isStopping_ { false };
     Instant stopOrderedAt_;
     uint32_t progressPercent_ { 0 };
-    /// When the newest run was assigned.
-    Instant assignedAt_;
+    /// Times of the newest run.
+    RunTimes times_;
+    /// When the last run ended; empty before the first has ended under this leader.
+    std::optional<Instant> waitingSince_;
+    /// Delays due to all runs that have ended under this leader.
+    Delays delays_;
     /// When the run's progress last changed.
     Instant lastProgressAt_;
     /// Since when the agent has run a filling task at less than half of its full speed.
@@ -121,6 +128,8 @@
     std::vector<Task> tasks_;
     /// Number of tasks not yet done, for each step of each occurrence.
     std::vector<uint32_t> unfinishedTasks_;
+    /// Times of each step of each occurrence, as far as this leader has seen them.
+    std::vector<StepTimes> stepTimes_;
     bool isCancelled_ { false };
     bool hasFailed_ { false };
     bool hasStarted_ { false };
@@ -128,6 +137,8 @@
     std::optional<JobPhase> durablePhase_;
     /// Since when the job has had tasks to start, or occurrences that are not due yet, while none of its tasks is assigned.
     std::optional<Instant> idleSince_;
+    /// The job has missed its objective, and a log line says so.
+    bool isReportedLate_ { false };
     /// When the job ended; starts its retention time.
     std::optional<Instant> endedAt_;
     bool operator==(const Job&) const = default;
@@ -273,6 +284,8 @@
     Instant lastPlacementAt_;
     /// When the periodic checks (`Tuning::checkInterval_`) are due next.
     Instant nextCheckAt_;
+    /// When the backlog is logged next, if there is one.
+    Instant nextBacklogReportAt_;
     /// Newest time of day, in milliseconds since 1970 UTC; for schedules and deadlines.
     int64_t wallMs_ { 0 };
     /// Jobs to be written, in the order in which they were staged.
@@ -333,7 +346,14 @@
     auto operator<=>(const LogEvent&) const = default;
 };
 
-using LeaderAction = std::variant<AnswerClient, AnswerAgent, LogEvent>;
+/// An observation for the latency histogram of that name.
+struct RecordLatency {
+    std::string name_;
+    Duration latency_ { 0 };
+    auto operator<=>(const RecordLatency&) const = default;
+};
+
+using LeaderAction = std::variant<AnswerClient, AnswerAgent, LogEvent, RecordLatency>;
 
 /// The new state and the actions to carry out.
 struct Decision {
--- a/workflow/include/persimmondoor/workflow/Urgency.h
+++ b/workflow/include/persimmondoor/workflow/Urgency.h
@@ -41,6 +41,12 @@
 /// A job that ends within this multiple of its objective keeps a part of its value (stated by the platform).
 inline constexpr int64_t lateFactor = 3;
 
+/// Time from the acceptance of a job, or from the due time of an occurrence, within which it is on time.
+Duration objectiveOf(const Job&);
+
+/// True if a step of the job is long-running; the job then has no objective.
+bool isLongRunning(const JobSpec&);
+
 /// Computes the urgency of a job from the time of day in the state.
 Urgency urgencyOf(const LeaderState&, const Job&);
 
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -24,6 +24,7 @@
         for (const Step& step : spec.steps())
             job.unfinishedTasks_.push_back(step.count_);
     }
+    job.stepTimes_.resize(job.unfinishedTasks_.size());
     job.queue_ = record.queue_;
     job.record_ = std::move(record);
     return job;
--- /dev/null
+++ b/workflow/src/decisions/Delays.cpp
@@ -0,0 +1,115 @@
+#include "persimmondoor/workflow/Delays.h"
+
+#include "LeaderRules.h"
+#include "persimmondoor/core/Text.h"
+
+#include <algorithm>
+
+namespace persimmondoor::workflow {
+
+Delays operator+(const Delays& left, const Delays& right)
+{
+    return { left.placement_ + right.placement_, left.write_ + right.write_, left.startup_ + right.startup_, left.work_ + right.work_, left.slowed_ + right.slowed_, left.repeated_ + right.repeated_ };
+}
+
+static int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string describe(const Delays& delays)
+{
+    return concat("placement ", milliseconds(delays.placement_), " ms, write ", milliseconds(delays.write_), ", startup ", milliseconds(delays.startup_), ", work ", milliseconds(delays.work_), ", slowed ", milliseconds(delays.slowed_), ", repeated ", milliseconds(delays.repeated_));
+}
+
+RunTimes addPaceReading(RunTimes times, uint32_t pacePercent, Instant now)
+{
+    if (times.paceReadAt_)
+        times.slowed_ += (now - *times.paceReadAt_) * (100 - std::min(pacePercent, 100U)) / 100;
+    times.paceReadAt_ = now;
+    return times;
+}
+
+Delays delaysOfRun(const RunTimes& times, Instant waitingSince, bool isDone, Instant now)
+{
+    Delays delays;
+    // A run that a predecessor assigned may be older than this leader's first look at its step.
+    delays.placement_ = std::max(Duration(0), times.assignedAt_ - waitingSince);
+    if (!isDone) {
+        delays.repeated_ = now - times.assignedAt_;
+        return delays;
+    }
+    Instant releasedAt = times.releasedAt_.value_or(times.assignedAt_);
+    // A short run may be over before the worker lists it.
+    Instant listedAt = times.listedAt_.value_or(releasedAt);
+    delays.write_ = releasedAt - times.assignedAt_;
+    delays.startup_ = listedAt - releasedAt;
+    delays.slowed_ = times.slowed_;
+    delays.work_ = now - listedAt - times.slowed_;
+    return delays;
+}
+
+static StepTimes& stepTimesOf(Job& job, const TaskKey& key)
+{
+    return job.stepTimes_[key.occurrence_ * job.record_.spec_.steps().size() + key.step_];
+}
+
+void recordRunEnd(Job& job, const TaskKey& key, Task& task, bool isDone, Instant now)
+{
+    Instant waitingSince = task.waitingSince_.value_or(stepTimesOf(job, key).startableSince_.value_or(task.times_.assignedAt_));
+    task.delays_ = task.delays_ + delaysOfRun(task.times_, waitingSince, isDone, now);
+    task.waitingSince_ = now;
+}
+
+void recordStepDone(Job& job, const TaskKey& key, const Task& lastTask, Instant now)
+{
+    StepTimes& times = stepTimesOf(job, key);
+    times.doneAt_ = now;
+    times.delays_ = lastTask.delays_;
+}
+
+// The one of `candidates` that was done last; empty if none has been done under this leader.
+template <typename Steps>
+static std::optional<uint32_t> lastDone(const Job& job, size_t first, const Steps& candidates)
+{
+    std::optional<uint32_t> last;
+    for (uint32_t step : candidates) {
+        const std::optional<Instant>& doneAt = job.stepTimes_[first + step].doneAt_;
+        if (doneAt && (!last || *doneAt > *job.stepTimes_[first + *last].doneAt_))
+            last = step;
+    }
+    return last;
+}
+
+// Delays along the chain of steps that ends with `last`, each of which waited for the one before it.
+static Delays delaysOfChain(const Job& job, size_t first, std::optional<uint32_t> last)
+{
+    Delays sum;
+    while (last) {
+        sum = sum + job.stepTimes_[first + *last].delays_;
+        last = lastDone(job, first, job.record_.spec_.steps()[*last].dependencies_);
+    }
+    return sum;
+}
+
+Delays delaysOf(const Job& job)
+{
+    size_t count = job.record_.spec_.steps().size();
+    std::vector<uint32_t> steps(count);
+    for (uint32_t step = 0; step < count; ++step)
+        steps[step] = step;
+    // The occurrence that was done last; it determined the end of the job.
+    std::optional<Instant> latest;
+    Delays delays;
+    for (uint32_t occurrence = 0; occurrence < job.record_.spec_.occurrences(); ++occurrence) {
+        size_t first = occurrence * count;
+        std::optional<uint32_t> last = lastDone(job, first, steps);
+        if (!last || (latest && *job.stepTimes_[first + *last].doneAt_ < *latest))
+            continue;
+        latest = job.stepTimes_[first + *last].doneAt_;
+        delays = delaysOfChain(job, first, last);
+    }
+    return delays;
+}
+
+} // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -24,11 +24,12 @@
     job.hasStarted_ = stored.progress_.hasStarted_;
     stored.progress_.tasks_.resize(size_t(spec.tasksPerOccurrence()) * spec.occurrences());
     job.unfinishedTasks_.resize(spec.steps().size() * spec.occurrences());
+    job.stepTimes_.resize(job.unfinishedTasks_.size());
     for (TaskProgress& progress : stored.progress_.tasks_) {
         Task task;
         task.progress_ = std::move(progress);
         task.isStartReleased_ = task.progress_.phase_ == TaskPhase::Assigned;
-        task.assignedAt_ = now;
+        task.times_.assignedAt_ = now;
         task.lastProgressAt_ = now;
         job.tasks_.push_back(std::move(task));
         if (job.tasks_.back().progress_.phase_ != TaskPhase::Done)
@@ -166,6 +167,8 @@
     moveSlowedRuns(context);
     removeExpiredJobs(context);
     startReadyTasks(context);
+    reportLateJobs(context);
+    reportBacklog(context);
 }
 
 namespace {
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -57,6 +57,17 @@
 // Adds an order for the agent, if the leader knows the agent.
 void addOrder(const DecisionContext&, const std::string& agent, Order);
 
+// Adds the task's newest run, which has ended, to the task's delays.
+void recordRunEnd(Job&, const TaskKey&, Task&, bool isDone, Instant now);
+// Records that the task was the last of its step to be done.
+void recordStepDone(Job&, const TaskKey&, const Task& lastTask, Instant now);
+// Delays along the chain of steps that determined the end of the job, as far as this leader has seen them.
+Delays delaysOf(const Job&);
+// Logs jobs that have missed their objective, once each.
+void reportLateJobs(const DecisionContext&);
+// Logs once per `Tuning::backlogReportInterval_` what the waiting tasks wait for.
+void reportBacklog(const DecisionContext&);
+
 void completeTask(const DecisionContext&, Job&, const TaskKey&, Task&);
 void handleEnd(const DecisionContext&, const WorkerIncarnation&, const EndedRun&);
 // Removes a worker on which no run is left, and marks its assigned runs as lost.
@@ -79,6 +90,18 @@
 
 // The worker with the best score for the task, or nothing if the task has to wait.
 std::optional<WorkerIncarnation> chooseWorker(const LeaderState&, const Job&, const TaskKey&, Instant now);
+// Why a task waits for a worker.
+enum class PlacementObstacle : uint8_t {
+    // No worker that the task may run on has enough free capacity.
+    Capacity,
+    // Workers have enough free capacity, but the task would disturb long-running tasks there.
+    Interference,
+};
+PlacementObstacle placementObstacle(const LeaderState&, const Job&, const TaskKey&, Instant now);
+// Cores in thousandths that further filling tasks can use, including the part that long-running tasks leave unused.
+int64_t spareMilliCores(const Worker&);
+// True if the steps on which the step depends are done in that occurrence, and the occurrence is due.
+bool isStartable(const LeaderState&, const Job&, uint32_t occurrence, const Step&);
 // True if the worker may be given new runs.
 bool acceptsRuns(const LeaderState&, const Worker&, Instant now);
 
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -55,8 +55,7 @@
     return worker.traits_.capacity_.milliCores() - worker.reserved_.milliCores() + worker.fillingMilliCores_;
 }
 
-// Cores in thousandths that further filling tasks can use, including the part that long-running tasks leave unused.
-static int64_t spareMilliCores(const Worker& worker)
+int64_t spareMilliCores(const Worker& worker)
 {
     return freeMilliCores(worker) + worker.longRunningMilliCores_ * longRunningIdlePercent / 100 - worker.fillingMilliCores_;
 }
@@ -152,6 +151,12 @@
     return job.idleSince_ && now - *job.idleSince_ > state.tuning_.ignoreInterferenceAfter_;
 }
 
+PlacementObstacle placementObstacle(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
+{
+    bool hasRoom = std::any_of(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) { return isEligible(state, job, key, entry.second, now); });
+    return hasRoom ? PlacementObstacle::Interference : PlacementObstacle::Capacity;
+}
+
 std::optional<WorkerIncarnation> chooseWorker(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
 {
     std::optional<WorkerIncarnation> best;
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -70,10 +70,14 @@
 {
     if (task.progress_.phase_ == TaskPhase::Done)
         return;
+    if (task.progress_.phase_ == TaskPhase::Assigned)
+        recordRunEnd(job, key, task, true, context.now_);
     task.progress_.phase_ = TaskPhase::Done;
     task.progress_.checkpoint_.clear();
-    if (--unfinishedTasksOf(job, key) == 0)
-        makeReady(context.state_, job);
+    if (--unfinishedTasksOf(job, key) > 0)
+        return;
+    recordStepDone(job, key, task, context.now_);
+    makeReady(context.state_, job);
 }
 
 // Completes a task whose newest run is still assigned, and stops that run.
@@ -83,8 +87,7 @@
         return;
     if (task.isStartReleased_)
         orderStop(context, key, task, "the task is done");
-    task.progress_.phase_ = TaskPhase::Done;
-    --unfinishedTasksOf(job, key);
+    completeTask(context, job, key, task);
     unassign(context, job, key, task);
 }
 
@@ -149,7 +152,7 @@
 
 // Updates the task of a run that its worker lists as active.
 // \return false if the run is not the assigned run of a task.
-static bool handleActiveRun(const DecisionContext& context, const WorkerIncarnation& incarnation, const ActiveRun& active, OrderNumber lastCompletedOrder)
+static bool handleActiveRun(const DecisionContext& context, const WorkerIncarnation& incarnation, const ActiveRun& active, OrderNumber lastCompletedOrder, bool isNewReading)
 {
     Task* task = findTask(context.state_, active.run_.task_);
     if (!task || task->progress_.phase_ != TaskPhase::Assigned || task->progress_.run_ != active.run_.run_ || task->progress_.worker_ != incarnation)
@@ -157,9 +160,13 @@
     Job& job = context.state_.jobs_.at(active.run_.task_.job_);
     if (!task->isOnWorker_ || task->progressPercent_ != active.progressPercent_)
         task->lastProgressAt_ = context.now_;
-    if (!task->isOnWorker_)
+    if (!task->isOnWorker_) {
         context.logEvent("run.seen", describe(active.run_), concat("worker ", incarnation.name_));
+        task->times_.listedAt_ = context.now_;
+    }
     task->isOnWorker_ = true;
+    if (isNewReading && stepOf(job, active.run_.task_).isFilling_)
+        task->times_ = addPaceReading(task->times_, active.pace_, context.now_);
     task->progressPercent_ = active.progressPercent_;
     if (active.pace_ >= slowPacePercent || !stepOf(job, active.run_.task_).isFilling_)
         task->slowedSince_.reset();
@@ -221,7 +228,7 @@
         const Step& step = stepOf(job, key);
         if (!task.isOnWorker_ || !(step.savesProgress_ || step.longRunning_) || step.gang_)
             continue;
-        Duration elapsed = context.now_ - task.assignedAt_;
+        Duration elapsed = context.now_ - task.times_.assignedAt_;
         bool endsInTime = !step.longRunning_ && task.progressPercent_ > 0 && context.now_ + elapsed * (100 - std::min(task.progressPercent_, 100U)) / task.progressPercent_ < worker.leavesAt_;
         if (!endsInTime)
             orderStop(context, key, task, "the worker is leaving");
@@ -305,12 +312,13 @@
         return;
     worker.isListed_ = true;
     std::set<TaskKey> seen;
+    bool isNewReading = report.readingNumber_ != worker.readingNumber_;
     for (const EndedRun& end : report.ended_) {
         if (end.number_ > worker.lastHandledEnd_)
             handleEnd(context, report.incarnation_, end);
     }
     for (const ActiveRun& active : report.active_) {
-        if (handleActiveRun(context, report.incarnation_, active, message.lastCompletedOrder_))
+        if (handleActiveRun(context, report.incarnation_, active, message.lastCompletedOrder_, isNewReading))
             seen.insert(active.run_.task_);
         else
             stopUnassignedRun(context, message.agent_, report.incarnation_, worker, active.run_);
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -93,6 +93,21 @@
         state.readyJobs_.insert(job.record_.id_);
 }
 
+// Observes the parts of the delays in one histogram each.
+static void recordDelays(const DecisionContext& context, const Delays& delays)
+{
+    const std::pair<const char*, Duration> parts[] = {
+        { "job_placement", delays.placement_ },
+        { "job_write", delays.write_ },
+        { "job_startup", delays.startup_ },
+        { "job_work", delays.work_ },
+        { "job_slowed", delays.slowed_ },
+        { "job_repeated", delays.repeated_ },
+    };
+    for (const auto& [name, duration] : parts)
+        context.addAction(RecordLatency { name, duration });
+}
+
 void closeIfEnded(const DecisionContext& context, Job& job)
 {
     if (job.endedAt_ || isOpen(job))
@@ -100,7 +115,12 @@
     job.endedAt_ = context.now_;
     context.state_.openJobs_.erase(job.record_.id_);
     context.state_.readyJobs_.erase(job.record_.id_);
-    context.logEvent("job.ended", job.record_.id_.value(), std::string(describe(phaseOf(job))));
+    JobPhase phase = phaseOf(job);
+    if (phase != JobPhase::Completed)
+        return context.logEvent("job.ended", job.record_.id_.value(), std::string(describe(phase)));
+    Delays delays = delaysOf(job);
+    context.logEvent("job.ended", job.record_.id_.value(), concat(describe(phase), "; ", describe(delays)));
+    recordDelays(context, delays);
 }
 
 void addOrder(const DecisionContext& context, const std::string& name, Order order)
@@ -212,8 +232,10 @@
     auto worker = context.state_.workers_.find(task.progress_.worker_);
     if (worker != context.state_.workers_.end())
         releaseResources(worker->second, key, stepOf(job, key));
-    if (task.progress_.phase_ == TaskPhase::Assigned)
+    if (task.progress_.phase_ == TaskPhase::Assigned) {
+        recordRunEnd(job, key, task, false, context.now_);
         task.progress_.phase_ = TaskPhase::Waiting;
+    }
     task.isStartReleased_ = false;
     task.isOnWorker_ = false;
     task.isStopping_ = false;
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -19,6 +19,11 @@
     return schedule.occurrences_ == 0 || state.wallMs_ >= schedule.firstDueMs_ + int64_t(occurrence) * schedule.periodMs_;
 }
 
+bool isStartable(const LeaderState& state, const Job& job, uint32_t occurrence, const Step& step)
+{
+    return isDue(state, job, occurrence) && areDependenciesDone(job, occurrence, step);
+}
+
 static void assign(const DecisionContext& context, Job& job, const TaskKey& key, const WorkerIncarnation& incarnation, uint32_t run)
 {
     Task& task = job.tasks_[taskNumber(job, key)];
@@ -30,7 +35,7 @@
     task.isStopping_ = false;
     task.progressPercent_ = 0;
     task.slowedSince_.reset();
-    task.assignedAt_ = context.now_;
+    task.times_ = RunTimes { context.now_, std::nullopt, std::nullopt, std::nullopt, Duration(0) };
     task.lastProgressAt_ = context.now_;
     reserveResources(context.state_.workers_.at(incarnation), key, stepOf(job, key));
     stage(context.state_, key.job_, ReleaseStart { { key, run } });
@@ -114,20 +119,25 @@
         return startGang(context, job, occurrence, stepNumber);
     bool ignoresInterference = mayIgnoreInterference(context.state_, job, context.now_);
     bool isUnplaceable = unplaceable.contains(job, step, ignoresInterference);
-    for (uint32_t index = 0; index < step.count_; ++index) {
+    bool waits = false;
+    uint32_t placed = 0;
+    for (uint32_t index = 0; index < step.count_ && !waits; ++index) {
         TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
         const TaskProgress& progress = job.tasks_[taskNumber(job, key)].progress_;
         if (progress.phase_ != TaskPhase::Waiting)
             continue;
         auto incarnation = isUnplaceable ? std::nullopt : chooseWorker(context.state_, job, key, context.now_);
-        if (!incarnation) {
-            if (!isUnplaceable)
-                unplaceable.add(job, step);
-            return true;
+        if (incarnation) {
+            assign(context, job, key, *incarnation, progress.run_ + 1);
+            ++placed;
         }
-        assign(context, job, key, *incarnation, progress.run_ + 1);
+        waits = !incarnation;
     }
-    return false;
+    if (waits && !isUnplaceable)
+        unplaceable.add(job, step);
+    if (step.isFilling_ && ignoresInterference && placed > 0)
+        context.logEvent("job.interference_ignored", job.record_.id_.value(), concat(placed, " tasks of step ", stepNumber, " placed, as nothing of the job was running"));
+    return waits;
 }
 
 static void updateIdleTime(const DecisionContext& context, Job& job, bool waits)
@@ -149,8 +159,12 @@
             break;
         }
         for (uint32_t step = 0; step < spec.steps().size(); ++step) {
-            if (job.unfinishedTasks_[occurrence * spec.steps().size() + step] > 0 && areDependenciesDone(job, occurrence, spec.steps()[step]))
-                waits = startStep(context, job, occurrence, step, unplaceable) || waits;
+            size_t number = occurrence * spec.steps().size() + step;
+            if (job.unfinishedTasks_[number] == 0 || !areDependenciesDone(job, occurrence, spec.steps()[step]))
+                continue;
+            if (!job.stepTimes_[number].startableSince_)
+                job.stepTimes_[number].startableSince_ = context.now_;
+            waits = startStep(context, job, occurrence, step, unplaceable) || waits;
         }
     }
     return waits;
@@ -228,6 +242,7 @@
     Agent& agent = context.state_.agents_.at(agentName);
     agent.lastOrder_ = agent.lastOrder_.next();
     task->isStartReleased_ = true;
+    task->times_.releasedAt_ = context.now_;
     task->lastOrder_ = agent.lastOrder_;
     addOrder(context, agentName, StartRun { agent.lastOrder_, incarnation, run, job.record_.spec_.payload(), task->progress_.checkpoint_, "" });
     context.logEvent("run.start", describe(run), concat("worker ", incarnation.name_, ", domain ", context.state_.workers_.at(incarnation).traits_.domain_));
--- a/workflow/src/decisions/Urgency.cpp
+++ b/workflow/src/decisions/Urgency.cpp
@@ -29,16 +29,25 @@
     return longest;
 }
 
+Duration objectiveOf(const Job& job)
+{
+    auto stretched = static_cast<int64_t>(job.queue_.stretch_ * static_cast<double>(milliseconds(longestChain(job, false))));
+    return std::chrono::milliseconds(stretched) + job.queue_.targetLatency_;
+}
+
+bool isLongRunning(const JobSpec& spec)
+{
+    return std::any_of(spec.steps().begin(), spec.steps().end(), [](const Step& step) { return step.longRunning_; });
+}
+
 Urgency urgencyOf(const LeaderState& state, const Job& job)
 {
-    const Queue& queue = job.queue_;
     int64_t accepted = job.record_.spec_.isTimed() ? job.record_.spec_.schedule().firstDueMs_ : job.record_.acceptedMs_;
-    auto objective = static_cast<int64_t>(queue.stretch_ * static_cast<double>(milliseconds(longestChain(job, false)))) + milliseconds(queue.targetLatency_);
+    int64_t objective = milliseconds(objectiveOf(job));
     int64_t earliestEnd = state.wallMs_ + milliseconds(longestChain(job, true));
     int64_t deadline = accepted + objective;
     Urgency urgency { job.record_.queue_.priority_, Prospect::OnTime, !job.hasStarted_, job.hasStarted_ ? deadline : -deadline, job.record_.id_ };
-    bool isLongRunning = std::any_of(job.record_.spec_.steps().begin(), job.record_.spec_.steps().end(), [](const Step& step) { return step.longRunning_; });
-    if (isLongRunning || earliestEnd <= deadline)
+    if (isLongRunning(job.record_.spec_) || earliestEnd <= deadline)
         return urgency;
     if (earliestEnd <= accepted + objective * lateFactor) {
         urgency.prospect_ = Prospect::Late;
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -1,70 +1,7 @@
-#include "LeaderWorld.h"
+#include "FillingWorld.h"
 
 namespace persimmondoor::workflow {
 
-static Step longRunningStep(const std::string& image)
-{
-    Step step = stepOfTasks(1);
-    step.longRunning_ = true;
-    step.image_ = image;
-    step.targetTailMs_ = 18;
-    return step;
-}
-
-static Step fillingStep(uint32_t count, const std::string& image)
-{
-    Step step = stepOfTasks(count);
-    step.isFilling_ = true;
-    step.savesProgress_ = true;
-    step.image_ = image;
-    return step;
-}
-
-static RunKey runOf(const std::string& job, uint32_t index = 0, uint32_t run = 1)
-{
-    return { { JobId::of(job), 0, 0, index }, run };
-}
-
-static const std::string searchJob = "00000000000000aa";
-static const std::string rankingJob = "00000000000000bb";
-static const std::string fillingJob = "00000000000000cc";
-
-// Two workers, one with a long-running task of image "search" and one with "ranking"; the filling image "heavy" is known
-// to disturb "search" only.
-class FillingWorld : public LeaderWorld {
-public:
-    FillingWorld()
-    {
-        report("w-1", 10);
-        report("w-2", 10);
-        submit({ longRunningStep("search") }, 20, searchJob);
-        submit({ longRunningStep("ranking") }, 21, rankingJob);
-        commit(30);
-        bool searchIsFirst = starts("w-1", 31).front().task_.job_.value() == searchJob;
-        search_ = searchIsFirst ? "w-1" : "w-2";
-        ranking_ = searchIsFirst ? "w-2" : "w-1";
-        starts("w-2", 31);
-        lastCompletedOrder_ = OrderNumber(1);
-        state_.interference_.sensitivities_["search"] = { 4, { { "heavy", 0.9 } }, {} };
-        state_.interference_.sensitivities_["ranking"] = { 4, { { "heavy", 0.02 } }, {} };
-        reportReadings(100, {}, {});
-    }
-
-    // Reports both workers with a new reading of their long-running tasks and with the given filling runs.
-    void reportReadings(int64_t milliseconds, std::vector<ActiveRun> besideSearch, std::vector<ActiveRun> besideRanking)
-    {
-        besideSearch.push_back({ runOf(searchJob), "", 100, tailMs_, 0 });
-        besideRanking.push_back({ runOf(rankingJob), "", 100, tailMs_, 0 });
-        readingNumber_ = static_cast<uint64_t>(milliseconds);
-        report(search_, milliseconds, std::move(besideSearch));
-        report(ranking_, milliseconds, std::move(besideRanking));
-    }
-
-    uint32_t tailMs_ { 8 };
-    std::string search_;
-    std::string ranking_;
-};
-
 BOOST_AUTO_TEST_SUITE(filling)
 
 BOOST_AUTO_TEST_CASE(long_running_tasks_of_an_image_share_workers)
--- a/workflow/tests/LeaderWorld.h
+++ b/workflow/tests/LeaderWorld.h
@@ -32,6 +32,8 @@
         for (LeaderAction& action : decision.actions_) {
             if (auto* answer = std::get_if<AnswerClient>(&action))
                 answers_[answer->token_.value()] = answer->answer_;
+            if (auto* logEvent = std::get_if<LogEvent>(&action))
+                logEvents_.push_back(std::move(*logEvent));
         }
     }
 
@@ -109,6 +111,17 @@
         return runs;
     }
 
+    // Details of the logged events of that name, oldest first.
+    std::vector<std::string> logged(const std::string& event) const
+    {
+        std::vector<std::string> details;
+        for (const LogEvent& logEvent : logEvents_) {
+            if (logEvent.event_ == event)
+                details.push_back(logEvent.detail_);
+        }
+        return details;
+    }
+
     Fence fenceOf(const std::string& agent) const
     {
         auto found = state_.agents_.find(agent);
@@ -129,6 +142,7 @@
 private:
     std::map<JobId, StoredJob> rows_;
     std::map<uint64_t, ClientAnswer> answers_;
+    std::vector<LogEvent> logEvents_;
     uint64_t token_ { 0 };
     uint64_t sequence_ { 0 };
 };
