Failing test: slowed filling tasks keep their idle cores from others

A filling task at a pace of 0 keeps its whole reservation, so a worker is full while its cores are idle.

--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -79,6 +79,62 @@
     BOOST_TEST(std::holds_alternative<StopRun>(orders.front()));
 }
 
+// Guards against workers that are full of tasks at a pace of 0 while other tasks wait for their idle cores.
+BOOST_AUTO_TEST_CASE(slowed_tasks_leave_their_cores_to_tasks_that_do_no_harm, *boost::unit_test::disabled())
+{
+    FillingWorld world;
+    // The estimates are wrong at first, so that the tasks are started beside the long-running task that they disturb.
+    world.state_.interference_.sensitivities_["search"].factors_ = { { "heavy", 0.02 }, { "light", 0.02 } };
+    world.state_.interference_.sensitivities_["ranking"].factors_ = { { "heavy", 3 }, { "light", 0.02 } };
+    world.submit({ fillingStep(3, "heavy") }, 200, fillingJob);
+    world.commit(210);
+    BOOST_REQUIRE(world.starts(world.search_, 211).size() == 3U);
+    world.lastCompletedOrder_ = OrderNumber(4);
+    world.state_.interference_.sensitivities_["search"].factors_["heavy"] = 0.9;
+    std::vector<ActiveRun> slowed;
+    for (uint32_t index = 0; index < 3; ++index)
+        slowed.push_back({ runOf(fillingJob, index), "ck", 10, 0, 0 });
+    world.reportReadings(700, slowed, {});
+    world.reportReadings(1200, slowed, {});
+    world.submit({ fillingStep(6, "light") }, 1300, "00000000000000dd");
+    world.commit(1310);
+    BOOST_TEST(world.starts(world.ranking_, 1311).size() == 3U);
+    BOOST_TEST(world.starts(world.search_, 1311).size() == 3U);
+}
+
+// Guards against two groups of slowed tasks that wait for each other's cores.
+BOOST_AUTO_TEST_CASE(slowed_tasks_trade_places, *boost::unit_test::disabled())
+{
+    FillingWorld world;
+    world.state_.interference_.sensitivities_["search"].factors_ = { { "heavy", 0.02 }, { "bulky", 3 } };
+    world.state_.interference_.sensitivities_["ranking"].factors_ = { { "heavy", 3 }, { "bulky", 0.02 } };
+    world.submit({ fillingStep(3, "heavy") }, 200, fillingJob);
+    world.submit({ fillingStep(3, "bulky") }, 201, "00000000000000dd");
+    world.commit(210);
+    BOOST_REQUIRE(world.starts(world.search_, 211).size() == 3U);
+    BOOST_REQUIRE(world.starts(world.ranking_, 211).size() == 3U);
+    world.lastCompletedOrder_ = OrderNumber(4);
+    // The images change their behaviour: now each disturbs the long-running task beside it.
+    world.state_.interference_.sensitivities_["search"].factors_ = { { "heavy", 3 }, { "bulky", 0.02 } };
+    world.state_.interference_.sensitivities_["ranking"].factors_ = { { "heavy", 0.02 }, { "bulky", 3 } };
+    std::vector<ActiveRun> besideSearch;
+    std::vector<ActiveRun> besideRanking;
+    for (uint32_t index = 0; index < 3; ++index) {
+        besideSearch.push_back({ runOf(fillingJob, index), "ck", 10, 0, 0 });
+        besideRanking.push_back({ runOf("00000000000000dd", index), "ck", 10, 0, 0 });
+    }
+    for (int64_t time = 500; time <= 2000; time += 500)
+        world.reportReadings(time, besideSearch, besideRanking);
+    world.handle(Tick { 1'002'000 }, 2010);
+    size_t stops = 0;
+    for (const std::string& worker : { world.search_, world.ranking_ }) {
+        for (const Order& order : world.reply(worker, 2011))
+            stops += std::holds_alternative<StopRun>(order) ? 1 : 0;
+    }
+    // One check moves at most `Tuning::maximumMovesPerCheck_` tasks.
+    BOOST_TEST(stops == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(leader_estimates_factors_from_consecutive_readings)
 {
     FillingWorld world;
