Report a run that no reading covers at full pace

Cause: an agent reported pace 0 for a run that had started after its last reading, although runs start at full pace. The leader took such a run for slowed down up to half a second early, and could move it. The test failed before (0 instead of 100).

--- a/supervision/src/decisions/LocalWorkers.cpp
+++ b/supervision/src/decisions/LocalWorkers.cpp
@@ -137,7 +137,7 @@
         if (isReadingDue)
             current.pace_ = pace == worker.runPaces_.end() ? fullPace : pace->second;
         else
-            std::tie(current.load_, current.pace_) = previous == worker.active_.end() ? std::pair(0U, 0U) : std::pair(previous->second.load_, previous->second.pace_);
+            std::tie(current.load_, current.pace_) = previous == worker.active_.end() ? std::pair(0U, fullPace) : std::pair(previous->second.load_, previous->second.pace_);
     }
     for (const EndedRun& end : lists.ended_)
         worker.confirmedRuns_.erase(end.run_);
--- a/supervision/src/decisions/Reporting.cpp
+++ b/supervision/src/decisions/Reporting.cpp
@@ -19,7 +19,7 @@
         report.active_.push_back(active);
     for (const auto& [run, time] : worker.confirmedRuns_) {
         if (worker.active_.count(run) == 0)
-            report.active_.push_back({ run, "", 0, 0, 0 });
+            report.active_.push_back({ run, "", 0, 0, fullPace });
     }
     report.ended_ = worker.ended_;
     report.refused_ = worker.refused_;
--- a/supervision/tests/FillingPaceTest.cpp
+++ b/supervision/tests/FillingPaceTest.cpp
@@ -138,6 +138,15 @@
     BOOST_TEST(agent.state_.workers_.at(incarnation).active_.at(heavy).pace_ == lastPace);
 }
 
+// Guards against tasks that the leader takes for slowed down, and moves, although they have just started.
+BOOST_AUTO_TEST_CASE(run_without_a_reading_is_reported_at_full_pace)
+{
+    PacingAgent agent;
+    agent.deliverList(1000, 8, {});
+    agent.deliverList(1100, 8, { light });
+    BOOST_TEST(agent.state_.workers_.at(incarnation).active_.at(light).pace_ == fullPace);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::supervision
--- a/workflow/include/persimmondoor/workflow/Worker.h
+++ b/workflow/include/persimmondoor/workflow/Worker.h
@@ -55,8 +55,8 @@
     /// Tail latency in milliseconds of a long-running task with a target; processor use in thousandths of a core for other
     /// tasks.
     uint32_t load_ { 0 };
-    /// Pace that the agent allowed the task while the load was read, 0 to 100 percent of full speed; 0 if the run started
-    /// after the reading.
+    /// Pace that the agent allowed the task while the load was read, 0 to 100 percent of full speed; 100 if the run started
+    /// after the reading, as runs start at full speed.
     uint32_t pace_ { 0 };
     auto operator<=>(const ActiveRun&) const = default;
 };
