--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -34,6 +34,7 @@
     task.isOnWorker_ = false;
     task.isStopping_ = false;
     task.progressPercent_ = 0;
+    task.throttledMilliCores_ = 0;
     task.slowedSince_.reset();
     task.times_ = RunTimes { context.now_, std::nullopt, std::nullopt, std::nullopt, Duration(0) };
     task.lastProgressAt_ = context.now_;
