Expect no headroom of a long-running task before its first reading

What callers saw: after a loss of power, when all tasks start at once, tails of long-running tasks of up to 562 ms for a target of 45, and filling work paused for seconds. Cause: placement and pace looked only at long-running tasks with a reading, so for up to a second a filling task was taken for harmless beside a task that it was known to disturb.

Change: images without a reading count with a headroom of 0, in the leader's placement and in the agent's pace. Images that are known as harmless run on.

Both tests failed before (a start beside the disturbed task; pace 100 instead of 0).

--- a/supervision/src/decisions/FillingPace.cpp
+++ b/supervision/src/decisions/FillingPace.cpp
@@ -72,9 +72,24 @@
     return worst;
 }
 
-static bool isHarmless(const SupervisorState& state, const LocalWorker& worker, const std::string& image)
+// The headroom of the worker's long-running tasks; none for images of which no reading is known yet.
+static std::vector<workflow::Headroom> currentHeadrooms(const SupervisorState& state, const LocalWorker& worker)
 {
-    return std::all_of(worker.headrooms_.begin(), worker.headrooms_.end(), [&](const workflow::Headroom& headroom) { return workflow::isHarmless(state.interference_, image, headroom.image_); });
+    std::vector<workflow::Headroom> headrooms = worker.headrooms_;
+    for (const auto& [run, active] : worker.active_) {
+        const RunTraits* traits = traitsOf(state, run);
+        if (!traits || traits->targetTailMs_ == 0)
+            continue;
+        bool isKnown = std::any_of(headrooms.begin(), headrooms.end(), [&](const workflow::Headroom& headroom) { return headroom.image_ == traits->image_; });
+        if (!isKnown)
+            headrooms.push_back({ traits->image_, 0 });
+    }
+    return headrooms;
+}
+
+static bool isHarmless(const SupervisorState& state, const std::vector<workflow::Headroom>& headrooms, const std::string& image)
+{
+    return std::all_of(headrooms.begin(), headrooms.end(), [&](const workflow::Headroom& headroom) { return workflow::isHarmless(state.interference_, image, headroom.image_); });
 }
 
 // The paces that the worker's filling tasks may have now, by image.
@@ -83,12 +98,13 @@
     std::map<std::string, double> shares;
     for (const auto& [run, traits] : runs)
         shares[traits->image_] += capacityShareOf(worker, traits->milliCores_);
-    std::map<std::string, double> paces = workflow::maximumPaces(state.interference_, worker.headrooms_, shares);
+    std::vector<workflow::Headroom> headrooms = currentHeadrooms(state, worker);
+    std::map<std::string, double> paces = workflow::maximumPaces(state.interference_, headrooms, shares);
     for (auto& [image, pace] : paces) {
         auto previous = worker.imagePaces_.find(image);
         if (worker.consecutiveHighReadings_ >= maximumHighReadings)
             pace = 0;
-        else if (!isHarmless(state, worker, image))
+        else if (!isHarmless(state, headrooms, image))
             pace = std::min(pace, previous == worker.imagePaces_.end() ? maximumPaceIncrease : previous->second + maximumIncrease);
     }
     return paces;
--- a/supervision/tests/FillingPaceTest.cpp
+++ b/supervision/tests/FillingPaceTest.cpp
@@ -85,6 +85,16 @@
     BOOST_TEST(agent.paceOf(light) == fullPace);
 }
 
+// Guards against filling tasks that work at full pace beside a long-running task that has only just been started.
+BOOST_AUTO_TEST_CASE(harmful_task_is_paused_beside_a_long_running_task_without_a_reading)
+{
+    PacingAgent agent;
+    // The tail latency is 0 until the long-running task has served requests.
+    agent.deliverList(1000, 0, { heavy, light });
+    BOOST_TEST(agent.paceOf(heavy) == 0U);
+    BOOST_TEST(agent.paceOf(light) == fullPace);
+}
+
 BOOST_AUTO_TEST_CASE(pace_of_a_harmful_task_rises_step_by_step_and_falls_at_once)
 {
     PacingAgent agent;
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -72,22 +72,35 @@
         && worker.reserved_.accelerators() + step.demand_.accelerators() <= capacity.accelerators();
 }
 
+// The headroom of the worker's long-running tasks; none for images of which no reading is known yet.
+static std::vector<Headroom> headroomsAt(const Worker& worker)
+{
+    std::vector<Headroom> headrooms = worker.headrooms_;
+    for (const auto& [image, count] : worker.longRunningByImage_) {
+        bool isKnown = std::any_of(headrooms.begin(), headrooms.end(), [&](const Headroom& headroom) { return headroom.image_ == image; });
+        if (!isKnown)
+            headrooms.push_back({ image, 0 });
+    }
+    return headrooms;
+}
+
 // The pace, from 0 to 1, at which a filling task could run on the worker if all filling tasks on the worker are busy.
 static double paceAt(const LeaderState& state, const Step& step, const Worker& worker)
 {
-    if (worker.headrooms_.empty())
+    std::vector<Headroom> headrooms = headroomsAt(worker);
+    if (headrooms.empty())
         return 1;
     auto capacity = static_cast<double>(std::max<int64_t>(worker.traits_.capacity_.milliCores(), 1));
     std::map<std::string, double> shares;
     for (const auto& [image, milliCores] : worker.fillingByImage_)
         shares[image] = static_cast<double>(milliCores) / capacity;
     shares[step.image_] += static_cast<double>(step.demand_.milliCores()) / capacity;
-    return maximumPaces(state.interference_, worker.headrooms_, shares).at(step.image_);
+    return maximumPaces(state.interference_, headrooms, shares).at(step.image_);
 }
 
 static bool isHarmlessOn(const LeaderState& state, const Step& step, const Worker& worker)
 {
-    return std::all_of(worker.headrooms_.begin(), worker.headrooms_.end(), [&](const Headroom& headroom) { return isHarmless(state.interference_, step.image_, headroom.image_); });
+    return std::all_of(worker.longRunningByImage_.begin(), worker.longRunningByImage_.end(), [&](const auto& entry) { return isHarmless(state.interference_, step.image_, entry.first); });
 }
 
 // True if filling tasks of the step would disturb no long-running task on at least one worker; the tasks then wait until
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -135,6 +135,25 @@
     BOOST_TEST(stops == 4U);
 }
 
+// Guards against filling tasks that are started beside long-running tasks that they are known to disturb, as these have
+// only just been started, for instance after a loss of power.
+BOOST_AUTO_TEST_CASE(filling_tasks_avoid_long_running_tasks_without_a_reading)
+{
+    FillingWorld before;
+    LeaderWorld after(before.rows(), 2);
+    after.state_.interference_ = before.state_.interference_;
+    after.bornMs_ = 2000;
+    after.report("w-1", 100);
+    after.report("w-2", 101);
+    after.commit(110);
+    bool searchIsFirst = after.starts("w-1", 111).front().task_.job_.value() == searchJob;
+    after.starts("w-2", 111);
+    after.submit({ fillingStep(6, "heavy") }, 200, fillingJob);
+    after.commit(210);
+    BOOST_TEST(after.starts(searchIsFirst ? "w-1" : "w-2", 211).empty());
+    BOOST_TEST(after.starts(searchIsFirst ? "w-2" : "w-1", 211).size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(leader_estimates_factors_from_consecutive_readings)
 {
     FillingWorld world;
