A new leader waits for the known workers before it places tasks that interfere

What callers saw: little of the filling class served after a loss of power.

Change: after a takeover, long-running and filling tasks wait at most 1 s for workers that are named in the predecessor's rows and not reported yet. Other tasks are placed at once.

The first test failed before (a start on the first worker; one worker with both images).

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -64,6 +64,10 @@
     /// A job without assigned tasks whose filling tasks have waited this long for a worker where they disturb no
     /// long-running task is placed regardless of interference: after 3 s the job counts as lost (stated by the platform).
     Duration ignoreInterferenceAfter_ { std::chrono::milliseconds(1500) };
+    /// After a takeover, tasks that interfere with each other wait at most this long for workers that are known from the
+    /// predecessor's rows and that no agent has reported yet. Otherwise, after all workers have restarted, the first ones
+    /// to return get long-running tasks of every image, and no worker is left where a filling task does no harm.
+    Duration maximumWorkerWait_ { std::chrono::milliseconds(1000) };
     /// Bound on the filling tasks that one check moves: each move changes the load that the other tasks meet.
     uint32_t maximumMovesPerCheck_ { 4 };
     /// A worker that refused a run because its free capacity was too small or because it was unavailable gets no new runs
@@ -284,6 +288,8 @@
     /// Task leases may be granted until this time.
     Instant leaseGrantsUntil_;
     uint64_t sessionCount_ { 0 };
+    /// Until when tasks that interfere with each other wait for workers that no agent has reported yet.
+    Instant awaitsWorkersUntil_;
     /// When ready jobs were last placed.
     Instant lastPlacementAt_;
     /// When the periodic checks (`Tuning::checkInterval_`) are due next.
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -58,6 +58,7 @@
     LeaderState state;
     state.epoch_ = epoch;
     state.tuning_ = tuning;
+    state.awaitsWorkersUntil_ = now + tuning.maximumWorkerWait_;
     Instant leaseEnd = now + tuning.leadershipLease_ + maximumLeaseDuration(tuning);
     for (StoredJob& stored : rows) {
         Job job = restoreJob(std::move(stored), now);
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -112,12 +112,20 @@
 
 } // namespace
 
+// True if workers that are known from the predecessor's rows may still be reported soon.
+static bool isAwaitingWorkers(const LeaderState& state, Instant now)
+{
+    return now < state.awaitsWorkersUntil_ && std::any_of(state.workers_.begin(), state.workers_.end(), [](const auto& entry) { return entry.second.agent_.empty(); });
+}
+
 // \return true if a task of the step still waits for free capacity.
 static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, UnplaceableDemands& unplaceable)
 {
     const Step& step = job.record_.spec_.steps()[stepNumber];
     if (step.gang_)
         return startGang(context, job, occurrence, stepNumber);
+    if ((step.longRunning_ || step.isFilling_) && isAwaitingWorkers(context.state_, context.now_))
+        return true;
     bool ignoresInterference = mayIgnoreInterference(context.state_, job, context.now_);
     bool isUnplaceable = unplaceable.contains(job, step, ignoresInterference);
     bool waits = false;
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -135,6 +135,40 @@
     BOOST_TEST(stops == 4U);
 }
 
+// Guards against a mixture of images on every worker after a loss of power, beside which no filling task runs well.
+BOOST_AUTO_TEST_CASE(new_leader_waits_for_the_known_workers_before_it_places_tasks_that_interfere)
+{
+    FillingWorld before;
+    before.submit({ fillingStep(2, "heavy") }, 200, fillingJob);
+    before.commit(210);
+    BOOST_REQUIRE(before.starts(before.ranking_, 211).size() == 2U);
+    LeaderWorld after(before.rows(), 2);
+    after.bornMs_ = 2000;
+    after.report("w-1", 100);
+    after.commit(110);
+    BOOST_TEST(after.starts("w-1", 111).empty());
+    after.report("w-2", 200);
+    after.commit(210);
+    BOOST_REQUIRE(after.state_.workers_.size() == 2U);
+    for (const auto& [incarnation, worker] : after.state_.workers_)
+        BOOST_TEST(worker.longRunningByImage_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(new_leader_does_not_wait_long_for_a_worker_that_does_not_return)
+{
+    FillingWorld before;
+    LeaderWorld after(before.rows(), 2);
+    after.bornMs_ = 2000;
+    after.report("w-1", 100);
+    after.commit(110);
+    BOOST_TEST(after.starts("w-1", 111).empty());
+    for (int64_t time = 500; time <= 1500; time += 500)
+        after.report("w-1", time);
+    after.handle(Tick { 1'001'500 }, 1500);
+    after.commit(1510);
+    BOOST_TEST(after.starts("w-1", 1511).size() == 1U);
+}
+
 // Guards against filling tasks that are started beside long-running tasks that they are known to disturb, as these have
 // only just been started, for instance after a loss of power.
 BOOST_AUTO_TEST_CASE(filling_tasks_avoid_long_running_tasks_without_a_reading)
