Leave the cores of slowed tasks idle where no headroom is left

Cause: the cores that slowed tasks leave idle were placed again also beside long-running tasks without headroom; tasks that count as harmless add a little each.

Change: such cores count as spare only on workers whose long-running tasks all have headroom.

The test failed before (3 starts instead of 0).

--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -55,11 +55,18 @@
     return worker.traits_.capacity_.milliCores() - worker.reserved_.milliCores() + worker.fillingMilliCores_;
 }
 
+// True if the tails of all long-running tasks on the worker leave room for filling tasks.
+static bool hasHeadroom(const Worker& worker)
+{
+    return std::all_of(worker.headrooms_.begin(), worker.headrooms_.end(), [](const Headroom& headroom) { return headroom.utilisation_ > 0; });
+}
+
 int64_t spareMilliCores(const Worker& worker)
 {
     // Tasks at a reduced pace keep their assignment but not their cores; they would otherwise fill the worker while it is
-    // idle, as they stay and the others end.
-    int64_t usedByFilling = worker.fillingMilliCores_ - worker.throttledMilliCores_;
+    // idle, as they stay and the others end. Without headroom those cores are needed by the long-running tasks: even
+    // filling tasks that count as harmless add a little to their tails.
+    int64_t usedByFilling = worker.fillingMilliCores_ - (hasHeadroom(worker) ? worker.throttledMilliCores_ : 0);
     return freeMilliCores(worker) + worker.longRunningMilliCores_ * longRunningIdlePercent / 100 - usedByFilling;
 }
 
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -102,6 +102,30 @@
     BOOST_TEST(world.starts(world.search_, 1311).size() == 3U);
 }
 
+// Guards against more filling tasks beside a long-running task that is about to exceed the target of its tail.
+BOOST_AUTO_TEST_CASE(slowed_tasks_keep_their_cores_where_no_headroom_is_left)
+{
+    FillingWorld world;
+    world.state_.interference_.sensitivities_["search"].factors_ = { { "heavy", 0.02 }, { "light", 0.02 } };
+    world.state_.interference_.sensitivities_["ranking"].factors_ = { { "heavy", 3 }, { "light", 0.02 } };
+    world.submit({ fillingStep(3, "heavy") }, 200, fillingJob);
+    world.commit(210);
+    BOOST_REQUIRE(world.starts(world.search_, 211).size() == 3U);
+    world.lastCompletedOrder_ = OrderNumber(4);
+    world.state_.interference_.sensitivities_["search"].factors_["heavy"] = 0.9;
+    std::vector<ActiveRun> slowed;
+    for (uint32_t index = 0; index < 3; ++index)
+        slowed.push_back({ runOf(fillingJob, index), "ck", 10, 0, 0 });
+    // Three quarters of the target are 13.5 ms.
+    world.tailMs_ = 14;
+    world.reportReadings(700, slowed, {});
+    world.reportReadings(1200, slowed, {});
+    world.submit({ fillingStep(6, "light") }, 1300, "00000000000000dd");
+    world.commit(1310);
+    BOOST_TEST(world.starts(world.ranking_, 1311).size() == 3U);
+    BOOST_TEST(world.starts(world.search_, 1311).empty());
+}
+
 // Guards against two groups of slowed tasks that wait for each other's cores.
 BOOST_AUTO_TEST_CASE(slowed_tasks_trade_places)
 {
