A job of which nothing runs disturbs long-running tasks with one task only

Cause: a job of which nothing runs is placed regardless of interference after 1.5 s, with all tasks of its step. The agents slow these down, the headroom that they take is missing for others, more jobs wait for 1.5 s, and so on: the backlog sustains itself (metastable failure).

Change: where a worker without interference exists, only one task of the job is placed so; it keeps the job running, and the others wait. Gangs as before.

The test failed before (3 starts instead of 1).

--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -133,7 +133,7 @@
             TaskKey key = keyOf(job, number);
             if (!isSlowed(context, task, stepOf(job, key)))
                 continue;
-            auto better = chooseWorker(context.state_, job, key, context.now_);
+            auto better = chooseWorker(context.state_, job, key, Disturbance::Avoided, context.now_);
             if (!better || *better == task.progress_.worker_)
                 continue;
             task.avoidedWorker_ = task.progress_.worker_.name_;
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -33,8 +33,6 @@
 // True if the job has unfinished tasks; for a cancelled or failed job, if it still has assigned tasks.
 bool isOpen(const Job&);
 bool hasAssignedTasks(const Job&);
-// True if the job has waited so long without assigned tasks that its filling tasks are placed regardless of interference.
-bool mayIgnoreInterference(const LeaderState&, const Job&, Instant now);
 
 // Stages the job's rows for the next batch. The second form adds an effect that is released once the batch is durable.
 StagedJob& stage(LeaderState&, const JobId&);
@@ -88,8 +86,18 @@
 // Withdraws starts that have not been released and are no longer allowed, such as those in an evacuated domain.
 void withdrawForbiddenStarts(const DecisionContext&);
 
+// Whether a filling task may be placed on a worker whose long-running tasks it would disturb.
+enum class Disturbance : uint8_t {
+    // Only if it disturbs some on every worker, and only where it can run at nearly its full speed.
+    Avoided,
+    Allowed,
+};
+// `Disturbance::Allowed` if the job has waited long without assigned tasks.
+Disturbance disturbanceOf(const LeaderState&, const Job&, Instant now);
 // The worker with the best score for the task, or nothing if the task has to wait.
-std::optional<WorkerIncarnation> chooseWorker(const LeaderState&, const Job&, const TaskKey&, Instant now);
+std::optional<WorkerIncarnation> chooseWorker(const LeaderState&, const Job&, const TaskKey&, Disturbance, Instant now);
+// True if filling tasks of the step would disturb no long-running task on at least one worker, whatever its free capacity.
+bool hasHarmlessWorker(const LeaderState&, const Job&, const Step&, Instant now);
 // Why a task waits for a worker.
 enum class PlacementObstacle : uint8_t {
     // No worker that the task may run on has enough free capacity.
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -110,9 +110,7 @@
     return std::all_of(worker.longRunningByImage_.begin(), worker.longRunningByImage_.end(), [&](const auto& entry) { return isHarmless(state.interference_, step.image_, entry.first); });
 }
 
-// True if filling tasks of the step would disturb no long-running task on at least one worker; the tasks then wait until
-// that worker has enough free capacity.
-static bool hasHarmlessWorker(const LeaderState& state, const Job& job, const Step& step, Instant now)
+bool hasHarmlessWorker(const LeaderState& state, const Job& job, const Step& step, Instant now)
 {
     return std::any_of(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) {
         const Worker& worker = entry.second;
@@ -169,9 +167,10 @@
     return score - failureWeight * worker.consecutiveFailures_;
 }
 
-bool mayIgnoreInterference(const LeaderState& state, const Job& job, Instant now)
+Disturbance disturbanceOf(const LeaderState& state, const Job& job, Instant now)
 {
-    return job.idleSince_ && now - *job.idleSince_ > state.tuning_.ignoreInterferenceAfter_;
+    bool hasWaitedLong = job.idleSince_ && now - *job.idleSince_ > state.tuning_.ignoreInterferenceAfter_;
+    return hasWaitedLong ? Disturbance::Allowed : Disturbance::Avoided;
 }
 
 PlacementObstacle placementObstacle(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
@@ -180,12 +179,13 @@
     return hasRoom ? PlacementObstacle::Interference : PlacementObstacle::Capacity;
 }
 
-std::optional<WorkerIncarnation> chooseWorker(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
+std::optional<WorkerIncarnation> chooseWorker(const LeaderState& state, const Job& job, const TaskKey& key, Disturbance disturbance, Instant now)
 {
     std::optional<WorkerIncarnation> best;
     int64_t bestScore = 0;
     const Step& step = stepOf(job, key);
-    bool ignoresInterference = !step.isFilling_ || mayIgnoreInterference(state, job, now);
+    bool ignoresInterference = disturbance == Disturbance::Allowed || !step.isFilling_;
+    // Filling tasks wait for a worker without interference if there is one, even if it has no free capacity now.
     bool mayCauseInterference = ignoresInterference || !hasHarmlessWorker(state, job, step, now);
     for (const auto& [incarnation, worker] : state.workers_) {
         if (!isEligible(state, job, key, worker, now))
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -59,10 +59,11 @@
             return false;
         run = std::max(run, progress.run_);
     }
+    Disturbance disturbance = disturbanceOf(context.state_, job, context.now_);
     StagedJob before = stage(context.state_, job.record_.id_);
     for (uint32_t index = 0; index < step.count_; ++index) {
         TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
-        auto incarnation = chooseWorker(context.state_, job, key, context.now_);
+        auto incarnation = chooseWorker(context.state_, job, key, disturbance, context.now_);
         if (incarnation) {
             assign(context, job, key, *incarnation, run + 1);
             continue;
@@ -83,10 +84,10 @@
     // worker either.
     class UnplaceableDemands {
     public:
-        // A job that ignores interference may be placed on workers that others have to avoid.
-        bool contains(const Job& job, const Step& step, bool ignoresInterference) const
+        // A job that may disturb long-running tasks may be placed on workers that others have to avoid.
+        bool contains(const Job& job, const Step& step, Disturbance disturbance) const
         {
-            if (ignoresInterference)
+            if (disturbance == Disturbance::Allowed)
                 return false;
             return std::any_of(demands_.begin(), demands_.end(), [&](const Demand& demand) {
                 return demand.service_ == job.queue_.service_ && demand.isFilling_ == step.isFilling_ && demand.image_ == step.image_ && demand.label_ == step.requiredLabel_ && demand.demand_.fitsIn(step.demand_);
@@ -126,26 +127,29 @@
         return startGang(context, job, occurrence, stepNumber);
     if ((step.longRunning_ || step.isFilling_) && isAwaitingWorkers(context.state_, context.now_))
         return true;
-    bool ignoresInterference = mayIgnoreInterference(context.state_, job, context.now_);
-    bool isUnplaceable = unplaceable.contains(job, step, ignoresInterference);
+    Disturbance disturbance = disturbanceOf(context.state_, job, context.now_);
+    bool isUnplaceable = unplaceable.contains(job, step, disturbance);
     bool waits = false;
-    uint32_t placed = 0;
+    uint32_t placedDespiteInterference = 0;
     for (uint32_t index = 0; index < step.count_ && !waits; ++index) {
         TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
         const TaskProgress& progress = job.tasks_[taskNumber(job, key)].progress_;
         if (progress.phase_ != TaskPhase::Waiting)
             continue;
-        auto incarnation = isUnplaceable ? std::nullopt : chooseWorker(context.state_, job, key, context.now_);
-        if (incarnation) {
-            assign(context, job, key, *incarnation, progress.run_ + 1);
-            ++placed;
-        }
+        auto incarnation = isUnplaceable ? std::nullopt : chooseWorker(context.state_, job, key, disturbance, context.now_);
         waits = !incarnation;
+        if (waits)
+            continue;
+        assign(context, job, key, *incarnation, progress.run_ + 1);
+        placedDespiteInterference += disturbance == Disturbance::Allowed ? 1 : 0;
+        // One task keeps the job running; the others wait, as tasks that disturb are slowed down and end late.
+        if (hasHarmlessWorker(context.state_, job, step, context.now_))
+            disturbance = Disturbance::Avoided;
     }
     if (waits && !isUnplaceable)
         unplaceable.add(job, step);
-    if (step.isFilling_ && ignoresInterference && placed > 0)
-        context.logEvent("job.interference_ignored", job.record_.id_.value(), concat(placed, " tasks of step ", stepNumber, " placed, as nothing of the job was running"));
+    if (step.isFilling_ && placedDespiteInterference > 0)
+        context.logEvent("job.interference_ignored", job.record_.id_.value(), concat(placedDespiteInterference, " tasks of step ", stepNumber, " placed, as nothing of the job was running"));
     return waits;
 }
 
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -44,6 +44,23 @@
     BOOST_TEST(world.starts(world.search_, 1960).size() == 1U);
 }
 
+// Guards against a backlog that feeds itself: jobs that wait for a worker without interference put all their tasks where they
+// disturb, the agents slow these down, and the jobs behind wait even longer.
+BOOST_AUTO_TEST_CASE(job_without_running_tasks_disturbs_with_one_task_only)
+{
+    FillingWorld world;
+    world.state_.interference_.sensitivities_["search"].factors_["other"] = 3;
+    world.submit({ fillingStep(3, "other") }, 150, "00000000000000dd");
+    world.commit(160);
+    BOOST_REQUIRE(world.starts(world.ranking_, 161).size() == 3U);
+    // The image is harmless on the second worker only, which is full.
+    world.submit({ fillingStep(3, "heavy") }, 200, fillingJob);
+    for (int64_t time = 300; time <= 1900; time += 100)
+        world.reportReadings(time, {}, {});
+    world.commit(1950);
+    BOOST_TEST(world.starts(world.search_, 1960).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(image_that_disturbs_every_long_running_task_is_placed_within_their_headroom)
 {
     FillingWorld world;
