--- a/supervision/tests/FillingPaceTest.cpp
+++ b/supervision/tests/FillingPaceTest.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
 namespace persimmondoor::supervision {
 
 using workflow::ActiveRun;
@@ -54,6 +58,15 @@
         }
     }
 
+    // Makes the leader reply with traits of further filling runs of that image.
+    void addTraits(const std::vector<RunKey>& runs, const std::string& image)
+    {
+        workflow::ReportReply reply { LeaderEpoch(1), Fence(5), state_.sequence_, std::chrono::milliseconds(7500), {}, {}, traits(), state_.interference_ };
+        for (const RunKey& run : runs)
+            reply.traits_.push_back({ run, true, 0, image, fillingMilliCores });
+        handle(ReportAnswered { reply }, 20);
+    }
+
     // Delivers the worker's list, with the tail latency of the service in milliseconds.
     void deliverList(int64_t milliseconds, uint32_t tailMs, const std::vector<RunKey>& filling)
     {
@@ -148,6 +161,26 @@
     BOOST_TEST(agent.state_.workers_.at(incarnation).active_.at(heavy).pace_ == lastPace);
 }
 
+// Guards against a worker that does nothing although its long-running tasks leave headroom: split among many tasks, none
+// gets a pace that is worth running at.
+BOOST_AUTO_TEST_CASE(headroom_goes_to_as_many_tasks_as_can_use_it, *boost::unit_test::disabled())
+{
+    PacingAgent agent;
+    std::vector<RunKey> runs;
+    for (uint32_t index = 0; index < 20; ++index)
+        runs.push_back({ { JobId::of("00000000000000bb"), 0, 0, index }, 1 });
+    agent.addTraits(runs, "heavy");
+    auto sumOfPaces = [&] { return std::accumulate(runs.begin(), runs.end(), 0U, [&](uint32_t sum, const RunKey& run) { return sum + agent.paceOf(run); }); };
+    for (int64_t time = 1000; time <= 6000; time += 500) {
+        // The long-running task is busy for half of its time; each filling task at full pace adds 0.9 times a quarter.
+        double utilisation = std::min(0.95, 0.5 + 0.9 * 0.25 * (time == 1000 ? 0 : sumOfPaces()) / 100);
+        agent.deliverList(time, static_cast<uint32_t>(std::lround(4 / (1 - utilisation))), runs);
+    }
+    // The tail stays below three quarters of its target up to a utilisation of 0.7, which leaves room for most of one task.
+    BOOST_TEST(sumOfPaces() >= 50U);
+    BOOST_TEST(sumOfPaces() <= 100U);
+}
+
 // Guards against tasks that the leader takes for slowed down, and moves, although they have just started.
 BOOST_AUTO_TEST_CASE(run_without_a_reading_is_reported_at_full_pace)
 {
