One function adds the long-running images without a reading

The same loop stood in the leader's placement and in the agent's pace.

Change: addImageWithoutReading takes the place of both loops. No change of behaviour.

--- a/supervision/src/decisions/FillingPace.cpp
+++ b/supervision/src/decisions/FillingPace.cpp
@@ -78,11 +78,8 @@
     std::vector<workflow::Headroom> headrooms = worker.headrooms_;
     for (const auto& [run, active] : worker.active_) {
         const RunTraits* traits = traitsOf(state, run);
-        if (!traits || traits->targetTailMs_ == 0)
-            continue;
-        bool isKnown = std::any_of(headrooms.begin(), headrooms.end(), [&](const workflow::Headroom& headroom) { return headroom.image_ == traits->image_; });
-        if (!isKnown)
-            headrooms.push_back({ traits->image_, 0 });
+        if (traits && traits->targetTailMs_ > 0)
+            workflow::addImageWithoutReading(headrooms, traits->image_);
     }
     return headrooms;
 }
--- a/workflow/include/persimmondoor/workflow/Interference.h
+++ b/workflow/include/persimmondoor/workflow/Interference.h
@@ -84,6 +84,9 @@
 /// \return the smallest headroom among the tasks of each long-running image, in ascending order of the images.
 std::vector<Headroom> headroomsOf(const Interference&, const LoadReading& before, const LoadReading& after);
 
+/// Adds a long-running image on the worker with a headroom of 0, unless a reading of the image is already known.
+void addImageWithoutReading(std::vector<Headroom>&, const std::string& longRunning);
+
 /// \param shares the shares of the worker's processors that the filling tasks would use at full pace, by image.
 /// \return for each image the largest pace, from 0 to 1, at which all tail latencies stay below their targets.
 std::map<std::string, double> maximumPaces(const Interference&, const std::vector<Headroom>&, const std::map<std::string, double>& shares);
--- a/workflow/src/decisions/Interference.cpp
+++ b/workflow/src/decisions/Interference.cpp
@@ -183,6 +183,13 @@
     return headrooms;
 }
 
+void addImageWithoutReading(std::vector<Headroom>& headrooms, const std::string& longRunning)
+{
+    bool hasReading = std::any_of(headrooms.begin(), headrooms.end(), [&](const Headroom& headroom) { return headroom.image_ == longRunning; });
+    if (!hasReading)
+        headrooms.push_back({ longRunning, 0 });
+}
+
 std::map<std::string, double> maximumPaces(const Interference& estimates, const std::vector<Headroom>& headrooms, const std::map<std::string, double>& shares)
 {
     std::map<std::string, double> paces;
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -83,11 +83,8 @@
 static std::vector<Headroom> headroomsAt(const Worker& worker)
 {
     std::vector<Headroom> headrooms = worker.headrooms_;
-    for (const auto& [image, count] : worker.longRunningByImage_) {
-        bool isKnown = std::any_of(headrooms.begin(), headrooms.end(), [&](const Headroom& headroom) { return headroom.image_ == image; });
-        if (!isKnown)
-            headrooms.push_back({ image, 0 });
-    }
+    for (const auto& [image, count] : worker.longRunningByImage_)
+        addImageWithoutReading(headrooms, image);
     return headrooms;
 }
 
