--- a/workflow/src/decisions/Backlog.cpp
+++ b/workflow/src/decisions/Backlog.cpp
@@ -8,11 +8,6 @@
 
 namespace persimmondoor::workflow {
 
-static int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 // True if the job has one objective that it has missed.
 static bool hasMissedObjective(const LeaderState& state, const Job& job)
 {
--- a/workflow/src/decisions/Delays.cpp
+++ b/workflow/src/decisions/Delays.cpp
@@ -12,11 +12,6 @@
     return { left.placement_ + right.placement_, left.write_ + right.write_, left.startup_ + right.startup_, left.work_ + right.work_, left.slowed_ + right.slowed_, left.repeated_ + right.repeated_ };
 }
 
-static int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 std::string describe(const Delays& delays)
 {
     return concat("placement ", milliseconds(delays.placement_), " ms, write ", milliseconds(delays.write_), ", startup ", milliseconds(delays.startup_), ", work ", milliseconds(delays.work_), ", slowed ", milliseconds(delays.slowed_), ", repeated ", milliseconds(delays.repeated_));
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -18,6 +18,11 @@
     }
 };
 
+inline int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 // Index of the task in `Job::tasks_`, and its inverse.
 uint32_t taskNumber(const Job&, const TaskKey&);
 TaskKey keyOf(const Job&, uint32_t taskNumber);
--- a/workflow/src/decisions/Urgency.cpp
+++ b/workflow/src/decisions/Urgency.cpp
@@ -6,11 +6,6 @@
 
 namespace persimmondoor::workflow {
 
-static int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 // Estimated run time of the longest chain of dependent steps of one occurrence. If `onlyUnfinished`, the steps that are
 // done in the first occurrence count as 0.
 static Duration longestChain(const Job& job, bool onlyUnfinished)
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -2,6 +2,27 @@
 
 namespace persimmondoor::workflow {
 
+// Fills the worker of "search" with three tasks that turn out to disturb it and are paused, then submits six tasks that
+// disturb nothing.
+static void submitBesidePausedTasks(FillingWorld& world)
+{
+    // The estimates are wrong at first, so that the tasks are started beside the long-running task that they disturb.
+    world.state_.interference_.sensitivities_["search"].factors_ = { { "heavy", 0.02 }, { "light", 0.02 } };
+    world.state_.interference_.sensitivities_["ranking"].factors_ = { { "heavy", 3 }, { "light", 0.02 } };
+    world.submit({ fillingStep(3, "heavy") }, 200, fillingJob);
+    world.commit(210);
+    BOOST_REQUIRE(world.starts(world.search_, 211).size() == 3U);
+    world.lastCompletedOrder_ = OrderNumber(4);
+    world.state_.interference_.sensitivities_["search"].factors_["heavy"] = 0.9;
+    std::vector<ActiveRun> paused;
+    for (uint32_t index = 0; index < 3; ++index)
+        paused.push_back({ runOf(fillingJob, index), "ck", 10, 0, 0 });
+    world.reportReadings(700, paused, {});
+    world.reportReadings(1200, paused, {});
+    world.submit({ fillingStep(6, "light") }, 1300, "00000000000000dd");
+    world.commit(1310);
+}
+
 BOOST_AUTO_TEST_SUITE(filling)
 
 BOOST_AUTO_TEST_CASE(long_running_tasks_of_an_image_share_workers)
@@ -100,21 +121,7 @@
 BOOST_AUTO_TEST_CASE(slowed_tasks_leave_their_cores_to_tasks_that_do_no_harm)
 {
     FillingWorld world;
-    // The estimates are wrong at first, so that the tasks are started beside the long-running task that they disturb.
-    world.state_.interference_.sensitivities_["search"].factors_ = { { "heavy", 0.02 }, { "light", 0.02 } };
-    world.state_.interference_.sensitivities_["ranking"].factors_ = { { "heavy", 3 }, { "light", 0.02 } };
-    world.submit({ fillingStep(3, "heavy") }, 200, fillingJob);
-    world.commit(210);
-    BOOST_REQUIRE(world.starts(world.search_, 211).size() == 3U);
-    world.lastCompletedOrder_ = OrderNumber(4);
-    world.state_.interference_.sensitivities_["search"].factors_["heavy"] = 0.9;
-    std::vector<ActiveRun> slowed;
-    for (uint32_t index = 0; index < 3; ++index)
-        slowed.push_back({ runOf(fillingJob, index), "ck", 10, 0, 0 });
-    world.reportReadings(700, slowed, {});
-    world.reportReadings(1200, slowed, {});
-    world.submit({ fillingStep(6, "light") }, 1300, "00000000000000dd");
-    world.commit(1310);
+    submitBesidePausedTasks(world);
     BOOST_TEST(world.starts(world.ranking_, 1311).size() == 3U);
     BOOST_TEST(world.starts(world.search_, 1311).size() == 3U);
 }
@@ -123,22 +130,9 @@
 BOOST_AUTO_TEST_CASE(slowed_tasks_keep_their_cores_where_no_headroom_is_left)
 {
     FillingWorld world;
-    world.state_.interference_.sensitivities_["search"].factors_ = { { "heavy", 0.02 }, { "light", 0.02 } };
-    world.state_.interference_.sensitivities_["ranking"].factors_ = { { "heavy", 3 }, { "light", 0.02 } };
-    world.submit({ fillingStep(3, "heavy") }, 200, fillingJob);
-    world.commit(210);
-    BOOST_REQUIRE(world.starts(world.search_, 211).size() == 3U);
-    world.lastCompletedOrder_ = OrderNumber(4);
-    world.state_.interference_.sensitivities_["search"].factors_["heavy"] = 0.9;
-    std::vector<ActiveRun> slowed;
-    for (uint32_t index = 0; index < 3; ++index)
-        slowed.push_back({ runOf(fillingJob, index), "ck", 10, 0, 0 });
     // Three quarters of the target are 13.5 ms.
     world.tailMs_ = 14;
-    world.reportReadings(700, slowed, {});
-    world.reportReadings(1200, slowed, {});
-    world.submit({ fillingStep(6, "light") }, 1300, "00000000000000dd");
-    world.commit(1310);
+    submitBesidePausedTasks(world);
     BOOST_TEST(world.starts(world.ranking_, 1311).size() == 3U);
     BOOST_TEST(world.starts(world.search_, 1311).empty());
 }
