Look for a worker without interference only while one may be disturbed

After the first task that was placed despite interference, each further task of the step scanned all workers for nothing. No change of behaviour; all cases of test_workflow pass.

--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -141,7 +141,9 @@
         if (waits)
             continue;
         assign(context, job, key, *incarnation, progress.run_ + 1);
-        placedDespiteInterference += disturbance == Disturbance::Allowed ? 1 : 0;
+        if (disturbance == Disturbance::Avoided)
+            continue;
+        ++placedDespiteInterference;
         // One task keeps the job running; the others wait, as tasks that disturb are slowed down and end late.
         if (hasHarmlessWorker(context.state_, job, step, context.now_))
             disturbance = Disturbance::Avoided;
