--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -189,6 +189,7 @@
         BOOST_TEST(worker.longRunningByImage_.size() == 1U);
 }
 
+// Guards against a new leader that places nothing while a worker that it knows of stays away.
 BOOST_AUTO_TEST_CASE(new_leader_does_not_wait_long_for_a_worker_that_does_not_return)
 {
     FillingWorld before;
