Log what waiting long-running tasks wait for

Nothing in the logs explains why a long-running task waits: after run.lost there is no line until the next run.start.

task.waits says once a second, for each step with long-running tasks that have waited over 1 s, how many workers cannot take the task and why, and whether the job is staged as ready. run.unseen names runs that are assigned but not listed by their worker, or whose worker no agent reports. The check of a worker gives the reason instead of a bool; the decisions are unchanged.

Tests: wait_report (two cases).

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -88,6 +88,9 @@
     Duration checkInterval_ { std::chrono::milliseconds(200) };
     /// Interval of the log lines on the backlog while tasks wait for a worker.
     Duration backlogReportInterval_ { std::chrono::milliseconds(1000) };
+    /// Long-running tasks that have waited this long for a worker are logged, in this interval.
+    Duration reportWaitAfter_ { std::chrono::milliseconds(1000) };
+    Duration waitReportInterval_ { std::chrono::milliseconds(1000) };
     /// Finished jobs are kept for at least this long; the settings state how long clients may query them.
     Duration finishedJobRetention_ { std::chrono::seconds(120) };
     /// Bound on the unfinished jobs, beyond which new ones are refused; keeps an entry within its 160 MB of memory.
@@ -296,6 +299,8 @@
     Instant nextCheckAt_;
     /// When the backlog is logged next, if there is one.
     Instant nextBacklogReportAt_;
+    /// When the waiting long-running tasks are logged next.
+    Instant nextWaitReportAt_;
     /// Newest time of day, in milliseconds since 1970 UTC; for schedules and deadlines.
     int64_t wallMs_ { 0 };
     /// Jobs to be written, in the order in which they were staged.
--- a/workflow/src/decisions/Backlog.cpp
+++ b/workflow/src/decisions/Backlog.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 namespace persimmondoor::workflow {
 
@@ -100,4 +101,109 @@
         concat("on time ", jobs[0], ", late ", jobs[1], ", worthless ", jobs[2], "; tasks waiting for capacity ", backlog.tasksWithoutCapacity_, ", for a worker without interference ", backlog.tasksWithInterference_, "; filling cores, in thousandths: ", cores.assigned_, " assigned, ", cores.atWork_, " at work, ", cores.spare_, " spare"));
 }
 
+// The waiting tasks of a long-running step.
+struct WaitingTasks {
+    size_t count_ { 0 };
+    std::optional<TaskKey> longest_;
+    Duration longestWait_ { 0 };
+};
+
+static WaitingTasks waitingTasksOf(const Job& job, uint32_t occurrence, uint32_t stepNumber, Instant now)
+{
+    WaitingTasks waiting;
+    const Step& step = job.record_.spec_.steps()[stepNumber];
+    const StepTimes& times = job.stepTimes_[occurrence * job.record_.spec_.steps().size() + stepNumber];
+    for (uint32_t index = 0; index < step.count_; ++index) {
+        TaskKey key { job.record_.id_, occurrence, stepNumber, index };
+        const Task& task = job.tasks_[taskNumber(job, key)];
+        std::optional<Instant> since = task.waitingSince_ ? task.waitingSince_ : times.startableSince_;
+        if (task.progress_.phase_ != TaskPhase::Waiting || !since)
+            continue;
+        ++waiting.count_;
+        if (!waiting.longest_ || now - *since > waiting.longestWait_) {
+            waiting.longest_ = key;
+            waiting.longestWait_ = now - *since;
+        }
+    }
+    return waiting;
+}
+
+// Text of how many workers cannot take the task, by reason, and of the most that one of them has free.
+static std::string describeObstacles(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
+{
+    std::array<size_t, workerObstacleCount> workers {};
+    int64_t mostMilliCores = 0;
+    int64_t mostMemory = 0;
+    for (const auto& [incarnation, worker] : state.workers_) {
+        WorkerObstacle obstacle = obstacleAt(state, job, key, worker, now);
+        ++workers.at(static_cast<size_t>(obstacle));
+        if (obstacle == WorkerObstacle::Cores)
+            mostMilliCores = std::max(mostMilliCores, freeMilliCores(worker));
+        if (obstacle == WorkerObstacle::Memory)
+            mostMemory = std::max(mostMemory, worker.traits_.capacity_.memoryBytes() - worker.reserved_.memoryBytes());
+    }
+    std::string text;
+    for (size_t obstacle = 0; obstacle < workers.size(); ++obstacle) {
+        if (workers.at(obstacle) > 0)
+            text += concat(text.empty() ? "" : ", ", workers.at(obstacle), " ", describe(static_cast<WorkerObstacle>(obstacle)));
+    }
+    const Resources& demand = stepOf(job, key).demand_;
+    return concat(text, "; demand ", demand.milliCores(), " thousandths of a core, ", demand.memoryBytes(), " bytes; most free among those without the cores ", mostMilliCores, ", without the memory ", mostMemory);
+}
+
+// Logs the task of the step whose assigned run has been absent from its worker's reports for longest.
+static void reportUnseenRuns(const DecisionContext& context, const Job& job, uint32_t occurrence, uint32_t stepNumber)
+{
+    const LeaderState& state = context.state_;
+    size_t count = 0;
+    std::optional<TaskKey> longest;
+    Duration longestAbsence(0);
+    for (uint32_t index = 0; index < job.record_.spec_.steps()[stepNumber].count_; ++index) {
+        TaskKey key { job.record_.id_, occurrence, stepNumber, index };
+        const Task& task = job.tasks_[taskNumber(job, key)];
+        auto worker = state.workers_.find(task.progress_.worker_);
+        if (task.progress_.phase_ != TaskPhase::Assigned || worker == state.workers_.end())
+            continue;
+        Duration absence = context.now_ - (task.isOnWorker_ ? worker->second.lastReportAt_ : task.times_.assignedAt_);
+        if (absence < state.tuning_.reportWaitAfter_)
+            continue;
+        ++count;
+        if (!longest || absence > longestAbsence) {
+            longest = key;
+            longestAbsence = absence;
+        }
+    }
+    if (!longest)
+        return;
+    const Task& task = job.tasks_[taskNumber(job, *longest)];
+    const Worker& worker = state.workers_.at(task.progress_.worker_);
+    context.logEvent("run.unseen", describe(RunKey { *longest, task.progress_.run_ }), concat(milliseconds(longestAbsence), " ms, with ", count - 1, " others of its step; worker ", task.progress_.worker_.name_, ", ", task.isStartReleased_ ? "ordered" : "to be written", task.isStopping_ ? ", being stopped" : "", "; the worker's last report is ", milliseconds(context.now_ - worker.lastReportAt_), " ms old, its leases end in ", milliseconds(worker.leaseEnd_ - context.now_), " ms"));
+}
+
+void reportWaitingLongRunningTasks(const DecisionContext& context)
+{
+    LeaderState& state = context.state_;
+    if (context.now_ < state.nextWaitReportAt_)
+        return;
+    state.nextWaitReportAt_ = context.now_ + state.tuning_.waitReportInterval_;
+    for (const JobId& id : state.openJobs_) {
+        const Job& job = state.jobs_.at(id);
+        const std::vector<Step>& steps = job.record_.spec_.steps();
+        if (job.isCancelled_ || job.hasFailed_)
+            continue;
+        for (size_t number = 0; number < job.unfinishedTasks_.size(); ++number) {
+            auto step = static_cast<uint32_t>(number % steps.size());
+            if (!steps[step].longRunning_)
+                continue;
+            auto occurrence = static_cast<uint32_t>(number / steps.size());
+            reportUnseenRuns(context, job, occurrence, step);
+            WaitingTasks waiting = waitingTasksOf(job, occurrence, step, context.now_);
+            if (!waiting.longest_ || waiting.longestWait_ < state.tuning_.reportWaitAfter_)
+                continue;
+            bool isReady = state.readyJobs_.count(id) > 0;
+            context.logEvent("task.waits", describe(*waiting.longest_), concat(milliseconds(waiting.longestWait_), " ms, with ", waiting.count_ - 1, " others of its step; job ", isReady ? "ready" : "not ready", ", priority ", job.record_.queue_.priority_, "; workers: ", describeObstacles(state, job, *waiting.longest_, context.now_)));
+        }
+    }
+}
+
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -170,6 +170,7 @@
     startReadyTasks(context);
     reportLateJobs(context);
     reportBacklog(context);
+    reportWaitingLongRunningTasks(context);
 }
 
 namespace {
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -68,6 +68,8 @@
 Delays delaysOf(const Job&);
 // Logs jobs that have missed their objective, once each.
 void reportLateJobs(const DecisionContext&);
+// Logs, once per `Tuning::waitReportInterval_` for each step, what long-running tasks without a run wait for.
+void reportWaitingLongRunningTasks(const DecisionContext&);
 // Logs once per `Tuning::backlogReportInterval_` what the waiting tasks wait for.
 void reportBacklog(const DecisionContext&);
 
@@ -103,6 +105,28 @@
 std::optional<WorkerIncarnation> chooseWorker(const LeaderState&, const Job&, const TaskKey&, Disturbance, Instant now);
 // True if filling tasks of the step would disturb no long-running task on at least one worker, whatever its free capacity.
 bool hasHarmlessWorker(const LeaderState&, const Job&, const Step&, Instant now);
+// Why a worker cannot take a task now. In the order in which the reasons are checked.
+enum class WorkerObstacle : uint8_t {
+    None,
+    OtherService,
+    Quarantined,
+    Draining,
+    Evacuated,
+    // No agent has reported the worker lately, or its lists are not complete.
+    NotReported,
+    // The worker has refused a start a moment ago.
+    BackingOff,
+    MissingLabel,
+    // The worker runs as many tasks of the step as the step allows.
+    StepBound,
+    Cores,
+    Memory,
+    Accelerators,
+};
+inline constexpr size_t workerObstacleCount = 12;
+std::string_view describe(WorkerObstacle);
+WorkerObstacle obstacleAt(const LeaderState&, const Job&, const TaskKey&, const Worker&, Instant now);
+
 // Why a task waits for a worker.
 enum class PlacementObstacle : uint8_t {
     // No worker that the task may run on has enough free capacity.
@@ -111,6 +135,8 @@
     Interference,
 };
 PlacementObstacle placementObstacle(const LeaderState&, const Job&, const TaskKey&, Instant now);
+// Unreserved cores in thousandths; the cores of filling tasks are not counted against the capacity.
+int64_t freeMilliCores(const Worker&);
 // Cores in thousandths that further filling tasks can use, including the part that long-running tasks leave unused.
 int64_t spareMilliCores(const Worker&);
 // True if the steps on which the step depends are done in that occurrence, and the occurrence is due.
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -1,6 +1,7 @@
 #include "LeaderRules.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 
 namespace persimmondoor::workflow {
@@ -29,11 +30,22 @@
 // Share of their demand that long-running tasks leave unused most of the time, in percent.
 static constexpr int64_t longRunningIdlePercent = 45;
 
+// Why the worker may not be given new runs, whatever the task.
+static WorkerObstacle stateObstacle(const LeaderState& state, const Worker& worker, Instant now)
+{
+    if (now < worker.quarantinedUntil_)
+        return WorkerObstacle::Quarantined;
+    if (worker.draining_)
+        return WorkerObstacle::Draining;
+    if (state.evacuatedDomains_.count(worker.traits_.domain_) > 0)
+        return WorkerObstacle::Evacuated;
+    bool isReported = worker.isListed_ && state.agents_.count(worker.agent_) > 0 && now - worker.lastReportAt_ < state.tuning_.maximumReportAge_;
+    return isReported ? WorkerObstacle::None : WorkerObstacle::NotReported;
+}
+
 bool acceptsRuns(const LeaderState& state, const Worker& worker, Instant now)
 {
-    if (!worker.isListed_ || worker.draining_ || now < worker.quarantinedUntil_ || state.evacuatedDomains_.count(worker.traits_.domain_) > 0)
-        return false;
-    return state.agents_.count(worker.agent_) > 0 && now - worker.lastReportAt_ < state.tuning_.maximumReportAge_;
+    return stateObstacle(state, worker, now) == WorkerObstacle::None;
 }
 
 static bool hasLabel(const Worker& worker, const std::string& label)
@@ -49,8 +61,7 @@
     return std::distance(first, last);
 }
 
-// Unreserved cores in thousandths; the cores of filling tasks are not counted against the capacity.
-static int64_t freeMilliCores(const Worker& worker)
+int64_t freeMilliCores(const Worker& worker)
 {
     return worker.traits_.capacity_.milliCores() - worker.reserved_.milliCores() + worker.fillingMilliCores_;
 }
@@ -70,13 +81,17 @@
     return freeMilliCores(worker) + worker.longRunningMilliCores_ * longRunningIdlePercent / 100 - usedByFilling;
 }
 
-static bool fits(const Worker& worker, const Step& step)
+static WorkerObstacle capacityObstacle(const Worker& worker, const Step& step)
 {
     const Resources& capacity = worker.traits_.capacity_;
     // Filling tasks wait for spare cores, as beyond them they would only slow each other down.
     int64_t cores = step.isFilling_ ? spareMilliCores(worker) : freeMilliCores(worker);
-    return step.demand_.milliCores() <= cores && worker.reserved_.memoryBytes() + step.demand_.memoryBytes() <= capacity.memoryBytes()
-        && worker.reserved_.accelerators() + step.demand_.accelerators() <= capacity.accelerators();
+    if (step.demand_.milliCores() > cores)
+        return WorkerObstacle::Cores;
+    if (worker.reserved_.memoryBytes() + step.demand_.memoryBytes() > capacity.memoryBytes())
+        return WorkerObstacle::Memory;
+    bool hasAccelerators = worker.reserved_.accelerators() + step.demand_.accelerators() <= capacity.accelerators();
+    return hasAccelerators ? WorkerObstacle::None : WorkerObstacle::Accelerators;
 }
 
 // The headroom of the worker's long-running tasks; none for images of which no reading is known yet.
@@ -115,16 +130,32 @@
     });
 }
 
-static bool isEligible(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+std::string_view describe(WorkerObstacle obstacle)
+{
+    static constexpr std::array<std::string_view, workerObstacleCount> texts { "suitable", "of another service", "quarantined", "draining", "evacuated", "not reported",
+        "backing off after a refusal", "without the label", "at the step's bound", "without the cores", "without the memory", "without the accelerators" };
+    return texts.at(static_cast<size_t>(obstacle));
+}
+
+WorkerObstacle obstacleAt(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
 {
     const Step& step = stepOf(job, key);
-    if (worker.traits_.service_ != job.queue_.service_ || now < worker.backoffUntil_ || !acceptsRuns(state, worker, now))
-        return false;
+    if (worker.traits_.service_ != job.queue_.service_)
+        return WorkerObstacle::OtherService;
+    if (WorkerObstacle obstacle = stateObstacle(state, worker, now); obstacle != WorkerObstacle::None)
+        return obstacle;
+    if (now < worker.backoffUntil_)
+        return WorkerObstacle::BackingOff;
     if (!step.requiredLabel_.empty() && !hasLabel(worker, step.requiredLabel_))
-        return false;
+        return WorkerObstacle::MissingLabel;
     if (step.maxPerWorker_ > 0 && countSiblings(worker, key) >= step.maxPerWorker_)
-        return false;
-    return fits(worker, step);
+        return WorkerObstacle::StepBound;
+    return capacityObstacle(worker, step);
+}
+
+static bool isEligible(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+{
+    return obstacleAt(state, job, key, worker, now) == WorkerObstacle::None;
 }
 
 // Score of a worker for a long-running task: prefers the fullest worker with tasks of its image only, then an empty one,
--- /dev/null
+++ b/workflow/tests/WaitReportTest.cpp
@@ -0,0 +1,64 @@
+#include "FillingWorld.h"
+
+namespace persimmondoor::workflow {
+
+BOOST_AUTO_TEST_SUITE(wait_report)
+
+static Step largeLongRunningStep(int64_t milliCores, int64_t memoryBytes)
+{
+    Step step = longRunningStep("search");
+    step.demand_ = *Resources::create(milliCores, memoryBytes, 0);
+    return step;
+}
+
+// Guards against long-running tasks that wait without a line that tells the reason.
+BOOST_AUTO_TEST_CASE(waiting_long_running_task_is_reported_with_the_obstacles_of_all_workers)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    world.report("w-2", 10);
+    world.report("w-3", 10);
+    world.state_.workers_.at({ "w-2", 1000, "" }).quarantinedUntil_ = at(60'000);
+    world.submit({ largeLongRunningStep(3500, 1000) }, 20, searchJob);
+    world.submit({ largeLongRunningStep(3500, 1000) }, 21, rankingJob);
+    world.submit({ largeLongRunningStep(3500, 1000) }, 22, fillingJob);
+    world.commit(30);
+    world.report("w-1", 900);
+    world.report("w-2", 900);
+    world.report("w-3", 900);
+    // The lease keeps the worker known while it is silent.
+    world.reply("w-3", 901);
+    world.handle(Tick { 1'000'900 }, 902);
+    BOOST_TEST(world.logged("task.waits").empty());
+    world.report("w-1", 1300);
+    world.report("w-2", 1300);
+    world.handle(Tick { 1'001'800 }, 2500);
+    auto lines = world.logged("task.waits");
+    BOOST_REQUIRE(lines.size() == 1U);
+    BOOST_TEST(lines.front().find("job ready") != std::string::npos);
+    BOOST_TEST(lines.front().find("1 quarantined") != std::string::npos);
+    BOOST_TEST(lines.front().find("1 not reported") != std::string::npos);
+    BOOST_TEST(lines.front().find("1 without the cores") != std::string::npos);
+    // At most one line a second for a step.
+    world.handle(Tick { 1'001'900 }, 2800);
+    BOOST_TEST(world.logged("task.waits").size() == 1U);
+}
+
+// Guards against a run that the leader counts as at work although its worker does not list it.
+BOOST_AUTO_TEST_CASE(run_that_its_worker_does_not_list_is_reported)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    world.submit({ largeLongRunningStep(1000, 1000) }, 20, searchJob);
+    world.commit(30);
+    BOOST_REQUIRE(world.starts("w-1", 31).size() == 1U);
+    world.report("w-1", 1200);
+    world.handle(Tick { 1'001'200 }, 1250);
+    auto lines = world.logged("run.unseen");
+    BOOST_REQUIRE(lines.size() == 1U);
+    BOOST_TEST(lines.front().find("worker w-1, ordered;") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::workflow
