Place nothing on a worker that its agent does not reach

What callers saw: long-running tasks without a run for up to 10.1 s, with 56 refused starts in between.

Cause: an agent grants no lease to a worker whose list request failed, so that it refused every start there, as "the lease of the order had expired". It went on reporting the worker, and the leader neither learnt that the worker could not be reached nor backed off after this refusal. It sent the same task back to the same worker, every 30 to 100 ms, until the worker answered or was removed.

Fix: reports say whether the agent reaches the worker, and are due when that changes. The leader places nothing on an unreachable worker (a reason of its own in task.waits) and withdraws starts for it that are not released yet; its assigned runs stay as before until their leases have expired. With the report that the worker answers it is used again at once; starts that it refused until then cause no backoff. The agent refuses as unavailable, and keeps the expired lease for an agent without a lease to grant. All refusals that are not due to the run itself (also a higher fence and an expired lease) now cause the backoff of 0.2 s. A report of an older agent, without the field, means reachable. The bound on lease ends is unchanged: the leader goes on raising it for unreachable workers, as the agent may reach one again and grant a lease before the leader hears of it.

Tests: reachability (new) and three cases in supervisor. LeaderWorld gets two knobs (reachable_, refused_); no test was changed.

--- a/supervision/src/decisions/LocalWorkers.cpp
+++ b/supervision/src/decisions/LocalWorkers.cpp
@@ -152,6 +152,13 @@
     context.state_.hasChanges_ = context.state_.hasChanges_ || changed;
 }
 
+// The leader places runs by what the last report says, so that a change is reported at once.
+static void setReachable(const DecisionContext& context, LocalWorker& worker, bool isReachable)
+{
+    context.state_.hasChanges_ = context.state_.hasChanges_ || worker.isReachable_ != isReachable;
+    worker.isReachable_ = isReachable;
+}
+
 void handleListArrived(const DecisionContext& context, const ListArrived& message)
 {
     auto found = context.state_.workers_.find(message.worker_);
@@ -164,7 +171,7 @@
     worker.isListCallInFlight_ = false;
     if (!worker.isReachable_)
         context.logEvent("worker.reached", describe(message.worker_), concat(lists.active_.size(), " runs"));
-    worker.isReachable_ = true;
+    setReachable(context, worker, true);
     worker.workerTimeMs_ = lists.workerTimeMs_;
     worker.clockReadAt_ = context.now_;
     if (message.fence_ == context.state_.fence_) {
@@ -187,7 +194,7 @@
     worker.nextListAt_ = context.now_ + context.state_.tuning_.retryInterval_;
     if (worker.isReachable_)
         context.logEvent("worker.unreachable", describe(failure.worker_), "the list request failed");
-    worker.isReachable_ = false;
+    setReachable(context, worker, false);
     if (failure.isOtherWorker_)
         removeWorker(context, failure.worker_, "another worker answers at its address");
 }
--- a/supervision/src/decisions/Reporting.cpp
+++ b/supervision/src/decisions/Reporting.cpp
@@ -14,6 +14,7 @@
     report.draining_ = worker.draining_;
     report.remainingMs_ = std::max<int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(worker.leavesAt_ - now).count());
     report.isListed_ = worker.isListed_ && state.fence_ != workflow::Fence();
+    report.isReachable_ = worker.isReachable_;
     report.readingNumber_ = worker.readingNumber_;
     for (const auto& [run, active] : worker.active_)
         report.active_.push_back(active);
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -48,7 +48,7 @@
         void operator()(const StartRun& order) const
         {
             auto worker = context_.state_.workers_.find(order.worker_);
-            if (worker == context_.state_.workers_.end() || worker->second.draining_)
+            if (worker == context_.state_.workers_.end() || worker->second.draining_ || !worker->second.isReachable_)
                 return refuse(context_, order, StartRefusal::Unavailable);
             int64_t leaseEnd = grantLease(context_, worker->second);
             if (leaseEnd == 0)
--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -144,6 +144,52 @@
     BOOST_TEST((agent.state_.lastCompletedOrder_ == OrderNumber(1)));
 }
 
+// Guards against a leader that goes on placing runs on a worker that its agent cannot reach, or none on one that answers
+// again.
+BOOST_AUTO_TEST_CASE(report_says_at_once_whether_the_worker_can_be_reached)
+{
+    Agent agent;
+    agent.attach();
+    agent.handle(ListFailed { incarnation, false }, 600);
+    BOOST_REQUIRE(agent.actionsOf<SendReport>().size() == 1U);
+    BOOST_TEST(!agent.actionsOf<SendReport>()[0].report_.workers_[0].isReachable_);
+    BOOST_TEST(agent.actionsOf<SendReport>()[0].report_.workers_[0].isListed_);
+    agent.sendReply(650);
+    // Further failures change nothing.
+    agent.handle(ListFailed { incarnation, false }, 800);
+    BOOST_TEST(agent.actionsOf<SendReport>().empty());
+    agent.deliverList(900);
+    BOOST_REQUIRE(agent.actionsOf<SendReport>().size() == 1U);
+    BOOST_TEST(agent.actionsOf<SendReport>()[0].report_.workers_[0].isReachable_);
+}
+
+// Guards against a refusal that names an expired lease although the worker cannot be reached.
+BOOST_AUTO_TEST_CASE(start_for_an_unreachable_worker_is_refused_as_unavailable)
+{
+    Agent agent;
+    agent.attach();
+    agent.handle(ListFailed { incarnation, false }, 600);
+    agent.sendReply(610, { start(1) });
+    BOOST_TEST(agent.actionsOf<CallStart>().empty());
+    BOOST_TEST((agent.state_.lastCompletedOrder_ == OrderNumber(1)));
+    BOOST_REQUIRE(agent.actionsOf<SendReport>().size() == 1U);
+    std::vector<workflow::RefusedStart> refused { { firstRun, workflow::StartRefusal::Unavailable } };
+    BOOST_TEST((agent.actionsOf<SendReport>()[0].report_.workers_[0].refused_ == refused));
+}
+
+// Guards against a refusal that does not tell that the agent itself has no lease to grant.
+BOOST_AUTO_TEST_CASE(start_without_a_lease_to_grant_is_refused_as_expired)
+{
+    Agent agent;
+    agent.attach();
+    workflow::ReportReply reply { LeaderEpoch(1), Fence(5), Sequence(), Duration(0), { start(1) }, {}, {}, {} };
+    agent.handle(ReportAnswered { reply }, 20'000);
+    BOOST_TEST(agent.actionsOf<CallStart>().empty());
+    BOOST_REQUIRE(agent.actionsOf<SendReport>().size() == 1U);
+    std::vector<workflow::RefusedStart> refused { { firstRun, workflow::StartRefusal::OrderExpired } };
+    BOOST_TEST((agent.actionsOf<SendReport>()[0].report_.workers_[0].refused_ == refused));
+}
+
 BOOST_AUTO_TEST_CASE(unreachable_worker_is_removed_after_its_leases_have_expired)
 {
     Agent agent;
--- a/workflow/include/persimmondoor/workflow/Exchange.h
+++ b/workflow/include/persimmondoor/workflow/Exchange.h
@@ -32,7 +32,8 @@
     Fenced,
     /// The run is not newer than a run of the same task that has ended or was stopped on the worker.
     StaleRun,
-    /// The lease of the order had expired when the order arrived, or the agent has no lease to grant.
+    /// The lease of the order had expired when the order arrived, or the leader has granted the agent no lease that it could
+    /// pass on.
     OrderExpired,
     /// The free capacity of the worker is too small for the run.
     NoRoom,
@@ -60,6 +61,9 @@
     int64_t remainingMs_ { 0 };
     /// The agent has read the worker's lists under the session's fence, so that `active_` and `ended_` are complete.
     bool isListed_ { false };
+    /// The agent's last list request to the worker succeeded. While it has not, `active_` and `ended_` are the last known
+    /// ones, and the agent starts nothing on the worker.
+    bool isReachable_ { true };
     /// Number of the newest load reading; `active_` contains the load and pace of that reading.
     uint64_t readingNumber_ { 0 };
     std::vector<ActiveRun> active_;
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -70,7 +70,7 @@
     Duration maximumWorkerWait_ { std::chrono::milliseconds(1000) };
     /// Bound on the filling tasks that one check moves: each move changes the load that the other tasks meet.
     uint32_t maximumMovesPerCheck_ { 4 };
-    /// A worker that refused a run because its free capacity was too small or because it was unavailable gets no new runs
+    /// A worker that refused a run for a reason that concerns the worker or its agent rather than the run gets no new runs
     /// for this time.
     Duration refusalBackoff_ { std::chrono::milliseconds(200) };
     /// Number of consecutive failures, each the first of its task, after which a worker is quarantined.
@@ -162,6 +162,8 @@
     Instant leavesAt_;
     /// The agent has read the worker's lists under the fence of the current session, so that they are complete.
     bool isListed_ { false };
+    /// The agent reaches the worker, according to its last report; otherwise it would refuse any start.
+    bool isReachable_ { true };
     /// When an agent last reported the worker.
     Instant lastReportAt_;
     /// Upper bound on the expiry of the task leases granted so far.
--- a/workflow/schema/Workflow.capnp
+++ b/workflow/schema/Workflow.capnp
@@ -51,6 +51,8 @@
   ended @11 :List(EndedRun);
   refused @12 :List(RefusedStart);
   readings @13 :UInt64;
+  # The agent's last list request to the worker succeeded.
+  reachable @14 :Bool = true;
 }
 
 struct Report {
--- a/workflow/src/ExchangeCodec.cpp
+++ b/workflow/src/ExchangeCodec.cpp
@@ -83,6 +83,7 @@
     builder.setDraining(report.draining_);
     builder.setRemainingMs(report.remainingMs_);
     builder.setListed(report.isListed_);
+    builder.setReachable(report.isReachable_);
     builder.setReadings(report.readingNumber_);
     encodeLists(report, builder);
 }
@@ -129,6 +130,7 @@
     report.draining_ = reader.getDraining();
     report.remainingMs_ = reader.getRemainingMs();
     report.isListed_ = reader.getListed();
+    report.isReachable_ = reader.getReachable();
     report.readingNumber_ = reader.getReadings();
     if (absl::Status status = decodeLists(reader, report); !status.ok())
         return status;
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -114,6 +114,8 @@
     Evacuated,
     // No agent has reported the worker lately, or its lists are not complete.
     NotReported,
+    // Its agent does not reach the worker.
+    Unreachable,
     // The worker has refused a start a moment ago.
     BackingOff,
     MissingLabel,
@@ -123,7 +125,7 @@
     Memory,
     Accelerators,
 };
-inline constexpr size_t workerObstacleCount = 12;
+inline constexpr size_t workerObstacleCount = 13;
 std::string_view describe(WorkerObstacle);
 WorkerObstacle obstacleAt(const LeaderState&, const Job&, const TaskKey&, const Worker&, Instant now);
 
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -40,7 +40,9 @@
     if (state.evacuatedDomains_.count(worker.traits_.domain_) > 0)
         return WorkerObstacle::Evacuated;
     bool isReported = worker.isListed_ && state.agents_.count(worker.agent_) > 0 && now - worker.lastReportAt_ < state.tuning_.maximumReportAge_;
-    return isReported ? WorkerObstacle::None : WorkerObstacle::NotReported;
+    if (!isReported)
+        return WorkerObstacle::NotReported;
+    return worker.isReachable_ ? WorkerObstacle::None : WorkerObstacle::Unreachable;
 }
 
 bool acceptsRuns(const LeaderState& state, const Worker& worker, Instant now)
@@ -133,7 +135,7 @@
 std::string_view describe(WorkerObstacle obstacle)
 {
     static constexpr std::array<std::string_view, workerObstacleCount> texts { "suitable", "of another service", "quarantined", "draining", "evacuated", "not reported",
-        "backing off after a refusal", "without the label", "at the step's bound", "without the cores", "without the memory", "without the accelerators" };
+        "unreachable", "backing off after a refusal", "without the label", "at the step's bound", "without the cores", "without the memory", "without the accelerators" };
     return texts.at(static_cast<size_t>(obstacle));
 }
 
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -245,12 +245,30 @@
     }
 }
 
-static void backOffAfterRefusals(const DecisionContext& context, const WorkerReport& report, Worker& worker)
+// True if the worker would refuse other runs too, and the same run again.
+static bool concernsWorker(StartRefusal reason)
 {
-    for (const RefusedStart& refused : report.refused_) {
-        if (refused.reason_ == StartRefusal::NoRoom || refused.reason_ == StartRefusal::Unavailable)
-            worker.backoffUntil_ = context.now_ + context.state_.tuning_.refusalBackoff_;
+    switch (reason) {
+    case StartRefusal::Fenced:
+    case StartRefusal::OrderExpired:
+    case StartRefusal::NoRoom:
+    case StartRefusal::Unavailable:
+        return true;
+    case StartRefusal::StaleRun:
+    case StartRefusal::NoTicket:
+    case StartRefusal::Malformed:
+        return false;
     }
+    return true;
+}
+
+// Holds starts back after refusals. Refusals until the first report that an unreachable worker is reached again say nothing
+// about the worker from then on.
+static void backOffAfterRefusals(const DecisionContext& context, const WorkerReport& report, bool wasReachable, Worker& worker)
+{
+    bool isRefusing = std::any_of(report.refused_.begin(), report.refused_.end(), [](const RefusedStart& refused) { return concernsWorker(refused.reason_); });
+    if (isRefusing && wasReachable && report.isReachable_)
+        worker.backoffUntil_ = context.now_ + context.state_.tuning_.refusalBackoff_;
 }
 
 static void dropEarlierIncarnations(const DecisionContext& context, const WorkerIncarnation& incarnation)
@@ -317,6 +335,7 @@
     worker.traits_ = report.traits_;
     worker.lastReportAt_ = context.now_;
     worker.draining_ = report.draining_;
+    bool wasReachable = std::exchange(worker.isReachable_, report.isReachable_);
     worker.leavesAt_ = context.now_ + std::chrono::milliseconds(report.remainingMs_);
     if (!report.isListed_)
         return;
@@ -334,7 +353,7 @@
             stopUnassignedRun(context, message.agent_, report.incarnation_, worker, active.run_);
     }
     observeLoad(context, report, worker);
-    backOffAfterRefusals(context, report, worker);
+    backOffAfterRefusals(context, report, wasReachable, worker);
     markAbsentRunsLost(context, report, worker, seen, message.lastCompletedOrder_);
     if (worker.draining_)
         stopRunsOnDrainingWorker(context, worker);
--- a/workflow/tests/LeaderWorld.h
+++ b/workflow/tests/LeaderWorld.h
@@ -87,7 +87,7 @@
     // As `report`, with the agent's name and session.
     void reportBy(const std::string& agent, uint64_t session, const std::string& worker, int64_t milliseconds, std::vector<ActiveRun> active = {}, std::vector<EndedRun> ended = {})
     {
-        WorkerReport lists { { worker, bornMs_, host_ }, { "packs", domain_, { "a", "r1" }, *Resources::create(4000, 1'000'000, 0) }, draining_, 0, true, readingNumber_, std::move(active), std::move(ended), {} };
+        WorkerReport lists { { worker, bornMs_, host_ }, { "packs", domain_, { "a", "r1" }, *Resources::create(4000, 1'000'000, 0) }, draining_, 0, true, reachable_, readingNumber_, std::move(active), std::move(ended), refused_ };
         AgentReport report { agent, domain_, session, state_.epoch_, fenceOf(agent), Sequence(++sequence_), lastCompletedOrder_, { lists }, endedWorkers_, true };
         handle(ReportArrived { report }, milliseconds);
         if (report.fence_ == fenceOf(agent))
@@ -134,6 +134,9 @@
     int64_t bornMs_ { 1000 };
     std::string host_;
     bool draining_ { false };
+    bool reachable_ { true };
+    // Refused starts in the next reports.
+    std::vector<RefusedStart> refused_;
     // Number of the load reading in the next report.
     uint64_t readingNumber_ { 0 };
     OrderNumber lastCompletedOrder_;
--- /dev/null
+++ b/workflow/tests/ReachabilityTest.cpp
@@ -0,0 +1,171 @@
+#include "ExchangeCodec.h"
+#include "LeaderWorld.h"
+#include "persimmondoor/workflow/WorkerCalls.h"
+
+#include <capnp/message.h>
+
+namespace persimmondoor::workflow {
+
+static RunKey runOf(uint32_t index, uint32_t run)
+{
+    return { { JobId::of("00000000000000aa"), 0, 0, index }, run };
+}
+
+// A leader that has ordered the worker to start the first run of a task.
+class StartedWorld : public LeaderWorld {
+public:
+    StartedWorld()
+    {
+        report("w-1", 5);
+        submit({ stepOfTasks(1) }, 10);
+        commit(20);
+        BOOST_REQUIRE(starts("w-1", 21).size() == 1U);
+        lastCompletedOrder_ = OrderNumber(1);
+    }
+
+    // The worker refuses the first run.
+    void refuse(StartRefusal reason, int64_t milliseconds)
+    {
+        refused_ = { { runOf(0, 1), reason } };
+        report("w-1", milliseconds);
+        refused_.clear();
+        commit(milliseconds + 1);
+    }
+};
+
+BOOST_AUTO_TEST_SUITE(reachability)
+
+// Guards against starts on a worker that its agent cannot reach, each of which the agent refuses.
+BOOST_AUTO_TEST_CASE(worker_that_its_agent_cannot_reach_gets_no_starts)
+{
+    LeaderWorld world;
+    world.reachable_ = false;
+    world.report("w-1", 5);
+    world.reachable_ = true;
+    world.report("w-2", 5);
+    world.submit({ stepOfTasks(6) }, 10);
+    world.commit(20);
+    BOOST_TEST(world.starts("w-1", 21).empty());
+    BOOST_TEST(world.starts("w-2", 21).size() == 4U);
+    // As soon as the worker answers, it is used.
+    world.report("w-1", 30);
+    world.commit(31);
+    BOOST_TEST(world.starts("w-1", 32).size() == 2U);
+}
+
+// Guards against a start that is released to a worker that became unreachable while the row was written.
+BOOST_AUTO_TEST_CASE(start_is_withdrawn_if_its_worker_becomes_unreachable_before_the_row_is_durable)
+{
+    LeaderWorld world;
+    world.report("w-1", 5);
+    world.submit({ stepOfTasks(1) }, 10);
+    world.reachable_ = false;
+    world.report("w-1", 15);
+    world.commit(20);
+    BOOST_TEST(world.starts("w-1", 21).empty());
+    BOOST_TEST(world.logged("run.withdrawn").size() == 1U);
+}
+
+// Guards against runs that are started a second time while their worker is unreachable but may still run them.
+BOOST_AUTO_TEST_CASE(assigned_runs_stay_with_an_unreachable_worker)
+{
+    StartedWorld world;
+    world.report("w-1", 30, { { runOf(0, 1), "", 10, 0, 100 } });
+    world.reachable_ = false;
+    for (int64_t time = 100; time < 5000; time += 100) {
+        world.report("w-1", time, { { runOf(0, 1), "", 10, 0, 100 } });
+        world.reportBy("w-2", 7, "w-2", time);
+        world.commit(time + 1);
+        BOOST_TEST(world.starts("w-2", time + 2).empty());
+    }
+    BOOST_TEST((world.state_.jobs_.at(JobId::of("00000000000000aa")).tasks_[0].progress_.phase_ == TaskPhase::Assigned));
+}
+
+// Guards against waiting tasks whose log line does not tell that workers cannot be reached.
+BOOST_AUTO_TEST_CASE(waiting_task_is_reported_with_the_unreachable_workers)
+{
+    LeaderWorld world;
+    world.reachable_ = false;
+    world.report("w-1", 10);
+    Step step = stepOfTasks(1);
+    step.longRunning_ = true;
+    world.submit({ step }, 20);
+    world.commit(30);
+    world.report("w-1", 1200);
+    world.handle(Tick { 1'001'200 }, 1250);
+    auto lines = world.logged("task.waits");
+    BOOST_REQUIRE(lines.size() == 1U);
+    BOOST_TEST(lines.front().find("1 unreachable") != std::string::npos);
+}
+
+// Guards against a start that is refused for a reason of the worker or of its agent and sent there again at once.
+BOOST_AUTO_TEST_CASE(start_refused_for_a_reason_of_the_worker_is_not_repeated_there_at_once)
+{
+    for (StartRefusal reason : { StartRefusal::Fenced, StartRefusal::OrderExpired, StartRefusal::NoRoom, StartRefusal::Unavailable }) {
+        BOOST_TEST_CONTEXT(describe(reason))
+        {
+            StartedWorld world;
+            world.refuse(reason, 30);
+            BOOST_TEST(world.starts("w-1", 32).empty());
+            world.report("w-1", 400);
+            world.commit(401);
+            BOOST_TEST(world.starts("w-1", 402).size() == 1U);
+        }
+    }
+}
+
+// Guards against a worker that is held back because one of its runs was at fault.
+BOOST_AUTO_TEST_CASE(start_refused_for_a_reason_of_the_run_does_not_hold_the_worker_back)
+{
+    for (StartRefusal reason : { StartRefusal::StaleRun, StartRefusal::NoTicket, StartRefusal::Malformed }) {
+        BOOST_TEST_CONTEXT(describe(reason))
+        {
+            StartedWorld world;
+            world.refuse(reason, 30);
+            BOOST_TEST(world.starts("w-1", 32).size() == 1U);
+        }
+    }
+}
+
+// Guards against a worker that is held back after it answers again, for starts that were refused while it did not.
+BOOST_AUTO_TEST_CASE(refusals_while_a_worker_was_unreachable_do_not_hold_it_back_once_it_answers)
+{
+    StartedWorld world;
+    world.reachable_ = false;
+    world.refuse(StartRefusal::Unavailable, 30);
+    BOOST_TEST(world.starts("w-1", 32).empty());
+    world.reachable_ = true;
+    // The report that the worker answers may carry refusals from before.
+    world.refuse(StartRefusal::Unavailable, 40);
+    BOOST_TEST(world.starts("w-1", 42).size() == 1U);
+}
+
+// Guards against reports that lose whether the agent reaches its worker on the way.
+BOOST_AUTO_TEST_CASE(reachability_survives_the_encoding_of_a_report)
+{
+    for (bool reachable : { false, true }) {
+        WorkerReport worker { { "w-1", 1000, "host" }, { "packs", "north", { "a" }, *Resources::create(4000, 1'000'000, 0) }, true, 20, true, reachable, 3, {}, {}, { { runOf(0, 1), StartRefusal::Unavailable } } };
+        AgentReport report { "agent", "north", 7, LeaderEpoch(2), Fence(5), Sequence(9), OrderNumber(4), { worker }, {}, true };
+        capnp::MallocMessageBuilder message;
+        auto builder = message.initRoot<wire::Report>();
+        encode(report, builder);
+        auto decoded = decode(builder.asReader());
+        BOOST_REQUIRE(decoded.ok());
+        BOOST_TEST((*decoded == report));
+    }
+}
+
+// Guards against workers that get no starts because their agent is older than the field.
+BOOST_AUTO_TEST_CASE(report_that_does_not_state_reachability_means_reachable)
+{
+    capnp::MallocMessageBuilder message;
+    auto builder = message.initRoot<wire::Report>();
+    builder.initWorkers(1)[0].setListed(true);
+    auto decoded = decode(builder.asReader());
+    BOOST_REQUIRE(decoded.ok());
+    BOOST_TEST(decoded->workers_.at(0).isReachable_);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::workflow
