Hold room for long-running tasks that wait

What callers saw: a long-running task waits for tens of seconds while jobs of short tasks start beside it.

Cause: a task is placed only where all of its demand is free at one moment. Short tasks need less and end often, so they take each core as it becomes free, and a worker never has the whole demand of a larger task free (starvation of large requests by backfilling).

Change: a long-running task that has waited for 0.5 s gets room held on the worker that needs to free least; tasks of the same or a lower priority leave it. Bounded to a quarter of the workers and to 16, as cores stay idle meanwhile. A task keeps its worker until it is placed, as moving holds free none.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -91,6 +91,13 @@
     /// Long-running tasks that have waited this long for a worker are logged, in this interval.
     Duration reportWaitAfter_ { std::chrono::milliseconds(1000) };
     Duration waitReportInterval_ { std::chrono::milliseconds(1000) };
+    /// A long-running task that has waited this long for room gets room held on the worker that is likely to free it first.
+    /// Otherwise shorter and smaller tasks take all room that becomes free, as they fit in sooner.
+    Duration holdRoomAfter_ { std::chrono::milliseconds(500) };
+    /// Bounds on the holds at a time, as cores stay idle until a hold is used: as a share of the workers that accept runs,
+    /// in percent, and as a number.
+    size_t maximumHeldPercent_ { 25 };
+    size_t maximumHolds_ { 16 };
     /// Finished jobs are kept for at least this long; the settings state how long clients may query them.
     Duration finishedJobRetention_ { std::chrono::seconds(120) };
     /// Bound on the unfinished jobs, beyond which new ones are refused; keeps an entry within its 160 MB of memory.
@@ -124,6 +131,8 @@
     int64_t throttledMilliCores_ { 0 };
     /// Since when the agent has run a filling task at less than half of its full speed.
     std::optional<Instant> slowedSince_;
+    /// A worker holds room for the waiting task.
+    bool isRoomHeld_ { false };
     /// Worker on which the task last failed, hung or was slowed down.
     std::string avoidedWorker_;
     bool operator==(const Task&) const = default;
@@ -153,6 +162,14 @@
     bool operator==(const Job&) const = default;
 };
 
+/// Room on a worker that is held for a waiting task: tasks of the same or a lower priority must leave it free.
+struct RoomHold {
+    Resources demand_;
+    /// Priority of the waiting task's queue; 0 is the highest.
+    uint32_t priority_ { 0 };
+    bool operator==(const RoomHold&) const = default;
+};
+
 /// A worker as the leader knows it.
 struct Worker {
     std::string agent_;
@@ -175,10 +192,12 @@
     int64_t fillingMilliCores_ { 0 };
     /// Part of them that the tasks leave unused, as their pace is reduced.
     int64_t throttledMilliCores_ { 0 };
-    /// Number of the assigned long-running tasks, their cores in thousandths, and their number by image.
+    /// Number of the assigned long-running tasks, their demand, and their number by image.
     uint32_t longRunningCount_ { 0 };
-    int64_t longRunningMilliCores_ { 0 };
+    Resources longRunningReserved_;
     std::map<std::string, uint32_t> longRunningByImage_;
+    /// Room held for long-running tasks that wait for this worker.
+    std::map<TaskKey, RoomHold> holds_;
     /// Number of the newest end that was handled, and the handled ends that are not durable yet.
     uint64_t lastHandledEnd_ { 0 };
     std::set<uint64_t> nonDurableEnds_;
--- a/workflow/src/decisions/Backlog.cpp
+++ b/workflow/src/decisions/Backlog.cpp
@@ -112,12 +112,10 @@
 {
     WaitingTasks waiting;
     const Step& step = job.record_.spec_.steps()[stepNumber];
-    const StepTimes& times = job.stepTimes_[occurrence * job.record_.spec_.steps().size() + stepNumber];
     for (uint32_t index = 0; index < step.count_; ++index) {
         TaskKey key { job.record_.id_, occurrence, stepNumber, index };
-        const Task& task = job.tasks_[taskNumber(job, key)];
-        std::optional<Instant> since = task.waitingSince_ ? task.waitingSince_ : times.startableSince_;
-        if (task.progress_.phase_ != TaskPhase::Waiting || !since)
+        std::optional<Instant> since = waitingSince(job, key);
+        if (!since)
             continue;
         ++waiting.count_;
         if (!waiting.longest_ || now - *since > waiting.longestWait_) {
--- a/workflow/src/decisions/Delays.cpp
+++ b/workflow/src/decisions/Delays.cpp
@@ -44,21 +44,29 @@
     return delays;
 }
 
-static StepTimes& stepTimesOf(Job& job, const TaskKey& key)
+static size_t stepNumberOf(const Job& job, const TaskKey& key)
 {
-    return job.stepTimes_[key.occurrence_ * job.record_.spec_.steps().size() + key.step_];
+    return key.occurrence_ * job.record_.spec_.steps().size() + key.step_;
 }
 
 void recordRunEnd(Job& job, const TaskKey& key, Task& task, bool isDone, Instant now)
 {
-    Instant waitingSince = task.waitingSince_.value_or(stepTimesOf(job, key).startableSince_.value_or(task.times_.assignedAt_));
+    Instant waitingSince = task.waitingSince_.value_or(job.stepTimes_[stepNumberOf(job, key)].startableSince_.value_or(task.times_.assignedAt_));
     task.delays_ = task.delays_ + delaysOfRun(task.times_, waitingSince, isDone, now);
     task.waitingSince_ = now;
 }
 
+std::optional<Instant> waitingSince(const Job& job, const TaskKey& key)
+{
+    const Task& task = job.tasks_[taskNumber(job, key)];
+    if (task.progress_.phase_ != TaskPhase::Waiting)
+        return std::nullopt;
+    return task.waitingSince_ ? task.waitingSince_ : job.stepTimes_[stepNumberOf(job, key)].startableSince_;
+}
+
 void recordStepDone(Job& job, const TaskKey& key, const Task& lastTask, Instant now)
 {
-    StepTimes& times = stepTimesOf(job, key);
+    StepTimes& times = job.stepTimes_[stepNumberOf(job, key)];
     times.doneAt_ = now;
     times.delays_ = lastTask.delays_;
 }
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -167,6 +167,7 @@
     stopHungRuns(context);
     moveSlowedRuns(context);
     removeExpiredJobs(context);
+    updateRoomHolds(context);
     startReadyTasks(context);
     reportLateJobs(context);
     reportBacklog(context);
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -64,6 +64,8 @@
 void recordRunEnd(Job&, const TaskKey&, Task&, bool isDone, Instant now);
 // Records that the task was the last of its step to be done.
 void recordStepDone(Job&, const TaskKey&, const Task& lastTask, Instant now);
+// Since when the task has waited for a worker, as far as this leader has seen; empty if it is not waiting.
+std::optional<Instant> waitingSince(const Job&, const TaskKey&);
 // Delays along the chain of steps that determined the end of the job, as far as this leader has seen them.
 Delays delaysOf(const Job&);
 // Logs jobs that have missed their objective, once each.
@@ -137,10 +139,19 @@
     Interference,
 };
 PlacementObstacle placementObstacle(const LeaderState&, const Job&, const TaskKey&, Instant now);
+// Number of tasks of the same step and occurrence on the worker.
+int64_t countSiblings(const Worker&, const TaskKey&);
 // Unreserved cores in thousandths; the cores of filling tasks are not counted against the capacity.
 int64_t freeMilliCores(const Worker&);
 // Cores in thousandths that further filling tasks can use, including the part that long-running tasks leave unused.
 int64_t spareMilliCores(const Worker&);
+// Holds room for long-running tasks that have waited for `Tuning::holdRoomAfter_`, and releases the holds that are no longer
+// needed.
+void updateRoomHolds(const DecisionContext&);
+// Demand of the holds on the worker that the task must leave free: those of other steps, unless it has a higher priority.
+Resources heldForOthers(const Worker&, const Job&, const TaskKey&);
+// Removes the hold that a task of the step no longer needs, as the task was placed on the worker.
+void releaseHold(Worker&, const TaskKey&);
 // True if the steps on which the step depends are done in that occurrence, and the occurrence is due.
 bool isStartable(const LeaderState&, const Job&, uint32_t occurrence, const Step&);
 // True if the worker may be given new runs.
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -55,8 +55,7 @@
     return std::find(worker.traits_.labels_.begin(), worker.traits_.labels_.end(), label) != worker.traits_.labels_.end();
 }
 
-// Number of tasks of the same step and occurrence on the worker.
-static int64_t countSiblings(const Worker& worker, const TaskKey& key)
+int64_t countSiblings(const Worker& worker, const TaskKey& key)
 {
     auto first = worker.assignedTasks_.lower_bound({ key.job_, key.occurrence_, key.step_, 0 });
     auto last = worker.assignedTasks_.lower_bound({ key.job_, key.occurrence_, key.step_ + 1, 0 });
@@ -80,19 +79,22 @@
     // idle, as they stay and the others end. Without headroom those cores are needed by the long-running tasks: even
     // filling tasks that count as harmless add a little to their tails.
     int64_t usedByFilling = worker.fillingMilliCores_ - (hasHeadroom(worker) ? worker.throttledMilliCores_ : 0);
-    return freeMilliCores(worker) + worker.longRunningMilliCores_ * longRunningIdlePercent / 100 - usedByFilling;
+    return freeMilliCores(worker) + worker.longRunningReserved_.milliCores() * longRunningIdlePercent / 100 - usedByFilling;
 }
 
-static WorkerObstacle capacityObstacle(const Worker& worker, const Step& step)
+static WorkerObstacle capacityObstacle(const Worker& worker, const Job& job, const TaskKey& key)
 {
+    const Step& step = stepOf(job, key);
     const Resources& capacity = worker.traits_.capacity_;
-    // Filling tasks wait for spare cores, as beyond them they would only slow each other down.
-    int64_t cores = step.isFilling_ ? spareMilliCores(worker) : freeMilliCores(worker);
+    Resources held = heldForOthers(worker, job, key);
+    // Filling tasks wait for spare cores, as beyond them they would only slow each other down. They take no cores that are
+    // held for others, as theirs are not counted against the capacity.
+    int64_t cores = step.isFilling_ ? spareMilliCores(worker) : freeMilliCores(worker) - held.milliCores();
     if (step.demand_.milliCores() > cores)
         return WorkerObstacle::Cores;
-    if (worker.reserved_.memoryBytes() + step.demand_.memoryBytes() > capacity.memoryBytes())
+    if (worker.reserved_.memoryBytes() + held.memoryBytes() + step.demand_.memoryBytes() > capacity.memoryBytes())
         return WorkerObstacle::Memory;
-    bool hasAccelerators = worker.reserved_.accelerators() + step.demand_.accelerators() <= capacity.accelerators();
+    bool hasAccelerators = worker.reserved_.accelerators() + held.accelerators() + step.demand_.accelerators() <= capacity.accelerators();
     return hasAccelerators ? WorkerObstacle::None : WorkerObstacle::Accelerators;
 }
 
@@ -152,7 +154,7 @@
         return WorkerObstacle::MissingLabel;
     if (step.maxPerWorker_ > 0 && countSiblings(worker, key) >= step.maxPerWorker_)
         return WorkerObstacle::StepBound;
-    return capacityObstacle(worker, step);
+    return capacityObstacle(worker, job, key);
 }
 
 static bool isEligible(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
--- /dev/null
+++ b/workflow/src/decisions/RoomHolds.cpp
@@ -0,0 +1,161 @@
+#include "LeaderRules.h"
+
+#include "persimmondoor/core/Text.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace persimmondoor::workflow {
+
+static bool isSameStep(const TaskKey& left, const TaskKey& right)
+{
+    return left.job_ == right.job_ && left.occurrence_ == right.occurrence_ && left.step_ == right.step_;
+}
+
+Resources heldForOthers(const Worker& worker, const Job& job, const TaskKey& key)
+{
+    Resources held;
+    for (const auto& [owner, hold] : worker.holds_) {
+        if (!isSameStep(owner, key) && hold.priority_ <= job.record_.queue_.priority_)
+            held = held + hold.demand_;
+    }
+    return held;
+}
+
+void releaseHold(Worker& worker, const TaskKey& key)
+{
+    auto hold = worker.holds_.find(key);
+    // Tasks of a step are alike: a task may use the room that is held for another one.
+    if (hold == worker.holds_.end())
+        hold = std::find_if(worker.holds_.begin(), worker.holds_.end(), [&](const auto& entry) { return isSameStep(entry.first, key); });
+    if (hold != worker.holds_.end())
+        worker.holds_.erase(hold);
+}
+
+namespace {
+
+    struct WaitingTask {
+        uint32_t priority_ { 0 };
+        Instant since_;
+        TaskKey key_;
+        auto operator<=>(const WaitingTask&) const = default;
+    };
+
+} // namespace
+
+// Adds the tasks of a long-running step that have waited long enough for room to be held.
+static void addWaitingTasks(const DecisionContext& context, const Job& job, uint32_t occurrence, uint32_t stepNumber, std::vector<WaitingTask>& waiting)
+{
+    for (uint32_t index = 0; index < job.record_.spec_.steps()[stepNumber].count_; ++index) {
+        TaskKey key { job.record_.id_, occurrence, stepNumber, index };
+        std::optional<Instant> since = waitingSince(job, key);
+        if (since && context.now_ - *since >= context.state_.tuning_.holdRoomAfter_)
+            waiting.push_back({ job.record_.queue_.priority_, *since, key });
+    }
+}
+
+// The long-running tasks that wait for a worker, the most urgent first.
+static std::vector<WaitingTask> collectWaitingTasks(const DecisionContext& context)
+{
+    std::vector<WaitingTask> waiting;
+    for (const JobId& id : context.state_.readyJobs_) {
+        const Job& job = context.state_.jobs_.at(id);
+        const std::vector<Step>& steps = job.record_.spec_.steps();
+        for (size_t number = 0; number < job.unfinishedTasks_.size(); ++number) {
+            auto occurrence = static_cast<uint32_t>(number / steps.size());
+            auto step = static_cast<uint32_t>(number % steps.size());
+            bool mayHold = steps[step].longRunning_ && !steps[step].gang_ && job.unfinishedTasks_[number] > 0;
+            if (mayHold && isStartable(context.state_, job, occurrence, steps[step]))
+                addWaitingTasks(context, job, occurrence, step, waiting);
+        }
+    }
+    std::sort(waiting.begin(), waiting.end());
+    return waiting;
+}
+
+// Share of the worker's capacity, in percent, that has to be freed for the task; nothing if the worker would have no room
+// for the task even without its short tasks, or cannot take it for another reason than its capacity.
+static std::optional<int64_t> missingPercent(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+{
+    WorkerObstacle obstacle = obstacleAt(state, job, key, worker, now);
+    if (obstacle != WorkerObstacle::Cores && obstacle != WorkerObstacle::Memory && obstacle != WorkerObstacle::Accelerators)
+        return std::nullopt;
+    const Step& step = stepOf(job, key);
+    const Resources& capacity = worker.traits_.capacity_;
+    Resources held;
+    int64_t siblings = countSiblings(worker, key);
+    for (const auto& [owner, hold] : worker.holds_) {
+        held = held + hold.demand_;
+        siblings += isSameStep(owner, key) ? 1 : 0;
+    }
+    if (step.maxPerWorker_ > 0 && siblings >= step.maxPerWorker_)
+        return std::nullopt;
+    Resources needed = step.demand_ + held;
+    if (!(worker.longRunningReserved_ + needed).fitsIn(capacity))
+        return std::nullopt;
+    int64_t cores = needed.milliCores() - freeMilliCores(worker);
+    int64_t memory = worker.reserved_.memoryBytes() + needed.memoryBytes() - capacity.memoryBytes();
+    return std::max(100 * cores / std::max<int64_t>(capacity.milliCores(), 1), 100 * memory / std::max<int64_t>(capacity.memoryBytes(), 1));
+}
+
+static std::optional<WorkerIncarnation> chooseWorkerToHold(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
+{
+    std::optional<WorkerIncarnation> best;
+    int64_t leastMissing = 0;
+    for (const auto& [incarnation, worker] : state.workers_) {
+        std::optional<int64_t> missing = missingPercent(state, job, key, worker, now);
+        if (!missing || (best && *missing >= leastMissing))
+            continue;
+        best = incarnation;
+        leastMissing = *missing;
+    }
+    return best;
+}
+
+// Removes all holds.
+// \return the worker that each task had a hold on.
+static std::map<TaskKey, WorkerIncarnation> clearHolds(LeaderState& state)
+{
+    std::map<TaskKey, WorkerIncarnation> holders;
+    for (auto& [incarnation, worker] : state.workers_) {
+        for (const auto& [key, hold] : worker.holds_) {
+            holders[key] = incarnation;
+            if (Task* task = findTask(state, key))
+                task->isRoomHeld_ = false;
+        }
+        worker.holds_.clear();
+    }
+    return holders;
+}
+
+void updateRoomHolds(const DecisionContext& context)
+{
+    LeaderState& state = context.state_;
+    std::map<TaskKey, WorkerIncarnation> former = clearHolds(state);
+    auto usable = std::count_if(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) { return acceptsRuns(state, entry.second, context.now_); });
+    size_t bound = std::clamp<size_t>(static_cast<size_t>(usable) * state.tuning_.maximumHeldPercent_ / 100, 1, state.tuning_.maximumHolds_);
+    size_t held = 0;
+    for (const WaitingTask& waiting : collectWaitingTasks(context)) {
+        if (held >= bound)
+            break;
+        Job& job = state.jobs_.at(waiting.key_.job_);
+        std::optional<WorkerIncarnation> chosen;
+        // A hold that moved from worker to worker would let none of them become free.
+        if (auto known = former.find(waiting.key_); known != former.end()) {
+            auto worker = state.workers_.find(known->second);
+            if (worker != state.workers_.end() && missingPercent(state, job, waiting.key_, worker->second, context.now_))
+                chosen = known->second;
+        }
+        if (!chosen)
+            chosen = chooseWorkerToHold(state, job, waiting.key_, context.now_);
+        if (!chosen)
+            continue;
+        ++held;
+        job.tasks_[taskNumber(job, waiting.key_)].isRoomHeld_ = true;
+        state.workers_.at(*chosen).holds_[waiting.key_] = { stepOf(job, waiting.key_).demand_, waiting.priority_ };
+        if (former.find(waiting.key_) == former.end())
+            context.logEvent("room.held", describe(waiting.key_), concat("worker ", chosen->name_, ", after ", milliseconds(context.now_ - waiting.since_), " ms"));
+    }
+}
+
+} // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -173,7 +173,7 @@
         return;
     ++worker.longRunningCount_;
     ++worker.longRunningByImage_[step.image_];
-    worker.longRunningMilliCores_ += step.demand_.milliCores();
+    worker.longRunningReserved_ = worker.longRunningReserved_ + step.demand_;
 }
 
 void stopTasks(const DecisionContext& context, Job& job, std::string_view why)
@@ -208,7 +208,7 @@
     --worker.longRunningCount_;
     if (auto image = worker.longRunningByImage_.find(step.image_); --image->second == 0)
         worker.longRunningByImage_.erase(image);
-    worker.longRunningMilliCores_ -= step.demand_.milliCores();
+    worker.longRunningReserved_ = worker.longRunningReserved_ - step.demand_;
 }
 
 // Stops the assigned members of the task's gang, as either all members run or none.
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -38,7 +38,9 @@
     task.slowedSince_.reset();
     task.times_ = RunTimes { context.now_, std::nullopt, std::nullopt, std::nullopt, Duration(0) };
     task.lastProgressAt_ = context.now_;
-    reserveResources(context.state_.workers_.at(incarnation), key, stepOf(job, key));
+    Worker& worker = context.state_.workers_.at(incarnation);
+    reserveResources(worker, key, stepOf(job, key));
+    releaseHold(worker, key);
     stage(context.state_, key.job_, ReleaseStart { { key, run } });
 }
 
@@ -119,6 +121,12 @@
     return now < state.awaitsWorkersUntil_ && std::any_of(state.workers_.begin(), state.workers_.end(), [](const auto& entry) { return entry.second.agent_.empty(); });
 }
 
+static bool isRoomHeld(const Job& job, uint32_t occurrence, uint32_t stepNumber)
+{
+    auto first = job.tasks_.begin() + taskNumber(job, makeTaskKey(job, occurrence, stepNumber, 0));
+    return std::any_of(first, first + job.record_.spec_.steps()[stepNumber].count_, [](const Task& task) { return task.isRoomHeld_; });
+}
+
 // \return true if a task of the step still waits for free capacity.
 static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, UnplaceableDemands& unplaceable)
 {
@@ -128,7 +136,8 @@
     if ((step.longRunning_ || step.isFilling_) && isAwaitingWorkers(context.state_, context.now_))
         return true;
     Disturbance disturbance = disturbanceOf(context.state_, job, context.now_);
-    bool isUnplaceable = unplaceable.contains(job, step, disturbance);
+    // Room that is held for a task of the step was of no use to the steps that found no worker.
+    bool isUnplaceable = !isRoomHeld(job, occurrence, stepNumber) && unplaceable.contains(job, step, disturbance);
     bool waits = false;
     uint32_t placedDespiteInterference = 0;
     for (uint32_t index = 0; index < step.count_ && !waits; ++index) {
--- /dev/null
+++ b/workflow/tests/RoomHoldsTest.cpp
@@ -0,0 +1,139 @@
+#include "FillingWorld.h"
+#include "persimmondoor/core/Text.h"
+
+namespace persimmondoor::workflow {
+
+namespace {
+
+    const std::string waitingJob = "00000000000000aa";
+
+    // A worker of four cores that always runs four short tasks, one of which ends every 100 ms; more of them always wait. A
+    // long-running task of two cores is submitted at 200 ms.
+    class CrowdedWorld : public LeaderWorld {
+    public:
+        CrowdedWorld()
+        {
+            report("w-1", 10);
+            for (uint32_t number = 0; number < 10; ++number)
+                submitShort(20);
+            commit(30);
+            startOrdered(31);
+            Step large = longRunningStep("search");
+            large.demand_ = *Resources::create(2000, 1000, 0);
+            submit({ large }, 200, waitingJob);
+            commit(210);
+        }
+
+        // Lets a short task end every 100 ms until `end`, and submits another one each time.
+        // \return when the long-running task was started; 0 if it was not.
+        int64_t runUntil(int64_t end)
+        {
+            for (int64_t time = 300; time <= end; time += 100) {
+                ActiveRun ended = active_.front();
+                active_.erase(active_.begin());
+                ends_.push_back({ ++lastEnd_, ended.run_, RunEnd::Done, "" });
+                submitShort(time);
+                report("w-1", time, active_, ends_);
+                handle(Tick { 1'000'000 + time }, time + 1);
+                commit(time + 2);
+                if (startOrdered(time + 3))
+                    return time;
+                if (active_.empty())
+                    return 0;
+            }
+            return 0;
+        }
+
+        uint32_t shortPriority_ { 0 };
+
+    private:
+        void submitShort(int64_t time)
+        {
+            std::string digits = std::to_string(++jobCount_);
+            submit({ stepOfTasks(1) }, time, "b" + std::string(15 - digits.size(), '0') + digits);
+        }
+
+        // Takes the ordered starts as begun.
+        // \return true if the long-running task is one of them.
+        bool startOrdered(int64_t time)
+        {
+            bool hasWaitingTask = false;
+            for (const RunKey& run : starts("w-1", time)) {
+                lastCompletedOrder_ = lastCompletedOrder_.next();
+                active_.push_back({ run, "", 10, 0, 100 });
+                hasWaitingTask = hasWaitingTask || run.task_.job_.value() == waitingJob;
+            }
+            return hasWaitingTask;
+        }
+
+        std::vector<ActiveRun> active_;
+        std::vector<EndedRun> ends_;
+        uint64_t lastEnd_ { 0 };
+        uint32_t jobCount_ { 0 };
+    };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(room_holds)
+
+// Guards against a long-running task that never runs, as shorter tasks take each core that becomes free before there are
+// enough for it.
+BOOST_AUTO_TEST_CASE(long_running_task_is_not_starved_by_short_tasks)
+{
+    CrowdedWorld world;
+    int64_t started = world.runUntil(5000);
+    BOOST_TEST(started > 0);
+    // Room is held 500 ms after it began to wait, and two tasks end in 200 ms; checks are 200 ms apart.
+    BOOST_TEST(started <= 1200);
+    BOOST_TEST(world.logged("room.held").size() == 1U);
+}
+
+// Guards against a held room that stays idle, as the demand of a smaller task of the same image counts as unplaceable.
+BOOST_AUTO_TEST_CASE(held_room_is_used_although_a_smaller_task_of_the_image_finds_none)
+{
+    CrowdedWorld world;
+    Step small = longRunningStep("search");
+    for (uint32_t number = 0; number < 20; ++number)
+        world.submit({ small }, 220, concat("00000000000001", 10 + number));
+    world.commit(230);
+    int64_t started = world.runUntil(5000);
+    BOOST_TEST(started > 0);
+    BOOST_TEST(started <= 1200);
+}
+
+// Guards against holds that outlive their task and leave cores idle.
+BOOST_AUTO_TEST_CASE(hold_ends_with_the_job_that_needs_it)
+{
+    CrowdedWorld world;
+    world.handle(Tick { 1'000'800 }, 800);
+    BOOST_TEST(world.state_.workers_.begin()->second.holds_.size() == 1U);
+    world.call(Cancel {}, 850, waitingJob);
+    world.commit(860);
+    world.handle(Tick { 1'001'100 }, 1100);
+    BOOST_TEST(world.state_.workers_.begin()->second.holds_.empty());
+}
+
+// Guards against a long-running task of a low priority that keeps urgent tasks waiting.
+BOOST_AUTO_TEST_CASE(hold_leaves_room_to_tasks_of_a_higher_priority)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    world.submit({ stepOfTasks(3) }, 20, "00000000000000bb");
+    world.commit(30);
+    BOOST_REQUIRE(world.starts("w-1", 31).size() == 3U);
+    world.lastCompletedOrder_ = OrderNumber(3);
+    world.report("w-1", 35, { { runOf("00000000000000bb", 0), "", 10, 0, 100 }, { runOf("00000000000000bb", 1), "", 10, 0, 100 }, { runOf("00000000000000bb", 2), "", 10, 0, 100 } });
+    Step large = longRunningStep("search");
+    large.demand_ = *Resources::create(2000, 1000, 0);
+    world.submit({ large }, 40, waitingJob);
+    world.state_.jobs_.at(JobId::of(waitingJob)).record_.queue_.priority_ = 1;
+    world.handle(Tick { 1'000'800 }, 800);
+    BOOST_REQUIRE(world.state_.workers_.begin()->second.holds_.size() == 1U);
+    world.submit({ stepOfTasks(1) }, 810, "00000000000000cc");
+    world.commit(820);
+    BOOST_TEST(world.starts("w-1", 821).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::workflow
