Long-running tasks probe quarantined workers; at most half of a service's workers are quarantined

What callers saw: long-running tasks wait for up to 8 s after a disruption has ended, while workers with room are quarantined.

The lengthening was never reset. No share of the workers was too large to be quarantined. No task could be placed on a quarantined worker, so that its recovery went unnoticed.

Fix: a failed run counts only if it was assigned after the begin of the last quarantine. A long-running task that no other worker has room for is placed on a quarantined worker, one at a time and at most one a second. A run that is done, or has been at work for 1 s, proves the worker: its quarantine ends and the next one is the shortest again. Until then the worker gets one task at a time, also after its quarantine, so that its return costs one failure and not one for each task that fits; a task that makes no progress holds it back for a second only. At most half of the workers of a service are quarantined; others that fail get one task at a time.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -78,6 +78,11 @@
     /// Duration of a worker's first quarantine; each further one doubles it, up to the maximum.
     Duration initialQuarantine_ { std::chrono::milliseconds(2000) };
     Duration maximumQuarantine_ { std::chrono::milliseconds(8000) };
+    /// A quarantined worker gets at most one long-running task in this time, as a probe, if no other worker has room for
+    /// the task: such a task has to run again after 6 s at the latest (stated by the platform).
+    Duration probeInterval_ { std::chrono::milliseconds(1000) };
+    /// A run that has been at work for this long shows that its worker runs tasks.
+    Duration provenAfter_ { std::chrono::milliseconds(1000) };
     /// With more ready jobs than this, placement runs at most once per `placementInterval_`: placement visits all ready
     /// jobs and all workers, and under a backlog the order of the jobs matters more than milliseconds.
     size_t backlogThreshold_ { 20 };
@@ -215,8 +220,15 @@
     /// Number of tasks whose first failure was on this worker since a run on the worker was last done. After a quarantine
     /// one less than `Tuning::failuresBeforeQuarantine_`, so that one more failure starts the next quarantine.
     uint32_t consecutiveFailures_ { 0 };
+    /// Number of quarantines since a run that was assigned after the begin of the last has proven the worker. Until one
+    /// has, the worker gets one task at a time.
     uint32_t quarantineCount_ { 0 };
+    Instant quarantinedAt_;
     Instant quarantinedUntil_;
+    /// The task that was assigned to the worker while it was unproven, and the earliest time for the next one within a
+    /// quarantine; empty if there is none.
+    std::optional<TaskKey> probe_;
+    std::optional<Instant> nextProbeAt_;
     /// Runs that belong to no assigned task and were ordered to stop, with the time of the order.
     std::map<RunKey, Instant> unassignedRuns_;
     bool operator==(const Worker&) const = default;
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -156,5 +156,20 @@
 bool isStartable(const LeaderState&, const Job&, uint32_t occurrence, const Step&);
 // True if the worker may be given new runs.
 bool acceptsRuns(const LeaderState&, const Worker&, Instant now);
+// True if the task is the probe of the worker, which may be quarantined, and may be started there.
+bool acceptsProbe(const LeaderState&, const Worker&, const TaskKey&, Instant now);
+
+// True if the worker gets no tasks but probes, as tasks have failed there.
+bool isQuarantined(const Worker&, Instant now);
+// True if the worker has been quarantined and no run has proven it since; it then gets one task at a time.
+bool isUnproven(const Worker&);
+// True if tasks of the step have to wait for the end of the worker's quarantine or for the outcome of its probe.
+bool isHeldBack(const Worker&, const Step&, Instant now);
+// Records that the task is assigned to the unproven worker.
+void beginProbe(const DecisionContext&, const TaskKey&, Worker&);
+// Counts the failure of the task's run against its worker, and quarantines the worker after several.
+void recordWorkerFailure(const DecisionContext&, const TaskKey&, const Task&, Worker&);
+// Ends the worker's quarantine, and the lengthening of further ones, as the task's run shows that the worker runs tasks.
+void recordWorkerProof(const DecisionContext&, const Task&, Worker&);
 
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -13,6 +13,8 @@
 // long-running tasks, the weights of images below may outweigh this one.
 static constexpr int64_t avoidedWeight = 1000;
 static constexpr int64_t failureWeight = 100;
+// A quarantined worker is chosen only if no other has enough free capacity; outweighs all others together.
+static constexpr int64_t quarantineWeight = 100'000;
 // Long-running tasks are placed beside tasks of their own image, as the same filling images disturb them; each filling
 // image then finds workers where it does no harm. Otherwise they are placed beside as few other images as possible.
 static constexpr int64_t sameImageWeight = 3000;
@@ -30,11 +32,9 @@
 // Share of their demand that long-running tasks leave unused most of the time, in percent.
 static constexpr int64_t longRunningIdlePercent = 45;
 
-// Why the worker may not be given new runs, whatever the task.
+// Why the worker may not be given new runs, whatever the task; without regard to a quarantine.
 static WorkerObstacle stateObstacle(const LeaderState& state, const Worker& worker, Instant now)
 {
-    if (now < worker.quarantinedUntil_)
-        return WorkerObstacle::Quarantined;
     if (worker.draining_)
         return WorkerObstacle::Draining;
     if (state.evacuatedDomains_.count(worker.traits_.domain_) > 0)
@@ -47,7 +47,12 @@
 
 bool acceptsRuns(const LeaderState& state, const Worker& worker, Instant now)
 {
-    return stateObstacle(state, worker, now) == WorkerObstacle::None;
+    return !isQuarantined(worker, now) && stateObstacle(state, worker, now) == WorkerObstacle::None;
+}
+
+bool acceptsProbe(const LeaderState& state, const Worker& worker, const TaskKey& key, Instant now)
+{
+    return worker.probe_ == key && stateObstacle(state, worker, now) == WorkerObstacle::None;
 }
 
 static bool hasLabel(const Worker& worker, const std::string& label)
@@ -146,6 +151,8 @@
     const Step& step = stepOf(job, key);
     if (worker.traits_.service_ != job.queue_.service_)
         return WorkerObstacle::OtherService;
+    if (isHeldBack(worker, step, now))
+        return WorkerObstacle::Quarantined;
     if (WorkerObstacle obstacle = stateObstacle(state, worker, now); obstacle != WorkerObstacle::None)
         return obstacle;
     if (now < worker.backoffUntil_)
@@ -225,7 +232,7 @@
         bool isAcceptable = ignoresInterference || isHarmlessOn(state, step, worker) || (mayCauseInterference && paceAt(state, step, worker) >= minimumPace);
         if (!isAcceptable)
             continue;
-        int64_t score = scoreOf(state, job, key, incarnation, worker);
+        int64_t score = scoreOf(state, job, key, incarnation, worker) - (isQuarantined(worker, now) ? quarantineWeight : 0);
         if (!best || score > bestScore) {
             best = incarnation;
             bestScore = score;
--- /dev/null
+++ b/workflow/src/decisions/Quarantine.cpp
@@ -0,0 +1,87 @@
+#include "LeaderRules.h"
+
+#include "persimmondoor/core/Text.h"
+
+#include <algorithm>
+
+namespace persimmondoor::workflow {
+
+// At most one in this many workers of a service is quarantined at a time: failures of more have a cause in common, and the
+// tasks need the room. The others get one task at a time until one has succeeded.
+static constexpr size_t workersPerQuarantinedWorker = 2;
+
+bool isQuarantined(const Worker& worker, Instant now)
+{
+    return now < worker.quarantinedUntil_;
+}
+
+bool isUnproven(const Worker& worker)
+{
+    return worker.quarantineCount_ > 0;
+}
+
+bool isHeldBack(const Worker& worker, const Step& step, Instant now)
+{
+    // A probe that neither ends nor makes progress, such as a paused filling task, holds others back only for a time.
+    if (!isQuarantined(worker, now))
+        return isUnproven(worker) && worker.probe_ && worker.nextProbeAt_ && now < *worker.nextProbeAt_;
+    // Other tasks have a bounded number of attempts.
+    bool mayProbe = step.longRunning_ && !step.gang_ && !worker.probe_ && worker.nextProbeAt_ && now >= *worker.nextProbeAt_;
+    return !mayProbe;
+}
+
+void beginProbe(const DecisionContext& context, const TaskKey& key, Worker& worker)
+{
+    worker.probe_ = key;
+    worker.nextProbeAt_ = context.now_ + context.state_.tuning_.probeInterval_;
+}
+
+static bool isQuarantineFull(const LeaderState& state, const std::string& service, Instant now)
+{
+    size_t workers = 0;
+    size_t quarantined = 0;
+    for (const auto& [incarnation, worker] : state.workers_) {
+        if (worker.traits_.service_ != service)
+            continue;
+        ++workers;
+        if (isQuarantined(worker, now))
+            ++quarantined;
+    }
+    return (quarantined + 1) * workersPerQuarantinedWorker > workers;
+}
+
+void recordWorkerFailure(const DecisionContext& context, const TaskKey& key, const Task& task, Worker& worker)
+{
+    const Tuning& tuning = context.state_.tuning_;
+    // A task that has failed before is likely at fault itself. A run from before the quarantine tells nothing new.
+    if (task.progress_.failures_ > 1 || task.times_.assignedAt_ < worker.quarantinedAt_)
+        return;
+    worker.consecutiveFailures_ = std::min(worker.consecutiveFailures_ + 1, tuning.failuresBeforeQuarantine_);
+    if (worker.consecutiveFailures_ < tuning.failuresBeforeQuarantine_)
+        return;
+    // A worker whose probe has failed is in quarantine already, so that the bound allows for it.
+    bool isAllowed = isQuarantined(worker, context.now_) || !isQuarantineFull(context.state_, worker.traits_.service_, context.now_);
+    Duration quarantine = !isAllowed ? Duration(0) : std::min(tuning.initialQuarantine_ * (1U << std::min(worker.quarantineCount_, 4U)), tuning.maximumQuarantine_);
+    worker.quarantinedAt_ = context.now_;
+    worker.quarantinedUntil_ = context.now_ + quarantine;
+    ++worker.quarantineCount_;
+    worker.probe_.reset();
+    worker.nextProbeAt_ = context.now_ + tuning.probeInterval_;
+    // After the quarantine, one more failure starts the next one.
+    worker.consecutiveFailures_ = tuning.failuresBeforeQuarantine_ - 1;
+    context.logEvent("worker.quarantined", task.progress_.worker_.name_, concat("for ", milliseconds(quarantine), " ms", isAllowed ? "" : ", as half of its service's workers are", "; consecutive first failures of tasks, the last of task ", describe(key)));
+}
+
+void recordWorkerProof(const DecisionContext& context, const Task& task, Worker& worker)
+{
+    if (worker.quarantineCount_ == 0 || task.times_.assignedAt_ < worker.quarantinedAt_)
+        return;
+    if (isQuarantined(worker, context.now_))
+        context.logEvent("worker.proven", task.progress_.worker_.name_, concat(milliseconds(worker.quarantinedUntil_ - context.now_), " ms before the end of its quarantine"));
+    worker.quarantinedUntil_ = std::min(worker.quarantinedUntil_, context.now_);
+    worker.quarantineCount_ = 0;
+    worker.probe_.reset();
+    worker.consecutiveFailures_ = 0;
+}
+
+} // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -53,15 +53,7 @@
 {
     task.avoidedWorker_ = task.progress_.worker_.name_;
     ++task.progress_.failures_;
-    // A task that has failed before is likely at fault itself, so that its failure is not counted against the worker.
-    if (task.progress_.failures_ == 1 && ++worker.consecutiveFailures_ >= context.state_.tuning_.failuresBeforeQuarantine_) {
-        Duration quarantine = context.state_.tuning_.initialQuarantine_ * (1U << std::min(worker.quarantineCount_, 4U));
-        worker.quarantinedUntil_ = context.now_ + std::min(quarantine, context.state_.tuning_.maximumQuarantine_);
-        ++worker.quarantineCount_;
-        // After the quarantine, one more failure starts the next one.
-        worker.consecutiveFailures_ = context.state_.tuning_.failuresBeforeQuarantine_ - 1;
-        context.logEvent("worker.quarantined", task.progress_.worker_.name_, concat("consecutive first failures of tasks, the last of task ", describe(key)));
-    }
+    recordWorkerFailure(context, key, task, worker);
     uint32_t maximum = job.queue_.maxAttempts_;
     if (!stepOf(job, key).longRunning_ && maximum > 0 && task.progress_.failures_ >= maximum)
         failJob(context, job, key);
@@ -141,6 +133,8 @@
     context.logEvent("run.ended", describe(end.run_), concat(describe(end.end_), "; worker ", incarnation.name_));
     if (end.end_ == RunEnd::Done)
         worker.consecutiveFailures_ = 0;
+    if (end.end_ == RunEnd::Done && isCurrent)
+        recordWorkerProof(context, *task, worker);
     job.hasStarted_ = true;
     if (end.end_ == RunEnd::Done)
         handleCompletion(context, job, end, *task, isCurrent);
@@ -178,6 +172,9 @@
         updateThrottledCores(context.state_.workers_.at(incarnation), *task, stepOf(job, active.run_.task_), active.pace_);
     }
     task->progressPercent_ = active.progressPercent_;
+    bool isAtWork = active.progressPercent_ >= (stepOf(job, active.run_.task_).longRunning_ ? 100U : 1U);
+    if (isAtWork && task->times_.listedAt_ && context.now_ - *task->times_.listedAt_ >= context.state_.tuning_.provenAfter_)
+        recordWorkerProof(context, *task, context.state_.workers_.at(incarnation));
     if (active.pace_ >= slowPacePercent || !stepOf(job, active.run_.task_).isFilling_)
         task->slowedSince_.reset();
     else if (!task->slowedSince_)
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -196,6 +196,8 @@
         return;
     worker.throttledMilliCores_ -= std::exchange(task.throttledMilliCores_, 0);
     worker.reserved_ = worker.reserved_ - step.demand_;
+    if (worker.probe_ == key)
+        worker.probe_.reset();
     if (step.isFilling_) {
         worker.fillingMilliCores_ -= step.demand_.milliCores();
         auto image = worker.fillingByImage_.find(step.image_);
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -39,6 +39,8 @@
     task.times_ = RunTimes { context.now_, std::nullopt, std::nullopt, std::nullopt, Duration(0) };
     task.lastProgressAt_ = context.now_;
     Worker& worker = context.state_.workers_.at(incarnation);
+    if (isUnproven(worker))
+        beginProbe(context, key, worker);
     reserveResources(worker, key, stepOf(job, key));
     releaseHold(worker, key);
     stage(context.state_, key.job_, ReleaseStart { { key, run } });
@@ -92,14 +94,14 @@
             if (disturbance == Disturbance::Allowed)
                 return false;
             return std::any_of(demands_.begin(), demands_.end(), [&](const Demand& demand) {
-                return demand.service_ == job.queue_.service_ && demand.isFilling_ == step.isFilling_ && demand.image_ == step.image_ && demand.label_ == step.requiredLabel_ && demand.demand_.fitsIn(step.demand_);
+                return demand.service_ == job.queue_.service_ && demand.isFilling_ == step.isFilling_ && demand.isLongRunning_ == step.longRunning_ && demand.image_ == step.image_ && demand.label_ == step.requiredLabel_ && demand.demand_.fitsIn(step.demand_);
             });
         }
         // A step with a bound on tasks per worker is not added: a step without the bound may find a worker nevertheless.
         void add(const Job& job, const Step& step)
         {
             if (step.maxPerWorker_ == 0)
-                demands_.push_back({ job.queue_.service_, step.image_, step.requiredLabel_, step.isFilling_, step.demand_ });
+                demands_.push_back({ job.queue_.service_, step.image_, step.requiredLabel_, step.isFilling_, step.longRunning_, step.demand_ });
         }
 
     private:
@@ -108,6 +110,8 @@
             std::string image_;
             std::string label_;
             bool isFilling_ { false };
+            // Long-running tasks may be placed on workers that are forbidden to others.
+            bool isLongRunning_ { false };
             Resources demand_;
         };
         std::vector<Demand> demands_;
@@ -218,14 +222,14 @@
 }
 
 // Why a start that was decided earlier must not be released now; empty if it may.
-static std::string_view startObstacle(const LeaderState& state, const Job& job, const WorkerIncarnation& incarnation, Instant now)
+static std::string_view startObstacle(const LeaderState& state, const Job& job, const TaskKey& key, const WorkerIncarnation& incarnation, Instant now)
 {
     if (job.isCancelled_ || job.hasFailed_)
         return "the job has ended";
     auto worker = state.workers_.find(incarnation);
     if (worker == state.workers_.end())
         return "the worker was removed";
-    if (!acceptsRuns(state, worker->second, now))
+    if (!acceptsRuns(state, worker->second, now) && !acceptsProbe(state, worker->second, key, now))
         return "the worker accepts no new runs";
     if (worker->second.traits_.service_ != job.queue_.service_)
         return "the queue was assigned to another service";
@@ -241,7 +245,7 @@
         Job& job = found->second;
         for (uint32_t number = 0; number < job.tasks_.size(); ++number) {
             Task& task = job.tasks_[number];
-            if (task.progress_.phase_ == TaskPhase::Assigned && !task.isStartReleased_ && !startObstacle(context.state_, job, task.progress_.worker_, context.now_).empty())
+            if (task.progress_.phase_ == TaskPhase::Assigned && !task.isStartReleased_ && !startObstacle(context.state_, job, keyOf(job, number), task.progress_.worker_, context.now_).empty())
                 unassign(context, job, keyOf(job, number), task);
         }
     }
@@ -255,7 +259,7 @@
         return;
     Job& job = context.state_.jobs_.at(run.task_.job_);
     const WorkerIncarnation incarnation = task->progress_.worker_;
-    std::string_view reason = startObstacle(context.state_, job, incarnation, context.now_);
+    std::string_view reason = startObstacle(context.state_, job, run.task_, incarnation, context.now_);
     if (!reason.empty()) {
         context.logEvent("run.withdrawn", describe(run), std::string(reason));
         unassign(context, job, run.task_, *task);
--- /dev/null
+++ b/workflow/tests/QuarantineTest.cpp
@@ -0,0 +1,243 @@
+#include "FillingWorld.h"
+
+#include <algorithm>
+
+namespace persimmondoor::workflow {
+
+BOOST_AUTO_TEST_SUITE(quarantine)
+
+namespace {
+
+    const std::string failingJob = "00000000000000f1";
+    const std::string longRunningJob = "00000000000000f2";
+
+    // Workers on which tasks fail, besides one without room.
+    class QuarantineWorld : public LeaderWorld {
+    public:
+        QuarantineWorld()
+        {
+            report("w-0", 1);
+            Step step = stepOfTasks(1);
+            step.demand_ = *Resources::create(4000, 1000, 0);
+            submit({ step }, 2, "00000000000000f0");
+            commit(3);
+        }
+
+        const Worker& worker(const std::string& name) const { return state_.workers_.at({ name, bornMs_, host_ }); }
+        bool isQuarantined(const std::string& name, int64_t milliseconds) const { return at(milliseconds) < worker(name).quarantinedUntil_; }
+        // Duration of a quarantine that began at that time.
+        Duration quarantineSince(const std::string& name, int64_t milliseconds) const { return worker(name).quarantinedUntil_ - at(milliseconds); }
+
+        // The runs that are assigned to the worker.
+        std::vector<RunKey> assigned(const std::string& name) const
+        {
+            std::vector<RunKey> runs;
+            for (const TaskKey& key : worker(name).assignedTasks_)
+                runs.push_back({ key, state_.jobs_.at(key.job_).tasks_.at(key.index_).progress_.run_ });
+            return runs;
+        }
+
+        // Reports that all runs on the worker have ended.
+        void end(const std::string& name, RunEnd how, int64_t milliseconds)
+        {
+            std::vector<EndedRun> ended;
+            for (const RunKey& run : assigned(name))
+                ended.push_back({ ++ends_[name], run, how, "" });
+            report(name, milliseconds, {}, std::move(ended));
+            commit(milliseconds);
+        }
+
+        // Reports that all runs on the worker are at work.
+        void work(const std::string& name, int64_t milliseconds)
+        {
+            std::vector<ActiveRun> active;
+            for (const RunKey& run : assigned(name))
+                active.push_back({ run, "", 100, 8, 100 });
+            report(name, milliseconds, std::move(active));
+            commit(milliseconds);
+        }
+
+        // Submits tasks that are placed on the only worker with room, and lets them fail.
+        void failTasks(const std::string& name, uint32_t count, const std::string& job, int64_t milliseconds)
+        {
+            submit({ stepOfTasks(count) }, milliseconds, job);
+            commit(milliseconds + 1);
+            end(name, RunEnd::Failed, milliseconds + 50);
+        }
+
+    private:
+        std::map<std::string, uint64_t> ends_;
+    };
+
+} // namespace
+
+// Guards against long-running tasks that wait for the end of a quarantine although only quarantined workers have room.
+BOOST_AUTO_TEST_CASE(long_running_task_without_other_room_probes_a_quarantined_worker)
+{
+    QuarantineWorld world;
+    world.state_.tuning_.initialQuarantine_ = std::chrono::seconds(8);
+    world.report("w-1", 10);
+    world.failTasks("w-1", 3, failingJob, 20);
+    BOOST_REQUIRE(world.isQuarantined("w-1", 8000));
+    Step step = longRunningStep("search");
+    step.count_ = 3;
+    world.submit({ step }, 100, longRunningJob);
+    world.commit(110);
+    world.work("w-1", 1000);
+    world.work("w-1", 1500);
+    // One long-running task; the failed tasks wait, as a further failure could be their last.
+    BOOST_REQUIRE(world.assigned("w-1").size() == 1U);
+    BOOST_TEST(world.assigned("w-1").front().task_.job_.value() == longRunningJob);
+    BOOST_TEST((world.starts("w-1", 1501).back() == world.assigned("w-1").front()));
+
+    // A probe that fails is not followed by another one at once.
+    world.end("w-1", RunEnd::Failed, 1600);
+    BOOST_TEST(world.isQuarantined("w-1", 8000));
+    world.work("w-1", 1700);
+    BOOST_TEST(world.assigned("w-1").empty());
+    world.work("w-1", 2700);
+    BOOST_REQUIRE(world.assigned("w-1").size() == 1U);
+
+    // A probe at work ends the quarantine.
+    world.work("w-1", 2800);
+    world.work("w-1", 3300);
+    BOOST_TEST(world.assigned("w-1").size() == 1U);
+    world.work("w-1", 3900);
+    BOOST_TEST(!world.isQuarantined("w-1", 3900));
+    BOOST_TEST(world.assigned("w-1").size() == 4U);
+}
+
+// Guards against probes where another worker has room.
+BOOST_AUTO_TEST_CASE(long_running_task_prefers_workers_that_are_not_quarantined)
+{
+    QuarantineWorld world;
+    world.state_.tuning_.initialQuarantine_ = std::chrono::seconds(8);
+    world.report("w-1", 10);
+    world.failTasks("w-1", 3, failingJob, 20);
+    world.report("w-2", 1400);
+    world.report("w-1", 1500);
+    world.submit({ longRunningStep("search") }, 1510, longRunningJob);
+    world.commit(1520);
+    BOOST_TEST(world.assigned("w-1").empty());
+    BOOST_TEST(world.assigned("w-2").size() == 4U);
+}
+
+// Guards against a run that hangs on a quarantined worker and counts as proof that the worker runs tasks.
+BOOST_AUTO_TEST_CASE(probe_that_has_not_started_up_does_not_end_the_quarantine)
+{
+    QuarantineWorld world;
+    world.state_.tuning_.initialQuarantine_ = std::chrono::seconds(8);
+    world.report("w-1", 10);
+    world.failTasks("w-1", 3, failingJob, 20);
+    world.submit({ longRunningStep("search") }, 100, longRunningJob);
+    world.commit(110);
+    world.work("w-1", 1200);
+    BOOST_REQUIRE(world.assigned("w-1").size() == 1U);
+    for (int64_t time : { 1300, 1800, 2300, 2800 })
+        world.report("w-1", time, { { world.assigned("w-1").front(), "", 0, 0, 100 } });
+    BOOST_TEST(world.isQuarantined("w-1", 2800));
+}
+
+// Guards against quarantines that stay long for the life of a worker that has recovered.
+BOOST_AUTO_TEST_CASE(worker_that_has_finished_a_task_starts_over_with_the_shortest_quarantine)
+{
+    QuarantineWorld world;
+    world.report("w-1", 10);
+    world.failTasks("w-1", 3, failingJob, 20);
+    BOOST_TEST((world.quarantineSince("w-1", 70) == world.state_.tuning_.initialQuarantine_));
+    world.report("w-1", 2500);
+    world.commit(2510);
+    BOOST_REQUIRE(world.assigned("w-1").size() == 1U);
+    world.end("w-1", RunEnd::Done, 2600);
+    BOOST_REQUIRE(world.assigned("w-1").size() == 2U);
+    world.end("w-1", RunEnd::Done, 2650);
+    world.failTasks("w-1", 2, rankingJob, 2700);
+    BOOST_TEST(!world.isQuarantined("w-1", 2800));
+    world.end("w-1", RunEnd::Done, 2900);
+    world.failTasks("w-1", 3, searchJob, 3000);
+    BOOST_TEST((world.quarantineSince("w-1", 3050) == world.state_.tuning_.initialQuarantine_));
+}
+
+// Guards against many tasks that fail on a worker whose quarantine ends before it has recovered.
+BOOST_AUTO_TEST_CASE(worker_gets_one_task_at_a_time_after_its_quarantine_until_one_has_succeeded)
+{
+    QuarantineWorld world;
+    world.report("w-1", 10);
+    world.failTasks("w-1", 4, failingJob, 20);
+    world.work("w-1", 2500);
+    BOOST_REQUIRE(world.assigned("w-1").size() == 1U);
+    world.work("w-1", 3000);
+    BOOST_TEST(world.assigned("w-1").size() == 1U);
+    // The run has been at work for long enough.
+    world.work("w-1", 3500);
+    world.work("w-1", 4000);
+    BOOST_TEST(world.assigned("w-1").size() == 4U);
+}
+
+// Guards against a worker that is held back for good by a task that neither ends nor makes progress.
+BOOST_AUTO_TEST_CASE(task_without_progress_holds_a_worker_back_for_a_time_only)
+{
+    QuarantineWorld world;
+    world.report("w-1", 10);
+    world.failTasks("w-1", 4, failingJob, 20);
+    world.work("w-1", 2500);
+    BOOST_REQUIRE(world.assigned("w-1").size() == 1U);
+    ActiveRun standing { world.assigned("w-1").front(), "", 0, 0, 0 };
+    for (int64_t time : { 2600, 3000, 3400 })
+        world.report("w-1", time, { standing });
+    BOOST_TEST(world.assigned("w-1").size() == 1U);
+    world.report("w-1", 3600, { standing });
+    BOOST_TEST(world.assigned("w-1").size() == 2U);
+}
+
+// As above, for workers that run long-running tasks only.
+BOOST_AUTO_TEST_CASE(worker_with_a_long_running_task_at_work_starts_over_with_the_shortest_quarantine)
+{
+    QuarantineWorld world;
+    world.report("w-1", 10);
+    world.failTasks("w-1", 3, failingJob, 20);
+    world.call(Cancel {}, 100, failingJob);
+    world.commit(110);
+    world.work("w-1", 2500);
+    world.submit({ longRunningStep("search") }, 2510, longRunningJob);
+    world.commit(2520);
+    for (int64_t time : { 2600, 3100, 3600, 4100 })
+        world.work("w-1", time);
+    BOOST_REQUIRE(world.assigned("w-1").size() == 1U);
+    world.failTasks("w-1", 3, searchJob, 4200);
+    BOOST_TEST((world.quarantineSince("w-1", 4250) == world.state_.tuning_.initialQuarantine_));
+}
+
+// Guards against one burst of failures that lengthens the quarantine which it has caused, up to the longest.
+BOOST_AUTO_TEST_CASE(failures_of_runs_from_before_a_quarantine_do_not_lengthen_it)
+{
+    QuarantineWorld world;
+    world.report("w-1", 10);
+    world.failTasks("w-1", 4, failingJob, 20);
+    BOOST_TEST((world.quarantineSince("w-1", 70) == world.state_.tuning_.initialQuarantine_));
+}
+
+// Guards against tasks that fail everywhere and take all workers out.
+BOOST_AUTO_TEST_CASE(at_most_half_of_the_workers_are_quarantined)
+{
+    QuarantineWorld world;
+    const std::vector<std::string> names { "w-1", "w-2", "w-3", "w-4" };
+    for (const std::string& name : names)
+        world.report(name, 10);
+    world.submit({ stepOfTasks(16) }, 20, failingJob);
+    world.commit(30);
+    for (const std::string& name : names) {
+        BOOST_REQUIRE(world.assigned(name).size() == 4U);
+        world.end(name, RunEnd::Failed, 100);
+    }
+    auto count = std::count_if(names.begin(), names.end(), [&](const std::string& name) { return world.isQuarantined(name, 101); });
+    BOOST_TEST(count == 2);
+    // The others get one task at a time.
+    world.report("w-4", 200);
+    BOOST_TEST(!world.isQuarantined("w-4", 200));
+    BOOST_TEST(world.assigned("w-4").size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::workflow
