Count a refused run as lost with the report of its refusal

What callers saw: tasks that waited for a run although their start had been refused seconds before, as the leader went on counting them as assigned.

Cause: the leader marked an assigned run as lost only once all orders of its agent up to the start were completed. An earlier start or stop without an answer held it up; a stop is repeated each second until the worker answers. The refusal itself was used for the text of the log line and the backoff only.

So the leader marks the run as lost with the report that carries the refusal, if it is the current run of the task on that incarnation, released, and not listed as active in the same report. Reports of another session or overtaken ones are dropped as before. The completed orders remain the way for refusals whose report was lost.

Tests: unstarted_runs (new). Before the change 3 checks in 2 of its 6 cases failed ("world.progress(1).phase_ == TaskPhase::Waiting has failed", the line run.lost, and no start of the second run); the other 4 guard what must stay. No test was changed.

--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -204,14 +204,21 @@
     context.logEvent("run.stop", describe(run), concat("not assigned; worker ", incarnation.name_));
 }
 
+// True if the report says that the start of the run was refused.
+static bool isRefused(const WorkerReport& report, const RunKey& run)
+{
+    return std::any_of(report.refused_.begin(), report.refused_.end(), [&](const RefusedStart& refused) { return refused.run_ == run; });
+}
+
 // Marks assigned runs as lost that are neither active nor ended although their orders are completed: they never started
-// or left no trace on the worker.
+// or left no trace on the worker. A refusal is final for its run, whether or not earlier orders of the agent are completed.
 static void markAbsentRunsLost(const DecisionContext& context, const WorkerReport& report, const Worker& worker, const std::set<TaskKey>& seen, OrderNumber lastCompletedOrder)
 {
     std::vector<TaskKey> absent;
     for (const TaskKey& key : worker.assignedTasks_) {
         const Task* task = findTask(context.state_, key);
-        if (task->isStartReleased_ && task->lastOrder_ <= lastCompletedOrder && seen.count(key) == 0)
+        bool isFinal = task->lastOrder_ <= lastCompletedOrder || isRefused(report, { key, task->progress_.run_ });
+        if (task->isStartReleased_ && isFinal && seen.count(key) == 0)
             absent.push_back(key);
     }
     for (const TaskKey& key : absent) {
@@ -220,8 +227,7 @@
         // Stopping the gang of an earlier task in the list may have unassigned this one.
         if (task.progress_.phase_ != TaskPhase::Assigned)
             continue;
-        auto refused = std::find_if(report.refused_.begin(), report.refused_.end(), [&](const RefusedStart& start) { return start.run_.task_ == key; });
-        markRunLost(context, job, key, task, refused == report.refused_.end() ? "not on the worker" : "refused by the worker");
+        markRunLost(context, job, key, task, isRefused(report, { key, task.progress_.run_ }) ? "refused by the worker" : "not on the worker");
     }
 }
 
--- /dev/null
+++ b/workflow/tests/UnstartedRunsTest.cpp
@@ -0,0 +1,94 @@
+#include "LeaderWorld.h"
+
+namespace persimmondoor::workflow {
+
+static const JobId job = JobId::of("00000000000000aa");
+
+static RunKey runOf(uint32_t index, uint32_t run)
+{
+    return { { job, 0, 0, index }, run };
+}
+
+// A leader that has ordered the worker to start the first runs of two tasks; no order has completed.
+class OrderedWorld : public LeaderWorld {
+public:
+    OrderedWorld()
+    {
+        report("w-1", 5);
+        submit({ stepOfTasks(2) }, 10);
+        commit(20);
+        BOOST_REQUIRE(starts("w-1", 21).size() == 2U);
+    }
+
+    const TaskProgress& progress(uint32_t index) const { return state_.jobs_.at(job).tasks_[index].progress_; }
+    bool isRun(uint32_t index, uint32_t run) const { return progress(index).phase_ == TaskPhase::Assigned && progress(index).run_ == run; }
+};
+
+BOOST_AUTO_TEST_SUITE(unstarted_runs)
+
+// Guards against a task that waits although its start was refused, as an earlier order of the agent is still open.
+BOOST_AUTO_TEST_CASE(refused_run_is_lost_while_an_earlier_order_is_open)
+{
+    OrderedWorld world;
+    world.refused_ = { { runOf(1, 1), StartRefusal::Unavailable } };
+    world.report("w-1", 30);
+    BOOST_TEST((world.progress(1).phase_ == TaskPhase::Waiting));
+    BOOST_TEST((world.logged("run.lost") == std::vector<std::string> { "refused by the worker; worker w-1" }));
+    BOOST_TEST(world.isRun(0, 1));
+}
+
+// Guards against a run that is started a second time beside one that its worker runs.
+BOOST_AUTO_TEST_CASE(refused_run_that_is_active_is_not_lost)
+{
+    OrderedWorld world;
+    world.refused_ = { { runOf(1, 1), StartRefusal::Unavailable } };
+    world.report("w-1", 30, { { runOf(1, 1), "", 10, 0, 100 } });
+    BOOST_TEST(world.isRun(1, 1));
+}
+
+// Guards against a run that is lost because an earlier run of its task was refused.
+BOOST_AUTO_TEST_CASE(refusal_of_an_earlier_run_does_not_concern_the_current_one)
+{
+    OrderedWorld world;
+    world.refused_ = { { runOf(1, 1), StartRefusal::StaleRun } };
+    world.report("w-1", 30);
+    world.commit(31);
+    BOOST_REQUIRE(world.starts("w-1", 32).size() == 1U);
+    world.report("w-1", 40);
+    BOOST_TEST(world.isRun(1, 2));
+}
+
+// Guards against a refusal that is applied to a run on another incarnation of the worker.
+BOOST_AUTO_TEST_CASE(refusal_by_another_worker_does_not_concern_the_run)
+{
+    OrderedWorld world;
+    world.refused_ = { { runOf(1, 1), StartRefusal::Unavailable } };
+    world.report("w-2", 30);
+    BOOST_TEST(world.isRun(1, 1));
+}
+
+// Guards against a run that is started a second time because a delayed report is taken for a newer one.
+BOOST_AUTO_TEST_CASE(refusal_in_a_report_that_was_overtaken_is_dropped)
+{
+    OrderedWorld world;
+    world.report("w-1", 30);
+    WorkerReport worker { { "w-1", 1000, "" }, { "packs", "north", { "a", "r1" }, *Resources::create(4000, 1'000'000, 0) }, false, 0, true, true, 0, {}, {}, { { runOf(1, 1), StartRefusal::Unavailable } } };
+    world.handle(ReportArrived { { "w-1", "north", 7, world.state_.epoch_, world.fenceOf("w-1"), Sequence(1), OrderNumber(), { worker }, {}, true } }, 40);
+    BOOST_TEST(world.isRun(1, 1));
+}
+
+// Guards against a run that is lost before its order was released to the agent.
+BOOST_AUTO_TEST_CASE(run_whose_start_is_not_released_is_not_lost)
+{
+    LeaderWorld world;
+    world.report("w-1", 5);
+    world.submit({ stepOfTasks(1) }, 10);
+    world.refused_ = { { runOf(0, 1), StartRefusal::StaleRun } };
+    world.report("w-1", 15);
+    BOOST_TEST((world.state_.jobs_.at(job).tasks_[0].progress_.phase_ == TaskPhase::Assigned));
+    BOOST_TEST(world.logged("run.lost").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::workflow
