Assume no earlier agent's lease for workers born under this one

What callers saw: tasks of a worker that was lost for good within seconds of its birth ran again 9 to 10 s later.

Cause: an agent takes each worker that it first sees to hold the longest lease, 10 s, as an earlier process of the agent may have granted one, and removes it as lost only after that. Its own leases end 7.5 s after the report at most.

Fix: the agent notes the first incarnation that answered it at each address. If another one is then seen there, that one was born after the answer: at the time of the answer its address was in use by the first. So no earlier process of the agent has granted it a lease, and its leases end by the latest end that this process has been allowed to grant. The argument needs no clock: times of birth tell incarnations apart but are not compared with the agent's start, as the time of day may step. The longest lease stays the bound for the first incarnation that answers, which may be older than the agent or have been seen before; for other addresses; and after lists that do not state the birth, as another incarnation may have sent them.

--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -115,6 +115,8 @@
     std::map<workflow::OrderNumber, std::pair<workflow::StopRun, Instant>> pendingStops_;
     std::map<workflow::WorkerIncarnation, LocalWorker> workers_;
     std::map<workflow::WorkerIncarnation, Instant> endedWorkers_;
+    /// The first incarnation that answered at each address since this process of the agent started.
+    std::map<Address, workflow::WorkerIncarnation> firstAnswers_;
     std::map<workflow::RunKey, workflow::RunTraits> traits_;
     /// The leader's interference estimates for the images on this host.
     workflow::Interference interference_;
--- a/supervision/src/decisions/LocalWorkers.cpp
+++ b/supervision/src/decisions/LocalWorkers.cpp
@@ -74,6 +74,16 @@
     context.addAction(CallList { incarnation, { context.state_.fence_, worker.durableEnd_, grantLease(context, worker), wait } });
 }
 
+// Bound on the end of all leases that a worker may hold when it is first seen. If another incarnation has answered this
+// process of the agent at the same address, the worker was born after that, so that no earlier process has granted it a
+// lease. Times of birth are not compared with the agent's start, as the time of day may step.
+static Instant boundOnLeases(const DecisionContext& context, const workflow::Heartbeat& heartbeat)
+{
+    auto first = context.state_.firstAnswers_.find(heartbeat.address_);
+    bool isBornUnderThisAgent = first != context.state_.firstAnswers_.end() && first->second != heartbeat.incarnation_;
+    return isBornUnderThisAgent ? context.state_.leaseHorizon_ : context.now_ + context.state_.tuning_.longestLease_;
+}
+
 void handleHeartbeat(const DecisionContext& context, const workflow::Heartbeat& heartbeat)
 {
     std::vector<WorkerIncarnation> replaced;
@@ -94,7 +104,7 @@
         return;
     if (isNew) {
         worker.address_ = heartbeat.address_;
-        worker.leaseEnd_ = context.now_ + context.state_.tuning_.longestLease_;
+        worker.leaseEnd_ = boundOnLeases(context, heartbeat);
         context.state_.endedWorkers_.erase(heartbeat.incarnation_);
         context.addAction(AddWorker { heartbeat.incarnation_, heartbeat.address_ });
         context.logEvent("worker.seen", describe(heartbeat.incarnation_), concat("address ", heartbeat.address_.text(), ", service ", heartbeat.traits_.service_));
@@ -169,6 +179,8 @@
         return removeWorker(context, message.worker_, "another incarnation answers at its address");
     LocalWorker& worker = found->second;
     worker.isListCallInFlight_ = false;
+    if (lists.bornMs_ != 0)
+        context.state_.firstAnswers_.try_emplace(worker.address_, message.worker_);
     if (!worker.isReachable_)
         context.logEvent("worker.reached", describe(message.worker_), concat(lists.active_.size(), " runs"));
     setReachable(context, worker, true);
