Avoid a worker that leaves a start unanswered

What callers saw: tasks that were started on the same worker up to 6 times in a row, each time without an answer.

Cause: after a start without an answer the agent stops the run, and the leader then marks it as lost, "not on the worker". Neither did the worker back off, as it does after a refused start, nor did the task avoid it.

Whether the run was seen does not matter, as a confirmed stop is reported as active until a list shows the end. It says nothing about the worker if the start was made void by a new session of the agent or by a stop of the leader. As after refusals, there is no backoff if the worker was unreachable until this report.

Tests: five new cases in unstarted_runs. Before the change 4 checks in 2 of them failed (the repeated start and the task that goes back); with the backoff but without the avoidance 2 checks in 1. The other three guard against a worker that is held back without a fault of its own. No test was changed.

Not changed: for long-running tasks the weights of images may still outweigh the avoidance, if all other workers with room run tasks of other images only.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -138,7 +138,7 @@
     std::optional<Instant> slowedSince_;
     /// A worker holds room for the waiting task.
     bool isRoomHeld_ { false };
-    /// Worker on which the task last failed, hung or was slowed down.
+    /// Worker on which the task last failed, hung, was slowed down or did not appear after its start.
     std::string avoidedWorker_;
     bool operator==(const Task&) const = default;
 };
@@ -208,7 +208,7 @@
     std::set<uint64_t> nonDurableEnds_;
     /// The agent was notified that ends up to this one are durable.
     uint64_t acknowledgedEnd_ { 0 };
-    /// No runs are placed on the worker until this time, as it refused one.
+    /// No runs are placed on the worker until this time, as it refused one or left its start unanswered.
     Instant backoffUntil_;
     /// Cores of the assigned filling tasks, in thousandths, by image.
     std::map<std::string, int64_t> fillingByImage_;
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -118,7 +118,7 @@
     NotReported,
     // Its agent does not reach the worker.
     Unreachable,
-    // The worker has refused a start a moment ago.
+    // The worker has refused a start or left it unanswered a moment ago.
     BackingOff,
     MissingLabel,
     // The worker runs as many tasks of the step as the step allows.
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -9,8 +9,8 @@
 // Weights of a worker's score; one unit is one percent of the worker's capacity that would stay free.
 // Data on another rack makes a task take at least 1.5 times as long.
 static constexpr int64_t dataRackWeight = 200;
-// A worker on which this task failed, hung or was slowed down is chosen only if no other has enough free capacity. For
-// long-running tasks, the weights of images below may outweigh this one.
+// A worker on which this task failed, hung, was slowed down or did not appear is chosen only if no other has enough free
+// capacity. For long-running tasks, the weights of images below may outweigh this one.
 static constexpr int64_t avoidedWeight = 1000;
 static constexpr int64_t failureWeight = 100;
 // A quarantined worker is chosen only if no other has enough free capacity; outweighs all others together.
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -204,15 +204,53 @@
     context.logEvent("run.stop", describe(run), concat("not assigned; worker ", incarnation.name_));
 }
 
+// True if the worker would refuse other runs too, and the same run again.
+static bool concernsWorker(StartRefusal reason)
+{
+    switch (reason) {
+    case StartRefusal::Fenced:
+    case StartRefusal::OrderExpired:
+    case StartRefusal::NoRoom:
+    case StartRefusal::Unavailable:
+        return true;
+    case StartRefusal::StaleRun:
+    case StartRefusal::NoTicket:
+    case StartRefusal::Malformed:
+        return false;
+    }
+    return true;
+}
+
+// Holds starts on the worker back. Failed starts until the first report that an unreachable worker is reached again say
+// nothing about the worker from then on.
+static void backOff(const DecisionContext& context, const WorkerReport& report, bool wasReachable, Worker& worker)
+{
+    if (wasReachable && report.isReachable_)
+        worker.backoffUntil_ = context.now_ + context.state_.tuning_.refusalBackoff_;
+}
+
+static void backOffAfterRefusals(const DecisionContext& context, const WorkerReport& report, bool wasReachable, Worker& worker)
+{
+    if (std::any_of(report.refused_.begin(), report.refused_.end(), [](const RefusedStart& refused) { return concernsWorker(refused.reason_); }))
+        backOff(context, report, wasReachable, worker);
+}
+
 // True if the report says that the start of the run was refused.
 static bool isRefused(const WorkerReport& report, const RunKey& run)
 {
     return std::any_of(report.refused_.begin(), report.refused_.end(), [&](const RefusedStart& refused) { return refused.run_ == run; });
 }
 
+// True if the worker left the start of the absent run unanswered, so that its agent stopped the run. No order of this
+// session means that the start was void, and after a stop by the leader the start had no effect.
+static bool isUnanswered(const Task& task)
+{
+    return task.lastOrder_ != OrderNumber() && !task.isStopping_;
+}
+
 // Marks assigned runs as lost that are neither active nor ended although their orders are completed: they never started
 // or left no trace on the worker. A refusal is final for its run, whether or not earlier orders of the agent are completed.
-static void markAbsentRunsLost(const DecisionContext& context, const WorkerReport& report, const Worker& worker, const std::set<TaskKey>& seen, OrderNumber lastCompletedOrder)
+static void markAbsentRunsLost(const DecisionContext& context, const WorkerReport& report, bool wasReachable, Worker& worker, const std::set<TaskKey>& seen, OrderNumber lastCompletedOrder)
 {
     std::vector<TaskKey> absent;
     for (const TaskKey& key : worker.assignedTasks_) {
@@ -227,7 +265,12 @@
         // Stopping the gang of an earlier task in the list may have unassigned this one.
         if (task.progress_.phase_ != TaskPhase::Assigned)
             continue;
-        markRunLost(context, job, key, task, isRefused(report, { key, task.progress_.run_ }) ? "refused by the worker" : "not on the worker");
+        bool isRefusedRun = isRefused(report, { key, task.progress_.run_ });
+        if (!isRefusedRun && isUnanswered(task)) {
+            task.avoidedWorker_ = report.incarnation_.name_;
+            backOff(context, report, wasReachable, worker);
+        }
+        markRunLost(context, job, key, task, isRefusedRun ? "refused by the worker" : "not on the worker");
     }
 }
 
@@ -248,32 +291,6 @@
     }
 }
 
-// True if the worker would refuse other runs too, and the same run again.
-static bool concernsWorker(StartRefusal reason)
-{
-    switch (reason) {
-    case StartRefusal::Fenced:
-    case StartRefusal::OrderExpired:
-    case StartRefusal::NoRoom:
-    case StartRefusal::Unavailable:
-        return true;
-    case StartRefusal::StaleRun:
-    case StartRefusal::NoTicket:
-    case StartRefusal::Malformed:
-        return false;
-    }
-    return true;
-}
-
-// Holds starts back after refusals. Refusals until the first report that an unreachable worker is reached again say nothing
-// about the worker from then on.
-static void backOffAfterRefusals(const DecisionContext& context, const WorkerReport& report, bool wasReachable, Worker& worker)
-{
-    bool isRefusing = std::any_of(report.refused_.begin(), report.refused_.end(), [](const RefusedStart& refused) { return concernsWorker(refused.reason_); });
-    if (isRefusing && wasReachable && report.isReachable_)
-        worker.backoffUntil_ = context.now_ + context.state_.tuning_.refusalBackoff_;
-}
-
 static void dropEarlierIncarnations(const DecisionContext& context, const WorkerIncarnation& incarnation)
 {
     std::vector<WorkerIncarnation> earlier;
@@ -357,7 +374,7 @@
     }
     observeLoad(context, report, worker);
     backOffAfterRefusals(context, report, wasReachable, worker);
-    markAbsentRunsLost(context, report, worker, seen, message.lastCompletedOrder_);
+    markAbsentRunsLost(context, report, wasReachable, worker, seen, message.lastCompletedOrder_);
     if (worker.draining_)
         stopRunsOnDrainingWorker(context, worker);
 }
--- a/workflow/tests/UnstartedRunsTest.cpp
+++ b/workflow/tests/UnstartedRunsTest.cpp
@@ -89,6 +89,73 @@
     BOOST_TEST(world.logged("run.lost").empty());
 }
 
+// Guards against a start that is left unanswered and is sent to the same worker again at once.
+BOOST_AUTO_TEST_CASE(run_that_never_appeared_is_not_repeated_on_its_worker_at_once)
+{
+    OrderedWorld world;
+    world.lastCompletedOrder_ = OrderNumber(2);
+    world.report("w-1", 30);
+    world.commit(31);
+    BOOST_TEST((world.logged("run.lost") == std::vector<std::string>(2, "not on the worker; worker w-1")));
+    BOOST_TEST(world.starts("w-1", 32).empty());
+    // The worker is used again after the backoff, as there is no other.
+    world.report("w-1", 400);
+    world.commit(401);
+    BOOST_TEST(world.starts("w-1", 402).size() == 2U);
+}
+
+// Guards against a task that goes back to the worker on which its run never appeared, although another one has room.
+BOOST_AUTO_TEST_CASE(task_avoids_the_worker_on_which_its_run_never_appeared)
+{
+    OrderedWorld world;
+    // A confirmed stop is reported as active until a list shows that the run is not there.
+    world.report("w-1", 30, { { runOf(0, 1), "", 0, 0, 100 }, { runOf(1, 1), "", 0, 0, 100 } });
+    world.lastCompletedOrder_ = OrderNumber(2);
+    world.report("w-1", 40);
+    world.lastCompletedOrder_ = OrderNumber();
+    // Of workers with the same score the first one is chosen.
+    world.report("w-2", 300);
+    world.report("w-1", 310);
+    world.commit(311);
+    BOOST_TEST(world.starts("w-1", 312).empty());
+    BOOST_TEST(world.starts("w-2", 313).size() == 2U);
+}
+
+// Guards against a worker that is held back for starts that a new session of its agent has made void.
+BOOST_AUTO_TEST_CASE(start_voided_by_a_new_session_does_not_hold_the_worker_back)
+{
+    OrderedWorld world;
+    world.reportBy("w-1", 8, "w-1", 30);
+    world.commit(31);
+    BOOST_TEST(world.starts("w-1", 32).size() == 2U);
+}
+
+// Guards against a worker that is held back for a start that the leader's own stop has made void.
+BOOST_AUTO_TEST_CASE(start_voided_by_a_stop_of_the_leader_does_not_hold_the_worker_back)
+{
+    OrderedWorld world;
+    world.call(Cancel {}, 25);
+    world.commit(26);
+    world.lastCompletedOrder_ = OrderNumber(4);
+    world.report("w-1", 30);
+    world.submit({ stepOfTasks(1) }, 31, "00000000000000bb");
+    world.commit(32);
+    BOOST_TEST(world.starts("w-1", 33).size() == 1U);
+}
+
+// Guards against a worker that is held back after it answers again, for starts that it left unanswered until then.
+BOOST_AUTO_TEST_CASE(start_left_unanswered_while_a_worker_was_unreachable_does_not_hold_it_back_once_it_answers)
+{
+    OrderedWorld world;
+    world.reachable_ = false;
+    world.report("w-1", 30);
+    world.reachable_ = true;
+    world.lastCompletedOrder_ = OrderNumber(2);
+    world.report("w-1", 40);
+    world.commit(41);
+    BOOST_TEST(world.starts("w-1", 42).size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
