Keep held room until it is used

A hold was dropped at the moment at which its room was free, as the worker then counted as one that needs no hold; under a backlog placement follows up to 20 ms later, and short tasks took what had been kept. A passing refusal, a moment without contact or another task's probe dropped it too.

A hold now lasts while the worker could still make room and is not leaving.

--- a/workflow/src/decisions/RoomHolds.cpp
+++ b/workflow/src/decisions/RoomHolds.cpp
@@ -73,26 +73,56 @@
     return waiting;
 }
 
-// Share of the worker's capacity, in percent, that has to be freed for the task; nothing if the worker would have no room
-// for the task even without its short tasks, or cannot take it for another reason than its capacity.
-static std::optional<int64_t> missingPercent(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+// True if the obstacle is passing or one that the hold itself removes.
+static bool mayPass(WorkerObstacle obstacle)
+{
+    switch (obstacle) {
+    case WorkerObstacle::None:
+    case WorkerObstacle::Quarantined:
+    case WorkerObstacle::Unreachable:
+    case WorkerObstacle::BackingOff:
+    case WorkerObstacle::Cores:
+    case WorkerObstacle::Memory:
+    case WorkerObstacle::Accelerators:
+        return true;
+    case WorkerObstacle::OtherService:
+    case WorkerObstacle::Draining:
+    case WorkerObstacle::Evacuated:
+    case WorkerObstacle::NotReported:
+    case WorkerObstacle::MissingLabel:
+    case WorkerObstacle::StepBound:
+        return false;
+    }
+    return false;
+}
+
+// True if the worker would have room for the task without its short tasks.
+static bool canMakeRoom(const Worker& worker, const TaskKey& key, const Step& step)
 {
-    WorkerObstacle obstacle = obstacleAt(state, job, key, worker, now);
-    if (obstacle != WorkerObstacle::Cores && obstacle != WorkerObstacle::Memory && obstacle != WorkerObstacle::Accelerators)
-        return std::nullopt;
-    const Step& step = stepOf(job, key);
-    const Resources& capacity = worker.traits_.capacity_;
     Resources held;
     int64_t siblings = countSiblings(worker, key);
     for (const auto& [owner, hold] : worker.holds_) {
         held = held + hold.demand_;
         siblings += isSameStep(owner, key) ? 1 : 0;
     }
-    if (step.maxPerWorker_ > 0 && siblings >= step.maxPerWorker_)
+    bool isWithinBound = step.maxPerWorker_ == 0 || siblings < step.maxPerWorker_;
+    return isWithinBound && (worker.longRunningReserved_ + step.demand_ + held).fitsIn(worker.traits_.capacity_);
+}
+
+// Share of the worker's capacity, in percent, that has to be freed for the task; nothing if the worker would have no room
+// for the task even without its short tasks, or cannot take it for another reason than its capacity.
+static std::optional<int64_t> missingPercent(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+{
+    WorkerObstacle obstacle = obstacleAt(state, job, key, worker, now);
+    if (obstacle != WorkerObstacle::Cores && obstacle != WorkerObstacle::Memory && obstacle != WorkerObstacle::Accelerators)
         return std::nullopt;
-    Resources needed = step.demand_ + held;
-    if (!(worker.longRunningReserved_ + needed).fitsIn(capacity))
+    const Step& step = stepOf(job, key);
+    if (!canMakeRoom(worker, key, step))
         return std::nullopt;
+    const Resources& capacity = worker.traits_.capacity_;
+    Resources needed = step.demand_;
+    for (const auto& [owner, hold] : worker.holds_)
+        needed = needed + hold.demand_;
     int64_t cores = needed.milliCores() - freeMilliCores(worker);
     int64_t memory = worker.reserved_.memoryBytes() + needed.memoryBytes() - capacity.memoryBytes();
     return std::max(100 * cores / std::max<int64_t>(capacity.milliCores(), 1), 100 * memory / std::max<int64_t>(capacity.memoryBytes(), 1));
@@ -174,7 +204,7 @@
         // A hold that moved from worker to worker would let none of them become free.
         if (auto known = former.find(waiting.key_); known != former.end()) {
             auto worker = state.workers_.find(known->second);
-            if (worker != state.workers_.end() && missingPercent(state, job, waiting.key_, worker->second, context.now_))
+            if (worker != state.workers_.end() && mayPass(obstacleAt(state, job, waiting.key_, worker->second, context.now_)) && canMakeRoom(worker->second, waiting.key_, stepOf(job, waiting.key_)))
                 chosen = known->second;
         }
         const Step& step = stepOf(job, waiting.key_);
--- a/workflow/tests/RoomHoldsTest.cpp
+++ b/workflow/tests/RoomHoldsTest.cpp
@@ -1,6 +1,8 @@
 #include "FillingWorld.h"
 #include "persimmondoor/core/Text.h"
 
+#include <algorithm>
+
 namespace persimmondoor::workflow {
 
 namespace {
@@ -72,6 +74,41 @@
         uint32_t jobCount_ { 0 };
     };
 
+    // A worker of four cores with four short tasks, on which room is held for a long-running task of two cores.
+    class HoldingWorld : public LeaderWorld {
+    public:
+        HoldingWorld()
+        {
+            report("w-1", 10);
+            submit({ stepOfTasks(4) }, 20, "00000000000000bb");
+            commit(30);
+            starts("w-1", 31);
+            lastCompletedOrder_ = OrderNumber(4);
+            reportShort(700, { 0, 1, 2, 3 });
+            Step large = longRunningStep("search");
+            large.demand_ = *Resources::create(2000, 1000, 0);
+            submit({ large }, 40, waitingJob);
+            handle(Tick { 1'000'800 }, 800);
+            BOOST_REQUIRE(holds().size() == 1U);
+        }
+
+        const std::map<TaskKey, RoomHold>& holds() const { return state_.workers_.at({ "w-1", bornMs_, host_ }).holds_; }
+
+        // Reports the short tasks that are still active; the others are done.
+        void reportShort(int64_t milliseconds, const std::vector<uint32_t>& active)
+        {
+            std::vector<ActiveRun> runs;
+            std::vector<EndedRun> ends;
+            for (uint32_t index = 0; index < 4; ++index) {
+                if (std::find(active.begin(), active.end(), index) != active.end())
+                    runs.push_back({ runOf("00000000000000bb", index), "", static_cast<uint32_t>(milliseconds / 100), 0, 100 });
+                else
+                    ends.push_back({ index + 1, runOf("00000000000000bb", index), RunEnd::Done, "" });
+            }
+            report("w-1", milliseconds, runs, ends);
+        }
+    };
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(room_holds)
@@ -113,6 +150,72 @@
     BOOST_TEST(world.state_.workers_.begin()->second.holds_.empty());
 }
 
+// Guards against a hold that is dropped at the moment at which the room is free, or by a passing refusal, so that short tasks
+// take what was kept.
+BOOST_AUTO_TEST_CASE(hold_lasts_until_it_is_used)
+{
+    HoldingWorld world;
+    world.refused_ = { { runOf("00000000000000ee"), StartRefusal::NoRoom } };
+    world.reportShort(1000, { 0, 1, 2, 3 });
+    world.refused_.clear();
+    world.handle(Tick { 1'001'050 }, 1050);
+    BOOST_TEST(world.holds().size() == 1U);
+    // Under a backlog, the waiting task may be placed a little after there is room for it.
+    for (int number = 0; number < 25; ++number)
+        world.submit({ stepOfTasks(1) }, 1060, concat("00000000000001", 10 + number));
+    world.commit(1070);
+    world.reportShort(1295, { 1, 2, 3 });
+    world.reportShort(1298, { 2, 3 });
+    world.handle(Tick { 1'001'302 }, 1302);
+    BOOST_TEST(world.holds().size() == 1U);
+    world.reportShort(1320, { 2, 3 });
+    BOOST_TEST(world.state_.jobs_.at(JobId::of(waitingJob)).tasks_.front().progress_.run_ == 1U);
+}
+
+// Guards against holds that move from worker to worker, so that none of them becomes free.
+BOOST_AUTO_TEST_CASE(hold_stays_where_it_is)
+{
+    HoldingWorld world;
+    world.capacity_ = *Resources::create(1000, 1'000'000, 0);
+    world.report("w-2", 1000);
+    world.submit({ stepOfTasks(1) }, 1010, "00000000000000cc");
+    world.commit(1020);
+    world.lastCompletedOrder_ = OrderNumber(1);
+    // The second worker has less to free than the first.
+    world.capacity_ = *Resources::create(2500, 1'000'000, 0);
+    world.report("w-2", 1030, { { runOf("00000000000000cc"), "", 10, 0, 100 } });
+    world.handle(Tick { 1'001'300 }, 1300);
+    BOOST_TEST(world.holds().size() == 1U);
+    BOOST_TEST(world.state_.workers_.at({ "w-2", 1000, "" }).holds_.empty());
+}
+
+// Guards against holds that keep too many workers idle.
+BOOST_AUTO_TEST_CASE(holds_are_bounded)
+{
+    LeaderWorld world;
+    for (int number = 0; number < 80; ++number)
+        world.report(concat("w-", number), 10);
+    for (int number = 0; number < 80; ++number)
+        world.submit({ stepOfTasks(4) }, 20, concat("00000000000001", 10 + number));
+    while (!world.state_.stagedOrder_.empty())
+        world.commit(30);
+    Step large = longRunningStep("search");
+    large.count_ = 60;
+    large.demand_ = *Resources::create(2000, 1000, 0);
+    world.submit({ large }, 40, waitingJob);
+    world.handle(Tick { 1'000'800 }, 800);
+    auto countHolds = [&] {
+        size_t count = 0;
+        for (const auto& [incarnation, worker] : world.state_.workers_)
+            count += worker.holds_.size();
+        return count;
+    };
+    BOOST_TEST(countHolds() == 16U);
+    world.state_.tuning_.maximumHeldPercent_ = 10;
+    world.handle(Tick { 1'001'100 }, 1100);
+    BOOST_TEST(countHolds() == 8U);
+}
+
 // Guards against a long-running task of a low priority that keeps urgent tasks waiting.
 BOOST_AUTO_TEST_CASE(hold_leaves_room_to_tasks_of_a_higher_priority)
 {
