Move a hold that frees nothing

A hold counts all but the long-running tasks of its worker as about to end.

A hold that was not used within 3 s moves to another worker, if one can make room. Test: hold_that_frees_nothing_is_moved.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -103,6 +103,8 @@
     /// in percent, and as a number.
     size_t maximumHeldPercent_ { 25 };
     size_t maximumHolds_ { 16 };
+    /// A hold that was not used within this time is moved, if another worker can make room.
+    Duration maximumHoldTime_ { std::chrono::milliseconds(3000) };
     /// Bound on the searches for a worker that find none, in one update of the holds: each visits all workers.
     size_t maximumHoldSearches_ { 4 };
     /// Finished jobs are kept for at least this long; the settings state how long clients may query them.
@@ -174,6 +176,8 @@
     Resources demand_;
     /// Priority of the waiting task's queue; 0 is the highest.
     uint32_t priority_ { 0 };
+    /// Since when the room is held on this worker.
+    Instant since_;
     bool operator==(const RoomHold&) const = default;
 };
 
--- a/workflow/src/decisions/RoomHolds.cpp
+++ b/workflow/src/decisions/RoomHolds.cpp
@@ -158,12 +158,13 @@
 
 } // namespace
 
-static std::optional<WorkerIncarnation> chooseWorkerToHold(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
+// \param avoided worker on which a hold of the task has freed nothing.
+static std::optional<WorkerIncarnation> chooseWorkerToHold(const LeaderState& state, const Job& job, const TaskKey& key, const std::optional<WorkerIncarnation>& avoided, Instant now)
 {
     std::optional<WorkerIncarnation> best;
     int64_t leastMissing = 0;
     for (const auto& [incarnation, worker] : state.workers_) {
-        std::optional<int64_t> missing = missingPercent(state, job, key, worker, now);
+        std::optional<int64_t> missing = incarnation == avoided ? std::nullopt : missingPercent(state, job, key, worker, now);
         if (!missing || (best && *missing >= leastMissing))
             continue;
         best = incarnation;
@@ -172,14 +173,23 @@
     return best;
 }
 
+namespace {
+
+    struct FormerHold {
+        WorkerIncarnation worker_;
+        Instant since_;
+    };
+
+} // namespace
+
 // Removes all holds.
-// \return the worker that each task had a hold on.
-static std::map<TaskKey, WorkerIncarnation> clearHolds(LeaderState& state)
+// \return the worker that each task had a hold on, and since when.
+static std::map<TaskKey, FormerHold> clearHolds(LeaderState& state)
 {
-    std::map<TaskKey, WorkerIncarnation> holders;
+    std::map<TaskKey, FormerHold> holders;
     for (auto& [incarnation, worker] : state.workers_) {
         for (const auto& [key, hold] : worker.holds_) {
-            holders[key] = incarnation;
+            holders[key] = { incarnation, hold.since_ };
             if (Task* task = findTask(state, key))
                 task->isRoomHeld_ = false;
         }
@@ -191,7 +201,7 @@
 void updateRoomHolds(const DecisionContext& context)
 {
     LeaderState& state = context.state_;
-    std::map<TaskKey, WorkerIncarnation> former = clearHolds(state);
+    std::map<TaskKey, FormerHold> former = clearHolds(state);
     auto usable = std::count_if(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) { return acceptsRuns(state, entry.second, context.now_); });
     size_t bound = std::clamp<size_t>(static_cast<size_t>(usable) * state.tuning_.maximumHeldPercent_ / 100, 1, state.tuning_.maximumHolds_);
     size_t held = 0;
@@ -200,24 +210,34 @@
         if (held >= bound)
             break;
         Job& job = state.jobs_.at(waiting.key_.job_);
-        std::optional<WorkerIncarnation> chosen;
+        const Step& step = stepOf(job, waiting.key_);
+        std::optional<WorkerIncarnation> kept;
+        Instant since = context.now_;
         // A hold that moved from worker to worker would let none of them become free.
         if (auto known = former.find(waiting.key_); known != former.end()) {
-            auto worker = state.workers_.find(known->second);
-            if (worker != state.workers_.end() && mayPass(obstacleAt(state, job, waiting.key_, worker->second, context.now_)) && canMakeRoom(worker->second, waiting.key_, stepOf(job, waiting.key_)))
-                chosen = known->second;
+            auto worker = state.workers_.find(known->second.worker_);
+            if (worker != state.workers_.end() && mayPass(obstacleAt(state, job, waiting.key_, worker->second, context.now_)) && canMakeRoom(worker->second, waiting.key_, step)) {
+                kept = known->second.worker_;
+                since = known->second.since_;
+            }
         }
-        const Step& step = stepOf(job, waiting.key_);
-        if (!chosen && !failed.isExhausted() && !failed.contains(job, step)) {
-            chosen = chooseWorkerToHold(state, job, waiting.key_, context.now_);
-            if (!chosen)
+        // What occupies the worker may stay, such as a filling task that makes no progress.
+        bool isFutile = kept && context.now_ - since > state.tuning_.maximumHoldTime_;
+        std::optional<WorkerIncarnation> chosen = kept;
+        if ((!kept || isFutile) && !failed.isExhausted() && !failed.contains(job, step)) {
+            std::optional<WorkerIncarnation> found = chooseWorkerToHold(state, job, waiting.key_, kept, context.now_);
+            if (found) {
+                chosen = found;
+                since = context.now_;
+            } else if (!kept) {
                 failed.add(job, step);
+            }
         }
         if (!chosen)
             continue;
         ++held;
         job.tasks_[taskNumber(job, waiting.key_)].isRoomHeld_ = true;
-        state.workers_.at(*chosen).holds_[waiting.key_] = { step.demand_, waiting.priority_ };
+        state.workers_.at(*chosen).holds_[waiting.key_] = { step.demand_, waiting.priority_, since };
         if (former.find(waiting.key_) == former.end())
             context.logEvent("room.held", describe(waiting.key_), concat("worker ", chosen->name_, ", after ", milliseconds(context.now_ - waiting.since_), " ms"));
     }
--- a/workflow/tests/RoomHoldsTest.cpp
+++ b/workflow/tests/RoomHoldsTest.cpp
@@ -189,6 +189,29 @@
     BOOST_TEST(world.state_.workers_.at({ "w-2", 1000, "" }).holds_.empty());
 }
 
+// Guards against a task that waits for a worker which frees nothing, while another one could make room.
+BOOST_AUTO_TEST_CASE(hold_that_frees_nothing_is_moved)
+{
+    HoldingWorld world;
+    world.capacity_ = *Resources::create(1000, 1'000'000, 0);
+    world.report("w-2", 1000);
+    world.submit({ stepOfTasks(1) }, 1010, "00000000000000cc");
+    world.commit(1020);
+    world.lastCompletedOrder_ = OrderNumber(1);
+    world.capacity_ = *Resources::create(2500, 1'000'000, 0);
+    for (int64_t time = 1100; time <= 4300; time += 100) {
+        world.lastCompletedOrder_ = OrderNumber(1);
+        world.report("w-2", time, { { runOf("00000000000000cc"), "", static_cast<uint32_t>(time / 100), 0, 100 } });
+        world.lastCompletedOrder_ = OrderNumber(4);
+        world.capacity_ = *Resources::create(4000, 1'000'000, 0);
+        world.reportShort(time + 1, { 0, 1, 2, 3 });
+        world.capacity_ = *Resources::create(2500, 1'000'000, 0);
+        world.handle(Tick { 1'000'000 + time }, time + 2);
+    }
+    BOOST_TEST(world.holds().empty());
+    BOOST_TEST(world.state_.workers_.at({ "w-2", 1000, "" }).holds_.size() == 1U);
+}
+
 // Guards against holds that keep too many workers idle.
 BOOST_AUTO_TEST_CASE(holds_are_bounded)
 {
