A long-running task that fails again and again waits between probes

A worker that has to prove itself takes one task at a time.

A long-running task that has failed before now gets such a worker once in the interval between probes; a step that waits only for this is not taken as a demand for which no worker is suitable.

Test: tasks_that_fail_again_and_again_do_not_keep_others_from_a_worker.

--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -163,8 +163,8 @@
 bool isQuarantined(const Worker&, Instant now);
 // True if the worker has been quarantined and no run has proven it since; it then gets one task at a time.
 bool isUnproven(const Worker&);
-// True if tasks of the step have to wait for the end of the worker's quarantine or for the outcome of its probe.
-bool isHeldBack(const Worker&, const Step&, Instant now);
+// True if the task has to wait for the end of the worker's quarantine or for the outcome of its probe.
+bool isHeldBack(const Worker&, const Step&, const Task&, Instant now);
 // Records that the task is assigned to the unproven worker.
 void beginProbe(const DecisionContext&, const TaskKey&, Worker&);
 // Counts the failure of the task's run against its worker, and quarantines the worker after several.
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -151,7 +151,7 @@
     const Step& step = stepOf(job, key);
     if (worker.traits_.service_ != job.queue_.service_)
         return WorkerObstacle::OtherService;
-    if (isHeldBack(worker, step, now))
+    if (isHeldBack(worker, step, job.tasks_[taskNumber(job, key)], now))
         return WorkerObstacle::Quarantined;
     if (WorkerObstacle obstacle = stateObstacle(state, worker, now); obstacle != WorkerObstacle::None)
         return obstacle;
--- a/workflow/src/decisions/Quarantine.cpp
+++ b/workflow/src/decisions/Quarantine.cpp
@@ -20,13 +20,17 @@
     return worker.quarantineCount_ > 0;
 }
 
-bool isHeldBack(const Worker& worker, const Step& step, Instant now)
+bool isHeldBack(const Worker& worker, const Step& step, const Task& task, Instant now)
 {
+    bool isProbeDue = worker.nextProbeAt_ && now >= *worker.nextProbeAt_;
+    // A task that fails again and again, without a bound, must not keep the worker from those that would prove it.
+    if (isUnproven(worker) && step.longRunning_ && task.progress_.failures_ > 0 && !isProbeDue)
+        return true;
     // A probe that neither ends nor makes progress, such as a paused filling task, holds others back only for a time.
     if (!isQuarantined(worker, now))
-        return isUnproven(worker) && worker.probe_ && worker.nextProbeAt_ && now < *worker.nextProbeAt_;
+        return isUnproven(worker) && worker.probe_ && worker.nextProbeAt_ && !isProbeDue;
     // Other tasks have a bounded number of attempts.
-    bool mayProbe = step.longRunning_ && !step.gang_ && !worker.probe_ && worker.nextProbeAt_ && now >= *worker.nextProbeAt_;
+    bool mayProbe = step.longRunning_ && !step.gang_ && !worker.probe_ && isProbeDue;
     return !mayProbe;
 }
 
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -143,6 +143,7 @@
     // Room that is held for a task of the step was of no use to the steps that found no worker.
     bool isUnplaceable = !isRoomHeld(job, occurrence, stepNumber) && unplaceable.contains(job, step, disturbance);
     bool waits = false;
+    bool isLimited = false;
     uint32_t placedDespiteInterference = 0;
     for (uint32_t index = 0; index < step.count_ && !waits; ++index) {
         TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
@@ -151,6 +152,8 @@
             continue;
         auto incarnation = isUnplaceable ? std::nullopt : chooseWorker(context.state_, job, key, disturbance, context.now_);
         waits = !incarnation;
+        // Workers that have to prove themselves are closed to a task that has failed, but not to others.
+        isLimited = waits && step.longRunning_ && progress.failures_ > 0;
         if (waits)
             continue;
         assign(context, job, key, *incarnation, progress.run_ + 1);
@@ -161,7 +164,7 @@
         if (hasHarmlessWorker(context.state_, job, step, context.now_))
             disturbance = Disturbance::Avoided;
     }
-    if (waits && !isUnplaceable)
+    if (waits && !isUnplaceable && !isLimited)
         unplaceable.add(job, step);
     if (step.isFilling_ && placedDespiteInterference > 0)
         context.logEvent("job.interference_ignored", job.record_.id_.value(), concat(placedDespiteInterference, " tasks of step ", stepNumber, " placed, as nothing of the job was running"));
--- a/workflow/tests/QuarantineTest.cpp
+++ b/workflow/tests/QuarantineTest.cpp
@@ -190,6 +190,42 @@
     BOOST_TEST(world.assigned("w-1").size() == 2U);
 }
 
+// Guards against long-running tasks that fail at once, again and again, and keep a worker from a task that would prove it.
+BOOST_AUTO_TEST_CASE(tasks_that_fail_again_and_again_do_not_keep_others_from_a_worker)
+{
+    QuarantineWorld world;
+    world.report("w-1", 10);
+    Step looping = longRunningStep("search");
+    looping.count_ = 3;
+    world.submit({ looping }, 20, failingJob);
+    world.commit(30);
+    auto failLooping = [&](int64_t time) {
+        std::vector<ActiveRun> active;
+        std::vector<EndedRun> ends;
+        for (const RunKey& run : world.assigned("w-1")) {
+            if (run.task_.job_.value() == failingJob)
+                ends.push_back({ static_cast<uint64_t>(time) * 10 + run.task_.index_, run, RunEnd::Failed, "" });
+            else
+                active.push_back({ run, "", 100, 8, 100 });
+        }
+        world.report("w-1", time, active, ends);
+        world.handle(Tick { 1'000'000 + time }, time + 1);
+        world.commit(time + 2);
+    };
+    for (int64_t time = 100; time <= 1000; time += 100)
+        failLooping(time);
+    world.submit({ longRunningStep("search") }, 1050, longRunningJob);
+    world.commit(1060);
+    int64_t startedAt = 0;
+    for (int64_t time = 1100; time <= 9000 && startedAt == 0; time += 100) {
+        failLooping(time);
+        for (const RunKey& run : world.assigned("w-1"))
+            startedAt = run.task_.job_.value() == longRunningJob ? time : startedAt;
+    }
+    BOOST_TEST(startedAt > 0);
+    BOOST_TEST(startedAt < 4000);
+}
+
 // As above, for workers that run long-running tasks only.
 BOOST_AUTO_TEST_CASE(worker_with_a_long_running_task_at_work_starts_over_with_the_shortest_quarantine)
 {
