Lost workers do not count for the bound on quarantine

Two more cases guard what a review by mutation found unguarded: the preference for workers that are not quarantined, and proofs by runs from before a quarantine.

--- a/workflow/src/decisions/Quarantine.cpp
+++ b/workflow/src/decisions/Quarantine.cpp
@@ -45,7 +45,7 @@
     size_t workers = 0;
     size_t quarantined = 0;
     for (const auto& [incarnation, worker] : state.workers_) {
-        if (worker.traits_.service_ != service)
+        if (worker.traits_.service_ != service || !worker.isReachable_ || worker.draining_)
             continue;
         ++workers;
         if (isQuarantined(worker, now))
--- a/workflow/tests/QuarantineTest.cpp
+++ b/workflow/tests/QuarantineTest.cpp
@@ -115,6 +115,8 @@
     world.report("w-1", 10);
     world.failTasks("w-1", 3, failingJob, 20);
     world.report("w-2", 1400);
+    // An empty worker of this size would be preferred.
+    world.capacity_ = *Resources::create(9000, 1'000'000, 0);
     world.report("w-1", 1500);
     world.submit({ longRunningStep("search") }, 1510, longRunningJob);
     world.commit(1520);
@@ -274,6 +276,48 @@
     BOOST_TEST(world.assigned("w-4").size() == 1U);
 }
 
+// Guards against lost workers that count for the bound, so that all usable workers are quarantined.
+BOOST_AUTO_TEST_CASE(bound_on_quarantine_counts_usable_workers_only)
+{
+    QuarantineWorld world;
+    for (const char* name : { "w-1", "w-2", "w-3", "w-4" })
+        world.report(name, 10);
+    world.reachable_ = false;
+    world.report("w-3", 15);
+    world.report("w-4", 15);
+    world.reachable_ = true;
+    world.submit({ stepOfTasks(8) }, 20, failingJob);
+    world.commit(30);
+    world.end("w-1", RunEnd::Failed, 100);
+    world.end("w-2", RunEnd::Failed, 101);
+    BOOST_TEST((world.isQuarantined("w-1", 110) != world.isQuarantined("w-2", 110)));
+}
+
+// Guards against a run from before the failures that counts as proof that its worker runs tasks.
+BOOST_AUTO_TEST_CASE(run_from_before_a_quarantine_does_not_end_it)
+{
+    QuarantineWorld world;
+    world.state_.tuning_.initialQuarantine_ = std::chrono::seconds(8);
+    world.report("w-1", 10);
+    world.submit({ longRunningStep("search") }, 20, longRunningJob);
+    world.commit(30);
+    BOOST_REQUIRE(world.assigned("w-1").size() == 1U);
+    ActiveRun former { world.assigned("w-1").front(), "", 100, 8, 100 };
+    world.report("w-1", 50, { former });
+    world.submit({ stepOfTasks(3) }, 100, failingJob);
+    world.commit(110);
+    std::vector<EndedRun> ends;
+    for (const RunKey& run : world.assigned("w-1")) {
+        if (run.task_.job_.value() == failingJob)
+            ends.push_back({ ends.size() + 1, run, RunEnd::Failed, "" });
+    }
+    BOOST_REQUIRE(ends.size() == 3U);
+    world.report("w-1", 200, { former }, ends);
+    BOOST_REQUIRE(world.isQuarantined("w-1", 210));
+    world.report("w-1", 2000, { former }, ends);
+    BOOST_TEST(world.isQuarantined("w-1", 2010));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
