Give up tasks that crash the workers that start them

What callers saw: a job with a task that crashes each worker that starts it is started without end, up to 57 times, and each crash takes all runs on that worker with it: jobs of other callers end late or not at all.

Cause: nothing counts a crash. A worker that crashes lists no end, and a run that is lost with its worker left no count on its task; only ends "failed" are counted. Class: a failure that is told by absence is retried without a bound (poison pill).

Who is to blame: such a task crashes its worker as it starts. So the agent, which is the witness, names the runs that it had started and that the worker had not outlived by 0.1 s. The leader adds 1 to the crashes of their tasks, in the job's row, so that the count outlasts a change of the leader and a loss of power; a new leader gets the names too. A run that two load readings show clears its task. A suspect is started on the worker with the least to lose, and no other run is started there for its first moments, so that the next crash has one suspect. Planned exits, expired leases and refused starts do not count.

--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -43,6 +43,9 @@
     int64_t clockDriftPercent_ { 2 };
     /// Allowance for the delivery of a lease, in addition to the clock drift.
     Duration leaseSlack_ { std::chrono::milliseconds(200) };
+    /// A run is suspected of a crash of its worker unless the worker has answered a list request at least this long after
+    /// the start was called: a task that crashes its worker does so as it starts.
+    Duration crashWindow_ { std::chrono::milliseconds(100) };
     /// How long reports repeat that an incarnation of a worker has ended.
     Duration endedWorkerRetention_ { std::chrono::seconds(10) };
     /// Bound on the reports in flight: one that waits for orders and one that carries changes.
@@ -72,6 +75,9 @@
     /// Runs whose start or stop the worker has confirmed, with the time of the confirmation; kept until a list shows the run
     /// or a list that was requested later arrives. Reports contain these runs as active.
     std::map<workflow::RunKey, Instant> confirmedRuns_;
+    /// Runs whose start was called and that the worker has not outlived by `SupervisorTuning::crashWindow_` yet, with the time
+    /// of the call.
+    std::map<workflow::RunKey, Instant> recentStarts_;
     std::vector<workflow::EndedRun> ended_;
     std::vector<workflow::RefusedStart> refused_;
     uint64_t durableEnd_ { 0 };
@@ -117,6 +123,8 @@
     std::map<workflow::WorkerIncarnation, Instant> endedWorkers_;
     /// The first incarnation that answered at each address since this process of the agent started.
     std::map<Address, workflow::WorkerIncarnation> firstAnswers_;
+    /// Runs that had just been started when their worker crashed, with the time at which the crash became known.
+    std::map<workflow::RunKey, Instant> crashedRuns_;
     std::map<workflow::RunKey, workflow::RunTraits> traits_;
     /// The leader's interference estimates for the images on this host.
     workflow::Interference interference_;
--- a/supervision/src/decisions/LocalWorkers.cpp
+++ b/supervision/src/decisions/LocalWorkers.cpp
@@ -18,10 +18,16 @@
     return concat(incarnation.name_, "@", incarnation.bornMs_);
 }
 
-void removeWorker(const DecisionContext& context, const WorkerIncarnation& incarnation, std::string_view reason)
+void removeWorker(const DecisionContext& context, const WorkerIncarnation& incarnation, WorkerEnd end, std::string_view reason)
 {
-    if (context.state_.workers_.erase(incarnation) == 0)
+    auto removed = context.state_.workers_.extract(incarnation);
+    if (removed.empty())
         return;
+    bool hasCrashed = end == WorkerEnd::Replaced && !removed.mapped().draining_;
+    for (const auto& [run, calledAt] : removed.mapped().recentStarts_) {
+        if (hasCrashed)
+            context.state_.crashedRuns_[run] = context.now_;
+    }
     // Nothing runs on the worker any more, so its pending stops have completed.
     std::vector<OrderNumber> stopped;
     for (const auto& [number, stop] : context.state_.pendingStops_) {
@@ -95,7 +101,7 @@
             replaced.push_back(incarnation);
     }
     for (const WorkerIncarnation& incarnation : replaced)
-        removeWorker(context, incarnation, concat("replaced by ", describe(heartbeat.incarnation_)));
+        removeWorker(context, incarnation, WorkerEnd::Replaced, concat("replaced by ", describe(heartbeat.incarnation_)));
     if (context.state_.endedWorkers_.count(heartbeat.incarnation_) > 0 && context.state_.workers_.count(heartbeat.incarnation_) == 0 && heartbeat.draining_)
         return;
     auto [found, isNew] = context.state_.workers_.try_emplace(heartbeat.incarnation_);
@@ -128,7 +134,7 @@
             leaving.push_back(incarnation);
     }
     for (const WorkerIncarnation& incarnation : leaving)
-        removeWorker(context, incarnation, "the worker announced that it leaves");
+        removeWorker(context, incarnation, WorkerEnd::Left, "the worker announced that it leaves");
 }
 
 static uint64_t lastEnd(const std::vector<EndedRun>& ended)
@@ -176,7 +182,7 @@
         return;
     const workflow::WorkerLists& lists = message.lists_;
     if (lists.bornMs_ != 0 && lists.bornMs_ != message.worker_.bornMs_)
-        return removeWorker(context, message.worker_, "another incarnation answers at its address");
+        return removeWorker(context, message.worker_, WorkerEnd::Replaced, "another incarnation answers at its address");
     LocalWorker& worker = found->second;
     worker.isListCallInFlight_ = false;
     if (lists.bornMs_ != 0)
@@ -186,6 +192,7 @@
     setReachable(context, worker, true);
     worker.workerTimeMs_ = lists.workerTimeMs_;
     worker.clockReadAt_ = context.now_;
+    std::erase_if(worker.recentStarts_, [&](const auto& entry) { return context.now_ - entry.second >= context.state_.tuning_.crashWindow_; });
     if (message.fence_ == context.state_.fence_) {
         updateLists(context, lists, message.askedAt_, worker);
         if (context.now_ >= worker.nextReadingAt_)
@@ -208,7 +215,7 @@
         context.logEvent("worker.unreachable", describe(failure.worker_), "the list request failed");
     setReachable(context, worker, false);
     if (failure.isOtherWorker_)
-        removeWorker(context, failure.worker_, "another worker answers at its address");
+        removeWorker(context, failure.worker_, WorkerEnd::Replaced, "another worker answers at its address");
 }
 
 void dropExpiredWorkers(const DecisionContext& context)
@@ -220,7 +227,7 @@
             expired.push_back(incarnation);
     }
     for (const WorkerIncarnation& incarnation : expired)
-        removeWorker(context, incarnation, "unreachable, and all its leases have expired");
+        removeWorker(context, incarnation, WorkerEnd::LeasesExpired, "unreachable, and all its leases have expired");
     if (!expired.empty())
         endSession(context);
 }
--- a/supervision/src/decisions/Reporting.cpp
+++ b/supervision/src/decisions/Reporting.cpp
@@ -34,13 +34,15 @@
     state.reportsSentAt_[state.sequence_] = context.now_;
     state.hasChanges_ = false;
     ++state.reportsInFlight_;
-    workflow::AgentReport report { state.name_, state.domain_, state.session_, state.epoch_, state.fence_, state.sequence_, state.lastCompletedOrder_, {}, {}, true };
+    workflow::AgentReport report { state.name_, state.domain_, state.session_, state.epoch_, state.fence_, state.sequence_, state.lastCompletedOrder_, {}, {}, true, {} };
     for (auto& [incarnation, worker] : state.workers_) {
         report.workers_.push_back(reportOf(state, incarnation, worker, context.now_));
         worker.refused_.clear();
     }
     for (const auto& [incarnation, time] : state.endedWorkers_)
         report.endedWorkers_.push_back(incarnation);
+    for (const auto& [run, time] : state.crashedRuns_)
+        report.crashedRuns_.push_back(run);
     context.addAction(SendReport { std::move(report) });
 }
 
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -53,6 +53,7 @@
             int64_t leaseEnd = grantLease(context_, worker->second);
             if (leaseEnd == 0)
                 return refuse(context_, order, StartRefusal::OrderExpired);
+            worker->second.recentStarts_[order.run_] = context_.now_;
             context_.addAction(CallStart { order, context_.state_.fence_, leaseEnd });
         }
         void operator()(const StopRun& order) const
@@ -128,7 +129,11 @@
             paceFillingRuns(context_, order_.worker_, worker_);
             completeOrder(context_, order_.number_);
         }
-        void operator()(const StartRefusal& reason) const { refuse(context_, order_, reason); }
+        void operator()(const StartRefusal& reason) const
+        {
+            worker_.recentStarts_.erase(order_.run_);
+            refuse(context_, order_, reason);
+        }
         // The worker may still execute the start; a confirmed stop makes it void.
         void operator()(const workflow::NoAnswer& answer) const
         {
@@ -179,7 +184,9 @@
         stop.second = context.now_ + std::chrono::seconds(1);
         context.addAction(CallStop { stop.first, context.state_.fence_ });
     }
-    std::erase_if(context.state_.endedWorkers_, [&](const auto& entry) { return context.now_ - entry.second > context.state_.tuning_.endedWorkerRetention_; });
+    auto isOutdated = [&](const auto& entry) { return context.now_ - entry.second > context.state_.tuning_.endedWorkerRetention_; };
+    std::erase_if(context.state_.endedWorkers_, isOutdated);
+    std::erase_if(context.state_.crashedRuns_, isOutdated);
 }
 
 namespace {
--- a/supervision/src/decisions/SupervisorRules.h
+++ b/supervision/src/decisions/SupervisorRules.h
@@ -31,8 +31,18 @@
 // Records that the outcome of the order is final.
 void completeOrder(const DecisionContext&, workflow::OrderNumber);
 
+// Why an incarnation of a worker has ended.
+enum class WorkerEnd : uint8_t {
+    // Another incarnation has taken its place: it has crashed, unless it was draining.
+    Replaced,
+    // It announced that it leaves.
+    Left,
+    // It cannot be reached, and all its leases have expired.
+    LeasesExpired,
+};
+
 // Removes an incarnation of a worker on which nothing runs any more.
-void removeWorker(const DecisionContext&, const workflow::WorkerIncarnation&, std::string_view reason);
+void removeWorker(const DecisionContext&, const workflow::WorkerIncarnation&, WorkerEnd, std::string_view reason);
 
 // Returns the lease end for the next call, in milliseconds on the worker's clock, or 0 if no lease may be granted.
 int64_t grantLease(const DecisionContext&, LocalWorker&);
--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -225,6 +225,73 @@
     BOOST_TEST(agent.state_.workers_.count(incarnation) == 0U);
 }
 
+// Lets the agent start a run at 110 ms and deliver a list at `listAt`, after which the worker is replaced at 3000 ms.
+// \return the runs that the agent's reports name as just started when the worker crashed.
+static std::vector<RunKey> crashedRunsAfterList(int64_t listAt, bool isDraining)
+{
+    Agent agent;
+    agent.attach();
+    agent.sendReply(110, { start(1) });
+    agent.handle(StartCompleted { Fence(5), start(1), workflow::Started {} }, 115);
+    agent.deliverList(listAt, { { firstRun, "", 0, 0, 100 } });
+    if (isDraining)
+        agent.sendHeartbeat(listAt + 1, true);
+    agent.handle(ListFailed { incarnation, false }, 900);
+    agent.sendReply(950);
+    agent.sendHeartbeat(3000, false, { "w-1", 3900 });
+    agent.sendReply(3010);
+    return agent.actionsOf<SendReport>().at(0).report_.crashedRuns_;
+}
+
+// Guards against a leader that cannot tell which run crashed a worker.
+BOOST_AUTO_TEST_CASE(runs_that_had_just_been_started_are_reported_after_a_crash)
+{
+    std::vector<RunKey> suspects { firstRun };
+    BOOST_TEST((crashedRunsAfterList(150, false) == suspects));
+}
+
+// Guards against runs that are blamed for a crash although their worker had outlived their start.
+BOOST_AUTO_TEST_CASE(runs_that_the_worker_has_outlived_are_not_reported_after_a_crash)
+{
+    BOOST_TEST(crashedRunsAfterList(250, false).empty());
+}
+
+// Guards against a planned shutdown that counts as a crash.
+BOOST_AUTO_TEST_CASE(no_runs_are_reported_after_a_drained_worker_was_replaced)
+{
+    BOOST_TEST(crashedRunsAfterList(150, true).empty());
+}
+
+// Guards against runs that are blamed as their worker left or was lost for good.
+BOOST_AUTO_TEST_CASE(no_runs_are_reported_as_crashed_without_a_successor_of_their_worker)
+{
+    for (bool leaves : { false, true }) {
+        Agent agent;
+        agent.attach();
+        agent.sendReply(110, { start(1) });
+        agent.handle(StartCompleted { Fence(5), start(1), workflow::Started {} }, 115);
+        if (leaves)
+            agent.handle(workflow::Leaving { "w-1" }, 120);
+        for (int64_t time = 200; time < 12'000 && !leaves; time += 400) {
+            agent.handle(ListFailed { incarnation, false }, time);
+            agent.handle(SupervisorTick {}, time + 150);
+        }
+        BOOST_TEST(agent.state_.workers_.empty());
+        BOOST_TEST(agent.state_.crashedRuns_.empty());
+    }
+}
+
+// Guards against a run that is blamed for a crash although it was never started.
+BOOST_AUTO_TEST_CASE(refused_run_is_not_reported_after_a_crash)
+{
+    Agent agent;
+    agent.attach();
+    agent.sendReply(110, { start(1) });
+    agent.handle(StartCompleted { Fence(5), start(1), workflow::StartRefusal::NoRoom }, 115);
+    agent.sendHeartbeat(3000, false, { "w-1", 3900 });
+    BOOST_TEST(agent.state_.crashedRuns_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(pending_stops_of_a_removed_worker_complete)
 {
     Agent agent;
--- a/workflow/include/persimmondoor/workflow/Exchange.h
+++ b/workflow/include/persimmondoor/workflow/Exchange.h
@@ -90,6 +90,8 @@
     std::vector<WorkerIncarnation> endedWorkers_;
     /// False once an entry that is not the leader has relayed the report; a report is relayed at most once.
     bool mayRelay_ { true };
+    /// Runs that had just been started when their worker crashed: one of them may have caused the crash.
+    std::vector<RunKey> crashedRuns_;
     bool operator==(const AgentReport&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -107,6 +107,19 @@
     Duration maximumHoldTime_ { std::chrono::milliseconds(3000) };
     /// Bound on the searches for a worker that find none, in one update of the holds: each visits all workers.
     size_t maximumHoldSearches_ { 4 };
+    /// A run has outlived its start once this many load readings of its worker contained it.
+    uint32_t readingsToOutliveStart_ { 2 };
+    /// A job is given up once one of its tasks has had this many runs in series that were lost as their worker crashed just
+    /// after their start. The second number applies if no other run on the worker had started then.
+    uint32_t crashesBeforeFailure_ { 3 };
+    uint32_t soleCrashesBeforeFailure_ { 2 };
+    /// A task under which a worker has crashed is started where no other run is started until a reading shows it, this long
+    /// after the worker listed it. A further crash then shows its fault, and no other suspect is lost with it.
+    Duration observationTime_ { std::chrono::milliseconds(250) };
+    /// Bound on the share of workers that start no other run for this reason, in percent; other suspects wait for one of
+    /// them, at most for the time below.
+    size_t maximumObservedPercent_ { 50 };
+    Duration maximumSuspectWait_ { std::chrono::milliseconds(2000) };
     /// Finished jobs are kept for at least this long; the settings state how long clients may query them.
     Duration finishedJobRetention_ { std::chrono::seconds(120) };
     /// Bound on the unfinished jobs, beyond which new ones are refused; keeps an entry within its 160 MB of memory.
@@ -128,6 +141,8 @@
     bool isStopping_ { false };
     Instant stopOrderedAt_;
     uint32_t progressPercent_ { 0 };
+    /// Number of load readings that contained the newest run.
+    uint32_t readings_ { 0 };
     /// Times of the newest run.
     RunTimes times_;
     /// When the last run ended; empty before the first has ended under this leader.
@@ -207,6 +222,9 @@
     uint32_t longRunningCount_ { 0 };
     Resources longRunningReserved_;
     std::map<std::string, uint32_t> longRunningByImage_;
+    /// A task under which another worker has crashed and that was started here: no other run is started until a reading
+    /// shows it.
+    std::optional<TaskKey> observedTask_;
     /// Room held for long-running tasks that wait for this worker.
     std::map<TaskKey, RoomHold> holds_;
     /// Number of the newest end that was handled, and the handled ends that are not durable yet.
--- a/workflow/include/persimmondoor/workflow/Record.h
+++ b/workflow/include/persimmondoor/workflow/Record.h
@@ -37,6 +37,9 @@
     /// Worker of the newest run; meaningful while the task is assigned.
     WorkerIncarnation worker_;
     std::string checkpoint_;
+    /// Number of the latest runs in series that were lost as their worker crashed just after their start. 0 again once a run
+    /// has outlived its start.
+    uint32_t crashes_ { 0 };
     auto operator<=>(const TaskProgress&) const = default;
 };
 
--- a/workflow/schema/Workflow.capnp
+++ b/workflow/schema/Workflow.capnp
@@ -66,6 +66,7 @@
   workers @7 :List(Worker);
   gone @8 :List(Life);
   mayRelay @9 :Bool;
+  crashed @10 :List(Run);
 }
 
 struct Order {
--- a/workflow/src/ExchangeCodec.cpp
+++ b/workflow/src/ExchangeCodec.cpp
@@ -153,12 +153,15 @@
     auto gone = builder.initGone(static_cast<unsigned>(report.endedWorkers_.size()));
     for (unsigned index = 0; index < gone.size(); ++index)
         encode(report.endedWorkers_[index], gone[index]);
+    auto crashed = builder.initCrashed(static_cast<unsigned>(report.crashedRuns_.size()));
+    for (unsigned index = 0; index < crashed.size(); ++index)
+        encode(report.crashedRuns_[index], crashed[index]);
 }
 
 absl::StatusOr<AgentReport> decode(wire::Report::Reader reader)
 {
     AgentReport report { fromWire(reader.getAgent()), fromWire(reader.getDomain()), reader.getSession(), LeaderEpoch(reader.getEpoch()), Fence(reader.getFence()),
-        Sequence(reader.getSequence()), OrderNumber(reader.getSettled()), {}, {}, reader.getMayRelay() };
+        Sequence(reader.getSequence()), OrderNumber(reader.getSettled()), {}, {}, reader.getMayRelay(), {} };
     for (auto worker : reader.getWorkers()) {
         auto decoded = decode(worker);
         if (!decoded.ok())
@@ -167,6 +170,12 @@
     }
     for (auto incarnation : reader.getGone())
         report.endedWorkers_.push_back(decode(incarnation));
+    for (auto crashed : reader.getCrashed()) {
+        auto run = decode(crashed);
+        if (!run.ok())
+            return run.status();
+        report.crashedRuns_.push_back(*std::move(run));
+    }
     return report;
 }
 
--- a/workflow/src/RecordCodec.cpp
+++ b/workflow/src/RecordCodec.cpp
@@ -133,11 +133,13 @@
 }
 
 // A task is encoded as [phase, run, failures, index of the worker, checkpoint]; empty fields at the end are left out. The
-// workers are in a separate list, as most tasks of a job share a few workers.
+// workers are in a separate list, as most tasks of a job share a few workers. The crashes are in a list of [task, crashes],
+// as few tasks have any.
 std::string encodeProgress(const Progress& progress)
 {
     json::array workers;
     json::array tasks;
+    json::array crashes;
     std::map<WorkerIncarnation, int64_t> numbers;
     for (const TaskProgress& task : progress.tasks_) {
         json::array fields { static_cast<int>(task.phase_), task.run_, task.failures_ };
@@ -150,9 +152,14 @@
         }
         if (!task.checkpoint_.empty())
             fields.emplace_back(task.checkpoint_);
+        if (task.crashes_ > 0)
+            crashes.emplace_back(json::array { tasks.size(), task.crashes_ });
         tasks.emplace_back(std::move(fields));
     }
-    return json::serialize(json::object { { "cancelled", progress.isCancelled_ }, { "failed", progress.hasFailed_ }, { "started", progress.hasStarted_ }, { "workers", std::move(workers) }, { "tasks", std::move(tasks) } });
+    json::object object { { "cancelled", progress.isCancelled_ }, { "failed", progress.hasFailed_ }, { "started", progress.hasStarted_ }, { "workers", std::move(workers) }, { "tasks", std::move(tasks) } };
+    if (!crashes.empty())
+        object["crashes"] = std::move(crashes);
+    return json::serialize(object);
 }
 
 static TaskProgress decodeTask(const json::array& fields, const std::vector<WorkerIncarnation>& workers)
@@ -184,6 +191,14 @@
     }
     for (const json::value& task : object.at("tasks").as_array())
         progress.tasks_.push_back(decodeTask(task.as_array(), workers));
+    // Absent in rows of earlier versions.
+    const json::value* crashes = object.if_contains("crashes");
+    if (!crashes)
+        return progress;
+    for (const json::value& item : crashes->as_array()) {
+        const json::array& fields = item.as_array();
+        progress.tasks_.at(fields.at(0).to_number<size_t>()).crashes_ = fields.at(1).to_number<uint32_t>();
+    }
     return progress;
 }
 
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -79,6 +79,17 @@
 void handleEnd(const DecisionContext&, const WorkerIncarnation&, const EndedRun&);
 // Removes a worker on which no run is left, and marks its assigned runs as lost.
 void dropWorker(const DecisionContext&, const WorkerIncarnation&, std::string_view why);
+// Fails the job and stops its tasks.
+void failJob(const DecisionContext&, Job&, std::string why);
+
+// Counts the crash of a worker against the tasks whose runs it had just started, and fails the jobs of those that have
+// crashed workers again and again. To be called before the worker is dropped.
+void countCrash(const DecisionContext&, const WorkerIncarnation&, const std::vector<RunKey>& crashedRuns);
+// Notes that a load reading contained the task's run. Once the reading shows that the run has outlived its first moments, the
+// worker is no longer kept free of other starts; two readings clear its task of earlier crashes.
+void noteReading(const DecisionContext&, const TaskKey&, Task&);
+// True if a task under which a worker has crashed should wait, as other suspects are being observed on enough workers.
+bool mustAwaitObservation(const LeaderState&, const Job&, const TaskKey&, Instant now);
 
 void handleCall(const DecisionContext&, const CallArrived&);
 void handleReport(const DecisionContext&, const AgentReport&);
@@ -120,6 +131,8 @@
     Unreachable,
     // The worker has refused a start or left it unanswered a moment ago.
     BackingOff,
+    // The worker runs a task under which another worker has crashed, and which has not outlived its start yet.
+    Observed,
     MissingLabel,
     // The worker runs as many tasks of the step as the step allows.
     StepBound,
@@ -127,7 +140,7 @@
     Memory,
     Accelerators,
 };
-inline constexpr size_t workerObstacleCount = 13;
+inline constexpr size_t workerObstacleCount = 14;
 std::string_view describe(WorkerObstacle);
 WorkerObstacle obstacleAt(const LeaderState&, const Job&, const TaskKey&, const Worker&, Instant now);
 
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -25,6 +25,8 @@
 static constexpr int64_t siblingWeight = 20;
 // Short tasks and harmless filling tasks are placed beside long-running tasks, as they do not disturb them.
 static constexpr int64_t besideLongRunningWeight = 150;
+// Long-running tasks lose more by a crash than others, as they have users of their own.
+static constexpr int64_t longRunningLossWeight = 10;
 // A filling task that would be slowed down everywhere is placed where it is slowed down least.
 static constexpr double slowdownWeight = 200;
 // A filling task is placed beside long-running tasks that it disturbs only if it can run at this share of its full speed.
@@ -142,7 +144,7 @@
 std::string_view describe(WorkerObstacle obstacle)
 {
     static constexpr std::array<std::string_view, workerObstacleCount> texts { "suitable", "of another service", "quarantined", "draining", "evacuated", "not reported",
-        "unreachable", "backing off after a refusal", "without the label", "at the step's bound", "without the cores", "without the memory", "without the accelerators" };
+        "unreachable", "backing off after a refusal", "with a suspect task", "without the label", "at the step's bound", "without the cores", "without the memory", "without the accelerators" };
     return texts.at(static_cast<size_t>(obstacle));
 }
 
@@ -157,6 +159,8 @@
         return obstacle;
     if (now < worker.backoffUntil_)
         return WorkerObstacle::BackingOff;
+    if (worker.observedTask_)
+        return WorkerObstacle::Observed;
     if (!step.requiredLabel_.empty() && !hasLabel(worker, step.requiredLabel_))
         return WorkerObstacle::MissingLabel;
     if (step.maxPerWorker_ > 0 && countSiblings(worker, key) >= step.maxPerWorker_)
@@ -193,15 +197,24 @@
     return sparePercent - besideLongRunningWeight - static_cast<int64_t>((1 - paceAt(state, step, worker)) * slowdownWeight);
 }
 
+// Score of a worker for a task that may crash it: prefers the worker with the fewest runs to lose.
+static int64_t suspectScore(const Worker& worker)
+{
+    return -longRunningLossWeight * worker.longRunningCount_ - static_cast<int64_t>(worker.assignedTasks_.size());
+}
+
 static int64_t scoreOf(const LeaderState& state, const Job& job, const TaskKey& key, const WorkerIncarnation& incarnation, const Worker& worker)
 {
     const Step& step = stepOf(job, key);
     int64_t capacity = std::max<int64_t>(worker.traits_.capacity_.milliCores(), 1);
     int64_t sparePercent = 100 * (spareMilliCores(worker) - step.demand_.milliCores()) / capacity;
+    const Task& task = job.tasks_[taskNumber(job, key)];
     int64_t score = step.longRunning_ ? longRunningScore(worker, key, step, sparePercent) : spreadScore(state, step, worker, sparePercent);
+    if (task.progress_.crashes_ > 0)
+        score = suspectScore(worker);
     if (!step.dataRack_.empty() && hasLabel(worker, step.dataRack_))
         score += dataRackWeight;
-    if (incarnation.name_ == job.tasks_[taskNumber(job, key)].avoidedWorker_)
+    if (incarnation.name_ == task.avoidedWorker_)
         score -= avoidedWeight;
     return score - failureWeight * worker.consecutiveFailures_;
 }
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -41,11 +41,11 @@
     context.logEvent("agent.attached", report.agent_, concat("fence ", agent.fence_.value(), ", domain ", report.domain_));
 }
 
-static void failJob(const DecisionContext& context, Job& job, const TaskKey& failedTask)
+void failJob(const DecisionContext& context, Job& job, std::string why)
 {
     job.hasFailed_ = true;
     context.state_.readyJobs_.erase(job.record_.id_);
-    context.logEvent("job.failed", job.record_.id_.value(), concat("task ", describe(failedTask), " failed ", job.queue_.maxAttempts_, " times"));
+    context.logEvent("job.failed", job.record_.id_.value(), std::move(why));
     stopTasks(context, job, "job failed");
 }
 
@@ -56,7 +56,7 @@
     recordWorkerFailure(context, key, task, worker);
     uint32_t maximum = job.queue_.maxAttempts_;
     if (!stepOf(job, key).longRunning_ && maximum > 0 && task.progress_.failures_ >= maximum)
-        failJob(context, job, key);
+        failJob(context, job, concat("task ", describe(key), " failed ", maximum, " times"));
 }
 
 void completeTask(const DecisionContext& context, Job& job, const TaskKey& key, Task& task)
@@ -113,6 +113,8 @@
     const TaskKey& key = end.run_.task_;
     if (!end.checkpoint_.empty())
         task.progress_.checkpoint_ = end.checkpoint_;
+    // The worker is alive to list the end.
+    task.progress_.crashes_ = 0;
     if (end.end_ == RunEnd::Failed)
         countFailure(context, job, key, task, worker);
     unassign(context, job, key, task);
@@ -167,6 +169,8 @@
         task->times_.listedAt_ = context.now_;
     }
     task->isOnWorker_ = true;
+    if (isNewReading)
+        noteReading(context, active.run_.task_, *task);
     if (isNewReading && stepOf(job, active.run_.task_).isFilling_) {
         task->times_ = addPaceReading(task->times_, active.pace_, context.now_);
         updateThrottledCores(context.state_.workers_.at(incarnation), *task, stepOf(job, active.run_.task_), active.pace_);
@@ -396,8 +400,10 @@
     agent.hasReported_ = true;
     agent.lastCompletedOrder_ = std::max(agent.lastCompletedOrder_, report.lastCompletedOrder_);
     std::erase_if(agent.pendingOrders_, [&](const Order& order) { return numberOf(order) <= agent.lastCompletedOrder_; });
-    for (const WorkerIncarnation& incarnation : report.endedWorkers_)
+    for (const WorkerIncarnation& incarnation : report.endedWorkers_) {
+        countCrash(context, incarnation, report.crashedRuns_);
         dropWorker(context, incarnation, "its agent reports that it has ended");
+    }
     for (const WorkerReport& worker : report.workers_)
         handleWorkerReport(context, report, worker);
     startReadyTasks(context);
--- a/workflow/src/decisions/RoomHolds.cpp
+++ b/workflow/src/decisions/RoomHolds.cpp
@@ -81,6 +81,7 @@
     case WorkerObstacle::Quarantined:
     case WorkerObstacle::Unreachable:
     case WorkerObstacle::BackingOff:
+    case WorkerObstacle::Observed:
     case WorkerObstacle::Cores:
     case WorkerObstacle::Memory:
     case WorkerObstacle::Accelerators:
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -194,6 +194,8 @@
 {
     if (worker.assignedTasks_.erase(key) == 0)
         return;
+    if (worker.observedTask_ == key)
+        worker.observedTask_.reset();
     worker.throttledMilliCores_ -= std::exchange(task.throttledMilliCores_, 0);
     worker.reserved_ = worker.reserved_ - step.demand_;
     if (worker.probe_ == key)
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -34,6 +34,7 @@
     task.isOnWorker_ = false;
     task.isStopping_ = false;
     task.progressPercent_ = 0;
+    task.readings_ = 0;
     task.throttledMilliCores_ = 0;
     task.slowedSince_.reset();
     task.times_ = RunTimes { context.now_, std::nullopt, std::nullopt, std::nullopt, Duration(0) };
@@ -43,6 +44,8 @@
         beginProbe(context, key, worker);
     reserveResources(worker, key, stepOf(job, key));
     releaseHold(worker, key);
+    if (task.progress_.crashes_ > 0 && !stepOf(job, key).gang_)
+        worker.observedTask_ = key;
     stage(context.state_, key.job_, ReleaseStart { { key, run } });
 }
 
@@ -144,12 +147,17 @@
     bool isUnplaceable = !isRoomHeld(job, occurrence, stepNumber) && unplaceable.contains(job, step, disturbance);
     bool waits = false;
     bool isLimited = false;
+    bool awaitsObservation = false;
     uint32_t placedDespiteInterference = 0;
     for (uint32_t index = 0; index < step.count_ && !waits; ++index) {
         TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
         const TaskProgress& progress = job.tasks_[taskNumber(job, key)].progress_;
         if (progress.phase_ != TaskPhase::Waiting)
             continue;
+        if (mustAwaitObservation(context.state_, job, key, context.now_)) {
+            awaitsObservation = true;
+            continue;
+        }
         auto incarnation = isUnplaceable ? std::nullopt : chooseWorker(context.state_, job, key, disturbance, context.now_);
         waits = !incarnation;
         // Workers that have to prove themselves are closed to a task that has failed, but not to others.
@@ -168,7 +176,7 @@
         unplaceable.add(job, step);
     if (step.isFilling_ && placedDespiteInterference > 0)
         context.logEvent("job.interference_ignored", job.record_.id_.value(), concat(placedDespiteInterference, " tasks of step ", stepNumber, " placed, as nothing of the job was running"));
-    return waits;
+    return waits || awaitsObservation;
 }
 
 static void updateIdleTime(const DecisionContext& context, Job& job, bool waits)
--- a/workflow/tests/LeaderWorld.h
+++ b/workflow/tests/LeaderWorld.h
@@ -88,7 +88,7 @@
     void reportBy(const std::string& agent, uint64_t session, const std::string& worker, int64_t milliseconds, std::vector<ActiveRun> active = {}, std::vector<EndedRun> ended = {})
     {
         WorkerReport lists { { worker, bornMs_, host_ }, { "packs", domain_, { "a", "r1" }, capacity_ }, draining_, 0, true, reachable_, readingNumber_, std::move(active), std::move(ended), refused_ };
-        AgentReport report { agent, domain_, session, state_.epoch_, fenceOf(agent), Sequence(++sequence_), lastCompletedOrder_, { lists }, endedWorkers_, true };
+        AgentReport report { agent, domain_, session, state_.epoch_, fenceOf(agent), Sequence(++sequence_), lastCompletedOrder_, { lists }, endedWorkers_, true, crashedRuns_ };
         handle(ReportArrived { report }, milliseconds);
         if (report.fence_ == fenceOf(agent))
             return;
@@ -142,6 +142,7 @@
     uint64_t readingNumber_ { 0 };
     OrderNumber lastCompletedOrder_;
     std::vector<WorkerIncarnation> endedWorkers_;
+    std::vector<RunKey> crashedRuns_;
 
 private:
     std::map<JobId, StoredJob> rows_;
--- a/workflow/tests/ReachabilityTest.cpp
+++ b/workflow/tests/ReachabilityTest.cpp
@@ -140,12 +140,12 @@
     BOOST_TEST(world.starts("w-1", 42).size() == 1U);
 }
 
-// Guards against reports that lose whether the agent reaches its worker on the way.
+// Guards against reports that lose whether the agent reaches its worker, or what crashed it, on the way.
 BOOST_AUTO_TEST_CASE(reachability_survives_the_encoding_of_a_report)
 {
     for (bool reachable : { false, true }) {
         WorkerReport worker { { "w-1", 1000, "host" }, { "packs", "north", { "a" }, *Resources::create(4000, 1'000'000, 0) }, true, 20, true, reachable, 3, {}, {}, { { runOf(0, 1), StartRefusal::Unavailable } } };
-        AgentReport report { "agent", "north", 7, LeaderEpoch(2), Fence(5), Sequence(9), OrderNumber(4), { worker }, {}, true };
+        AgentReport report { "agent", "north", 7, LeaderEpoch(2), Fence(5), Sequence(9), OrderNumber(4), { worker }, {}, true, { runOf(1, 2) } };
         capnp::MallocMessageBuilder message;
         auto builder = message.initRoot<wire::Report>();
         encode(report, builder);
--- a/workflow/tests/RecordTest.cpp
+++ b/workflow/tests/RecordTest.cpp
@@ -26,6 +26,10 @@
     auto read = decodeProgress(encodeProgress(progress));
     BOOST_REQUIRE(read.ok());
     BOOST_TEST((*read == progress));
+    progress.tasks_[2].crashes_ = 2;
+    read = decodeProgress(encodeProgress(progress));
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST((*read == progress));
 }
 
 BOOST_AUTO_TEST_CASE(unreadable_rows_are_errors)
@@ -34,6 +38,7 @@
     BOOST_TEST(!decodeRecord("{}").ok());
     BOOST_TEST(!decodeProgress(R"({"cancelled":1})").ok());
     BOOST_TEST(!decodeProgress(R"({"cancelled":false,"failed":false,"started":false,"workers":[],"tasks":[[7,0,0]]})").ok());
+    BOOST_TEST(!decodeProgress(R"({"cancelled":false,"failed":false,"started":false,"workers":[],"tasks":[[0,0,0]],"crashes":[[1,1]]})").ok());
     BOOST_TEST(!decodeSpec(R"({"payload":"","steps":[]})").ok());
 }
 
