Withdraw a start that no longer fits its worker

Placement followed a change of capacity with the next report already. A start that had been decided before the change was ordered all the same once its row was durable, seconds later if the store was slow. It is now withdrawn if what is assigned to the worker exceeds its capacity.

Tests: capacity; start_that_no_longer_fits_is_withdrawn failed before (4 starts instead of 2), the two others on shrinking and growing passed.

--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -167,6 +167,8 @@
 void releaseHold(Worker&, const TaskKey&);
 // True if the steps on which the step depends are done in that occurrence, and the occurrence is due.
 bool isStartable(const LeaderState&, const Job&, uint32_t occurrence, const Step&);
+// True if the tasks assigned to the worker demand more than its capacity, as it has shrunk.
+bool isOvercommitted(const Worker&);
 // True if the worker may be given new runs.
 bool acceptsRuns(const LeaderState&, const Worker&, Instant now);
 // True if the task is the probe of the worker, which may be quarantined, and may be started there.
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -89,6 +89,12 @@
     return freeMilliCores(worker) + worker.longRunningReserved_.milliCores() * longRunningIdlePercent / 100 - usedByFilling;
 }
 
+bool isOvercommitted(const Worker& worker)
+{
+    const Resources& capacity = worker.traits_.capacity_;
+    return freeMilliCores(worker) < 0 || worker.reserved_.memoryBytes() > capacity.memoryBytes() || worker.reserved_.accelerators() > capacity.accelerators();
+}
+
 static WorkerObstacle capacityObstacle(const Worker& worker, const Job& job, const TaskKey& key)
 {
     const Step& step = stepOf(job, key);
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -244,6 +244,8 @@
         return "the worker accepts no new runs";
     if (worker->second.traits_.service_ != job.queue_.service_)
         return "the queue was assigned to another service";
+    if (isOvercommitted(worker->second))
+        return "the worker's capacity has shrunk";
     return {};
 }
 
