Split the update of room holds; an event of its own for unproven workers

No decision changes: the choice of a hold is in functions of its own. A worker that is not quarantined, as half of its service's workers are, is logged as worker.unproven instead of worker.quarantined for 0 ms, and task.waits says "quarantined or unproven" for workers that wait for a probe.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -96,7 +96,7 @@
     /// Long-running tasks that have waited this long for a worker are logged, in this interval.
     Duration reportWaitAfter_ { std::chrono::milliseconds(1000) };
     Duration waitReportInterval_ { std::chrono::milliseconds(1000) };
-    /// A long-running task that has waited this long for room gets room held on the worker that is likely to free it first.
+    /// A long-running task that has waited this long for room gets room held on the worker that has least to free for it.
     /// Otherwise shorter and smaller tasks take all room that becomes free, as they fit in sooner.
     Duration holdRoomAfter_ { std::chrono::milliseconds(500) };
     /// Bounds on the holds at a time, as cores stay idle until a hold is used: as a share of the workers that accept runs,
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -122,6 +122,7 @@
 enum class WorkerObstacle : uint8_t {
     None,
     OtherService,
+    // The worker is quarantined, or has to prove itself and another task is about to.
     Quarantined,
     Draining,
     Evacuated,
@@ -131,7 +132,7 @@
     Unreachable,
     // The worker has refused a start or left it unanswered a moment ago.
     BackingOff,
-    // The worker runs a task under which another worker has crashed, and which has not outlived its start yet.
+    // The worker has just started a task under which another worker has crashed.
     Observed,
     MissingLabel,
     // The worker runs as many tasks of the step as the step allows.
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -149,7 +149,7 @@
 
 std::string_view describe(WorkerObstacle obstacle)
 {
-    static constexpr std::array<std::string_view, workerObstacleCount> texts { "suitable", "of another service", "quarantined", "draining", "evacuated", "not reported",
+    static constexpr std::array<std::string_view, workerObstacleCount> texts { "suitable", "of another service", "quarantined or unproven", "draining", "evacuated", "not reported",
         "unreachable", "backing off after a refusal", "with a suspect task", "without the label", "at the step's bound", "without the cores", "without the memory", "without the accelerators" };
     return texts.at(static_cast<size_t>(obstacle));
 }
--- a/workflow/src/decisions/Quarantine.cpp
+++ b/workflow/src/decisions/Quarantine.cpp
@@ -6,8 +6,8 @@
 
 namespace persimmondoor::workflow {
 
-// At most one in this many workers of a service is quarantined at a time: failures of more have a cause in common, and the
-// tasks need the room. The others get one task at a time until one has succeeded.
+// At most one in this many workers of a service is quarantined at a time, as tasks need the room of the others. Those get one
+// task at a time until one has succeeded.
 static constexpr size_t workersPerQuarantinedWorker = 2;
 
 bool isQuarantined(const Worker& worker, Instant now)
@@ -73,7 +73,8 @@
     worker.nextProbeAt_ = context.now_ + tuning.probeInterval_;
     // After the quarantine, one more failure starts the next one.
     worker.consecutiveFailures_ = tuning.failuresBeforeQuarantine_ - 1;
-    context.logEvent("worker.quarantined", task.progress_.worker_.name_, concat("for ", milliseconds(quarantine), " ms", isAllowed ? "" : ", as half of its service's workers are", "; consecutive first failures of tasks, the last of task ", describe(key)));
+    std::string consequence = isAllowed ? concat("for ", milliseconds(quarantine), " ms") : "not quarantined, as half of its service's workers are; gets one task at a time";
+    context.logEvent(isAllowed ? "worker.quarantined" : "worker.unproven", task.progress_.worker_.name_, concat(consequence, "; consecutive first failures of tasks, the last of task ", describe(key)));
 }
 
 void recordWorkerProof(const DecisionContext& context, const Task& task, Worker& worker)
--- a/workflow/src/decisions/RoomHolds.cpp
+++ b/workflow/src/decisions/RoomHolds.cpp
@@ -176,18 +176,20 @@
 
 namespace {
 
-    struct FormerHold {
+    // Where room is held for a task.
+    struct HoldPlace {
         WorkerIncarnation worker_;
         Instant since_;
+        auto operator<=>(const HoldPlace&) const = default;
     };
 
 } // namespace
 
 // Removes all holds.
 // \return the worker that each task had a hold on, and since when.
-static std::map<TaskKey, FormerHold> clearHolds(LeaderState& state)
+static std::map<TaskKey, HoldPlace> clearHolds(LeaderState& state)
 {
-    std::map<TaskKey, FormerHold> holders;
+    std::map<TaskKey, HoldPlace> holders;
     for (auto& [incarnation, worker] : state.workers_) {
         for (const auto& [key, hold] : worker.holds_) {
             holders[key] = { incarnation, hold.since_ };
@@ -199,10 +201,38 @@
     return holders;
 }
 
+// The former hold of the task, if its worker may still make room.
+static std::optional<HoldPlace> keptHold(const LeaderState& state, const std::map<TaskKey, HoldPlace>& former, const Job& job, const TaskKey& key, Instant now)
+{
+    auto known = former.find(key);
+    auto worker = known == former.end() ? state.workers_.end() : state.workers_.find(known->second.worker_);
+    if (worker == state.workers_.end())
+        return std::nullopt;
+    bool isUsable = mayPass(obstacleAt(state, job, key, worker->second, now)) && canMakeRoom(worker->second, key, stepOf(job, key));
+    return isUsable ? std::optional(known->second) : std::nullopt;
+}
+
+// The worker on which to hold room for the task, and since when.
+// \param kept the task's former hold. It stays, as a hold that moved from worker to worker would let none of them become
+// free, unless it has lasted for long: what occupies the worker may stay too, such as a filling task that makes no progress.
+static std::optional<HoldPlace> chooseHold(const LeaderState& state, const std::optional<HoldPlace>& kept, const Job& job, const TaskKey& key, FailedSearches& failed, Instant now)
+{
+    const Step& step = stepOf(job, key);
+    bool isFutile = kept && now - kept->since_ > state.tuning_.maximumHoldTime_;
+    if ((kept && !isFutile) || failed.isExhausted() || failed.contains(job, step))
+        return kept;
+    std::optional<WorkerIncarnation> found = chooseWorkerToHold(state, job, key, kept ? std::optional(kept->worker_) : std::nullopt, now);
+    if (found)
+        return HoldPlace { *found, now };
+    if (!kept)
+        failed.add(job, step);
+    return kept;
+}
+
 void updateRoomHolds(const DecisionContext& context)
 {
     LeaderState& state = context.state_;
-    std::map<TaskKey, FormerHold> former = clearHolds(state);
+    std::map<TaskKey, HoldPlace> former = clearHolds(state);
     auto usable = std::count_if(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) { return acceptsRuns(state, entry.second, context.now_); });
     size_t bound = std::clamp<size_t>(static_cast<size_t>(usable) * state.tuning_.maximumHeldPercent_ / 100, 1, state.tuning_.maximumHolds_);
     size_t held = 0;
@@ -211,36 +241,15 @@
         if (held >= bound)
             break;
         Job& job = state.jobs_.at(waiting.key_.job_);
-        const Step& step = stepOf(job, waiting.key_);
-        std::optional<WorkerIncarnation> kept;
-        Instant since = context.now_;
-        // A hold that moved from worker to worker would let none of them become free.
-        if (auto known = former.find(waiting.key_); known != former.end()) {
-            auto worker = state.workers_.find(known->second.worker_);
-            if (worker != state.workers_.end() && mayPass(obstacleAt(state, job, waiting.key_, worker->second, context.now_)) && canMakeRoom(worker->second, waiting.key_, step)) {
-                kept = known->second.worker_;
-                since = known->second.since_;
-            }
-        }
-        // What occupies the worker may stay, such as a filling task that makes no progress.
-        bool isFutile = kept && context.now_ - since > state.tuning_.maximumHoldTime_;
-        std::optional<WorkerIncarnation> chosen = kept;
-        if ((!kept || isFutile) && !failed.isExhausted() && !failed.contains(job, step)) {
-            std::optional<WorkerIncarnation> found = chooseWorkerToHold(state, job, waiting.key_, kept, context.now_);
-            if (found) {
-                chosen = found;
-                since = context.now_;
-            } else if (!kept) {
-                failed.add(job, step);
-            }
-        }
+        std::optional<HoldPlace> kept = keptHold(state, former, job, waiting.key_, context.now_);
+        std::optional<HoldPlace> chosen = chooseHold(state, kept, job, waiting.key_, failed, context.now_);
         if (!chosen)
             continue;
         ++held;
         job.tasks_[taskNumber(job, waiting.key_)].isRoomHeld_ = true;
-        state.workers_.at(*chosen).holds_[waiting.key_] = { step.demand_, waiting.priority_, since };
-        if (former.find(waiting.key_) == former.end())
-            context.logEvent("room.held", describe(waiting.key_), concat("worker ", chosen->name_, ", after ", milliseconds(context.now_ - waiting.since_), " ms"));
+        state.workers_.at(chosen->worker_).holds_[waiting.key_] = { stepOf(job, waiting.key_).demand_, waiting.priority_, chosen->since_ };
+        if (former.count(waiting.key_) == 0)
+            context.logEvent("room.held", describe(waiting.key_), concat("worker ", chosen->worker_.name_, ", after ", milliseconds(context.now_ - waiting.since_), " ms"));
     }
 }
 
