Clear the mark of held room once a task is placed

Found in the read-through: the mark stayed set when the hold was used, so that the task's step was searched for in vain in later passes. hold_lasts_until_it_is_used checks it.

--- a/workflow/src/decisions/RoomHolds.cpp
+++ b/workflow/src/decisions/RoomHolds.cpp
@@ -191,11 +191,8 @@
 {
     std::map<TaskKey, HoldPlace> holders;
     for (auto& [incarnation, worker] : state.workers_) {
-        for (const auto& [key, hold] : worker.holds_) {
+        for (const auto& [key, hold] : worker.holds_)
             holders[key] = { incarnation, hold.since_ };
-            if (Task* task = findTask(state, key))
-                task->isRoomHeld_ = false;
-        }
         worker.holds_.clear();
     }
     return holders;
@@ -237,7 +234,10 @@
     size_t bound = std::clamp<size_t>(static_cast<size_t>(usable) * state.tuning_.maximumHeldPercent_ / 100, 1, state.tuning_.maximumHolds_);
     size_t held = 0;
     FailedSearches failed(state.tuning_.maximumHoldSearches_);
-    for (const WaitingTask& waiting : collectWaitingTasks(context)) {
+    std::vector<WaitingTask> waitingTasks = collectWaitingTasks(context);
+    for (const WaitingTask& waiting : waitingTasks)
+        findTask(state, waiting.key_)->isRoomHeld_ = false;
+    for (const WaitingTask& waiting : waitingTasks) {
         if (held >= bound)
             break;
         Job& job = state.jobs_.at(waiting.key_.job_);
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -44,6 +44,7 @@
         beginProbe(context, key, worker);
     reserveResources(worker, key, stepOf(job, key));
     releaseHold(worker, key);
+    task.isRoomHeld_ = false;
     if (task.progress_.crashes_ > 0 && !stepOf(job, key).gang_)
         worker.observedTask_ = key;
     stage(context.state_, key.job_, ReleaseStart { { key, run } });
--- a/workflow/tests/RoomHoldsTest.cpp
+++ b/workflow/tests/RoomHoldsTest.cpp
@@ -169,7 +169,9 @@
     world.handle(Tick { 1'001'302 }, 1302);
     BOOST_TEST(world.holds().size() == 1U);
     world.reportShort(1320, { 2, 3 });
-    BOOST_TEST(world.state_.jobs_.at(JobId::of(waitingJob)).tasks_.front().progress_.run_ == 1U);
+    const Task& task = world.state_.jobs_.at(JobId::of(waitingJob)).tasks_.front();
+    BOOST_TEST(task.progress_.run_ == 1U);
+    BOOST_TEST(!task.isRoomHeld_);
 }
 
 // Guards against holds that move from worker to worker, so that none of them becomes free.
