--- /dev/null
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -0,0 +1,116 @@
+/// Times and bounds of the decisions of the queues' leader.
+///
+/// \code
+/// Tuning tuning;
+/// tuning.taskLease_ = std::chrono::milliseconds(5000);
+/// LeaderState state = restoreState(epoch, tuning, rows, now);
+/// \endcode
+#pragma once
+
+#include "persimmondoor/core/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace persimmondoor::workflow {
+
+/// Times and bounds of the leader. The settings of the deployment replace those that they state.
+struct Tuning {
+    /// Lease of the tasks on a worker, granted with each reply to its agent. Below the 10 s that workers allow at most,
+    /// and above the network partitions of 5 to 6 s that tasks must survive.
+    Duration taskLease_ { std::chrono::milliseconds(7500) };
+    /// A leader grants leases for this long after it sent its last durable write. A successor waits this long plus the
+    /// duration of a task lease before it reassigns the tasks of workers that it cannot reach.
+    Duration leadershipLease_ { std::chrono::milliseconds(4000) };
+    /// New jobs are refused once the last durable write is older than this; the leader writes at least twice a second.
+    Duration maximumWriteAge_ { std::chrono::milliseconds(1500) };
+    /// Once the store has failed for this long, jobs that were never sent to the store are refused, and new jobs are
+    /// refused at once. Below half of the shortest time-out of clients.
+    Duration refuseAfterStoreFailure_ { std::chrono::milliseconds(700) };
+    /// Bound on how much slower a worker's clock may run, in percent (stated by the platform).
+    int64_t clockDriftPercent_ { 2 };
+    /// Allowance for the delivery of a lease, in addition to the clock drift.
+    Duration leaseSlack_ { std::chrono::milliseconds(300) };
+    /// A worker whose last report is older than this gets no new runs; agents report at least every 500 ms.
+    Duration maximumReportAge_ { std::chrono::milliseconds(1500) };
+    /// An order whose outcome has not been reported is sent again after this time.
+    Duration resendAfter_ { std::chrono::milliseconds(400) };
+    /// A run that its worker still lists this long after it was ordered to stop is ordered to stop again, provided that the
+    /// first order is completed; a stop takes at most 0.9 s.
+    Duration stopRetryInterval_ { std::chrono::milliseconds(1200) };
+    /// A run without progress for this long counts as hung: the run is stopped and the task is started on another worker.
+    /// Four periods of the agents' readings. Does not apply to filling tasks, gangs, and long-running tasks that have
+    /// started up.
+    Duration hungAfter_ { std::chrono::milliseconds(2000) };
+    /// A filling task that has been slowed down for this long is moved if another worker can run it at nearly full speed.
+    /// Two periods of the agents' readings; the stop then takes up to 0.9 s more.
+    Duration moveSlowedTaskAfter_ { std::chrono::milliseconds(1000) };
+    /// A job without assigned tasks whose filling tasks have waited this long for a worker where they disturb no
+    /// long-running task is placed regardless of interference: after 3 s the job counts as lost (stated by the platform).
+    Duration ignoreInterferenceAfter_ { std::chrono::milliseconds(1500) };
+    /// After a takeover, tasks that interfere with each other wait at most this long for workers that are known from the
+    /// predecessor's rows and that no agent has reported yet. Otherwise, after all workers have restarted, the first ones
+    /// to return get long-running tasks of every image, and no worker is left where a filling task does no harm.
+    Duration maximumWorkerWait_ { std::chrono::milliseconds(1000) };
+    /// Bound on the filling tasks that one check moves: each move changes the load that the other tasks meet.
+    uint32_t maximumMovesPerCheck_ { 4 };
+    /// A worker that refused a run for a reason that concerns the worker or its agent rather than the run gets no new runs
+    /// for this time.
+    Duration refusalBackoff_ { std::chrono::milliseconds(200) };
+    /// Number of consecutive failures, each the first of its task, after which a worker is quarantined.
+    uint32_t failuresBeforeQuarantine_ { 3 };
+    /// Duration of a worker's first quarantine; each further one doubles it, up to the maximum.
+    Duration initialQuarantine_ { std::chrono::milliseconds(2000) };
+    Duration maximumQuarantine_ { std::chrono::milliseconds(8000) };
+    /// A quarantined worker gets at most one long-running task in this time, as a probe, if no other worker has room for
+    /// the task: such a task has to run again after 6 s at the latest (stated by the platform).
+    Duration probeInterval_ { std::chrono::milliseconds(1000) };
+    /// A run that has been at work for this long shows that its worker runs tasks.
+    Duration provenAfter_ { std::chrono::milliseconds(1000) };
+    /// With more ready jobs than this, placement runs at most once per `placementInterval_`: placement visits all ready
+    /// jobs and all workers, and under a backlog the order of the jobs matters more than milliseconds.
+    size_t backlogThreshold_ { 20 };
+    Duration placementInterval_ { std::chrono::milliseconds(20) };
+    /// Interval of the checks for a failed store, expired leases, hung runs, slowed filling tasks and expired jobs. A tenth
+    /// of `hungAfter_`. The time-outs that the checks enforce are prolonged by up to this time, the shortest of them
+    /// (`refuseAfterStoreFailure_`) included.
+    Duration checkInterval_ { std::chrono::milliseconds(200) };
+    /// Interval of the log lines on the backlog while tasks wait for a worker.
+    Duration backlogReportInterval_ { std::chrono::milliseconds(1000) };
+    /// Long-running tasks that have waited this long for a worker are logged, in this interval.
+    Duration reportWaitAfter_ { std::chrono::milliseconds(1000) };
+    Duration waitReportInterval_ { std::chrono::milliseconds(1000) };
+    /// A long-running task that has waited this long for room gets room held on the worker that has least to free for it.
+    /// Otherwise shorter and smaller tasks take all room that becomes free, as they fit in sooner.
+    Duration holdRoomAfter_ { std::chrono::milliseconds(500) };
+    /// Bounds on the holds at a time, as cores stay idle until a hold is used: as a share of the workers that accept runs,
+    /// in percent, and as a number.
+    size_t maximumHeldPercent_ { 25 };
+    size_t maximumHolds_ { 16 };
+    /// A hold that was not used within this time is moved, if another worker can make room.
+    Duration maximumHoldTime_ { std::chrono::milliseconds(3000) };
+    /// Bound on the searches for a worker that find none, in one update of the holds: each visits all workers.
+    size_t maximumHoldSearches_ { 4 };
+    /// A run has outlived its start once this many load readings of its worker contained it.
+    uint32_t readingsToOutliveStart_ { 2 };
+    /// A job is given up once one of its tasks has had this many runs in series that were lost as their worker crashed just
+    /// after their start. The second number applies if no other run on the worker had started then.
+    uint32_t crashesBeforeFailure_ { 3 };
+    uint32_t soleCrashesBeforeFailure_ { 2 };
+    /// A task under which a worker has crashed is started where no other run is started until a reading shows it, this long
+    /// after the worker listed it. A further crash then shows its fault, and no other suspect is lost with it.
+    Duration observationTime_ { std::chrono::milliseconds(250) };
+    /// Bound on the share of workers that start no other run for this reason, in percent; other suspects wait for one of
+    /// them, at most for the time below.
+    size_t maximumObservedPercent_ { 50 };
+    Duration maximumSuspectWait_ { std::chrono::milliseconds(2000) };
+    /// Finished jobs are kept for at least this long; the settings state how long clients may query them.
+    Duration finishedJobRetention_ { std::chrono::seconds(120) };
+    /// Bound on the unfinished jobs, beyond which new ones are refused; keeps an entry within its 160 MB of memory.
+    size_t maximumOpenJobs_ { 8000 };
+    /// Time after which a refused client should retry.
+    Duration retryAfter_ { std::chrono::milliseconds(1000) };
+    bool operator==(const Tuning&) const = default;
+};
+
+} // namespace persimmondoor::workflow
