Keep the covariances of interference estimates as a matrix

Cause: each reading of a worker updated a map of covariances whose keys are pairs of names; with 30 filling images beside 16 long-running ones an update took 23.7 million instructions in the worst case, and the leader does up to 320 a second at 160 workers.

--- /dev/null
+++ b/bench/leader/Fleet.h
@@ -0,0 +1,39 @@
+// A leader with a fleet of workers in memory, for measurements of the leader's decisions: half of each worker's cores are
+// used by long-running tasks of several images, and filling images disturb some of them.
+#pragma once
+
+#include "persimmondoor/workflow/Leader.h"
+
+namespace persimmondoor::workflow {
+
+class Fleet {
+public:
+    explicit Fleet(uint32_t workers);
+
+    // Submits a job of one step and writes it.
+    void submitFilling(uint32_t tasks, int64_t milliCores);
+    // Every agent reports a new reading of its worker; runs that were ordered are listed as active.
+    void reportAll();
+    // One agent reports its worker.
+    void report(uint32_t worker);
+    // Writes all staged jobs.
+    void commitAll();
+    void advance(Duration duration) { now_ = now_ + duration; }
+    uint64_t assignedTasks() const;
+
+private:
+    void handle(LeaderMessage);
+    void submit(Step);
+    AgentReport reportOf(uint32_t worker);
+
+    LeaderState state_;
+    Instant now_ { Instant::fromMicroseconds(1'000'000'000) };
+    uint32_t workers_ { 0 };
+    uint64_t jobs_ { 0 };
+    uint64_t sequence_ { 0 };
+    uint64_t reading_ { 0 };
+    std::map<std::string, std::map<RunKey, bool>> active_;
+    std::map<std::string, OrderNumber> completed_;
+};
+
+} // namespace persimmondoor::workflow
--- a/workflow/include/persimmondoor/workflow/Interference.h
+++ b/workflow/include/persimmondoor/workflow/Interference.h
@@ -18,10 +18,10 @@
 #include "persimmondoor/workflow/Job.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace persimmondoor::workflow {
@@ -48,8 +48,9 @@
     uint32_t unloadedMs_ { 0 };
     /// Utilisation that each filling image adds, per share of the worker's processors that it uses.
     std::map<std::string, double> factors_;
-    /// Covariances of the factors, by pairs of filling images in ascending order.
-    std::map<std::pair<std::string, std::string>, double> covariances_;
+    /// Covariances of the factors: a symmetric matrix by rows, whose rows and columns have the order of `factors_`. Empty if
+    /// none are known, which counts as zeros.
+    std::vector<double> covariances_;
     auto operator<=>(const Sensitivity&) const = default;
 };
 
@@ -68,6 +69,9 @@
     auto operator<=>(const Headroom&) const = default;
 };
 
+/// Variance of the factor at the given position of `factors_`; 0 if it is not known.
+double varianceOf(const Sensitivity&, size_t position);
+
 /// Updates the estimates with two consecutive readings of one worker.
 /// \return the updated estimates.
 Interference observe(Interference, const LoadReading& before, const LoadReading& after);
--- a/workflow/src/RecordCodec.cpp
+++ b/workflow/src/RecordCodec.cpp
@@ -213,10 +213,9 @@
     json::object images;
     for (const auto& [longRunning, sensitivity] : estimates.sensitivities_) {
         json::object factors;
-        for (const auto& [filling, factor] : sensitivity.factors_) {
-            auto variance = sensitivity.covariances_.find({ filling, filling });
-            factors[filling] = json::array { factor, variance == sensitivity.covariances_.end() ? 0.0 : variance->second };
-        }
+        size_t position = 0;
+        for (const auto& [filling, factor] : sensitivity.factors_)
+            factors[filling] = json::array { factor, varianceOf(sensitivity, position++) };
         images[longRunning] = json::array { sensitivity.unloadedMs_, std::move(factors) };
     }
     return json::serialize(images);
@@ -229,10 +228,18 @@
         const json::array& fields = value.as_array();
         Sensitivity& sensitivity = estimates.sensitivities_[std::string(longRunning)];
         sensitivity.unloadedMs_ = fields.at(0).to_number<uint32_t>();
+        std::map<std::string, double> variances;
         for (const auto& [filling, factor] : fields.at(1).as_object()) {
             std::string image(filling);
             sensitivity.factors_[image] = factor.as_array().at(0).to_number<double>();
-            sensitivity.covariances_[{ image, image }] = factor.as_array().at(1).to_number<double>();
+            variances[image] = factor.as_array().at(1).to_number<double>();
+        }
+        size_t count = variances.size();
+        sensitivity.covariances_.resize(count * count);
+        size_t position = 0;
+        for (const auto& [image, variance] : variances) {
+            sensitivity.covariances_[position * count + position] = variance;
+            ++position;
         }
     }
     return estimates;
--- a/workflow/src/decisions/Interference.cpp
+++ b/workflow/src/decisions/Interference.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/workflow/Interference.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace persimmondoor::workflow {
 
@@ -89,42 +90,72 @@
     return changes;
 }
 
-static double& covariance(Sensitivity& sensitivity, const std::string& left, const std::string& right)
+double varianceOf(const Sensitivity& sensitivity, size_t position)
 {
-    return sensitivity.covariances_[left < right ? std::pair(left, right) : std::pair(right, left)];
+    size_t count = sensitivity.factors_.size();
+    return sensitivity.covariances_.size() == count * count ? sensitivity.covariances_[position * count + position] : 0;
 }
 
-// Prediction step of the filter: adds new images with the prior and increases the variances of the others.
-static void predict(Sensitivity& sensitivity, const std::map<std::string, double>& filling)
+// Inserts a row and a column of zeros at `position` into a square matrix of `count` rows.
+static std::vector<double> insertImage(const std::vector<double>& matrix, size_t count, size_t position)
 {
-    for (const auto& [image, share] : filling) {
-        bool isNew = sensitivity.factors_.try_emplace(image, priorFactor).second;
-        double& variance = covariance(sensitivity, image, image);
-        variance = isNew ? priorVariance : std::min(variance + processVariance, priorVariance);
+    std::vector<double> extended((count + 1) * (count + 1));
+    for (size_t row = 0; row < count; ++row) {
+        for (size_t column = 0; column < count; ++column) {
+            size_t newRow = row + (row >= position ? 1 : 0);
+            size_t newColumn = column + (column >= position ? 1 : 0);
+            extended[newRow * (count + 1) + newColumn] = matrix[row * count + column];
+        }
     }
+    return extended;
 }
 
-// Correction step of the filter, with the measured change of utilisation.
+// Prediction step of the filter for one filling image: adds it with the prior, or increases its variance.
+static void predict(Sensitivity& sensitivity, const std::string& image)
+{
+    size_t count = sensitivity.factors_.size();
+    sensitivity.covariances_.resize(count * count);
+    auto [factor, isNew] = sensitivity.factors_.try_emplace(image, priorFactor);
+    auto position = static_cast<size_t>(std::distance(sensitivity.factors_.begin(), factor));
+    if (isNew)
+        sensitivity.covariances_ = insertImage(sensitivity.covariances_, count++, position);
+    double& variance = sensitivity.covariances_[position * count + position];
+    variance = isNew ? priorVariance : std::min(variance + processVariance, priorVariance);
+}
+
+// Correction step of the filter, with the measured change of utilisation. The matrix is small but updated with each reading
+// of each worker, so the step works on positions rather than on names.
 static void correct(Sensitivity& sensitivity, double utilisationChange, const std::map<std::string, double>& filling)
 {
-    predict(sensitivity, filling);
-    std::map<std::string, double> crossCovariances;
+    for (const auto& [image, share] : filling)
+        predict(sensitivity, image);
+    size_t count = sensitivity.factors_.size();
+    std::vector<double>& covariances = sensitivity.covariances_;
+    std::vector<double> crossCovariances(count);
     double expected = 0;
     double variance = measurementVariance;
-    for (const auto& [image, factor] : sensitivity.factors_) {
-        double& sum = crossCovariances[image];
-        for (const auto& [other, share] : filling)
-            sum += covariance(sensitivity, image, other) * share;
+    auto share = filling.begin();
+    size_t position = 0;
+    for (auto factor = sensitivity.factors_.begin(); share != filling.end(); ++factor, ++position) {
+        if (factor->first != share->first)
+            continue;
+        for (size_t row = 0; row < count; ++row)
+            crossCovariances[row] += covariances[row * count + position] * share->second;
+        expected += factor->second * share->second;
+        ++share;
     }
-    for (const auto& [image, share] : filling) {
-        expected += sensitivity.factors_.at(image) * share;
-        variance += crossCovariances.at(image) * share;
+    share = filling.begin();
+    position = 0;
+    for (auto factor = sensitivity.factors_.begin(); share != filling.end(); ++factor, ++position) {
+        if (factor->first == share->first)
+            variance += crossCovariances[position] * (share++)->second;
     }
+    position = 0;
     for (auto& [image, factor] : sensitivity.factors_)
-        factor = std::max(0.0, factor + crossCovariances.at(image) / variance * (utilisationChange - expected));
-    for (auto left = crossCovariances.begin(); left != crossCovariances.end(); ++left) {
-        for (auto right = left; right != crossCovariances.end(); ++right)
-            covariance(sensitivity, left->first, right->first) -= left->second * right->second / variance;
+        factor = std::max(0.0, factor + crossCovariances[position++] / variance * (utilisationChange - expected));
+    for (size_t row = 0; row < count; ++row) {
+        for (size_t column = 0; column < count; ++column)
+            covariances[row * count + column] -= crossCovariances[row] * crossCovariances[column] / variance;
     }
 }
 
--- a/workflow/tests/RecordTest.cpp
+++ b/workflow/tests/RecordTest.cpp
@@ -45,7 +45,7 @@
 BOOST_AUTO_TEST_CASE(interference_estimates_survive_their_encoding)
 {
     Interference estimates;
-    estimates.sensitivities_["search"] = { 4, { { "heavy", 0.9 }, { "light", 0.05 } }, { { { "heavy", "heavy" }, 0.01 }, { { "light", "light" }, 0.02 } } };
+    estimates.sensitivities_["search"] = { 4, { { "heavy", 0.9 }, { "light", 0.05 } }, { 0.01, 0, 0, 0.02 } };
     estimates.sensitivities_["ranking"] = { 7, {}, {} };
     auto read = decodeInterference(encodeInterference(estimates));
     BOOST_REQUIRE(read.ok());
