Compare a worker with others only when an agent first reports it

Cause: each report compared its worker with all others, twice, to find earlier and later incarnations. Change: a worker that an agent has reported was compared then, and each later one is compared with it.

--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -346,9 +346,13 @@
 
 static void handleWorkerReport(const DecisionContext& context, const AgentReport& message, const WorkerReport& report)
 {
-    if (hasLaterIncarnation(context.state_, report.incarnation_))
-        return;
-    dropEarlierIncarnations(context, report.incarnation_);
+    // A worker that an agent has reported before was compared with the others then, and each later one with it.
+    auto known = context.state_.workers_.find(report.incarnation_);
+    if (known == context.state_.workers_.end() || known->second.agent_.empty()) {
+        if (hasLaterIncarnation(context.state_, report.incarnation_))
+            return;
+        dropEarlierIncarnations(context, report.incarnation_);
+    }
     Worker& worker = context.state_.workers_[report.incarnation_];
     if (worker.agent_ != message.agent_)
         context.logEvent("worker.seen", concat(report.incarnation_.name_, "@", report.incarnation_.bornMs_), concat("agent ", message.agent_, ", domain ", report.traits_.domain_));
