Place tasks by rounds that know which images disturb each other

Cause: on the deployment with 160 workers the leader spent its processor share on placement. Each task looked at all workers and, for each, looked up the factors of all image pairs by name; each report and commit began a new search for all jobs that wait; each check of slowed tasks searched for every one of them. Reports and commits then queued behind (transactions of 40 jobs took 200 to 310 ms), followers took the silence for death and took over, which added to the load. Change: PlacementRound finds out once a round which workers accept runs and which images disturb which. Jobs that have just become ready are still placed at once, others at most each 5 ms; a change of configuration or of evacuations counts as new work.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -252,6 +252,8 @@
     uint64_t sessionCount_ { 0 };
     /// Until when tasks that interfere with each other wait for workers that no agent has reported yet.
     Instant awaitsWorkersUntil_;
+    /// A job has become ready since the last round of placement.
+    bool hasNewlyReadyJobs_ { false };
     /// When ready jobs were last placed.
     Instant lastPlacementAt_;
     /// When the periodic checks (`Tuning::checkInterval_`) are due next.
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -71,6 +71,8 @@
     /// jobs and all workers, and under a backlog the order of the jobs matters more than milliseconds.
     size_t backlogThreshold_ { 20 };
     Duration placementInterval_ { std::chrono::milliseconds(20) };
+    /// Without a backlog, jobs that found no worker are tried again at most once in this time.
+    Duration retryPlacementInterval_ { std::chrono::milliseconds(5) };
     /// Interval of the checks for a failed store, expired leases, hung runs, slowed filling tasks and expired jobs. A tenth
     /// of `hungAfter_`. The time-outs that the checks enforce are prolonged by up to this time, the shortest of them
     /// (`refuseAfterStoreFailure_`) included.
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/workflow/Leader.h"
 
 #include "LeaderRules.h"
+#include "PlacementRound.h"
 #include "persimmondoor/core/Text.h"
 
 #include <algorithm>
@@ -126,6 +127,7 @@
 static void moveSlowedRuns(const DecisionContext& context)
 {
     uint32_t moved = 0;
+    PlacementRound round(context.state_, context.now_);
     for (const JobId& id : context.state_.openJobs_) {
         Job& job = context.state_.jobs_.at(id);
         for (uint32_t number = 0; number < job.tasks_.size() && moved < context.state_.tuning_.maximumMovesPerCheck_; ++number) {
@@ -133,7 +135,7 @@
             TaskKey key = keyOf(job, number);
             if (!isSlowed(context, task, stepOf(job, key)))
                 continue;
-            auto better = chooseWorker(context.state_, job, key, Disturbance::Avoided, context.now_);
+            auto better = round.chooseWorker(job, key, Disturbance::Avoided);
             if (!better || *better == task.progress_.worker_)
                 continue;
             task.avoidedWorker_ = task.progress_.worker_.name_;
@@ -194,6 +196,8 @@
             for (const JobId& id : context_.state_.openJobs_)
                 applyCatalog(context_.state_.catalog_, context_.state_.jobs_.at(id));
             withdrawForbiddenStarts(context_);
+            // The change may make room for all that wait.
+            context_.state_.hasNewlyReadyJobs_ = true;
             startReadyTasks(context_);
         }
         void operator()(const EvacuationsChanged& message) const
@@ -203,6 +207,8 @@
             context_.logEvent("evacuations.changed", "domains", concat(message.domains_.size(), " evacuated"));
             context_.state_.evacuatedDomains_ = message.domains_;
             withdrawForbiddenStarts(context_);
+            // The change may make room for all that wait.
+            context_.state_.hasNewlyReadyJobs_ = true;
             startReadyTasks(context_);
         }
         void operator()(const BatchDurable& message) const { handleBatchDurable(context_, message); }
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -114,10 +114,6 @@
 };
 // `Disturbance::Allowed` if the job has waited long without assigned tasks.
 Disturbance disturbanceOf(const LeaderState&, const Job&, Instant now);
-// The worker with the best score for the task, or nothing if the task has to wait.
-std::optional<WorkerIncarnation> chooseWorker(const LeaderState&, const Job&, const TaskKey&, Disturbance, Instant now);
-// True if filling tasks of the step would disturb no long-running task on at least one worker, whatever its free capacity.
-bool hasHarmlessWorker(const LeaderState&, const Job&, const Step&, Instant now);
 // Why a worker cannot take a task now. In the order in which the reasons are checked.
 enum class WorkerObstacle : uint8_t {
     None,
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -1,4 +1,4 @@
-#include "LeaderRules.h"
+#include "PlacementScore.h"
 
 #include <algorithm>
 #include <array>
@@ -13,8 +13,6 @@
 // capacity. For long-running tasks, the weights of images below may outweigh this one.
 static constexpr int64_t avoidedWeight = 1000;
 static constexpr int64_t failureWeight = 100;
-// A quarantined worker is chosen only if no other has enough free capacity; outweighs all others together.
-static constexpr int64_t quarantineWeight = 100'000;
 // Long-running tasks are placed beside tasks of their own image, as the same filling images disturb them; each filling
 // image then finds workers where it does no harm. Otherwise they are placed beside as few other images as possible.
 static constexpr int64_t sameImageWeight = 3000;
@@ -29,13 +27,10 @@
 static constexpr int64_t longRunningLossWeight = 10;
 // A filling task that would be slowed down everywhere is placed where it is slowed down least.
 static constexpr double slowdownWeight = 200;
-// A filling task is placed beside long-running tasks that it disturbs only if it can run at this share of its full speed.
-static constexpr double minimumPace = 0.8;
 // Share of their demand that long-running tasks leave unused most of the time, in percent.
 static constexpr int64_t longRunningIdlePercent = 45;
 
-// Why the worker may not be given new runs, whatever the task; without regard to a quarantine.
-static WorkerObstacle stateObstacle(const LeaderState& state, const Worker& worker, Instant now)
+WorkerObstacle stateObstacle(const LeaderState& state, const Worker& worker, Instant now)
 {
     if (worker.draining_)
         return WorkerObstacle::Draining;
@@ -120,8 +115,7 @@
     return headrooms;
 }
 
-// The pace, from 0 to 1, at which a filling task could run on the worker if all filling tasks on the worker are busy.
-static double paceAt(const LeaderState& state, const Step& step, const Worker& worker)
+double paceAt(const LeaderState& state, const Step& step, const Worker& worker)
 {
     std::vector<Headroom> headrooms = headroomsAt(worker);
     if (headrooms.empty())
@@ -134,19 +128,6 @@
     return maximumPaces(state.interference_, headrooms, shares).at(step.image_);
 }
 
-static bool isHarmlessOn(const LeaderState& state, const Step& step, const Worker& worker)
-{
-    return std::all_of(worker.longRunningByImage_.begin(), worker.longRunningByImage_.end(), [&](const auto& entry) { return isHarmless(state.interference_, step.image_, entry.first); });
-}
-
-bool hasHarmlessWorker(const LeaderState& state, const Job& job, const Step& step, Instant now)
-{
-    return std::any_of(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) {
-        const Worker& worker = entry.second;
-        return worker.traits_.service_ == job.queue_.service_ && acceptsRuns(state, worker, now) && isHarmlessOn(state, step, worker);
-    });
-}
-
 std::string_view describe(WorkerObstacle obstacle)
 {
     static constexpr std::array<std::string_view, workerObstacleCount> texts { "suitable", "of another service", "quarantined or unproven", "draining", "evacuated", "not reported",
@@ -154,15 +135,16 @@
     return texts.at(static_cast<size_t>(obstacle));
 }
 
-WorkerObstacle obstacleAt(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+static WorkerObstacle serviceObstacle(const Job& job, const TaskKey& key, const Worker& worker, Instant now)
 {
-    const Step& step = stepOf(job, key);
     if (worker.traits_.service_ != job.queue_.service_)
         return WorkerObstacle::OtherService;
-    if (isHeldBack(worker, step, job.tasks_[taskNumber(job, key)], now))
-        return WorkerObstacle::Quarantined;
-    if (WorkerObstacle obstacle = stateObstacle(state, worker, now); obstacle != WorkerObstacle::None)
-        return obstacle;
+    return isHeldBack(worker, stepOf(job, key), job.tasks_[taskNumber(job, key)], now) ? WorkerObstacle::Quarantined : WorkerObstacle::None;
+}
+
+static WorkerObstacle roomObstacle(const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+{
+    const Step& step = stepOf(job, key);
     if (now < worker.backoffUntil_)
         return WorkerObstacle::BackingOff;
     if (worker.observedTask_)
@@ -174,9 +156,18 @@
     return capacityObstacle(worker, job, key);
 }
 
-static bool isEligible(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+WorkerObstacle taskObstacle(const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+{
+    WorkerObstacle obstacle = serviceObstacle(job, key, worker, now);
+    return obstacle == WorkerObstacle::None ? roomObstacle(job, key, worker, now) : obstacle;
+}
+
+WorkerObstacle obstacleAt(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
 {
-    return obstacleAt(state, job, key, worker, now) == WorkerObstacle::None;
+    WorkerObstacle obstacle = serviceObstacle(job, key, worker, now);
+    if (obstacle == WorkerObstacle::None)
+        obstacle = stateObstacle(state, worker, now);
+    return obstacle == WorkerObstacle::None ? roomObstacle(job, key, worker, now) : obstacle;
 }
 
 // Score of a worker for a long-running task: prefers the fullest worker with tasks of its image only, then an empty one,
@@ -194,11 +185,11 @@
 
 // Score of a worker for other tasks: prefers the emptiest worker, and workers with long-running tasks only if the task
 // does not disturb them.
-static int64_t spreadScore(const LeaderState& state, const Step& step, const Worker& worker, int64_t sparePercent)
+static int64_t spreadScore(const LeaderState& state, const Step& step, const Worker& worker, int64_t sparePercent, bool isHarmless)
 {
     if (worker.longRunningCount_ == 0)
         return sparePercent;
-    if (!step.isFilling_ || isHarmlessOn(state, step, worker))
+    if (isHarmless)
         return sparePercent + besideLongRunningWeight;
     return sparePercent - besideLongRunningWeight - static_cast<int64_t>((1 - paceAt(state, step, worker)) * slowdownWeight);
 }
@@ -209,13 +200,13 @@
     return -longRunningLossWeight * worker.longRunningCount_ - static_cast<int64_t>(worker.assignedTasks_.size());
 }
 
-static int64_t scoreOf(const LeaderState& state, const Job& job, const TaskKey& key, const WorkerIncarnation& incarnation, const Worker& worker)
+int64_t scoreOf(const LeaderState& state, const Job& job, const TaskKey& key, const WorkerIncarnation& incarnation, const Worker& worker, bool isHarmless)
 {
     const Step& step = stepOf(job, key);
     int64_t capacity = std::max<int64_t>(worker.traits_.capacity_.milliCores(), 1);
     int64_t sparePercent = 100 * (spareMilliCores(worker) - step.demand_.milliCores()) / capacity;
     const Task& task = job.tasks_[taskNumber(job, key)];
-    int64_t score = step.longRunning_ ? longRunningScore(worker, key, step, sparePercent) : spreadScore(state, step, worker, sparePercent);
+    int64_t score = step.longRunning_ ? longRunningScore(worker, key, step, sparePercent) : spreadScore(state, step, worker, sparePercent, isHarmless);
     if (task.progress_.crashes_ > 0)
         score = suspectScore(worker);
     if (!step.dataRack_.empty() && hasLabel(worker, step.dataRack_))
@@ -233,31 +224,8 @@
 
 PlacementObstacle placementObstacle(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
 {
-    bool hasRoom = std::any_of(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) { return isEligible(state, job, key, entry.second, now); });
+    bool hasRoom = std::any_of(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) { return obstacleAt(state, job, key, entry.second, now) == WorkerObstacle::None; });
     return hasRoom ? PlacementObstacle::Interference : PlacementObstacle::Capacity;
 }
 
-std::optional<WorkerIncarnation> chooseWorker(const LeaderState& state, const Job& job, const TaskKey& key, Disturbance disturbance, Instant now)
-{
-    std::optional<WorkerIncarnation> best;
-    int64_t bestScore = 0;
-    const Step& step = stepOf(job, key);
-    bool ignoresInterference = disturbance == Disturbance::Allowed || !step.isFilling_;
-    // Filling tasks wait for a worker without interference if there is one, even if it has no free capacity now.
-    bool mayCauseInterference = ignoresInterference || !hasHarmlessWorker(state, job, step, now);
-    for (const auto& [incarnation, worker] : state.workers_) {
-        if (!isEligible(state, job, key, worker, now))
-            continue;
-        bool isAcceptable = ignoresInterference || isHarmlessOn(state, step, worker) || (mayCauseInterference && paceAt(state, step, worker) >= minimumPace);
-        if (!isAcceptable)
-            continue;
-        int64_t score = scoreOf(state, job, key, incarnation, worker) - (isQuarantined(worker, now) ? quarantineWeight : 0);
-        if (!best || score > bestScore) {
-            best = incarnation;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
 } // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -0,0 +1,89 @@
+#include "PlacementRound.h"
+
+#include "PlacementScore.h"
+
+#include <algorithm>
+
+namespace persimmondoor::workflow {
+
+PlacementRound::PlacementRound(const LeaderState& state, Instant now)
+    : state_(state)
+    , now_(now)
+{
+    candidates_.reserve(state.workers_.size());
+    for (const auto& [incarnation, worker] : state.workers_) {
+        if (stateObstacle(state, worker, now) == WorkerObstacle::None)
+            candidates_.push_back({ &incarnation, &worker, isQuarantined(worker, now), {} });
+    }
+    refreshImages();
+}
+
+void PlacementRound::refreshImages()
+{
+    for (Candidate& candidate : candidates_) {
+        candidate.images_.clear();
+        for (const auto& [image, count] : candidate.worker_->longRunningByImage_)
+            candidate.images_.push_back(positionOf(image));
+    }
+}
+
+size_t PlacementRound::positionOf(const std::string& longRunningImage)
+{
+    auto [found, isNew] = longRunningImages_.try_emplace(longRunningImage, longRunningImages_.size());
+    if (isNew)
+        disturbedByFilling_.clear();
+    return found->second;
+}
+
+const std::vector<bool>& PlacementRound::disturbedBy(const std::string& fillingImage)
+{
+    auto [found, isNew] = disturbedByFilling_.try_emplace(fillingImage);
+    if (isNew) {
+        found->second.resize(longRunningImages_.size());
+        for (const auto& [image, position] : longRunningImages_)
+            found->second[position] = !workflow::isHarmless(state_.interference_, fillingImage, image);
+    }
+    return found->second;
+}
+
+bool PlacementRound::isHarmless(const Candidate& candidate, const std::vector<bool>& disturbed)
+{
+    return std::none_of(candidate.images_.begin(), candidate.images_.end(), [&](size_t position) { return disturbed[position]; });
+}
+
+bool PlacementRound::hasHarmlessWorker(const Job& job, const Step& step)
+{
+    const std::vector<bool>& disturbed = disturbedBy(step.image_);
+    return std::any_of(candidates_.begin(), candidates_.end(), [&](const Candidate& candidate) {
+        return !candidate.isQuarantined_ && candidate.worker_->traits_.service_ == job.queue_.service_ && isHarmless(candidate, disturbed);
+    });
+}
+
+std::optional<WorkerIncarnation> PlacementRound::chooseWorker(const Job& job, const TaskKey& key, Disturbance disturbance)
+{
+    const Candidate* best = nullptr;
+    int64_t bestScore = 0;
+    const Step& step = stepOf(job, key);
+    bool ignoresInterference = disturbance == Disturbance::Allowed || !step.isFilling_;
+    // Filling tasks wait for a worker without interference if there is one, even if it has no free capacity now.
+    bool mayCauseInterference = ignoresInterference || !hasHarmlessWorker(job, step);
+    const std::vector<bool>* disturbed = step.isFilling_ ? &disturbedBy(step.image_) : nullptr;
+    for (const Candidate& candidate : candidates_) {
+        const Worker& worker = *candidate.worker_;
+        bool isHarmlessHere = !disturbed || isHarmless(candidate, *disturbed);
+        if (!isHarmlessHere && !mayCauseInterference)
+            continue;
+        if (taskObstacle(job, key, worker, now_) != WorkerObstacle::None)
+            continue;
+        if (!isHarmlessHere && !ignoresInterference && paceAt(state_, step, worker) < minimumPace)
+            continue;
+        int64_t score = scoreOf(state_, job, key, *candidate.incarnation_, worker, isHarmlessHere) - (candidate.isQuarantined_ ? quarantineWeight : 0);
+        if (!best || score > bestScore) {
+            best = &candidate;
+            bestScore = score;
+        }
+    }
+    return best ? std::optional(*best->incarnation_) : std::nullopt;
+}
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/src/decisions/PlacementRound.h
@@ -0,0 +1,46 @@
+// Index of the workers for one round of placement, in which many tasks are placed at the same moment. What does not change
+// within a round is found out once: which workers accept runs, and which filling images disturb which long-running images.
+// A search then looks at each worker for a few nanoseconds.
+//
+//     PlacementRound round(state, now);
+//     std::optional<WorkerIncarnation> worker = round.chooseWorker(job, key, Disturbance::Avoided);
+#pragma once
+
+#include "LeaderRules.h"
+
+namespace persimmondoor::workflow {
+
+class PlacementRound {
+public:
+    // The state must outlive the round; workers may be assigned tasks meanwhile, but not be added or removed.
+    PlacementRound(const LeaderState&, Instant now);
+
+    // The worker with the best score for the task, or nothing if the task has to wait.
+    std::optional<WorkerIncarnation> chooseWorker(const Job&, const TaskKey&, Disturbance);
+    // True if filling tasks of the step would disturb no long-running task on at least one worker, whatever its free capacity.
+    bool hasHarmlessWorker(const Job&, const Step&);
+    // To be called after long-running tasks have been assigned to workers or removed from them.
+    void refreshImages();
+
+private:
+    struct Candidate {
+        const WorkerIncarnation* incarnation_ { nullptr };
+        const Worker* worker_ { nullptr };
+        bool isQuarantined_ { false };
+        // Positions in `longRunningImages_`.
+        std::vector<size_t> images_;
+    };
+
+    size_t positionOf(const std::string& longRunningImage);
+    // For each long-running image of the round, whether the filling image disturbs it.
+    const std::vector<bool>& disturbedBy(const std::string& fillingImage);
+    static bool isHarmless(const Candidate&, const std::vector<bool>& disturbed);
+
+    const LeaderState& state_;
+    Instant now_;
+    std::vector<Candidate> candidates_;
+    std::map<std::string, size_t> longRunningImages_;
+    std::map<std::string, std::vector<bool>> disturbedByFilling_;
+};
+
+} // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -90,8 +90,10 @@
 
 void makeReady(LeaderState& state, const Job& job)
 {
-    if (!job.isCancelled_ && !job.hasFailed_)
-        state.readyJobs_.insert(job.record_.id_);
+    if (job.isCancelled_ || job.hasFailed_)
+        return;
+    state.readyJobs_.insert(job.record_.id_);
+    state.hasNewlyReadyJobs_ = true;
 }
 
 // Observes the parts of the delays in one histogram each.
@@ -247,7 +249,8 @@
     task.isStopping_ = false;
     task.lastOrder_ = OrderNumber();
     stopGang(context, job, key);
-    makeReady(context.state_, job);
+    if (task.progress_.phase_ == TaskPhase::Waiting)
+        makeReady(context.state_, job);
 }
 
 void markRunLost(const DecisionContext& context, Job& job, const TaskKey& key, Task& task, std::string_view why)
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -1,4 +1,5 @@
 #include "LeaderRules.h"
+#include "PlacementRound.h"
 
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/workflow/Urgency.h"
@@ -57,7 +58,7 @@
 
 // Places all members of the gang or none.
 // \return true if the gang still waits for free capacity.
-static bool startGang(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber)
+static bool startGang(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round)
 {
     const Step& step = job.record_.spec_.steps()[stepNumber];
     uint32_t run = 0;
@@ -71,15 +72,18 @@
     StagedJob before = stage(context.state_, job.record_.id_);
     for (uint32_t index = 0; index < step.count_; ++index) {
         TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
-        auto incarnation = chooseWorker(context.state_, job, key, disturbance, context.now_);
+        auto incarnation = round.chooseWorker(job, key, disturbance);
         if (incarnation) {
             assign(context, job, key, *incarnation, run + 1);
+            if (step.longRunning_)
+                round.refreshImages();
             continue;
         }
         for (uint32_t placed = 0; placed < index; ++placed) {
             TaskKey placedKey = makeTaskKey(job, occurrence, stepNumber, placed);
             unassign(context, job, placedKey, job.tasks_[taskNumber(job, placedKey)]);
         }
+        round.refreshImages();
         context.state_.staged_[job.record_.id_] = before;
         return true;
     }
@@ -136,11 +140,11 @@
 }
 
 // \return true if a task of the step still waits for free capacity.
-static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, UnplaceableDemands& unplaceable)
+static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, UnplaceableDemands& unplaceable)
 {
     const Step& step = job.record_.spec_.steps()[stepNumber];
     if (step.gang_)
-        return startGang(context, job, occurrence, stepNumber);
+        return startGang(context, job, occurrence, stepNumber, round);
     if ((step.longRunning_ || step.isFilling_) && isAwaitingWorkers(context.state_, context.now_))
         return true;
     Disturbance disturbance = disturbanceOf(context.state_, job, context.now_);
@@ -159,18 +163,20 @@
             awaitsObservation = true;
             continue;
         }
-        auto incarnation = isUnplaceable ? std::nullopt : chooseWorker(context.state_, job, key, disturbance, context.now_);
+        auto incarnation = isUnplaceable ? std::nullopt : round.chooseWorker(job, key, disturbance);
         waits = !incarnation;
         // Workers that have to prove themselves are closed to a task that has failed, but not to others.
         isLimited = waits && step.longRunning_ && progress.failures_ > 0;
         if (waits)
             continue;
         assign(context, job, key, *incarnation, progress.run_ + 1);
+        if (step.longRunning_)
+            round.refreshImages();
         if (disturbance == Disturbance::Avoided)
             continue;
         ++placedDespiteInterference;
         // One task keeps the job running; the others wait, as tasks that disturb are slowed down and end late.
-        if (hasHarmlessWorker(context.state_, job, step, context.now_))
+        if (round.hasHarmlessWorker(job, step))
             disturbance = Disturbance::Avoided;
     }
     if (waits && !isUnplaceable && !isLimited)
@@ -189,7 +195,7 @@
 }
 
 // \return true if the job stays ready: a task waits for free capacity or an occurrence is not due yet.
-static bool startTasksOf(const DecisionContext& context, Job& job, UnplaceableDemands& unplaceable)
+static bool startTasksOf(const DecisionContext& context, Job& job, PlacementRound& round, UnplaceableDemands& unplaceable)
 {
     bool waits = false;
     const JobSpec& spec = job.record_.spec_;
@@ -204,18 +210,28 @@
                 continue;
             if (!job.stepTimes_[number].startableSince_)
                 job.stepTimes_[number].startableSince_ = context.now_;
-            waits = startStep(context, job, occurrence, step, unplaceable) || waits;
+            waits = startStep(context, job, occurrence, step, round, unplaceable) || waits;
         }
     }
     return waits;
 }
 
+// How long after the last round of placement the next one is due. A job that has just become ready is placed at once; jobs
+// that found no room are tried again less often, as a round visits all of them.
+static Duration placementIntervalOf(const LeaderState& state)
+{
+    const Tuning& tuning = state.tuning_;
+    if (state.readyJobs_.size() > tuning.backlogThreshold_)
+        return tuning.placementInterval_;
+    return state.hasNewlyReadyJobs_ ? Duration(0) : tuning.retryPlacementInterval_;
+}
+
 void startReadyTasks(const DecisionContext& context)
 {
-    const Tuning& tuning = context.state_.tuning_;
-    if (context.state_.readyJobs_.size() > tuning.backlogThreshold_ && context.now_ - context.state_.lastPlacementAt_ < tuning.placementInterval_)
+    if (context.state_.readyJobs_.empty() || context.now_ - context.state_.lastPlacementAt_ < placementIntervalOf(context.state_))
         return;
     context.state_.lastPlacementAt_ = context.now_;
+    context.state_.hasNewlyReadyJobs_ = false;
     std::vector<Urgency> ready;
     for (const JobId& id : context.state_.readyJobs_) {
         auto job = context.state_.jobs_.find(id);
@@ -223,10 +239,11 @@
             ready.push_back(urgencyOf(context.state_, job->second));
     }
     std::sort(ready.begin(), ready.end());
+    PlacementRound round(context.state_, context.now_);
     UnplaceableDemands unplaceable;
     for (const Urgency& urgency : ready) {
         Job& job = context.state_.jobs_.at(urgency.job_);
-        bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, unplaceable);
+        bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, round, unplaceable);
         updateIdleTime(context, job, waits);
         if (!waits)
             context.state_.readyJobs_.erase(urgency.job_);
