Search a better worker for slowed tasks once a demand and check

Cause: each check looked for a better worker for every slowed filling task, at all workers. Change: a demand that found no worker is not searched again in the same check, as in a round of placement.

--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -2,6 +2,7 @@
 
 #include "LeaderRules.h"
 #include "PlacementRound.h"
+#include "UnplaceableDemands.h"
 #include "persimmondoor/core/Text.h"
 
 #include <algorithm>
@@ -128,14 +129,18 @@
 {
     uint32_t moved = 0;
     PlacementRound round(context.state_, context.now_);
+    UnplaceableDemands unplaceable;
     for (const JobId& id : context.state_.openJobs_) {
         Job& job = context.state_.jobs_.at(id);
         for (uint32_t number = 0; number < job.tasks_.size() && moved < context.state_.tuning_.maximumMovesPerCheck_; ++number) {
             Task& task = job.tasks_[number];
             TaskKey key = keyOf(job, number);
-            if (!isSlowed(context, task, stepOf(job, key)))
+            const Step& step = stepOf(job, key);
+            if (!isSlowed(context, task, step) || unplaceable.contains(job, step, Disturbance::Avoided))
                 continue;
             auto better = round.chooseWorker(job, key, Disturbance::Avoided);
+            if (!better)
+                unplaceable.add(job, step);
             if (!better || *better == task.progress_.worker_)
                 continue;
             task.avoidedWorker_ = task.progress_.worker_.name_;
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -1,5 +1,6 @@
 #include "LeaderRules.h"
 #include "PlacementRound.h"
+#include "UnplaceableDemands.h"
 
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/workflow/Urgency.h"
@@ -90,43 +91,6 @@
     return false;
 }
 
-namespace {
-
-    // Demands for which this pass found no worker. A step with the same constraints that demands at least as much has no
-    // worker either.
-    class UnplaceableDemands {
-    public:
-        // A job that may disturb long-running tasks may be placed on workers that others have to avoid.
-        bool contains(const Job& job, const Step& step, Disturbance disturbance) const
-        {
-            if (disturbance == Disturbance::Allowed)
-                return false;
-            return std::any_of(demands_.begin(), demands_.end(), [&](const Demand& demand) {
-                return demand.service_ == job.queue_.service_ && demand.isFilling_ == step.isFilling_ && demand.isLongRunning_ == step.longRunning_ && demand.image_ == step.image_ && demand.label_ == step.requiredLabel_ && demand.demand_.fitsIn(step.demand_);
-            });
-        }
-        // A step with a bound on tasks per worker is not added: a step without the bound may find a worker nevertheless.
-        void add(const Job& job, const Step& step)
-        {
-            if (step.maxPerWorker_ == 0)
-                demands_.push_back({ job.queue_.service_, step.image_, step.requiredLabel_, step.isFilling_, step.longRunning_, step.demand_ });
-        }
-
-    private:
-        struct Demand {
-            std::string service_;
-            std::string image_;
-            std::string label_;
-            bool isFilling_ { false };
-            // Long-running tasks may be placed on workers that are forbidden to others.
-            bool isLongRunning_ { false };
-            Resources demand_;
-        };
-        std::vector<Demand> demands_;
-    };
-
-} // namespace
-
 // True if workers that are known from the predecessor's rows may still be reported soon.
 static bool isAwaitingWorkers(const LeaderState& state, Instant now)
 {
