Refuse jobs at once while the store fails; send calls through few entries

Cause: a leader whose view of the configuration was older than 1.4 s, as the store did not answer, said that it does not lead. The entry then asked for 1.2 s, each 60 ms, and each time through all other entries in turn, which asked the same leader again. Change: a leader whose writes fail refuses submissions of jobs that it doesn't know at once, with a time to come back. Other entries are asked only if the leader has not answered, and at most three an attempt, others each time. Tests: jobs_are_refused_at_once_while_the_store_is_down (before: no owner of the queues can be reached, after 1.2 s), call_is_sent_through_few_entries_and_calls_through_all_in_turn.

--- a/scheduler/include/persimmondoor/scheduler/Leadership.h
+++ b/scheduler/include/persimmondoor/scheduler/Leadership.h
@@ -14,7 +14,9 @@
 #include "persimmondoor/store/Table.h"
 #include "persimmondoor/workflow/LeaderView.h"
 
+#include <cstddef>
 #include <variant>
+#include <vector>
 
 namespace persimmondoor::scheduler {
 
@@ -116,4 +118,13 @@
 /// The view of the leadership that this process sends to others while it follows.
 workflow::LeaderView viewOf(const LeadershipState&, Instant now);
 
+/// Bound on the entries through which one attempt of a call is sent to a leader that this entry does not reach. With one
+/// attempt each 60 ms, a call reaches the leader through any of some dozens of entries within its time.
+inline constexpr size_t maximumRelays = 3;
+
+/// The entries through which a call is sent to the leader. If a call were sent through all entries, a leader that is slow to
+/// answer would get each call as many times as there are entries.
+/// \param turn rises with each call, so that calls start at different entries.
+std::vector<Address> chooseRelays(const std::vector<Address>& peers, const Address& leader, size_t turn);
+
 } // namespace persimmondoor::scheduler
--- a/scheduler/src/Scheduler.h
+++ b/scheduler/src/Scheduler.h
@@ -201,6 +201,8 @@
     bool hasResigned_ { false };
     std::map<Address, Instant> peers_;
     std::map<Address, rpc::Link> links_;
+    // Number of calls that were sent through other entries.
+    size_t relayCount_ { 0 };
 };
 
 struct SchedulerActor::State {
--- a/scheduler/src/SchedulerActor.cpp
+++ b/scheduler/src/SchedulerActor.cpp
@@ -99,8 +99,12 @@
         // If the store has not confirmed the operators' view lately, another entry may have taken over and the operators may
         // have changed the queues, so a queue or job that is unknown here may exist.
         bool mayBeOutdated = time() - role->operatorsConfirmedAt_ > maximumOperatorViewAge;
-        if (mayBeOutdated && !workflow::concernsKnownJob(role->leaderState_, message.call_))
+        if (mayBeOutdated && !workflow::concernsKnownJob(role->leaderState_, message.call_)) {
+            // A job that cannot be stored is refused at once, so that its client is told when to come back.
+            if (std::holds_alternative<workflow::Submit>(message.call_.verb_) && workflow::isStoreUnavailable(role->leaderState_, time()))
+                return message.reply_.send(workflow::NotAccepted { "the store does not answer", retryAfter });
             return message.reply_.send(workflow::NotLeader { "the store does not answer" });
+        }
         role->lastToken_ = role->lastToken_.next();
         role->calls_.emplace(role->lastToken_, message.reply_);
         return decide(*role, workflow::CallArrived { role->lastToken_, std::move(message.call_), wallMilliseconds() });
@@ -111,13 +115,6 @@
     spawn(executor_, "relay call", relay(std::move(message)));
 }
 
-// True if the call may be sent through another entry: the leader has given no final answer. A call that may have
-// arrived is repeated as well, as calls are idempotent.
-static bool mayTryNextPeer(const absl::StatusOr<workflow::ClientAnswer>& answer)
-{
-    return !answer.ok() || std::holds_alternative<workflow::NotLeader>(*answer);
-}
-
 asio::awaitable<void> Scheduler::relay(CallMessage message)
 {
     auto self = shared_from_this();
@@ -131,11 +128,12 @@
         logWarning("call.unanswered", { { "owner", leader.text() }, { "path", message.call_.path_ }, { "reason", std::string(answer.status().message()) } });
         links_.erase(leader);
     }
-    for (const Address& peer : message.viaPeers_ ? peers() : std::vector<Address>()) {
-        if (!mayTryNextPeer(answer) || mailbox_.isOpen() == false)
+    // Other entries may reach the leader if this one does not. They would ask the same leader again if it has answered. A call
+    // that may have arrived is repeated as well, as calls are idempotent.
+    std::vector<Address> relays = message.viaPeers_ && !answer.ok() ? chooseRelays(peers(), leader, ++relayCount_) : std::vector<Address>();
+    for (const Address& peer : relays) {
+        if (mailbox_.isOpen() == false)
             break;
-        if (peer == leader)
-            continue;
         workflow::ClientCall relayed = message.call_;
         answer = co_await workflow::callAt(linkTo(peer), std::move(relayed), limit);
         mayHaveTakenEffect = mayHaveTakenEffect || (!answer.ok() && !absl::IsUnavailable(answer.status())) || (answer.ok() && std::holds_alternative<workflow::OutcomeUnknown>(*answer));
--- a/scheduler/src/decisions/Leadership.cpp
+++ b/scheduler/src/decisions/Leadership.cpp
@@ -131,4 +131,15 @@
     return { state.epoch_, state.leader_, false, now - state.lastWriteAt_, now - state.lastContactAt_ };
 }
 
+std::vector<Address> chooseRelays(const std::vector<Address>& peers, const Address& leader, size_t turn)
+{
+    std::vector<Address> relays;
+    for (size_t index = 0; index < peers.size() && relays.size() < maximumRelays; ++index) {
+        const Address& peer = peers[(turn * maximumRelays + index) % peers.size()];
+        if (peer != leader)
+            relays.push_back(peer);
+    }
+    return relays;
+}
+
 } // namespace persimmondoor::scheduler
--- a/scheduler/tests/LeadershipTest.cpp
+++ b/scheduler/tests/LeadershipTest.cpp
@@ -1,6 +1,8 @@
 #include "persimmondoor/scheduler/Leadership.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
 
 namespace persimmondoor::scheduler {
 
@@ -183,6 +185,23 @@
     BOOST_TEST(!duePing(state, at(1000)));
 }
 
+// Guards against calls to a slow leader that are multiplied by the number of entries.
+BOOST_AUTO_TEST_CASE(call_is_sent_through_few_entries_and_calls_through_all_in_turn)
+{
+    std::vector<Address> peers;
+    for (int host = 1; host <= 34; ++host)
+        peers.push_back(*Address::parse("10.0.0." + std::to_string(host) + ":7000"));
+    std::set<Address> used;
+    for (size_t turn = 0; turn < peers.size(); ++turn) {
+        std::vector<Address> relays = chooseRelays(peers, peers[5], turn);
+        BOOST_TEST(relays.size() <= maximumRelays);
+        used.insert(relays.begin(), relays.end());
+    }
+    BOOST_TEST(used.size() == peers.size() - 1);
+    BOOST_TEST(chooseRelays({}, peers[5], 1).empty());
+    BOOST_TEST(chooseRelays({ peers[5] }, peers[5], 1).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::scheduler
--- a/scheduler/tests/SchedulerActorTest.cpp
+++ b/scheduler/tests/SchedulerActorTest.cpp
@@ -137,6 +137,23 @@
     }(world));
 }
 
+// Guards against clients that wait for the search of a leader although the leader knows that it can store nothing.
+BOOST_AUTO_TEST_CASE(jobs_are_refused_at_once_while_the_store_is_down)
+{
+    SchedulerWorld world(1);
+    world.run([](SchedulerWorld& world) -> asio::awaitable<void> {
+        std::string first = co_await submitWithRetries(world.entry(0), "00000000000000aa");
+        BOOST_TEST(first == "accepted");
+        platform::StoreFaults faults;
+        faults.isDown_ = true;
+        world.store().setFaults(faults);
+        // The stand-in still answers the feed call in flight, which waits for at most 900 ms.
+        co_await sleepFor(std::chrono::milliseconds(2500));
+        auto answer = co_await serveClient(world.entry(0), makeSubmission("00000000000000bb"));
+        BOOST_TEST(workflow::describe(answer) == "not accepted: the store does not answer");
+    }(world));
+}
+
 BOOST_AUTO_TEST_CASE(leader_without_the_store_does_not_deny_unknown_queues_and_jobs)
 {
     SchedulerWorld world(1);
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -380,6 +380,9 @@
 /// of date.
 bool concernsKnownJob(const LeaderState&, const ClientCall&);
 
+/// True if the store has failed for so long that new jobs are refused.
+bool isStoreUnavailable(const LeaderState&, Instant now);
+
 /// Phase of a job according to its current state, which may not be durable yet.
 JobPhase phaseOf(const Job&);
 
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -95,8 +95,6 @@
 void handleReport(const DecisionContext&, const AgentReport&);
 void handleBatchDurable(const DecisionContext&, const BatchDurable&);
 void handleTick(const DecisionContext&, const Tick&);
-// True if the store has failed for so long that new jobs are refused.
-bool isStoreUnavailable(const LeaderState&, Instant now);
 // Refuses jobs for which no transaction has been sent, if the store is unavailable.
 void refuseUnsentJobs(const DecisionContext&);
 
