Await the lists of an agent that is back before its lost tasks start again

Cause: a worker whose agent was not heard for longer than its leases was removed and its tasks were started elsewhere, also when the agent had attached again in the meantime and had only not listed the worker yet. A run that had ended as done before the leases expired was then run again. Change: such a task waits for the lists of its former agent, for at most 4 s, while that agent is attached. Ruled out: leases that the leader believes shorter than the agent does; by reading, the leader's bound covers each reply. Tests: reachability/task_of_a_silent_worker_waits_for_the_lists_of_its_agent_that_is_back, which fails with the check switched off, and task_of_a_silent_worker_is_started_elsewhere_if_its_agent_lists_nothing.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -59,6 +59,9 @@
     std::optional<Instant> slowedSince_;
     /// A worker holds room for the waiting task.
     bool isRoomHeld_ { false };
+    /// Agent of the silent worker on which the last run was taken to be lost when its lease had expired; empty if there is
+    /// none. The run may have ended before.
+    std::string silentAgent_;
     /// Worker on which the task last failed, hung, was slowed down or did not appear after its start.
     std::string avoidedWorker_;
     bool operator==(const Task&) const = default;
@@ -178,6 +181,8 @@
     Fence fence_;
     Sequence newestReport_;
     Instant lastReportAt_;
+    /// When the session began.
+    Instant attachedAt_;
     /// The agent has reported its workers under this fence. Before that, no leases are granted, as they could extend to
     /// workers that this leader does not know.
     bool hasReported_ { false };
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -87,7 +87,10 @@
     }
     for (const WorkerIncarnation& incarnation : expired) {
         // Removing the agent makes its next report begin a session with a higher fence, which invalidates pending orders.
-        context.state_.agents_.erase(context.state_.workers_.at(incarnation).agent_);
+        const Worker& worker = context.state_.workers_.at(incarnation);
+        context.state_.agents_.erase(worker.agent_);
+        for (const TaskKey& key : worker.assignedTasks_)
+            findTask(context.state_, key)->silentAgent_ = worker.agent_;
         dropWorker(context, incarnation, "no agent reports it and its leases have expired");
     }
     Duration longest = maximumLeaseDuration(context.state_.tuning_);
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -28,6 +28,7 @@
     agent.domain_ = report.domain_;
     agent.session_ = report.session_;
     agent.fence_ = nextFence(context.state_);
+    agent.attachedAt_ = context.now_;
     for (auto& [incarnation, worker] : context.state_.workers_) {
         if (worker.agent_ != report.agent_)
             continue;
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -35,6 +35,7 @@
     task.isStartReleased_ = false;
     task.isOnWorker_ = false;
     task.isStopping_ = false;
+    task.silentAgent_.clear();
     task.progressPercent_ = 0;
     task.readings_ = 0;
     task.throttledMilliCores_ = 0;
@@ -103,6 +104,19 @@
     return std::any_of(first, first + job.record_.spec_.steps()[stepNumber].count_, [](const Task& task) { return task.isRoomHeld_; });
 }
 
+// True if the agent of the silent worker that had the task's last run is back and has not listed its worker yet: the run may
+// have ended as done before the worker's leases expired.
+static bool mayHaveEnded(const LeaderState& state, const Task& task, Instant now)
+{
+    auto agent = task.silentAgent_.empty() ? state.agents_.end() : state.agents_.find(task.silentAgent_);
+    if (agent == state.agents_.end() || now - agent->second.attachedAt_ >= state.tuning_.maximumListWait_)
+        return false;
+    return std::none_of(agent->second.workers_.begin(), agent->second.workers_.end(), [&](const WorkerIncarnation& incarnation) {
+        auto worker = state.workers_.find(incarnation);
+        return worker != state.workers_.end() && worker->second.isListed_;
+    });
+}
+
 // \return true if a task of the step still waits for free capacity.
 static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, UnplaceableDemands& unplaceable)
 {
@@ -116,15 +130,16 @@
     bool isUnplaceable = !isRoomHeld(job, occurrence, stepNumber) && unplaceable.contains(job, step, disturbance);
     bool waits = false;
     bool isLimited = false;
-    bool awaitsObservation = false;
+    bool mustWait = false;
     uint32_t placedDespiteInterference = 0;
     for (uint32_t index = 0; index < step.count_ && !waits; ++index) {
         TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
         const TaskProgress& progress = job.tasks_[taskNumber(job, key)].progress_;
         if (progress.phase_ != TaskPhase::Waiting)
             continue;
-        if (mustAwaitObservation(context.state_, job, key, context.now_)) {
-            awaitsObservation = true;
+        bool mustAwaitList = mayHaveEnded(context.state_, job.tasks_[taskNumber(job, key)], context.now_);
+        if (mustAwaitList || mustAwaitObservation(context.state_, job, key, context.now_)) {
+            mustWait = true;
             continue;
         }
         auto incarnation = isUnplaceable ? std::nullopt : round.chooseWorker(job, key, disturbance);
@@ -147,7 +162,7 @@
         unplaceable.add(job, step);
     if (step.isFilling_ && placedDespiteInterference > 0)
         context.logEvent("job.interference_ignored", job.record_.id_.value(), concat(placedDespiteInterference, " tasks of step ", stepNumber, " placed, as nothing of the job was running"));
-    return waits || awaitsObservation;
+    return waits || mustWait;
 }
 
 static void updateIdleTime(const DecisionContext& context, Job& job, bool waits)
--- a/workflow/tests/ReachabilityTest.cpp
+++ b/workflow/tests/ReachabilityTest.cpp
@@ -166,6 +166,57 @@
     BOOST_TEST(decoded->workers_.at(0).isReachable_);
 }
 
+// A worker whose agent is silent for longer than its leases, beside no other worker.
+class SilentWorld : public LeaderWorld {
+public:
+    SilentWorld()
+    {
+        report("w-1", 10);
+        submit({ stepOfTasks(1) }, 20);
+        commit(30);
+        starts("w-1", 31);
+        lastCompletedOrder_ = OrderNumber(1);
+        report("w-1", 40, { { run_, "", 10, 0, 100 } });
+        reply("w-1", 41);
+        for (int64_t time = 200; time <= 9000; time += 200)
+            handle(Tick { 1'000'000 + time }, time);
+        // The agent is back, but has not read its worker's lists under the new fence.
+        handle(ReportArrived { { "w-1", domain_, 7, state_.epoch_, Fence(), Sequence(1000), OrderNumber(), {}, {}, true, {} } }, 9100);
+        reply("w-1", 9101);
+        lastCompletedOrder_ = OrderNumber();
+        report("w-2", 9200);
+        commit(9201);
+    }
+
+    RunKey run_ { { JobId::of("00000000000000aa"), 0, 0, 0 }, 1 };
+};
+
+// Guards against a second run of a task that was done on a worker which was silent for a while.
+BOOST_AUTO_TEST_CASE(task_of_a_silent_worker_waits_for_the_lists_of_its_agent_that_is_back)
+{
+    SilentWorld world;
+    BOOST_REQUIRE(world.logged("worker.gone").size() == 1U);
+    BOOST_TEST(world.starts("w-2", 9202).empty());
+    WorkerReport lists { { "w-1", 1000, "" }, { "packs", "north", { "a", "r1" }, world.capacity_ }, false, 0, true, true, 0, {}, { { 1, world.run_, RunEnd::Done, "" } }, {} };
+    world.handle(ReportArrived { { "w-1", "north", 7, world.state_.epoch_, world.fenceOf("w-1"), Sequence(1001), OrderNumber(), { lists }, {}, true, {} } }, 9300);
+    world.commit(9301);
+    world.commit(9302);
+    BOOST_TEST(world.starts("w-2", 9303).empty());
+    BOOST_TEST(world.answer(world.call(GetStatus {}, 9310)) == "completed");
+}
+
+// Guards against a task that waits for ever for an agent that does not list its worker.
+BOOST_AUTO_TEST_CASE(task_of_a_silent_worker_is_started_elsewhere_if_its_agent_lists_nothing)
+{
+    SilentWorld world;
+    for (int64_t time = 9400; time <= 13'200; time += 200) {
+        world.report("w-2", time);
+        world.handle(Tick { 1'000'000 + time }, time);
+    }
+    world.commit(13'201);
+    BOOST_TEST(world.starts("w-2", 13'202).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
