Ignore runs in a worker's lists that no job has

Cause: the reading of a worker's load looked up the step of each listed run without checking that the job has that step, so that a worker which listed a run of a step beyond the job's last ended the leader by an access violation. Change: such runs are left out of the reading; they are stopped like any run that belongs to no task. Test: workflow_leader/runs_that_no_job_has_are_stopped_and_nothing_else, a memory access violation before.

--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -320,15 +320,15 @@
     return std::any_of(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) { return entry.first.succeeds(incarnation); });
 }
 
-static LoadReading readLoad(const LeaderState& state, const WorkerReport& report)
+static LoadReading readLoad(LeaderState& state, const WorkerReport& report)
 {
     LoadReading reading;
     auto capacity = static_cast<double>(std::max<int64_t>(report.traits_.capacity_.milliCores(), 1));
     for (const ActiveRun& active : report.active_) {
-        auto job = state.jobs_.find(active.run_.task_.job_);
-        if (job == state.jobs_.end())
+        // A worker may list a run that no job has, such as one of a step beyond the job's last.
+        if (!findTask(state, active.run_.task_))
             continue;
-        const Step& step = stepOf(job->second, active.run_.task_);
+        const Step& step = stepOf(state.jobs_.at(active.run_.task_.job_), active.run_.task_);
         if (step.isFilling_)
             reading.filling_[step.image_] += static_cast<double>(active.load_) / capacity;
         else if (step.targetTailMs_ > 0 && active.progressPercent_ >= 100)
--- a/workflow/tests/LeaderTest.cpp
+++ b/workflow/tests/LeaderTest.cpp
@@ -325,6 +325,31 @@
     BOOST_TEST(startsAfterTakeover("", "") == 0U);
 }
 
+// Guards against a leader that a worker ends by listing runs that its jobs do not have.
+BOOST_AUTO_TEST_CASE(runs_that_no_job_has_are_stopped_and_nothing_else)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    world.submit({ stepOfTasks(1) }, 20);
+    world.commit(30);
+    RunKey known = world.starts("w-1", 31).front();
+    world.lastCompletedOrder_ = OrderNumber(1);
+    constexpr uint32_t beyond = 100'000'000;
+    const JobId job = known.task_.job_;
+    std::vector<RunKey> unknown { { { job, beyond, 0, 0 }, 1 }, { { job, 0, beyond, 0 }, 1 }, { { job, 0, 0, beyond }, 1 }, { { JobId::of("00000000000000ff"), 0, 0, 0 }, 1 } };
+    std::vector<ActiveRun> active { { known, "", 10, 0, 100 } };
+    std::vector<EndedRun> ended;
+    for (const RunKey& run : unknown) {
+        active.push_back({ run, "", 100, 7, 100 });
+        ended.push_back({ ended.size() + 1, run, RunEnd::Done, "" });
+    }
+    world.readingNumber_ = 1;
+    world.crashedRuns_ = unknown;
+    world.report("w-1", 100, active, ended);
+    BOOST_TEST(world.reply("w-1", 101).size() == unknown.size());
+    BOOST_TEST(world.answer(world.call(GetStatus {}, 110)) == "running");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
