Void orders to start that were never sent once they may not run

Cause: an order to start waits at the leader until its agent fetches it. Change: a stop of a run whose start was never sent takes the place of the start; an evacuation stops such runs in its domains. Tests: start_that_was_never_sent_is_void_once_its_domain_is_evacuated and ..._once_its_job_is_cancelled, red before.

--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -145,6 +145,17 @@
     return agent == state.agents_.end() ? nullptr : &agent->second;
 }
 
+// Turns an order to start the run that has never been sent into one to stop it: the agent may fetch its orders long after
+// they were given, and must not begin what is to end.
+static void voidUnsentStart(Agent& agent, const RunKey& run)
+{
+    for (Order& order : agent.pendingOrders_) {
+        const auto* start = std::get_if<StartRun>(&order);
+        if (start && start->run_ == run && start->number_ > agent.lastSentOrder_)
+            order = StopRun { start->number_, start->worker_, run };
+    }
+}
+
 void orderStop(const DecisionContext& context, const TaskKey& key, Task& task, std::string_view why)
 {
     if (task.isStopping_)
@@ -159,6 +170,7 @@
     // The run's absence from the worker's lists shows that it was lost only once this order is completed too.
     task.lastOrder_ = agent->lastOrder_;
     RunKey run { key, task.progress_.run_ };
+    voidUnsentStart(*agent, run);
     addOrder(context, context.state_.workers_.at(incarnation).agent_, StopRun { agent->lastOrder_, incarnation, run });
     context.logEvent("run.stop", describe(run), concat(why, "; worker ", incarnation.name_));
 }
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -246,8 +246,33 @@
     return {};
 }
 
+// The runs in the evacuated domains whose orders to start have never been sent.
+static std::vector<RunKey> unsentStartsInEvacuatedDomains(const LeaderState& state)
+{
+    std::vector<RunKey> runs;
+    for (const auto& [name, agent] : state.agents_) {
+        for (const Order& order : agent.pendingOrders_) {
+            const auto* start = std::get_if<StartRun>(&order);
+            auto worker = start && start->number_ > agent.lastSentOrder_ ? state.workers_.find(start->worker_) : state.workers_.end();
+            if (worker != state.workers_.end() && state.evacuatedDomains_.count(worker->second.traits_.domain_) > 0)
+                runs.push_back(start->run_);
+        }
+    }
+    return runs;
+}
+
+static void stopUnsentStarts(const DecisionContext& context)
+{
+    for (const RunKey& run : unsentStartsInEvacuatedDomains(context.state_)) {
+        Task* task = findTask(context.state_, run.task_);
+        if (task && task->progress_.phase_ == TaskPhase::Assigned && task->progress_.run_ == run.run_)
+            orderStop(context, run.task_, *task, "its domain is evacuated and the order to start it has not been sent");
+    }
+}
+
 void withdrawForbiddenStarts(const DecisionContext& context)
 {
+    stopUnsentStarts(context);
     for (auto& [id, staged] : context.state_.staged_) {
         auto found = context.state_.jobs_.find(id);
         if (found == context.state_.jobs_.end())
--- a/workflow/tests/LeaderTest.cpp
+++ b/workflow/tests/LeaderTest.cpp
@@ -350,6 +350,38 @@
     BOOST_TEST(world.answer(world.call(GetStatus {}, 110)) == "running");
 }
 
+// Guards against a start in a domain that was evacuated while the order waited for its agent.
+BOOST_AUTO_TEST_CASE(start_that_was_never_sent_is_void_once_its_domain_is_evacuated)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    world.submit({ stepOfTasks(1) }, 20);
+    world.commit(30);
+    world.handle(EvacuationsChanged { { "north" } }, 40);
+    std::vector<Order> orders = world.reply("w-1", 9000);
+    BOOST_REQUIRE(!orders.empty());
+    for (const Order& order : orders)
+        BOOST_TEST(std::holds_alternative<StopRun>(order));
+    world.lastCompletedOrder_ = numberOf(orders.back());
+    world.report("w-1", 9010);
+    world.domain_ = "south";
+    world.report("w-2", 9020);
+    world.commit(9030);
+    BOOST_TEST(world.starts("w-2", 9031).size() == 1U);
+}
+
+// Guards against a cancelled job that is started, as the order waited for its agent.
+BOOST_AUTO_TEST_CASE(start_that_was_never_sent_is_void_once_its_job_is_cancelled)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    world.submit({ stepOfTasks(2) }, 20);
+    world.commit(30);
+    world.call(Cancel {}, 40);
+    world.commit(50);
+    BOOST_TEST(world.starts("w-1", 9000).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
