Confirm the configuration as soon as the store is back

Cause: after a failed read of the operators' table the next call was the feed, which waits up to 0.9 s for a change. Change: the table is read until a read succeeds; the feed follows after that. Test: jobs_are_accepted_again_soon_after_the_store_is_back; before, refused after three of four outages.

--- a/scheduler/src/Operators.cpp
+++ b/scheduler/src/Operators.cpp
@@ -77,9 +77,12 @@
         if (changes) {
             view = apply(std::move(view), *changes);
         } else {
-            auto freshView = co_await readSnapshot(rows);
+            // The feed waits for a change before it answers, so that it would show late that the store is back.
+            std::optional<OperatorView> freshView;
+            while (!freshView && shouldContinue())
+                freshView = co_await readSnapshot(rows);
             if (!freshView)
-                continue;
+                co_return;
             view = *std::move(freshView);
         }
         if (shouldContinue())
--- a/scheduler/tests/SchedulerActorTest.cpp
+++ b/scheduler/tests/SchedulerActorTest.cpp
@@ -154,6 +154,28 @@
     }(world));
 }
 
+// Guards against jobs that are refused for the length of a feed call after the store is back.
+BOOST_AUTO_TEST_CASE(jobs_are_accepted_again_soon_after_the_store_is_back)
+{
+    SchedulerWorld world(1);
+    world.run([](SchedulerWorld& world) -> asio::awaitable<void> {
+        std::string first = co_await submitWithRetries(world.entry(0), "00000000000000aa");
+        BOOST_TEST(first == "accepted");
+        for (int outage = 0; outage < 4; ++outage) {
+            platform::StoreFaults faults;
+            faults.isDown_ = true;
+            world.store().setFaults(faults);
+            co_await sleepFor(std::chrono::milliseconds(2500 + 30 * outage));
+            world.store().setFaults({});
+            co_await sleepFor(std::chrono::milliseconds(300));
+            workflow::ClientCall call = makeSubmission("00000000000000b" + std::to_string(outage));
+            call.timeLeft_ = std::chrono::milliseconds(400);
+            auto answer = co_await serveClient(world.entry(0), std::move(call));
+            BOOST_TEST(workflow::describe(answer) == "accepted");
+        }
+    }(world));
+}
+
 BOOST_AUTO_TEST_CASE(leader_without_the_store_does_not_deny_unknown_queues_and_jobs)
 {
     SchedulerWorld world(1);
