Longer Retry-After the longer the store fails

Cause: a client that is refused at once with one second to wait uses up its few attempts within an outage of four seconds. Change: the time to come back is as long as the store has failed for, between 1 and 2 s. Test: refused_clients_come_back_later_the_longer_the_store_fails (a function that did not exist before).

--- a/scheduler/src/SchedulerActor.cpp
+++ b/scheduler/src/SchedulerActor.cpp
@@ -102,7 +102,7 @@
         if (mayBeOutdated && !workflow::concernsKnownJob(role->leaderState_, message.call_)) {
             // A job that cannot be stored is refused at once, so that its client is told when to come back.
             if (std::holds_alternative<workflow::Submit>(message.call_.verb_) && workflow::isStoreUnavailable(role->leaderState_, time()))
-                return message.reply_.send(workflow::NotAccepted { "the store does not answer", retryAfter });
+                return message.reply_.send(workflow::refuseUnstorable(role->leaderState_, time()));
             return message.reply_.send(workflow::NotLeader { "the store does not answer" });
         }
         role->lastToken_ = role->lastToken_.next();
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -399,6 +399,9 @@
 /// True if the store has failed for so long that new jobs are refused.
 bool isStoreUnavailable(const LeaderState&, Instant now);
 
+/// The answer to a job that cannot be stored as the store fails, with the time to come back.
+NotAccepted refuseUnstorable(const LeaderState&, Instant now);
+
 /// Phase of a job according to its current state, which may not be durable yet.
 JobPhase phaseOf(const Job&);
 
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -113,8 +113,10 @@
     Duration finishedJobRetention_ { std::chrono::seconds(120) };
     /// Bound on the unfinished jobs, beyond which new ones are refused; keeps an entry within its 160 MB of memory.
     size_t maximumOpenJobs_ { 8000 };
-    /// Time after which a refused client should retry.
+    /// Time after which a refused client should retry. While the store fails, as long as it has failed for, up to the maximum:
+    /// clients retry a few times only, and their last attempt should not fall into the same outage.
     Duration retryAfter_ { std::chrono::milliseconds(1000) };
+    Duration maximumRetryAfter_ { std::chrono::milliseconds(2000) };
     bool operator==(const Tuning&) const = default;
 };
 
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -52,7 +52,7 @@
     Instant writtenAt = context.state_.leaseGrantsUntil_ - context.state_.tuning_.leadershipLease_;
     if (context.now_ - writtenAt > context.state_.tuning_.maximumWriteAge_ || isStoreUnavailable(context.state_, context.now_)) {
         context.logEvent("job.refused", id.value(), concat("no durable write for ", (context.now_ - writtenAt).count() / 1000, " ms"));
-        return context.addAction(AnswerClient { message.token_, NotAccepted { "the store does not answer", context.state_.tuning_.retryAfter_ } });
+        return context.addAction(AnswerClient { message.token_, refuseUnstorable(context.state_, context.now_) });
     }
     Job job = newJob({ id, queue, message.wallMs_, request.spec_ });
     context.logEvent("job.taken", id.value(), concat("queue ", queue.name_, ", ", job.tasks_.size(), " tasks, configuration ", context.state_.catalog_.version_));
@@ -70,6 +70,12 @@
     return state.storeFailedAt_ && now - *state.storeFailedAt_ > state.tuning_.refuseAfterStoreFailure_;
 }
 
+NotAccepted refuseUnstorable(const LeaderState& state, Instant now)
+{
+    Duration failing = state.storeFailedAt_ ? now - *state.storeFailedAt_ : Duration(0);
+    return { "the store does not answer", std::clamp(failing, state.tuning_.retryAfter_, state.tuning_.maximumRetryAfter_) };
+}
+
 // True if only the submission of the job is staged, and no transaction for it has been sent.
 static bool isUnsentSubmission(const StagedJob& staged)
 {
@@ -94,7 +100,7 @@
     context.state_.jobs_.erase(id);
     for (const Effect& effect : staged.effects_) {
         if (const auto* answer = std::get_if<AnswerClient>(&effect))
-            context.addAction(AnswerClient { answer->token_, NotAccepted { "the store does not answer", context.state_.tuning_.retryAfter_ } });
+            context.addAction(AnswerClient { answer->token_, refuseUnstorable(context.state_, context.now_) });
     }
 }
 
--- a/workflow/tests/LeaderTest.cpp
+++ b/workflow/tests/LeaderTest.cpp
@@ -382,6 +382,17 @@
     BOOST_TEST(world.starts("w-1", 9000).empty());
 }
 
+// Guards against clients that use up their few attempts within one outage of the store.
+BOOST_AUTO_TEST_CASE(refused_clients_come_back_later_the_longer_the_store_fails)
+{
+    LeaderWorld world;
+    world.handle(StoreFailed {}, 100);
+    auto retryAfter = [&](int64_t time) { return refuseUnstorable(world.state_, at(time)).retryAfter_; };
+    BOOST_TEST((retryAfter(900) == std::chrono::milliseconds(1000)));
+    BOOST_TEST((retryAfter(1600) == std::chrono::milliseconds(1500)));
+    BOOST_TEST((retryAfter(9000) == std::chrono::milliseconds(2000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
