--- a/bench/capacity/Page.cpp
+++ b/bench/capacity/LocalPage.cpp
@@ -1,32 +1,14 @@
 #include "Page.h"
 
+#include "TargetSize.h"
+#include "Writer.h"
+
 #include "persimmondoor/core/Text.h"
 
-#include <absl/strings/str_format.h>
 #include <cmath>
 
 namespace persimmondoor::capacity {
 
-// The size that the system is designed for.
-static constexpr double workers = 6'300;
-static constexpr double startsPerSecond = 3'900;
-static constexpr double runningTasks = 24'000 + 180'000;
-static constexpr double batchTasks = 180'000;
-static constexpr double jobsPerDay = 47'000;
-static constexpr double failureDomains = 15;
-static constexpr double regions = 6;
-static constexpr double settingsChangesPerDay = 3'000;
-static constexpr double hostsReplacedPerDay = 130 + 530;
-static constexpr double secondsPerDay = 86'400;
-
-// Limits of the resources that one node may spend on control.
-static constexpr double nodeBytesPerSecond = 4'000;
-static constexpr double nodeMemoryBytes = 128e6;
-static constexpr double nodeMicrosecondsPerSecond = 31'000;
-// Limits of the store. The requirement says "several hundred" writes a second; 300 is the cautious reading.
-static constexpr double storeWritesPerSecond = 300;
-static constexpr double storeReadsPerSecond = 2'000;
-
 // Assumptions on sizes that the requirements don't state.
 static constexpr double entries = 18;
 static constexpr double workersPerRack = 40;
@@ -41,118 +23,19 @@
 static constexpr double renewalSeconds = 5;
 static constexpr double settingsPollSeconds = 8;
 
-namespace {
-
-    // Writes the parts of the page and records the first slope that is missing.
-    class Writer {
-    public:
-        explicit Writer(const Slopes& slopes)
-            : slopes_(slopes)
-        {
-        }
-
-        const Slope& slope(std::string_view name)
-        {
-            for (const Slope& slope : slopes_) {
-                if (slope.name_ == name)
-                    return slope;
-            }
-            if (missing_.empty())
-                missing_ = name;
-            static const Slope none;
-            return none;
-        }
-
-        // The cost of one more unit.
-        double costPerUnit(std::string_view name) { return slope(name).perUnit_; }
-
-        // The cost of `size` on the fitted line, at least zero.
-        double costAt(std::string_view name, double size)
-        {
-            const Slope& line = slope(name);
-            return std::max(0.0, line.intercept_ + line.perUnit_ * size);
-        }
-
-        // The cost at the largest measured size, for costs that by design do not grow with the size.
-        double costAtLargestSize(std::string_view name)
-        {
-            const Slope& line = slope(name);
-            return line.points_.empty() ? 0 : line.points_.back().cost_;
-        }
-
-        void text(std::string_view text) { page_ += concat(text, "\n"); }
-
-        void startRows()
-        {
-            text("| limit | how it follows | need | allowance | margin | carried by |");
-            text("| --- | --- | --- | --- | --- | --- |");
-        }
-
-        void row(const Row& row)
-        {
-            bool over = row.need_ > row.allowance_;
-            std::string margin = over ? absl::StrFormat("**over, x %.1f**", row.need_ / row.allowance_) : absl::StrFormat("%.0f%%", 100 * (1 - row.need_ / row.allowance_));
-            text(concat("| ", row.limit_, " | ", row.formula_, " | ", number(row.need_), " ", row.unit_, " | ", number(row.allowance_), " ", row.unit_, " | ", margin, " | ",
-                row.mechanism_, " |"));
-        }
-
-        // Formats `value` with three significant figures and thousands separators.
-        static std::string number(double value)
-        {
-            if (value == 0)
-                return "0";
-            double scale = std::pow(10, std::floor(std::log10(std::abs(value))) - 2);
-            double rounded = std::round(value / scale) * scale;
-            if (rounded < 100)
-                return absl::StrFormat("%.3g", rounded);
-            std::string digits = absl::StrFormat("%.0f", rounded);
-            for (int position = static_cast<int>(digits.size()) - 3; position > 0; position -= 3)
-                digits.insert(static_cast<size_t>(position), ",");
-            return digits;
-        }
-
-        absl::StatusOr<std::string> finish() const
-        {
-            if (!missing_.empty())
-                return absl::NotFoundError(concat("no slope named ", missing_));
-            return page_;
-        }
-
-    private:
-        const Slopes& slopes_;
-        std::string page_;
-        std::string missing_;
-    };
-
-} // namespace
-
 static void writeIntroduction(Writer& page)
 {
-    page.text("# Capacity\n");
-    page.text("What each role needs at the size in two years, worked out from slopes measured on one machine. The page is written by `bench_capacity render` from");
-    page.text("[capacity/slopes.json](capacity/slopes.json), which `bench_capacity measure` writes; a test checks that the page follows from the slopes, and each");
-    page.text("line from its points. Needs beyond the measured sizes are extrapolated along the line.\n");
+    page.text("# Capacity of the programs without the platform\n");
+    page.text("What each role of the programs that run without the users' platform (`local`, partitions of jobs with one owner each) needs at the size in two years, worked");
+    page.text("out from slopes measured on one machine. The programs on the platform have [a page of their own](../CAPACITY.md). This page is written by `bench_capacity");
+    page.text("render` from [slopes.json](slopes.json), which `bench_capacity measure` writes; a test checks that the page follows from the slopes, and each line from its");
+    page.text("points. Needs beyond the measured sizes are extrapolated along the line.\n");
     page.text("Allowances for a node: 4,000 B/s, 128 MB, 31,000 us of processor a second (3.1% of a core). The store: 300 writes/s (the careful reading of \"several");
     page.text("hundred\") and 2,000 reads/s. Assumed, as nobody has said: 18 entries (three a region), racks of 40 workers, a mean run time of an hour, one probe a start");
     page.text("(a round of up to 256 tasks shares its sample), settings subtrees of 1,000 bytes. The store is taken to be one service that all regions reach; a region");
     page.text("that is cut off from it is a store outage for that region.\n");
 }
 
-static void writeSlopes(Writer& page, const Slopes& slopes)
-{
-    page.text("## Slopes\n");
-    page.text("| slope | sizes | cost at size 0 | cost of one more | residual |");
-    page.text("| --- | --- | --- | --- | --- |");
-    for (const Slope& slope : slopes) {
-        std::string sizes;
-        for (const Point& point : slope.points_)
-            sizes += concat(sizes.empty() ? "" : ", ", Writer::number(point.size_));
-        page.text(concat("| `", slope.name_, "` | ", sizes, " ", slope.sizeUnit_, " | ", absl::StrFormat("%.4g %s", slope.intercept_, slope.costUnit_), " | ",
-            absl::StrFormat("%.4g %s", slope.perUnit_, slope.costUnit_), " | ", absl::StrFormat("%.1f%%", 100 * slope.residual_), " |"));
-    }
-    page.text("");
-}
-
 static void writeAgent(Writer& page)
 {
     double owners = std::min(runningTasks / workers, partitionsToday);
@@ -252,7 +135,7 @@
     page.text("So today's settings do not carry the size in two years, neither at rest nor at the peak; what carries it, in the order in which it pays, is designed and not built:");
     page.text("(1) 1,024 partitions, with a heartbeat of 12 s, so that leases leave the store to the journals; (2) placement that keeps a partition's tasks together, so that one");
     page.text("renewal covers many; (3) renewals every 20 s under leases of 60 s; (4) free room carried in renewal answers, so that most starts need no probe; (5) a batch window of");
-    page.text("5 s at the peak, while urgent starts keep their own lane. Urgent work beside a full batch lane is measured in [design/jobs.md](design/jobs.md).\n");
+    page.text("5 s at the peak, while urgent starts keep their own lane. Urgent work beside a full batch lane is measured in [design/jobs.md](../design/jobs.md).\n");
 }
 
 static void writeStore(Writer& page)
@@ -310,11 +193,11 @@
     page.text("What was not measured: more than 300 agents at once, real networks, processor time under a full request load, the store's own limits.");
 }
 
-absl::StatusOr<std::string> renderPage(const Slopes& slopes)
+absl::StatusOr<std::string> renderLocalPage(const Slopes& slopes)
 {
     Writer page(slopes);
     writeIntroduction(page);
-    writeSlopes(page, slopes);
+    page.slopes();
     writeAgent(page);
     writeEntry(page);
     writeOwner(page);
--- a/bench/capacity/Page.h
+++ b/bench/capacity/Page.h
@@ -1,24 +1,16 @@
-// The capacity page docs/CAPACITY.md: the needs of each role at the size that the system is designed for, computed from
-// measured slopes.
+// The capacity pages: the needs of each role at the size that the system is designed for, computed from measured slopes.
 #pragma once
 
 #include "Slope.h"
 
 namespace persimmondoor::capacity {
 
-// A limit of the system with its need, its allowance, and the mechanism that keeps the need low.
-struct Row {
-    std::string limit_;
-    // How the need is computed from slopes and sizes.
-    std::string formula_;
-    double need_ { 0 };
-    double allowance_ { 0 };
-    std::string unit_;
-    std::string mechanism_;
-    auto operator<=>(const Row&) const = default;
-};
+// docs/CAPACITY.md: the programs on the users' platform.
+// Returns the text of the page, or NotFound if a slope is missing.
+absl::StatusOr<std::string> renderPlatformPage(const Slopes&);
 
+// docs/capacity/local.md: the programs that run without the platform.
 // Returns the text of the page, or NotFound if a slope is missing.
-absl::StatusOr<std::string> renderPage(const Slopes&);
+absl::StatusOr<std::string> renderLocalPage(const Slopes&);
 
 } // namespace persimmondoor::capacity
