Bound the wait for an agent's lists once for each lost run

A task whose run was lost on a silent worker waits for that worker's agent to list what ended there. The wait of 4 s was counted from when the agent's session began, and each further session (restarts, a bad link) renewed it. It is now counted from the agent's first attachment after the loss: from then on the agent can read the lists, while a count from the loss itself would leave no protection against a second run if the agent comes back late.

Ruled out: a later end of the wait for agents that have just attached, as such an agent may attach without end.

Test: agent_that_attaches_in_series_does_not_prolong_the_wait_for_its_lists; without the fix no start 4 s after the first attachment (0 != 1).

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -62,6 +62,8 @@
     /// Agent of the silent worker on which the last run was taken to be lost when its lease had expired; empty if there is
     /// none. The run may have ended before.
     std::string silentAgent_;
+    /// When that agent first attached after the loss; empty before it has.
+    std::optional<Instant> listsAwaitedSince_;
     /// Worker on which the task last failed, hung, was slowed down or did not appear after its start.
     std::string avoidedWorker_;
     bool operator==(const Task&) const = default;
@@ -181,8 +183,6 @@
     Fence fence_;
     Sequence newestReport_;
     Instant lastReportAt_;
-    /// When the session began.
-    Instant attachedAt_;
     /// The agent has reported its workers under this fence. Before that, no leases are granted, as they could extend to
     /// workers that this leader does not know.
     bool hasReported_ { false };
@@ -260,6 +260,8 @@
     std::set<JobId> readyJobs_;
     std::map<WorkerIncarnation, Worker> workers_;
     std::map<std::string, Agent> agents_;
+    /// Agents that have not attached since a worker of theirs was removed as its leases had expired.
+    std::set<std::string> silentAgents_;
     Interference interference_;
     /// Time of the first failed write since the last durable one; empty if none has failed.
     std::optional<Instant> storeFailedAt_;
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -91,6 +91,7 @@
         context.state_.agents_.erase(worker.agent_);
         for (const TaskKey& key : worker.assignedTasks_)
             findTask(context.state_, key)->silentAgent_ = worker.agent_;
+        context.state_.silentAgents_.insert(worker.agent_);
         dropWorker(context, incarnation, "no agent reports it and its leases have expired");
     }
     Duration longest = maximumLeaseDuration(context.state_.tuning_);
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -20,6 +20,20 @@
     return Fence((state.epoch_.value() << sessionFenceBits) + ++state.sessionCount_);
 }
 
+// Begins the wait for the agent's lists of the tasks whose runs were lost while it was silent. Later sessions do not begin it
+// again, so that an agent that attaches in series cannot prolong it.
+static void beginListWaits(const DecisionContext& context, const std::string& agent)
+{
+    if (context.state_.silentAgents_.erase(agent) == 0)
+        return;
+    for (const JobId& id : context.state_.openJobs_) {
+        for (Task& task : context.state_.jobs_.at(id).tasks_) {
+            if (task.silentAgent_ == agent && !task.listsAwaitedSince_)
+                task.listsAwaitedSince_ = context.now_;
+        }
+    }
+}
+
 // Starts a session with an agent that has restarted, has removed a worker, or is new to this leader. The new fence
 // invalidates earlier orders.
 static void beginSession(const DecisionContext& context, const AgentReport& report, Agent& agent)
@@ -28,7 +42,7 @@
     agent.domain_ = report.domain_;
     agent.session_ = report.session_;
     agent.fence_ = nextFence(context.state_);
-    agent.attachedAt_ = context.now_;
+    beginListWaits(context, report.agent_);
     for (auto& [incarnation, worker] : context.state_.workers_) {
         if (worker.agent_ != report.agent_)
             continue;
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -36,6 +36,7 @@
     task.isOnWorker_ = false;
     task.isStopping_ = false;
     task.silentAgent_.clear();
+    task.listsAwaitedSince_.reset();
     task.progressPercent_ = 0;
     task.readings_ = 0;
     task.throttledMilliCores_ = 0;
@@ -109,7 +110,8 @@
 static bool mayHaveEnded(const LeaderState& state, const Task& task, Instant now)
 {
     auto agent = task.silentAgent_.empty() ? state.agents_.end() : state.agents_.find(task.silentAgent_);
-    if (agent == state.agents_.end() || now - agent->second.attachedAt_ >= state.tuning_.maximumListWait_)
+    bool isAwaited = agent != state.agents_.end() && task.listsAwaitedSince_ && now - *task.listsAwaitedSince_ < state.tuning_.maximumListWait_;
+    if (!isAwaited)
         return false;
     return std::none_of(agent->second.workers_.begin(), agent->second.workers_.end(), [&](const WorkerIncarnation& incarnation) {
         auto worker = state.workers_.find(incarnation);
--- a/workflow/tests/ReachabilityTest.cpp
+++ b/workflow/tests/ReachabilityTest.cpp
@@ -169,10 +169,10 @@
 // A worker whose agent is silent for longer than its leases, beside no other worker.
 class SilentWorld : public LeaderWorld {
 public:
-    SilentWorld()
+    explicit SilentWorld(Step step = stepOfTasks(1))
     {
         report("w-1", 10);
-        submit({ stepOfTasks(1) }, 20);
+        submit({ std::move(step) }, 20);
         commit(30);
         starts("w-1", 31);
         lastCompletedOrder_ = OrderNumber(1);
@@ -188,7 +188,17 @@
         commit(9201);
     }
 
+    // The agent attaches once more, in a new session, and lists nothing.
+    void attachAgain(int64_t milliseconds)
+    {
+        handle(ReportArrived { { "w-1", domain_, ++session_, state_.epoch_, Fence(), Sequence(1), OrderNumber(), {}, {}, true, {} } }, milliseconds);
+        reply("w-1", milliseconds);
+    }
+
     RunKey run_ { { JobId::of("00000000000000aa"), 0, 0, 0 }, 1 };
+
+private:
+    uint64_t session_ { 7 };
 };
 
 // Guards against a second run of a task that was done on a worker which was silent for a while.
@@ -217,6 +227,20 @@
     BOOST_TEST(world.starts("w-2", 13'202).size() == 1U);
 }
 
+// Guards against a task that waits anew for lists each time that the agent of its lost worker attaches.
+BOOST_AUTO_TEST_CASE(agent_that_attaches_in_series_does_not_prolong_the_wait_for_its_lists)
+{
+    SilentWorld world;
+    for (int64_t time = 9400; time <= 13'200; time += 200) {
+        world.report("w-2", time);
+        if (time % 1000 == 0)
+            world.attachAgain(time);
+        world.handle(Tick { 1'000'000 + time }, time);
+    }
+    world.commit(13'201);
+    BOOST_TEST(world.starts("w-2", 13'202).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
