Try siblings of a task that has failed and found no worker

Workers that have to prove themselves are closed to a long-running task that has failed, but not to its siblings. A step was given up at the first of its tasks that found no worker, so that one failed task kept all later ones from such workers. The search now goes on with the siblings that have not failed; a step costs at most one further search that finds none.

Ruled out: mustAwaitObservation, which passes over the task and does not stop the step.

--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -130,11 +130,13 @@
     Disturbance disturbance = disturbanceOf(context.state_, job, context.now_);
     // Room that is held for a task of the step was of no use to the steps that found no worker.
     bool isUnplaceable = !isRoomHeld(job, occurrence, stepNumber) && unplaceable.contains(job, step, disturbance);
-    bool waits = false;
-    bool isLimited = false;
+    // Whether a search has found no worker: for any task of the step, or for those that have failed. Workers that have to prove
+    // themselves are closed to the latter, but not to their siblings.
+    bool isFull = false;
+    bool isFullForFailed = false;
     bool mustWait = false;
     uint32_t placedDespiteInterference = 0;
-    for (uint32_t index = 0; index < step.count_ && !waits; ++index) {
+    for (uint32_t index = 0; index < step.count_ && !isFull; ++index) {
         TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
         const TaskProgress& progress = job.tasks_[taskNumber(job, key)].progress_;
         if (progress.phase_ != TaskPhase::Waiting)
@@ -144,12 +146,15 @@
             mustWait = true;
             continue;
         }
+        bool hasFailed = step.longRunning_ && progress.failures_ > 0;
+        if (hasFailed && isFullForFailed)
+            continue;
         auto incarnation = isUnplaceable ? std::nullopt : round.chooseWorker(job, key, disturbance);
-        waits = !incarnation;
-        // Workers that have to prove themselves are closed to a task that has failed, but not to others.
-        isLimited = waits && step.longRunning_ && progress.failures_ > 0;
-        if (waits)
+        if (!incarnation) {
+            isFull = isUnplaceable || !hasFailed;
+            isFullForFailed = true;
             continue;
+        }
         assign(context, job, key, *incarnation, progress.run_ + 1);
         if (step.longRunning_)
             round.refreshImages();
@@ -160,11 +165,11 @@
         if (round.hasHarmlessWorker(job, step))
             disturbance = Disturbance::Avoided;
     }
-    if (waits && !isUnplaceable && !isLimited)
+    if (isFull && !isUnplaceable)
         unplaceable.add(job, step);
     if (step.isFilling_ && placedDespiteInterference > 0)
         context.logEvent("job.interference_ignored", job.record_.id_.value(), concat(placedDespiteInterference, " tasks of step ", stepNumber, " placed, as nothing of the job was running"));
-    return waits || mustWait;
+    return isFullForFailed || mustWait;
 }
 
 static void updateIdleTime(const DecisionContext& context, Job& job, bool waits)
--- a/workflow/tests/QuarantineTest.cpp
+++ b/workflow/tests/QuarantineTest.cpp
@@ -318,6 +318,26 @@
     BOOST_TEST(world.isQuarantined("w-1", 2010));
 }
 
+// Guards against a task that has failed and keeps its siblings from a worker that is closed to it alone.
+BOOST_AUTO_TEST_CASE(task_that_has_failed_does_not_keep_its_siblings_from_an_unproven_worker)
+{
+    QuarantineWorld world;
+    world.draining_ = true;
+    world.report("w-1", 10);
+    Worker& unproven = world.state_.workers_.at({ "w-1", world.bornMs_, world.host_ });
+    unproven.quarantineCount_ = 1;
+    unproven.nextProbeAt_ = at(1000);
+    Step step = longRunningStep("search");
+    step.count_ = 3;
+    world.submit({ step }, 20, longRunningJob);
+    world.state_.jobs_.at(JobId::of(longRunningJob)).tasks_[0].progress_.failures_ = 1;
+    world.draining_ = false;
+    world.report("w-1", 30);
+    world.commit(31);
+    BOOST_REQUIRE(world.assigned("w-1").size() == 1U);
+    BOOST_TEST(world.assigned("w-1").front().task_.index_ == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
