Name queue, tasks and failure domain where a job ends or is late

job.ended and job.late say where a job's time went, but not in which queue, of what size or in which failure domain, so that waiting could not be summed by them without the job.taken line, which a predecessor may have written or the rate limit dropped.

Change: the details of job.ended and job.late end in the queue, the number of tasks and, once a step is done, the failure domain of the task that was done last. Log lines are an interface: the former text stays as it was, the new part follows it. No further line is written.

Ruled out: remembering job.taken in the reader, which needs memory for each job and fails on logs that begin later.

--- a/workflow/include/persimmondoor/workflow/Delays.h
+++ b/workflow/include/persimmondoor/workflow/Delays.h
@@ -69,6 +69,8 @@
     std::optional<Instant> doneAt_;
     /// Delays of that task.
     Delays delays_;
+    /// Failure domain in which it ran; empty if its worker is not known.
+    std::string domain_;
     auto operator<=>(const StepTimes&) const = default;
 };
 
--- a/workflow/src/decisions/Backlog.cpp
+++ b/workflow/src/decisions/Backlog.cpp
@@ -26,7 +26,7 @@
         std::array<size_t, 3> phases {};
         for (const Task& task : job.tasks_)
             ++phases.at(static_cast<size_t>(task.progress_.phase_));
-        context.logEvent("job.late", id.value(), concat("objective ", milliseconds(objectiveOf(job)), " ms; tasks: ", phases[0], " waiting, ", phases[1], " assigned, ", phases[2], " done; steps done: ", describe(delaysOf(job))));
+        context.logEvent("job.late", id.value(), concat("objective ", milliseconds(objectiveOf(job)), " ms; tasks: ", phases[0], " waiting, ", phases[1], " assigned, ", phases[2], " done; steps done: ", describe(delaysOf(job)), "; ", describeExtent(job)));
     }
 }
 
--- a/workflow/src/decisions/Delays.cpp
+++ b/workflow/src/decisions/Delays.cpp
@@ -64,11 +64,13 @@
     return task.waitingSince_ ? task.waitingSince_ : job.stepTimes_[stepNumberOf(job, key)].startableSince_;
 }
 
-void recordStepDone(Job& job, const TaskKey& key, const Task& lastTask, Instant now)
+void recordStepDone(const DecisionContext& context, Job& job, const TaskKey& key, const Task& lastTask)
 {
     StepTimes& times = job.stepTimes_[stepNumberOf(job, key)];
-    times.doneAt_ = now;
+    times.doneAt_ = context.now_;
     times.delays_ = lastTask.delays_;
+    auto worker = context.state_.workers_.find(lastTask.progress_.worker_);
+    times.domain_ = worker == context.state_.workers_.end() ? "" : worker->second.traits_.domain_;
 }
 
 // The one of `candidates` that was done last; empty if none has been done under this leader.
@@ -95,24 +97,40 @@
     return sum;
 }
 
-Delays delaysOf(const Job& job)
+// Index in `stepTimes_` of the step that was done last; it determined the end of the job. Empty if none has been done under
+// this leader.
+static std::optional<size_t> lastDoneOf(const Job& job)
 {
     size_t count = job.record_.spec_.steps().size();
     std::vector<uint32_t> steps(count);
     for (uint32_t step = 0; step < count; ++step)
         steps[step] = step;
-    // The occurrence that was done last; it determined the end of the job.
-    std::optional<Instant> latest;
-    Delays delays;
+    std::optional<size_t> latest;
     for (uint32_t occurrence = 0; occurrence < job.record_.spec_.occurrences(); ++occurrence) {
         size_t first = occurrence * count;
         std::optional<uint32_t> last = lastDone(job, first, steps);
-        if (!last || (latest && *job.stepTimes_[first + *last].doneAt_ < *latest))
-            continue;
-        latest = job.stepTimes_[first + *last].doneAt_;
-        delays = delaysOfChain(job, first, last);
+        if (last && (!latest || *job.stepTimes_[first + *last].doneAt_ >= *job.stepTimes_[*latest].doneAt_))
+            latest = first + *last;
     }
-    return delays;
+    return latest;
+}
+
+Delays delaysOf(const Job& job)
+{
+    std::optional<size_t> latest = lastDoneOf(job);
+    if (!latest)
+        return {};
+    auto step = static_cast<uint32_t>(*latest % job.record_.spec_.steps().size());
+    return delaysOfChain(job, *latest - step, step);
+}
+
+std::string describeExtent(const Job& job)
+{
+    std::optional<size_t> latest = lastDoneOf(job);
+    std::string text = concat("queue ", job.record_.queue_.name_, ", ", job.tasks_.size(), " tasks");
+    if (latest && !job.stepTimes_[*latest].domain_.empty())
+        text += concat(", domain ", job.stepTimes_[*latest].domain_);
+    return text;
 }
 
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -67,11 +67,13 @@
 // Adds the task's newest run, which has ended, to the task's delays.
 void recordRunEnd(Job&, const TaskKey&, Task&, bool isDone, Instant now);
 // Records that the task was the last of its step to be done.
-void recordStepDone(Job&, const TaskKey&, const Task& lastTask, Instant now);
+void recordStepDone(const DecisionContext&, Job&, const TaskKey&, const Task& lastTask);
 // Since when the task has waited for a worker, as far as this leader has seen; empty if it is not waiting.
 std::optional<Instant> waitingSince(const Job&, const TaskKey&);
 // Delays along the chain of steps that determined the end of the job, as far as this leader has seen them.
 Delays delaysOf(const Job&);
+// Text for log lines: the job's queue, its number of tasks, and the failure domain of the task that was done last.
+std::string describeExtent(const Job&);
 // Logs jobs that have missed their objective, once each.
 void reportLateJobs(const DecisionContext&);
 // Logs, once per `Tuning::waitReportInterval_` for each step, what long-running tasks without a run wait for.
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -72,7 +72,7 @@
     task.progress_.checkpoint_.clear();
     if (--unfinishedTasksOf(job, key) > 0)
         return;
-    recordStepDone(job, key, task, context.now_);
+    recordStepDone(context, job, key, task);
     makeReady(context.state_, job);
 }
 
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -120,9 +120,9 @@
     context.state_.readyJobs_.erase(job.record_.id_);
     JobPhase phase = phaseOf(job);
     if (phase != JobPhase::Completed)
-        return context.logEvent("job.ended", job.record_.id_.value(), std::string(describe(phase)));
+        return context.logEvent("job.ended", job.record_.id_.value(), concat(describe(phase), "; ", describeExtent(job)));
     Delays delays = delaysOf(job);
-    context.logEvent("job.ended", job.record_.id_.value(), concat(describe(phase), "; ", describe(delays)));
+    context.logEvent("job.ended", job.record_.id_.value(), concat(describe(phase), "; ", describe(delays), "; ", describeExtent(job)));
     recordDelays(context, delays);
 }
 
--- a/workflow/tests/DelaysTest.cpp
+++ b/workflow/tests/DelaysTest.cpp
@@ -41,7 +41,7 @@
     world.report("w-1", 930, { { third, "", 0, 0, 0 } });
     world.report("w-1", 1730, {}, { { 3, third, RunEnd::Done, "" } });
     BOOST_REQUIRE(world.logged("job.ended").size() == 1U);
-    BOOST_TEST(world.logged("job.ended").front() == "completed; placement 0 ms, write 30, startup 30, work 1660, slowed 0, repeated 0");
+    BOOST_TEST(world.logged("job.ended").front() == "completed; placement 0 ms, write 30, startup 30, work 1660, slowed 0, repeated 0; queue tests, 3 tasks, domain north");
 }
 
 BOOST_AUTO_TEST_CASE(job_that_misses_its_objective_is_logged_once)
@@ -55,7 +55,7 @@
     world.handle(Tick { 1'000'000 + 1700 }, 1700);
     world.handle(Tick { 1'000'000 + 2000 }, 2000);
     BOOST_REQUIRE(world.logged("job.late").size() == 1U);
-    BOOST_TEST(world.logged("job.late").front() == "objective 1450 ms; tasks: 3 waiting, 0 assigned, 0 done; steps done: placement 0 ms, write 0, startup 0, work 0, slowed 0, repeated 0");
+    BOOST_TEST(world.logged("job.late").front() == "objective 1450 ms; tasks: 3 waiting, 0 assigned, 0 done; steps done: placement 0 ms, write 0, startup 0, work 0, slowed 0, repeated 0; queue tests, 3 tasks");
 }
 
 BOOST_AUTO_TEST_CASE(backlog_is_logged_once_a_second_and_names_the_obstacle)
