Search once for each demand in the backlog's log line; tell unused cores by reason

queues.backlog asked for each step of each waiting job whether any worker could take it: jobs times workers, once a second, for a line of the log.

Cause: every step was a search of its own, although the steps of a backlog mostly demand the same. Change: waiting tasks are added up by what decides where they may run (service, label, kind, priority, demand; a step with a bound on tasks per worker counts alone), and each of these is searched for once. The line also tells the room that is held for long-running tasks and, for the demand with the most waiting tasks, the cores that it leaves unused by the reason; its former text stays as it was, the new part follows it.

Ruled out: writing the line less often, which only moves the cost.

--- a/bench/leader/Fleet.cpp
+++ b/bench/leader/Fleet.cpp
@@ -102,6 +102,11 @@
         report(worker);
 }
 
+void Fleet::tick()
+{
+    handle(Tick { 1'000'000 });
+}
+
 uint64_t Fleet::assignedTasks() const
 {
     uint64_t count = 0;
--- a/bench/leader/Fleet.h
+++ b/bench/leader/Fleet.h
@@ -18,6 +18,8 @@
     void report(uint32_t worker);
     // Writes all staged jobs.
     void commitAll();
+    // The leader's periodic work, with all its log lines.
+    void tick();
     void advance(Duration duration) { now_ = now_ + duration; }
     uint64_t assignedTasks() const;
 
--- a/workflow/src/decisions/Backlog.cpp
+++ b/workflow/src/decisions/Backlog.cpp
@@ -32,27 +32,58 @@
 
 namespace {
 
+    // What decides which workers can take a task. Tasks that agree in it face the same obstacles.
+    struct DemandClass {
+        std::string service_;
+        std::string label_;
+        bool isFilling_ { false };
+        bool isLongRunning_ { false };
+        bool isGang_ { false };
+        uint32_t priority_ { 0 };
+        std::array<int64_t, 3> demand_ {};
+        // The step itself if its tasks count against each other on a worker.
+        std::optional<TaskKey> boundedStep_;
+        auto operator<=>(const DemandClass&) const = default;
+    };
+
+    // The waiting tasks of one class, and one step of them.
+    struct DemandBacklog {
+        const Job* job_ { nullptr };
+        TaskKey key_;
+        size_t tasks_ { 0 };
+    };
+
     // What the ready jobs wait for.
     struct Backlog {
         std::array<size_t, 3> jobsByProspect_ {};
-        size_t tasksWithoutCapacity_ { 0 };
-        size_t tasksWithInterference_ { 0 };
+        std::map<DemandClass, DemandBacklog> demands_;
     };
 
-    // Cores of all workers that accept runs, in thousandths.
-    struct FillingCores {
+    // Cores in thousandths: of filling tasks on all workers that accept runs, and held for long-running tasks.
+    struct CoreUse {
         int64_t assigned_ { 0 };
         int64_t atWork_ { 0 };
         int64_t spare_ { 0 };
+        int64_t held_ { 0 };
+        size_t holds_ { 0 };
     };
 
 } // namespace
 
-// Counts the waiting tasks of the job's startable steps. All tasks of a step face the same obstacle.
-static void addJob(const LeaderState& state, const Job& job, Instant now, Backlog& backlog)
+static DemandClass classOf(const Job& job, const TaskKey& key)
+{
+    const Step& step = stepOf(job, key);
+    std::optional<TaskKey> boundedStep;
+    if (step.maxPerWorker_ > 0)
+        boundedStep = key;
+    return { job.queue_.service_, step.requiredLabel_, step.isFilling_, step.longRunning_, step.gang_, job.record_.queue_.priority_, { step.demand_.milliCores(), step.demand_.memoryBytes(), step.demand_.accelerators() }, boundedStep };
+}
+
+// Counts the waiting tasks of the job's startable steps.
+static void addJob(const LeaderState& state, const Job& job, Backlog& backlog)
 {
     const std::vector<Step>& steps = job.record_.spec_.steps();
-    size_t waitingBefore = backlog.tasksWithoutCapacity_ + backlog.tasksWithInterference_;
+    bool isWaiting = false;
     for (size_t index = 0; index < job.unfinishedTasks_.size(); ++index) {
         auto occurrence = static_cast<uint32_t>(index / steps.size());
         auto step = static_cast<uint32_t>(index % steps.size());
@@ -63,17 +94,43 @@
         auto waiting = static_cast<size_t>(std::count_if(first, first + steps[step].count_, [](const Task& task) { return task.progress_.phase_ == TaskPhase::Waiting; }));
         if (waiting == 0)
             continue;
-        bool isCapacity = placementObstacle(state, job, key, now) == PlacementObstacle::Capacity;
-        (isCapacity ? backlog.tasksWithoutCapacity_ : backlog.tasksWithInterference_) += waiting;
+        isWaiting = true;
+        DemandBacklog& demand = backlog.demands_.try_emplace(classOf(job, key), DemandBacklog { &job, key, 0 }).first->second;
+        demand.tasks_ += waiting;
     }
-    if (backlog.tasksWithoutCapacity_ + backlog.tasksWithInterference_ > waitingBefore)
+    if (isWaiting)
         ++backlog.jobsByProspect_.at(static_cast<size_t>(urgencyOf(state, job).prospect_));
 }
 
-static FillingCores sumFillingCores(const LeaderState& state, Instant now)
+// Text of the cores that the demand with the most waiting tasks leaves unused, by the reason why its tasks are not there.
+static std::string describeUnusedCores(const LeaderState& state, const Backlog& backlog, Instant now)
 {
-    FillingCores sum;
+    auto byTasks = [](const auto& left, const auto& right) { return left.second.tasks_ < right.second.tasks_; };
+    const DemandBacklog& widest = std::max_element(backlog.demands_.begin(), backlog.demands_.end(), byTasks)->second;
+    const Step& step = stepOf(*widest.job_, widest.key_);
+    std::array<int64_t, workerObstacleCount> cores {};
     for (const auto& [incarnation, worker] : state.workers_) {
+        int64_t unused = step.isFilling_ ? spareMilliCores(worker) : freeMilliCores(worker);
+        cores.at(static_cast<size_t>(obstacleAt(state, *widest.job_, widest.key_, worker, now))) += std::max<int64_t>(0, unused);
+    }
+    std::string text = concat("widest demand: ", widest.tasks_, " tasks, ", step.demand_.milliCores(), " thousandths of a core; cores that they leave unused: ");
+    std::string_view separator;
+    for (size_t obstacle = 0; obstacle < cores.size(); ++obstacle) {
+        if (cores.at(obstacle) == 0)
+            continue;
+        text += concat(separator, cores.at(obstacle), " ", obstacle == 0 ? "with room" : describe(static_cast<WorkerObstacle>(obstacle)));
+        separator = ", ";
+    }
+    return separator.empty() ? text + "none" : text;
+}
+
+static CoreUse sumCores(const LeaderState& state, Instant now)
+{
+    CoreUse sum;
+    for (const auto& [incarnation, worker] : state.workers_) {
+        sum.holds_ += worker.holds_.size();
+        for (const auto& [task, hold] : worker.holds_)
+            sum.held_ += hold.demand_.milliCores();
         if (!acceptsRuns(state, worker, now))
             continue;
         sum.assigned_ += worker.fillingMilliCores_;
@@ -91,14 +148,20 @@
         return;
     Backlog backlog;
     for (const JobId& id : state.readyJobs_)
-        addJob(state, state.jobs_.at(id), context.now_, backlog);
-    if (backlog.tasksWithoutCapacity_ + backlog.tasksWithInterference_ == 0)
+        addJob(state, state.jobs_.at(id), backlog);
+    if (backlog.demands_.empty())
         return;
     state.nextBacklogReportAt_ = context.now_ + state.tuning_.backlogReportInterval_;
-    FillingCores cores = sumFillingCores(state, context.now_);
+    size_t withoutCapacity = 0;
+    size_t withInterference = 0;
+    for (const auto& [demandClass, demand] : backlog.demands_) {
+        bool isCapacity = placementObstacle(state, *demand.job_, demand.key_, context.now_) == PlacementObstacle::Capacity;
+        (isCapacity ? withoutCapacity : withInterference) += demand.tasks_;
+    }
+    CoreUse cores = sumCores(state, context.now_);
     const auto& jobs = backlog.jobsByProspect_;
     context.logEvent("queues.backlog", concat(jobs[0] + jobs[1] + jobs[2], " jobs"),
-        concat("on time ", jobs[0], ", late ", jobs[1], ", worthless ", jobs[2], "; tasks waiting for capacity ", backlog.tasksWithoutCapacity_, ", for a worker without interference ", backlog.tasksWithInterference_, "; filling cores, in thousandths: ", cores.assigned_, " assigned, ", cores.atWork_, " at work, ", cores.spare_, " spare"));
+        concat("on time ", jobs[0], ", late ", jobs[1], ", worthless ", jobs[2], "; tasks waiting for capacity ", withoutCapacity, ", for a worker without interference ", withInterference, "; filling cores, in thousandths: ", cores.assigned_, " assigned, ", cores.atWork_, " at work, ", cores.spare_, " spare; held: ", cores.holds_, " rooms, ", cores.held_, " thousandths of a core; ", describeUnusedCores(state, backlog, context.now_)));
 }
 
 // The waiting tasks of a long-running step.
--- a/workflow/tests/RoomHoldsTest.cpp
+++ b/workflow/tests/RoomHoldsTest.cpp
@@ -138,6 +138,15 @@
     BOOST_TEST(started <= 1200);
 }
 
+// Guards against a log that does not tell the room that is held from room that is free.
+BOOST_AUTO_TEST_CASE(backlog_tells_the_room_that_is_held)
+{
+    CrowdedWorld world;
+    world.handle(Tick { 1'000'800 }, 800);
+    BOOST_REQUIRE(!world.logged("queues.backlog").empty());
+    BOOST_TEST(world.logged("queues.backlog").back().find("held: 1 rooms, 2000 thousandths of a core;") != std::string::npos);
+}
+
 // Guards against holds that outlive their task and leave cores idle.
 BOOST_AUTO_TEST_CASE(hold_ends_with_the_job_that_needs_it)
 {
