Hold room although another task is kept from the worker by its own limits

A search for a worker to hold room on that found none counted for all tasks of the same demand, even if only the searching task was kept out: by the bound of its step on tasks per worker, or as it had failed and the worker had to prove itself. Such a search now counts for tasks with the same limit only, and has a bound of its own, so that it cannot use up the searches of the others.

Tests: hold_is_not_denied_as_a_worker_is_closed_to_another_task and hold_is_not_denied_as_another_step_is_at_its_bound; without the fix neither task gets a hold.

--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -94,7 +94,8 @@
     size_t maximumHolds_ { 16 };
     /// A hold that was not used within this time is moved, if another worker can make room.
     Duration maximumHoldTime_ { std::chrono::milliseconds(3000) };
-    /// Bound on the searches for a worker that find none, in one update of the holds: each visits all workers.
+    /// Bound on the searches for a worker that find none, in one update of the holds: each visits all workers. Tasks that have
+    /// failed or whose step bounds the tasks per worker have as many of their own.
     size_t maximumHoldSearches_ { 4 };
     /// A run has outlived its start once this many load readings of its worker contained it.
     uint32_t readingsToOutliveStart_ { 2 };
--- a/workflow/src/decisions/RoomHolds.cpp
+++ b/workflow/src/decisions/RoomHolds.cpp
@@ -139,20 +139,40 @@
         {
         }
 
-        bool isExhausted() const { return demands_.size() >= bound_; }
+        // True if the searches of the update, or those of tasks that are limited like this one, are used up.
+        bool isExhausted(const Job& job, const TaskKey& key) const
+        {
+            auto used = std::count_if(demands_.begin(), demands_.end(), [&](const Demand& demand) { return isLimited(demand.step_, demand.hasFailed_) == isLimited(stepOf(job, key), hasFailed(job, key)); });
+            return static_cast<size_t>(used) >= bound_;
+        }
         // A demand that is at least as large, with the same constraints, finds no worker either.
-        bool contains(const Job& job, const Step& step) const
+        bool contains(const Job& job, const TaskKey& key) const
         {
-            return std::any_of(demands_.begin(), demands_.end(), [&](const Demand& demand) { return demand.service_ == job.queue_.service_ && demand.label_ == step.requiredLabel_ && demand.demand_.fitsIn(step.demand_); });
+            return std::any_of(demands_.begin(), demands_.end(), [&](const Demand& demand) { return covers(demand, job, key); });
         }
-        void add(const Job& job, const Step& step) { demands_.push_back({ job.queue_.service_, step.requiredLabel_, step.demand_ }); }
+        void add(const Job& job, const TaskKey& key) { demands_.push_back({ key, job.queue_.service_, stepOf(job, key), hasFailed(job, key) }); }
 
     private:
         struct Demand {
+            TaskKey key_;
             std::string service_;
-            std::string label_;
-            Resources demand_;
+            Step step_;
+            bool hasFailed_ { false };
         };
+
+        // True if workers are closed to the task that are open to others.
+        static bool isLimited(const Step& step, bool hasFailed) { return step.maxPerWorker_ > 0 || hasFailed; }
+        // Workers that have to prove themselves are closed to tasks that have failed.
+        static bool hasFailed(const Job& job, const TaskKey& key) { return job.tasks_[taskNumber(job, key)].progress_.failures_ > 0; }
+        static bool covers(const Demand& demand, const Job& job, const TaskKey& key)
+        {
+            const Step& step = stepOf(job, key);
+            // The bound of a step closes workers to its own tasks alone.
+            if ((demand.step_.maxPerWorker_ > 0 && !isSameStep(demand.key_, key)) || (demand.hasFailed_ && !hasFailed(job, key)))
+                return false;
+            return demand.service_ == job.queue_.service_ && demand.step_.requiredLabel_ == step.requiredLabel_ && demand.step_.demand_.fitsIn(step.demand_);
+        }
+
         size_t bound_ { 0 };
         std::vector<Demand> demands_;
     };
@@ -214,15 +234,14 @@
 // free, unless it has lasted for long: what occupies the worker may stay too, such as a filling task that makes no progress.
 static std::optional<HoldPlace> chooseHold(const LeaderState& state, const std::optional<HoldPlace>& kept, const Job& job, const TaskKey& key, FailedSearches& failed, Instant now)
 {
-    const Step& step = stepOf(job, key);
     bool isFutile = kept && now - kept->since_ > state.tuning_.maximumHoldTime_;
-    if ((kept && !isFutile) || failed.isExhausted() || failed.contains(job, step))
+    if ((kept && !isFutile) || failed.isExhausted(job, key) || failed.contains(job, key))
         return kept;
     std::optional<WorkerIncarnation> found = chooseWorkerToHold(state, job, key, kept ? std::optional(kept->worker_) : std::nullopt, now);
     if (found)
         return HoldPlace { *found, now };
     if (!kept)
-        failed.add(job, step);
+        failed.add(job, key);
     return kept;
 }
 
--- a/workflow/tests/RoomHoldsTest.cpp
+++ b/workflow/tests/RoomHoldsTest.cpp
@@ -262,6 +262,47 @@
     BOOST_TEST(world.starts("w-1", 821).size() == 1U);
 }
 
+// Guards against a task that has failed, or one at its step's bound, which keeps others from a hold on a worker that is closed
+// to it alone.
+BOOST_AUTO_TEST_CASE(hold_is_not_denied_as_a_worker_is_closed_to_another_task)
+{
+    HoldingWorld world;
+    world.call(Cancel {}, 810, waitingJob);
+    world.commit(820);
+    Worker& worker = world.state_.workers_.begin()->second;
+    worker.quarantineCount_ = 1;
+    worker.nextProbeAt_ = at(60'000);
+    Step large = longRunningStep("search");
+    large.count_ = 2;
+    large.demand_ = *Resources::create(2000, 1000, 0);
+    world.submit({ large }, 900, "00000000000000cc");
+    world.state_.jobs_.at(JobId::of("00000000000000cc")).tasks_[0].progress_.failures_ = 1;
+    world.reportShort(1400, { 0, 1, 2, 3 });
+    world.handle(Tick { 1'001'500 }, 1500);
+    BOOST_REQUIRE(world.holds().size() == 1U);
+    BOOST_TEST(world.holds().begin()->first.index_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(hold_is_not_denied_as_another_step_is_at_its_bound)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    Step bounded = longRunningStep("search");
+    bounded.count_ = 2;
+    bounded.maxPerWorker_ = 1;
+    world.submit({ bounded }, 20, waitingJob);
+    world.submit({ stepOfTasks(3) }, 21, "00000000000000bb");
+    world.commit(30);
+    BOOST_REQUIRE(world.starts("w-1", 31).size() == 4U);
+    world.submit({ longRunningStep("search") }, 40, "00000000000000cc");
+    world.lastCompletedOrder_ = OrderNumber(4);
+    world.report("w-1", 700, { { runOf(waitingJob), "", 100, 0, 100 }, { runOf("00000000000000bb", 0), "", 10, 0, 100 }, { runOf("00000000000000bb", 1), "", 10, 0, 100 }, { runOf("00000000000000bb", 2), "", 10, 0, 100 } });
+    world.handle(Tick { 1'000'800 }, 800);
+    const auto& holds = world.state_.workers_.begin()->second.holds_;
+    BOOST_REQUIRE(holds.size() == 1U);
+    BOOST_TEST(holds.begin()->first.job_.value() == "00000000000000cc");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
