Log what room long-running tasks have, and what another packing would place

task.waits tells the most that is free on one worker without the cores, but not whether there is a lack of room or room in pieces that are too small. It now tells the free cores in sum, the largest free piece, and how many of the waiting tasks would fit if the assigned ones were packed anew.

Test: waiting_long_running_task_is_reported_with_what_another_packing_would_place; it fails without the fields.

--- a/workflow/src/decisions/Backlog.cpp
+++ b/workflow/src/decisions/Backlog.cpp
@@ -1,4 +1,5 @@
 #include "LeaderRules.h"
+#include "Packing.h"
 
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/workflow/Urgency.h"
@@ -149,6 +150,11 @@
     return concat(text, "; demand ", demand.milliCores(), " thousandths of a core, ", demand.memoryBytes(), " bytes; most free among those without the cores ", mostMilliCores, ", without the memory ", mostMemory);
 }
 
+static std::string describe(const LongRunningRoom& room)
+{
+    return concat("free in sum ", room.freeMilliCores_, ", most on one worker ", room.largestFreeMilliCores_, "; packed anew, ", room.placeableTasks_, " of ", room.waitingTasks_, " waiting long-running tasks would fit");
+}
+
 // Logs the task of the step whose assigned run has been absent from its worker's reports for longest.
 static void reportUnseenRuns(const DecisionContext& context, const Job& job, uint32_t occurrence, uint32_t stepNumber)
 {
@@ -184,6 +190,7 @@
     if (context.now_ < state.nextWaitReportAt_)
         return;
     state.nextWaitReportAt_ = context.now_ + state.tuning_.waitReportInterval_;
+    std::map<std::string, LongRunningRoom> roomByService;
     for (const JobId& id : state.openJobs_) {
         const Job& job = state.jobs_.at(id);
         const std::vector<Step>& steps = job.record_.spec_.steps();
@@ -199,7 +206,10 @@
             if (!waiting.longest_ || waiting.longestWait_ < state.tuning_.reportWaitAfter_)
                 continue;
             bool isReady = state.readyJobs_.count(id) > 0;
-            context.logEvent("task.waits", describe(*waiting.longest_), concat(milliseconds(waiting.longestWait_), " ms, with ", waiting.count_ - 1, " others of its step; job ", isReady ? "ready" : "not ready", ", priority ", job.record_.queue_.priority_, "; workers: ", describeObstacles(state, job, *waiting.longest_, context.now_)));
+            const std::string& service = job.queue_.service_;
+            if (roomByService.count(service) == 0)
+                roomByService[service] = roomForLongRunningTasks(state, service, context.now_);
+            context.logEvent("task.waits", describe(*waiting.longest_), concat(milliseconds(waiting.longestWait_), " ms, with ", waiting.count_ - 1, " others of its step; job ", isReady ? "ready" : "not ready", ", priority ", job.record_.queue_.priority_, "; workers: ", describeObstacles(state, job, *waiting.longest_, context.now_), "; ", describe(roomByService[service])));
         }
     }
 }
--- a/workflow/tests/WaitReportTest.cpp
+++ b/workflow/tests/WaitReportTest.cpp
@@ -59,6 +59,31 @@
     BOOST_TEST(lines.front().find("worker w-1, ordered;") != std::string::npos);
 }
 
+// Guards against a line that does not tell a lack of room from room in pieces that are too small.
+BOOST_AUTO_TEST_CASE(waiting_long_running_task_is_reported_with_what_another_packing_would_place)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    world.report("w-2", 10);
+    Step first = largeLongRunningStep(1500, 1000);
+    Step second = first;
+    second.image_ = "ranking";
+    world.submit({ first }, 20, searchJob);
+    world.submit({ second }, 21, rankingJob);
+    world.submit({ largeLongRunningStep(3000, 1000) }, 22, fillingJob);
+    world.submit({ largeLongRunningStep(4000, 1000) }, 23, "00000000000000dd");
+    world.commit(30);
+    BOOST_REQUIRE(world.starts("w-1", 31).size() == 1U);
+    BOOST_REQUIRE(world.starts("w-2", 31).size() == 1U);
+    world.report("w-1", 1200);
+    world.report("w-2", 1200);
+    world.handle(Tick { 1'001'200 }, 1250);
+    auto lines = world.logged("task.waits");
+    BOOST_REQUIRE(lines.size() == 2U);
+    for (const std::string& line : lines)
+        BOOST_TEST(line.find("free in sum 5000, most on one worker 2500; packed anew, 1 of 2 waiting long-running tasks would fit") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
