An unreadable row of a job costs that job alone

Cause: a new leader read all rows of the queues and gave up at the first that could not be decoded, again and again, so that one row kept every entry from leading. Change: such a job is left out, with the log line job.unreadable (row, version, reason; counted as every event). Its rows are not written. Its runs are left alone and keep their room; a worker with a run whose demand is unknown gets no starts. Their ends are held back from acknowledgement, up to 250 later ends. Rows that decode but contradict each other (another id, another number of tasks, no record) are left out too: the rest would have run again. The reading of rows moves to QueueRows. Weighed: stopping the runs. It would end what serves users for a fault of the metadata, and the run's number in the row stays the fence of later starts either way. Ruled out: NotAccepted for the submission, which the protocol reads as never accepted; OutcomeUnknown, which an entry repeats until the client's deadline. Measured: test_workflow, test_scheduler, test_supervision, test_platform pass. With the check in handleCall, keepUnreadableRun and holdUnreadableEnd switched off, and the load failing again, all 5 tests of unreadable_jobs fail (15 checks) and the two take-over tests of unreadable_rows (12 checks: 'not accepted: no owner of the queues can be reached'). Open: a row whose value is not base64 still fails the read of its table; a mended row takes effect with the next leader only.

--- a/scheduler/src/Leading.cpp
+++ b/scheduler/src/Leading.cpp
@@ -1,4 +1,5 @@
 // The scheduler while it leads the queues: loads them, writes decisions, and steps down when another entry leads.
+#include "QueueRows.h"
 #include "Scheduler.h"
 
 #include "persimmondoor/core/Coroutine.h"
@@ -13,7 +14,6 @@
 
 namespace asio = boost::asio;
 
-static constexpr Duration readTimeout = std::chrono::milliseconds(1500);
 // Time-out of reading the chain row, which shows the outcome of a commit without a reply; a slow store takes up to 0.4 s
 // for a read.
 static constexpr Duration chainReadTimeout = std::chrono::milliseconds(800);
@@ -37,67 +37,6 @@
 // A row holds at most 64 KiB in base64, which adds a third to the value.
 static constexpr size_t maximumEstimatesBytes = 40'000;
 
-static absl::StatusOr<std::vector<workflow::StoredJob>> joinRows(const std::vector<store::Row>& records, const std::vector<store::Row>& progress)
-{
-    std::map<std::string_view, const store::Row*> progressByJob;
-    for (const store::Row& row : progress)
-        progressByJob[std::string_view(row.key_).substr(progressTable.size())] = &row;
-    std::vector<workflow::StoredJob> jobs;
-    for (const store::Row& row : records) {
-        auto record = workflow::decodeRecord(row.value_);
-        if (!record.ok())
-            return record.status();
-        auto found = progressByJob.find(std::string_view(row.key_).substr(recordTable.size()));
-        // The two rows of a job are written and erased together, but their tables are read one after the other: the job may
-        // have been erased in between.
-        if (found == progressByJob.end())
-            continue;
-        auto decoded = workflow::decodeProgress(found->second->value_);
-        if (!decoded.ok())
-            return decoded.status();
-        jobs.push_back({ *std::move(record), *std::move(decoded) });
-    }
-    return jobs;
-}
-
-// The predecessor's interference estimates; none if the row is absent or unreadable, as the queues work without them.
-static workflow::Interference decodeEstimates(const absl::StatusOr<store::Row>& row)
-{
-    if (row.ok() && row->version_ == store::RowVersion())
-        return {};
-    auto estimates = row.ok() ? workflow::decodeInterference(row->value_) : absl::StatusOr<workflow::Interference>(row.status());
-    if (estimates.ok())
-        return *std::move(estimates);
-    logWarning("interference.unreadable", { { "reason", std::string(estimates.status().message()) } });
-    return {};
-}
-
-static asio::awaitable<absl::StatusOr<LoadedRows>> readQueueRows(platform::RowStore rows)
-{
-    LoadedRows loaded;
-    auto chain = co_await rows.readRow(std::string(chainRow), readTimeout);
-    if (!chain.ok())
-        co_return chain.status();
-    loaded.chainVersion_ = chain->version_;
-    auto records = co_await rows.readTable(std::string(recordTable), readTimeout);
-    if (!records.ok())
-        co_return records.status();
-    auto progress = co_await rows.readTable(std::string(progressTable), readTimeout);
-    if (!progress.ok())
-        co_return progress.status();
-    auto operators = co_await rows.readTable(std::string(platform::operatorTable), readTimeout);
-    if (!operators.ok())
-        co_return operators.status();
-    loaded.operators_ = toView(*operators);
-    auto estimates = co_await rows.readRow(std::string(estimatesRow), readTimeout);
-    loaded.interference_ = decodeEstimates(estimates);
-    auto jobs = joinRows(records->rows_, progress->rows_);
-    if (!jobs.ok())
-        co_return jobs.status();
-    loaded.jobs_ = *std::move(jobs);
-    co_return loaded;
-}
-
 asio::awaitable<void> Scheduler::load(workflow::LeaderEpoch epoch)
 {
     auto self = shared_from_this();
@@ -127,9 +66,10 @@
     leading.chainVersion_ = message.rows_->chainVersion_;
     leading.lastWriteSentAt_ = role->claimWonAt_;
     leading.leaderState_ = workflow::restoreState(message.epoch_, options_.tuning_, std::move(message.rows_->jobs_), time());
+    leading.leaderState_.unreadableJobs_ = std::move(message.rows_->unreadableJobs_);
     leading.leaderState_.interference_ = std::move(message.rows_->interference_);
     leading.leaderState_.leaseGrantsUntil_ = role->claimWonAt_ + options_.tuning_.leadershipLease_;
-    logInfo("queues.loaded", { { "epoch", std::to_string(message.epoch_.value()) }, { "jobs", std::to_string(jobs) }, { "open", std::to_string(leading.leaderState_.openJobs_.size()) }, { "took_ms", std::to_string((time() - role->claimWonAt_).count() / 1000) } });
+    logInfo("queues.loaded", { { "epoch", std::to_string(message.epoch_.value()) }, { "jobs", std::to_string(jobs) }, { "open", std::to_string(leading.leaderState_.openJobs_.size()) }, { "unreadable", std::to_string(leading.leaderState_.unreadableJobs_.size()) }, { "took_ms", std::to_string((time() - role->claimWonAt_).count() / 1000) } });
     role_ = std::move(leading);
     auto& leader = std::get<Leading>(role_);
     updateOperators(leader, message.rows_->operators_);
@@ -315,7 +255,7 @@
 asio::awaitable<void> Scheduler::rereadOperators(workflow::LeaderEpoch epoch)
 {
     auto self = shared_from_this();
-    auto snapshot = co_await rows_.readTable(std::string(platform::operatorTable), readTimeout);
+    auto snapshot = co_await rows_.readTable(std::string(platform::operatorTable), queueReadTimeout);
     if (!snapshot.ok()) {
         logWarning("operators.unreadable", { { "reason", std::string(snapshot.status().message()) } });
         co_return;
--- /dev/null
+++ b/scheduler/src/QueueRows.h
@@ -0,0 +1,30 @@
+// The rows of the queues in the store, which a new leader reads.
+#pragma once
+
+#include "Operators.h"
+#include "persimmondoor/platform/RowStore.h"
+#include "persimmondoor/workflow/Leader.h"
+
+#include <map>
+#include <vector>
+
+namespace persimmondoor::scheduler {
+
+inline constexpr Duration queueReadTimeout = std::chrono::milliseconds(1500);
+
+struct LoadedRows {
+    std::vector<workflow::StoredJob> jobs_;
+    // Jobs with a row that cannot be read, so that they cannot be led.
+    std::map<JobId, workflow::UnreadableJob> unreadableJobs_;
+    store::RowVersion chainVersion_;
+    OperatorView operators_;
+    workflow::Interference interference_;
+};
+
+// Adds the jobs of the rows to `loaded`. A job with an unreadable row costs only that job.
+void joinRows(const std::vector<store::Row>& records, const std::vector<store::Row>& progress, LoadedRows& loaded);
+
+// Returns the rows, or an error if the store does not answer a read.
+boost::asio::awaitable<absl::StatusOr<LoadedRows>> readQueueRows(platform::RowStore);
+
+} // namespace persimmondoor::scheduler
--- a/scheduler/src/Scheduler.h
+++ b/scheduler/src/Scheduler.h
@@ -3,6 +3,7 @@
 
 #include "LeaderRow.h"
 #include "Operators.h"
+#include "QueueRows.h"
 #include "persimmondoor/core/Mailbox.h"
 #include "persimmondoor/scheduler/Leadership.h"
 #include "persimmondoor/scheduler/SchedulerActor.h"
@@ -47,12 +48,6 @@
     LeaderClaim claim_;
     absl::StatusOr<store::Row> row_;
 };
-struct LoadedRows {
-    std::vector<workflow::StoredJob> jobs_;
-    store::RowVersion chainVersion_;
-    OperatorView operators_;
-    workflow::Interference interference_;
-};
 struct LoadCompleted {
     workflow::LeaderEpoch epoch_;
     absl::StatusOr<LoadedRows> rows_;
--- a/workflow/include/persimmondoor/workflow/Client.h
+++ b/workflow/include/persimmondoor/workflow/Client.h
@@ -84,13 +84,18 @@
     std::string reason_;
     auto operator<=>(const OutcomeUnknown&) const = default;
 };
+/// The job may have been accepted, but its rows cannot be read; nothing was done.
+struct JobUnreadable {
+    Duration retryAfter_ { 0 };
+    auto operator<=>(const JobUnreadable&) const = default;
+};
 /// This process is not the leader; nothing was done.
 struct NotLeader {
     std::string reason_;
     auto operator<=>(const NotLeader&) const = default;
 };
 
-using ClientAnswer = std::variant<Accepted, NotAccepted, Malformed, NoSuchQueue, NoSuchJob, JobStatus, WaitingCount, CancelAccepted, OutcomeUnknown, NotLeader>;
+using ClientAnswer = std::variant<Accepted, NotAccepted, Malformed, NoSuchQueue, NoSuchJob, JobStatus, WaitingCount, CancelAccepted, OutcomeUnknown, NotLeader, JobUnreadable>;
 
 /// Text of a phase for log lines.
 std::string_view describe(JobPhase);
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -146,6 +146,8 @@
     /// Number of the newest end that was handled, and the handled ends that are not durable yet.
     uint64_t lastHandledEnd_ { 0 };
     std::set<uint64_t> nonDurableEnds_;
+    /// Ends of runs whose job cannot be read. They stay on the worker's list for a leader that can read the job.
+    std::set<uint64_t> heldEnds_;
     /// The agent was notified that ends up to this one are durable.
     uint64_t acknowledgedEnd_ { 0 };
     /// No runs are placed on the worker until this time, as it refused one or left its start unanswered.
@@ -247,6 +249,13 @@
     bool operator==(const Batch&) const = default;
 };
 
+/// A job with a row that cannot be read. The leader neither starts nor stops its runs and does not write its rows.
+struct UnreadableJob {
+    /// The specification; empty if the record cannot be read.
+    std::optional<JobSpec> spec_;
+    bool operator==(const UnreadableJob&) const = default;
+};
+
 /// The complete state of the leader.
 struct LeaderState {
     LeaderEpoch epoch_;
@@ -254,6 +263,7 @@
     Catalog catalog_;
     std::set<std::string> evacuatedDomains_;
     std::map<JobId, Job> jobs_;
+    std::map<JobId, UnreadableJob> unreadableJobs_;
     /// Unfinished jobs.
     std::set<JobId> openJobs_;
     /// Jobs that may have a task to start.
@@ -392,8 +402,8 @@
 /// True if a reply is due before the agent reports again.
 bool isReplyDue(const LeaderState&, const std::string& agent, Instant now);
 
-/// True if the call concerns a job that the leader knows; such a call can be answered even if the configuration may be out
-/// of date.
+/// True if the call concerns a job that the leader knows, also one that it cannot read; such a call can be answered even if
+/// the configuration may be out of date.
 bool concernsKnownJob(const LeaderState&, const ClientCall&);
 
 /// True if the store has failed for so long that new jobs are refused.
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -113,6 +113,11 @@
     Duration finishedJobRetention_ { std::chrono::seconds(120) };
     /// Bound on the unfinished jobs, beyond which new ones are refused; keeps an entry within its 160 MB of memory.
     size_t maximumOpenJobs_ { 8000 };
+    /// Time after which a client should retry a call about a job that cannot be read, until an operator has mended its row.
+    Duration retryUnreadableAfter_ { std::chrono::seconds(5) };
+    /// The oldest held end of a worker is given up when this many ends have followed it: a worker lists its 500 oldest
+    /// unacknowledged ends only, and later ones must not be missed.
+    uint64_t maximumEndsAfterHeldEnd_ { 250 };
     /// Time after which a refused client should retry. While the store fails, as long as it has failed for, up to the maximum:
     /// clients retry a few times only, and their last attempt should not fall into the same outage.
     Duration retryAfter_ { std::chrono::milliseconds(1000) };
--- a/workflow/schema/Workflow.capnp
+++ b/workflow/schema/Workflow.capnp
@@ -149,6 +149,8 @@
     cancelAccepted @8 :Void;
     outcomeUnknown @9 :Text;
     notOwner @10 :Text;
+    # Time to retry after, in microseconds.
+    jobUnreadable @11 :Int64;
   }
 }
 
--- a/workflow/src/ExchangeCodec.cpp
+++ b/workflow/src/ExchangeCodec.cpp
@@ -332,6 +332,7 @@
         void operator()(const CancelAccepted&) { builder_.setCancelAccepted(); }
         void operator()(const OutcomeUnknown& answer) { builder_.setOutcomeUnknown(toWire(answer.reason_)); }
         void operator()(const NotLeader& answer) { builder_.setNotOwner(toWire(answer.reason_)); }
+        void operator()(const JobUnreadable& answer) { builder_.setJobUnreadable(answer.retryAfter_.count()); }
     };
 
 } // namespace
@@ -390,8 +391,10 @@
         return OutcomeUnknown { fromWire(reader.getOutcomeUnknown()) };
     case wire::ClientAnswer::NOT_OWNER:
         return NotLeader { fromWire(reader.getNotOwner()) };
+    case wire::ClientAnswer::JOB_UNREADABLE:
+        return JobUnreadable { Duration(reader.getJobUnreadable()) };
     }
-    return absl::InvalidArgumentError(concat("an answer has alternative ", static_cast<int>(reader.which()), ", expected 0 to ", static_cast<int>(wire::ClientAnswer::NOT_OWNER)));
+    return absl::InvalidArgumentError(concat("an answer has alternative ", static_cast<int>(reader.which()), ", expected 0 to ", static_cast<int>(wire::ClientAnswer::JOB_UNREADABLE)));
 }
 
 void encode(const LeaderView& leader, wire::Leader::Builder builder)
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -190,7 +190,7 @@
 {
     const Queue* queue = state.catalog_.find(call.host_, call.path_);
     std::string id = queue ? call.path_.substr(queue->prefix_.size()) : "";
-    return isJobId(id) && state.jobs_.count(JobId::of(id)) > 0;
+    return isJobId(id) && (state.jobs_.count(JobId::of(id)) > 0 || state.unreadableJobs_.count(JobId::of(id)) > 0);
 }
 
 void handleCall(const DecisionContext& context, const CallArrived& message)
@@ -206,8 +206,11 @@
         return countWaiting(context, message.token_, *queue);
     if (!isJobId(rest))
         return context.addAction(AnswerClient { message.token_, Malformed { "the id of a job is 16 hexadecimal digits" } });
+    JobId id = JobId::of(rest);
+    if (context.state_.unreadableJobs_.count(id) > 0)
+        return context.addAction(AnswerClient { message.token_, JobUnreadable { context.state_.tuning_.retryUnreadableAfter_ } });
     Queue chosen = *queue;
-    std::visit(VerbVisitor { context, message, chosen, JobId::of(rest) }, call.verb_);
+    std::visit(VerbVisitor { context, message, chosen, id }, call.verb_);
 }
 
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -288,7 +288,12 @@
 // Number of the end up to which all ends of the worker are durable.
 static uint64_t durableEnd(const Worker& worker)
 {
-    return worker.nonDurableEnds_.empty() ? worker.lastHandledEnd_ : *worker.nonDurableEnds_.begin() - 1;
+    uint64_t durable = worker.lastHandledEnd_;
+    for (const std::set<uint64_t>& pending : { worker.nonDurableEnds_, worker.heldEnds_ }) {
+        if (!pending.empty())
+            durable = std::min(durable, *pending.begin() - 1);
+    }
+    return durable;
 }
 
 static void addRunTraits(const LeaderState& state, const Worker& worker, ReportReply& reply)
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -95,6 +95,14 @@
 // True if a task under which a worker has crashed should wait, as other suspects are being observed on enough workers.
 bool mustAwaitObservation(const LeaderState&, const Job&, const TaskKey&, Instant now);
 
+// Leaves the run on its worker if its job cannot be read, and keeps its room; a worker with a run of unknown demand gets no
+// other runs.
+// \return false if the job is not an unreadable one.
+bool keepUnreadableRun(const DecisionContext&, Worker&, const RunKey&);
+// Holds the end of a run whose job cannot be read, so that it is not acknowledged.
+// \return false if the job is not an unreadable one.
+bool holdUnreadableEnd(const DecisionContext&, const WorkerIncarnation&, Worker&, const EndedRun&);
+
 void handleCall(const DecisionContext&, const CallArrived&);
 void handleReport(const DecisionContext&, const AgentReport&);
 void handleBatchDurable(const DecisionContext&, const BatchDurable&);
--- a/workflow/src/decisions/Messages.cpp
+++ b/workflow/src/decisions/Messages.cpp
@@ -60,6 +60,7 @@
         std::string operator()(const CancelAccepted&) const { return "cancellation stored"; }
         std::string operator()(const OutcomeUnknown& answer) const { return concat("unknown: ", answer.reason_); }
         std::string operator()(const NotLeader& answer) const { return concat("not the leader: ", answer.reason_); }
+        std::string operator()(const JobUnreadable&) const { return "unknown: the rows of the job cannot be read"; }
     };
 
 } // namespace
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -133,6 +133,8 @@
 {
     Worker& worker = context.state_.workers_.at(incarnation);
     worker.lastHandledEnd_ = end.number_;
+    if (holdUnreadableEnd(context, incarnation, worker, end))
+        return;
     Task* task = findTask(context.state_, end.run_.task_);
     if (!task)
         return;
@@ -388,6 +390,8 @@
             seen.insert(active.run_.task_);
             continue;
         }
+        if (keepUnreadableRun(context, worker, active.run_))
+            continue;
         stopUnassignedRun(context, message.agent_, report.incarnation_, worker, active.run_);
         if (findTask(context.state_, active.run_.task_))
             reserveStoppingRun(worker, active.run_, stepOf(context.state_.jobs_.at(active.run_.task_.job_), active.run_.task_), OrderNumber());
