--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -140,7 +140,7 @@
 
 // Guards against more filling tasks beside a long-running task of which nothing is known yet, for instance after a loss of
 // power.
-BOOST_AUTO_TEST_CASE(slowed_tasks_keep_their_cores_beside_a_long_running_task_without_a_reading, *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(slowed_tasks_keep_their_cores_beside_a_long_running_task_without_a_reading)
 {
     FillingWorld world;
     world.state_.interference_.sensitivities_["indexing"].factors_ = { { "heavy", 0.02 }, { "light", 0.02 } };
