Count the wait of a task from its last run, not from its last start

Each start that came to nothing (refused, unanswered, withdrawn) began the wait of its task anew. In a series of such starts a long-running task never waited long enough for room to be held, nor for a task.waits line, though the rule counts from its last run. The wait now begins with the end of a run that a worker listed or that crashed one.

Ruled out: changing Task::waitingSince_ itself, from which the delays of a job are added up without counting a time twice.

Test: starts_that_are_refused_do_not_begin_the_wait_of_a_task_anew; without the fix no task.waits line in 1.5 s of refused starts.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -49,6 +49,8 @@
     RunTimes times_;
     /// When the last run ended; empty before the first has ended under this leader.
     std::optional<Instant> waitingSince_;
+    /// Since when the task has had no run that a worker listed; empty before the first run has ended under this leader.
+    std::optional<Instant> withoutRunSince_;
     /// Delays due to all runs that have ended under this leader.
     Delays delays_;
     /// When the run's progress last changed.
--- a/workflow/src/decisions/Crashes.cpp
+++ b/workflow/src/decisions/Crashes.cpp
@@ -22,6 +22,8 @@
         Job& job = context.state_.jobs_.at(key.job_);
         Task& task = job.tasks_[taskNumber(job, key)];
         task.avoidedWorker_ = incarnation.name_;
+        // The run was there, though the worker may not have listed it.
+        task.withoutRunSince_ = context.now_;
         ++task.progress_.crashes_;
         context.logEvent("run.crashed_worker", describe(RunKey { key, task.progress_.run_ }), concat("worker ", incarnation.name_, " crashed just after its start, crash ", task.progress_.crashes_, " in series; ", suspects.size() - 1, " other runs had just started there"));
         bool isGivenUp = task.progress_.crashes_ >= limit && !job.isCancelled_ && !job.hasFailed_;
--- a/workflow/src/decisions/Delays.cpp
+++ b/workflow/src/decisions/Delays.cpp
@@ -54,6 +54,10 @@
     Instant waitingSince = task.waitingSince_.value_or(job.stepTimes_[stepNumberOf(job, key)].startableSince_.value_or(task.times_.assignedAt_));
     task.delays_ = task.delays_ + delaysOfRun(task.times_, waitingSince, isDone, now);
     task.waitingSince_ = now;
+    // A start that came to nothing does not begin the wait for a run anew, as such starts may follow each other without end.
+    bool wasListed = task.times_.listedAt_.has_value();
+    if (wasListed || !task.withoutRunSince_)
+        task.withoutRunSince_ = wasListed ? now : waitingSince;
 }
 
 std::optional<Instant> waitingSince(const Job& job, const TaskKey& key)
@@ -61,7 +65,7 @@
     const Task& task = job.tasks_[taskNumber(job, key)];
     if (task.progress_.phase_ != TaskPhase::Waiting)
         return std::nullopt;
-    return task.waitingSince_ ? task.waitingSince_ : job.stepTimes_[stepNumberOf(job, key)].startableSince_;
+    return task.withoutRunSince_ ? task.withoutRunSince_ : job.stepTimes_[stepNumberOf(job, key)].startableSince_;
 }
 
 void recordStepDone(Job& job, const TaskKey& key, const Task& lastTask, Instant now)
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -68,7 +68,7 @@
 void recordRunEnd(Job&, const TaskKey&, Task&, bool isDone, Instant now);
 // Records that the task was the last of its step to be done.
 void recordStepDone(Job&, const TaskKey&, const Task& lastTask, Instant now);
-// Since when the task has waited for a worker, as far as this leader has seen; empty if it is not waiting.
+// Since when the waiting task has had no run that a worker listed, as far as this leader has seen; empty if it is not waiting.
 std::optional<Instant> waitingSince(const Job&, const TaskKey&);
 // Delays along the chain of steps that determined the end of the job, as far as this leader has seen them.
 Delays delaysOf(const Job&);
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -140,6 +140,7 @@
     task.progress_.crashes_ = 0;
     if (end.end_ == RunEnd::Failed)
         countFailure(context, job, key, task, worker);
+    task.withoutRunSince_ = context.now_;
     unassign(context, job, key, task);
 }
 
--- a/workflow/tests/WaitReportTest.cpp
+++ b/workflow/tests/WaitReportTest.cpp
@@ -84,6 +84,36 @@
         BOOST_TEST(line.find("free in sum 5000, most on one worker 2500; packed anew, 1 of 2 waiting long-running tasks would fit") != std::string::npos);
 }
 
+// Guards against a wait that begins anew with each refused start, so that it is neither logged nor ended by held room.
+BOOST_AUTO_TEST_CASE(starts_that_are_refused_do_not_begin_the_wait_of_a_task_anew)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    world.submit({ largeLongRunningStep(1000, 1000) }, 20, searchJob);
+    world.commit(30);
+    BOOST_REQUIRE(world.starts("w-1", 31).size() == 1U);
+    for (uint32_t number = 1; number <= 5; ++number) {
+        int64_t time = 300 * number;
+        world.refused_ = { { runOf(searchJob, 0, number), StartRefusal::Unavailable } };
+        world.lastCompletedOrder_ = OrderNumber(number);
+        world.report("w-1", time);
+        world.refused_.clear();
+        world.handle(Tick { 1'000'000 + time }, time + 5);
+        world.report("w-1", time + 250);
+        world.commit(time + 251);
+        BOOST_REQUIRE(world.starts("w-1", time + 252).size() == 1U);
+    }
+    BOOST_TEST(!world.logged("task.waits").empty());
+
+    // A run that its worker has listed does.
+    auto before = world.logged("task.waits").size();
+    world.lastCompletedOrder_ = OrderNumber(6);
+    world.report("w-1", 2600, { { runOf(searchJob, 0, 6), "", 100, 0, 100 } });
+    world.report("w-1", 2700, {}, { { 1, runOf(searchJob, 0, 6), RunEnd::Failed, "" } });
+    world.handle(Tick { 1'002'710 }, 2710);
+    BOOST_TEST(world.logged("task.waits").size() == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
