Don't send a start again once its run is to be stopped

Cause: a stop voided the start of its run only if no reply had carried the start yet. Where that reply was lost, the agent got start and stop together when the orders were repeated, up to seconds after the job was cancelled, and called both at once: the worker might take the start first and run a task of a cancelled job (UNASKED).

Change: each pending start of the run becomes a stop of the same number. An agent that has received the start knows its number and ignores the stop; one that hasn't has nothing to start.

Ruled out: a start that the worker carries out after its stop was confirmed. The worker refuses it, as a stop also counts for runs that it does not know; under a new session the fence refuses it; a later incarnation that carries it out lists it and is told to stop it.

--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -105,6 +105,18 @@
     BOOST_TEST(agent.actionsOf<SendReport>()[0].report_.workers_[0].active_.size() == 1U);
 }
 
+// Guards against a start that is stopped as never received, although its agent has received it and will report it.
+BOOST_AUTO_TEST_CASE(start_that_was_received_is_not_replaced_by_a_later_order_of_its_number)
+{
+    Agent agent;
+    agent.attach();
+    agent.sendReply(110, { start(1) });
+    agent.sendReply(120, { workflow::StopRun { OrderNumber(1), incarnation, firstRun } });
+    BOOST_TEST(agent.actionsOf<CallStop>().empty());
+    agent.handle(StartCompleted { Fence(5), start(1), workflow::Started {} }, 130);
+    BOOST_TEST((agent.state_.lastCompletedOrder_ == OrderNumber(1)));
+}
+
 BOOST_AUTO_TEST_CASE(orders_received_out_of_order_are_all_executed)
 {
     Agent agent;
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -145,13 +145,13 @@
     return agent == state.agents_.end() ? nullptr : &agent->second;
 }
 
-// Turns an order to start the run that has never been sent into one to stop it: the agent may fetch its orders long after
-// they were given, and must not begin what is to end.
-static void voidUnsentStart(Agent& agent, const RunKey& run)
+// Turns a pending order to start the run into one to stop it: the agent may receive its orders long after they were given,
+// and must not begin what is to end. An agent that has received the start ignores the stop, which has the same number.
+static void voidPendingStart(Agent& agent, const RunKey& run)
 {
     for (Order& order : agent.pendingOrders_) {
         const auto* start = std::get_if<StartRun>(&order);
-        if (start && start->run_ == run && start->number_ > agent.lastSentOrder_)
+        if (start && start->run_ == run)
             order = StopRun { start->number_, start->worker_, run };
     }
 }
@@ -170,7 +170,7 @@
     // The run's absence from the worker's lists shows that it was lost only once this order is completed too.
     task.lastOrder_ = agent->lastOrder_;
     RunKey run { key, task.progress_.run_ };
-    voidUnsentStart(*agent, run);
+    voidPendingStart(*agent, run);
     addOrder(context, context.state_.workers_.at(incarnation).agent_, StopRun { agent->lastOrder_, incarnation, run });
     context.logEvent("run.stop", describe(run), concat(why, "; worker ", incarnation.name_));
 }
--- a/workflow/tests/UnstartedRunsTest.cpp
+++ b/workflow/tests/UnstartedRunsTest.cpp
@@ -143,6 +143,20 @@
     BOOST_TEST(world.starts("w-1", 33).size() == 1U);
 }
 
+// Guards against a task that starts after its job was cancelled, as the agent never received the reply with the start and is
+// sent it again.
+BOOST_AUTO_TEST_CASE(start_that_may_not_have_arrived_is_not_repeated_after_a_cancel)
+{
+    OrderedWorld world;
+    world.call(Cancel {}, 25);
+    world.commit(26);
+    world.reply("w-1", 30);
+    std::vector<Order> repeated = world.reply("w-1", 1000);
+    BOOST_TEST(repeated.size() == 4U);
+    for (const Order& order : repeated)
+        BOOST_TEST(std::holds_alternative<StopRun>(order));
+}
+
 // Guards against a worker that is held back after it answers again, for starts that it left unanswered until then.
 BOOST_AUTO_TEST_CASE(start_left_unanswered_while_a_worker_was_unreachable_does_not_hold_it_back_once_it_answers)
 {
