A failed actor ends its process; failed work reports its outcome

Cause: spawn logged an unexpected exception and dropped the coroutine. An entry without its scheduler went on as leader without leading, an agent without its supervisor renewed nothing, and a write, read, claim, relay or call to a worker that ended so left its owner waiting for the outcome (pendingCommit_, isRowAccessInFlight_, the report in flight, a client's reply). Used for the scheduler, its ticks and its feed of the operators' table, the supervisor and its ticks, and the loops of jobs, router, claims, membership, announcer, settings, hosting, ownership, burn, colocation, gate and directory. spawnWork runs work that owes its owner an outcome and reports a failure if an error ends it, also a cancelled operation: a write without an outcome is one whose reply was lost, a start may have reached the worker, a relayed call is unknown. Calls' own coroutines keep costing their call alone (HTTP 500, failed RPC). Not covered by a test: that each call of spawnWork names the right outcome.

--- a/admission/src/GateActor.cpp
+++ b/admission/src/GateActor.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/admission/GateActor.h"
 
 #include "BackendPool.h"
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Visitor.h"
 
@@ -213,7 +214,7 @@
         return gate.status();
     Mailbox<Message> mailbox(executor, mailboxCapacity);
     auto loop = std::make_shared<GateLoop>(executor, std::move(clock), *std::move(gate), endpoints, mailbox);
-    spawn(executor, "gate", loop->run(loop));
+    spawnActor(executor, "gate", loop->run(loop));
     return GateActor(std::move(mailbox));
 }
 
--- a/app/src/Operators.cpp
+++ b/app/src/Operators.cpp
@@ -1,5 +1,6 @@
 #include "Operators.h"
 
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Visitor.h"
@@ -99,7 +100,7 @@
 Directory::Directory(const asio::any_io_executor& executor)
     : mailbox_(executor, directoryCapacity)
 {
-    spawn(executor, "directory", runDirectory(mailbox_));
+    spawnActor(executor, "directory", runDirectory(mailbox_));
 }
 
 void Directory::handle(membership::ViewAction action) const
--- a/burn/src/BurnActor.cpp
+++ b/burn/src/BurnActor.cpp
@@ -2,6 +2,7 @@
 
 #include "Metrics.h"
 #include "Rows.h"
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Text.h"
@@ -191,7 +192,7 @@
     : mailbox_(executor, mailboxCapacity)
 {
     auto loop = std::make_shared<BurnLoop>(std::move(options), mailbox_);
-    spawn(executor, "burn", BurnLoop::run(loop));
+    spawnActor(executor, "burn", BurnLoop::run(loop));
     spawn(executor, "burn tick", tick(mailbox_));
 }
 
--- a/colocation/src/ColocationActor.cpp
+++ b/colocation/src/ColocationActor.cpp
@@ -1,5 +1,6 @@
 #include "persimmondoor/colocation/ColocationActor.h"
 
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Visitor.h"
@@ -269,7 +270,7 @@
         return guard.status();
     ColocationMailbox mailbox(executor, mailboxCapacity);
     auto loop = std::make_shared<ColocationLoop>(executor, std::move(clock), worker, *std::move(guard), workers, std::move(host), mailbox);
-    spawn(executor, "colocation", loop->run(loop));
+    spawnActor(executor, "colocation", loop->run(loop));
     spawn(executor, "colocation tasks", pollTasks(workers, worker, mailbox));
     spawn(executor, "colocation usage", pollUsage(workers, worker, mailbox));
     return ColocationActor(std::move(mailbox));
--- a/hosting/src/HostActor.cpp
+++ b/hosting/src/HostActor.cpp
@@ -1,5 +1,6 @@
 #include "persimmondoor/hosting/HostActor.h"
 
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Visitor.h"
@@ -221,7 +222,7 @@
 {
     HostMailbox mailbox(executor, mailboxCapacity);
     auto loop = std::make_shared<HostLoop>(executor, std::move(clock), settings, workers, mailbox);
-    spawn(executor, "hosting", loop->run(loop));
+    spawnActor(executor, "hosting", loop->run(loop));
     spawn(executor, "worker reports", pollReports(std::move(workers), settings.worker_, mailbox));
     return HostActor(std::move(mailbox));
 }
--- a/jobs/src/JobsActor.cpp
+++ b/jobs/src/JobsActor.cpp
@@ -2,6 +2,7 @@
 
 #include "Codec.h"
 #include "Effects.h"
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Visitor.h"
@@ -299,7 +300,7 @@
 {
     JobsMailbox mailbox(executor, mailboxCapacity);
     auto loop = std::make_shared<JobsLoop>(executor, std::move(clock), std::move(environment), mailbox);
-    spawn(executor, "jobs", loop->run(loop));
+    spawnActor(executor, "jobs", loop->run(loop));
     return { executor, std::move(mailbox) };
 }
 
--- a/leases/src/OwnershipActor.cpp
+++ b/leases/src/OwnershipActor.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/leases/OwnershipActor.h"
 
 #include "Rows.h"
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Visitor.h"
@@ -186,7 +187,7 @@
         return state.status();
     Mailbox<Message> mailbox(executor, mailboxCapacity);
     auto loop = std::make_shared<OwnershipLoop>(executor, std::move(clock), std::move(table), *std::move(state), std::move(listener), mailbox);
-    spawn(executor, "ownership", loop->run(loop));
+    spawnActor(executor, "ownership", loop->run(loop));
     return OwnershipActor(std::move(mailbox));
 }
 
--- a/membership/src/Announcer.cpp
+++ b/membership/src/Announcer.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/membership/Announcer.h"
 
 #include "Codec.h"
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/rpc/Call.h"
@@ -133,7 +134,7 @@
     for (const Address& entry : entries) {
         Mailbox<Message> mailbox(executor, mailboxCapacity);
         auto entryAnnouncer = std::make_shared<EntryAnnouncer>(rpc::Link(executor, entry), announcement, listener);
-        spawn(executor, "announcer", entryAnnouncer->run(entryAnnouncer, mailbox));
+        spawnActor(executor, "announcer", entryAnnouncer->run(entryAnnouncer, mailbox));
         mailboxes_.push_back(std::move(mailbox));
     }
 }
--- a/membership/src/ViewActor.cpp
+++ b/membership/src/ViewActor.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/membership/ViewActor.h"
 
 #include "Codec.h"
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/rpc/Call.h"
@@ -84,7 +85,7 @@
     , mailbox_(executor, mailboxCapacity)
 {
     auto loop = std::make_shared<ViewLoop>(std::move(clock), std::move(listener));
-    spawn(executor, "membership view", loop->run(loop, mailbox_));
+    spawnActor(executor, "membership view", loop->run(loop, mailbox_));
     spawn(executor, "membership expiry check", postExpiryChecks(mailbox_));
 }
 
--- a/routing/src/ClaimsActor.cpp
+++ b/routing/src/ClaimsActor.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/routing/ClaimsActor.h"
 
 #include "ClaimCodec.h"
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 
@@ -302,7 +303,7 @@
     , mailbox_(executor, mailboxCapacity)
 {
     auto loop = std::make_shared<ClaimsLoop>(executor, std::move(clock), std::move(table), mailbox_);
-    spawn(executor, "claims", loop->run(loop));
+    spawnActor(executor, "claims", loop->run(loop));
 }
 
 static asio::awaitable<absl::StatusOr<ClaimVerdict>> receive(Reply<ClaimVerdict> reply)
--- a/routing/src/RouterActor.cpp
+++ b/routing/src/RouterActor.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/routing/RouterActor.h"
 
 #include "persimmondoor/admission/Client.h"
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -180,7 +181,7 @@
     : mailbox_(executor, mailboxCapacity)
 {
     auto loop = std::make_shared<RouterLoop>(executor, std::move(clock), options, mailbox_);
-    spawn(executor, "router", loop->run(loop));
+    spawnActor(executor, "router", loop->run(loop));
 }
 
 bool RouterActor::tryUpdate(RouterMessage message) const
--- a/scheduler/src/Following.cpp
+++ b/scheduler/src/Following.cpp
@@ -21,11 +21,11 @@
     bool mustCheck = std::holds_alternative<CheckRow>(nextStep(leadership_, time()));
     if (mustCheck && !role.isRowAccessInFlight_) {
         role.isRowAccessInFlight_ = true;
-        spawn(executor_, "check leader", checkRow());
+        spawnWork("check leader", checkRow(), RowReadCompleted { failedWork() });
     }
     if (std::optional<Address> leader = duePing(leadership_, time())) {
         leadership_ = beginPing(std::move(leadership_), *leader, time());
-        spawn(executor_, "ping", ping(*std::move(leader)));
+        spawnWork("ping", ping(*leader), PingCompleted { *leader, failedWork() });
     }
 }
 
@@ -132,7 +132,8 @@
     role->isRowAccessInFlight_ = true;
     LeaderClaim claim { leadership_.epoch_.next(), options_.self_, drawNonce() };
     logInfo("leader.claim", { { "epoch", std::to_string(claim.epoch_.value()) }, { "row_version", std::to_string(message.row_->version_.value()) }, { "contact_age_ms", std::to_string((time() - leadership_.lastContactAt_).count() / 1000) }, { "write_age_ms", std::to_string((time() - leadership_.lastWriteAt_).count() / 1000) } });
-    spawn(executor_, "claim", this->claim(std::move(claim), message.row_->version_));
+    ClaimCompleted failure { claim, failedWork() };
+    spawnWork("claim", this->claim(std::move(claim), message.row_->version_), std::move(failure));
 }
 
 asio::awaitable<void> Scheduler::claim(LeaderClaim claim, store::RowVersion version)
@@ -166,7 +167,7 @@
     leadership_.leader_ = options_.self_;
     leadership_.version_ = message.row_->version_;
     role_ = Loading { message.claim_, message.row_->version_, time() };
-    spawn(executor_, "load", load(message.claim_.epoch_));
+    spawnWork("load", load(message.claim_.epoch_), LoadCompleted { message.claim_.epoch_, failedWork() }, loadRetryInterval);
 }
 
 } // namespace persimmondoor::scheduler
--- a/scheduler/src/Leading.cpp
+++ b/scheduler/src/Leading.cpp
@@ -2,6 +2,7 @@
 #include "QueueRows.h"
 #include "Scheduler.h"
 
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Metrics.h"
@@ -17,7 +18,6 @@
 // Time-out of reading the chain row, which shows the outcome of a commit without a reply; a slow store takes up to 0.4 s
 // for a read.
 static constexpr Duration chainReadTimeout = std::chrono::milliseconds(800);
-static constexpr Duration loadRetryInterval = std::chrono::milliseconds(200);
 // Without other writes the leader commits an empty batch this often, which shows that it still leads.
 static constexpr Duration renewalInterval = std::chrono::milliseconds(500);
 // A report is answered after this time even without new orders; each answer renews the leases of the agent's workers.
@@ -56,7 +56,7 @@
         logWarning("queues.unreadable", { { "epoch", std::to_string(message.epoch_.value()) }, { "reason", std::string(message.rows_.status().message()) } });
         if (hasResigned_ || time() - role->claimWonAt_ > leadership_.tuning_.stallTimeout_)
             return stepDown("the rows of the queues cannot be read");
-        spawn(executor_, "load", load(message.epoch_));
+        spawnWork("load", load(message.epoch_), LoadCompleted { message.epoch_, failedWork() }, loadRetryInterval);
         return;
     }
     size_t jobs = message.rows_->jobs_.size();
@@ -78,8 +78,8 @@
         spawn(executor_, "announce", announce(peer));
     auto self = shared_from_this();
     workflow::LeaderEpoch epoch = message.epoch_;
-    spawn(executor_, "operators", followOperators(
-                                      rows_, leader.operators_, [self, epoch] { return self->findLeading(epoch) != nullptr; }, [self, epoch](OperatorView view) -> asio::awaitable<void> {
+    spawnActor(executor_, "operators", followOperators(
+                                           rows_, leader.operators_, [self, epoch] { return self->findLeading(epoch) != nullptr; }, [self, epoch](OperatorView view) -> asio::awaitable<void> {
                                           OperatorsRead read { epoch, std::move(view) };
                                           co_await self->mailbox_.post(std::move(read)); }));
 }
@@ -230,7 +230,7 @@
     store::Transaction transaction = transactionOf(role, batch, number);
     writeEstimates(role, transaction);
     role.pendingCommit_ = PendingCommit { number, std::move(batch), time() };
-    spawn(executor_, "commit", commit(role.claim_.epoch_, std::move(transaction), role.commitTimeout_));
+    spawnWork("commit", commit(role.claim_.epoch_, std::move(transaction), role.commitTimeout_), CommitCompleted { role.claim_.epoch_, time(), store::ReplyLost { "the write ended by an unexpected error" } });
 }
 
 asio::awaitable<void> Scheduler::commit(workflow::LeaderEpoch epoch, store::Transaction transaction, Duration limit)
@@ -300,7 +300,7 @@
                        if (conflict.key_ == leaderRow)
                            return stepDown("another entry has written the leader row");
                        if (conflict.key_ == chainRow || conflict.key_.empty()) {
-                           spawn(executor_, "read chain", readChain(message.epoch_, Duration(0)));
+                           spawnWork("read chain", readChain(message.epoch_, Duration(0)), ChainReadCompleted { message.epoch_, failedWork() });
                            return;
                        }
                        // Starts are decided again once the change of the operators' table has been read.
@@ -318,7 +318,7 @@
                        logWarning("store.reply_lost", { { "reason", lost.detail_ }, { "commit", std::to_string(role->pendingCommit_->number_) }, { "limit_ms", std::to_string(role->commitTimeout_.count() / 1000) } });
                        role->commitTimeout_ = std::min(role->commitTimeout_ * 2, maximumCommitTimeout);
                        decide(*role, workflow::StoreFailed {});
-                       spawn(executor_, "read chain", readChain(message.epoch_, Duration(0)));
+                       spawnWork("read chain", readChain(message.epoch_, Duration(0)), ChainReadCompleted { message.epoch_, failedWork() });
                    } },
         message.outcome_);
 }
@@ -331,7 +331,7 @@
     if (!message.row_.ok()) {
         // No other transaction is sent until the outcome is known, so that jobs staged meanwhile can be refused as not run.
         logWarning("store.lost", { { "reason", std::string(message.row_.status().message()) } });
-        spawn(executor_, "read chain", readChain(message.epoch_, refusedRetryInterval));
+        spawnWork("read chain", readChain(message.epoch_, refusedRetryInterval), ChainReadCompleted { message.epoch_, failedWork() });
         return;
     }
     const store::Row& row = *message.row_;
--- a/scheduler/src/QueueRows.h
+++ b/scheduler/src/QueueRows.h
@@ -11,6 +11,7 @@
 namespace persimmondoor::scheduler {
 
 inline constexpr Duration queueReadTimeout = std::chrono::milliseconds(1500);
+inline constexpr Duration loadRetryInterval = std::chrono::milliseconds(200);
 
 struct LoadedRows {
     std::vector<workflow::StoredJob> jobs_;
--- a/scheduler/src/Scheduler.h
+++ b/scheduler/src/Scheduler.h
@@ -69,6 +69,9 @@
 
 using SchedulerMessage = std::variant<CallMessage, ExchangeMessage, PingMessage, ReadyMessage, ResignMessage, PingCompleted, RowReadCompleted, ClaimCompleted, LoadCompleted, CommitCompleted, ChainReadCompleted, OperatorsRead, SchedulerTick>;
 
+// Outcome of work that has ended by an error, which is logged where the work ends.
+inline absl::Status failedWork() { return absl::InternalError("the work ended by an unexpected error"); }
+
 // A transaction of the leader that is in flight or of unknown outcome.
 struct PendingCommit {
     uint64_t number_ { 0 };
@@ -183,6 +186,10 @@
     // The role if this entry leads under that epoch, or null.
     Leading* findLeading(workflow::LeaderEpoch);
 
+    // Runs work that owes the actor an outcome; `failure` is posted after `delay` if an error ends the work.
+    void spawnWork(std::string name, boost::asio::awaitable<void> body, SchedulerMessage failure, Duration delay = Duration(0));
+    boost::asio::awaitable<void> postAfter(Duration delay, SchedulerMessage);
+
     rpc::Link linkTo(const Address&);
     Instant time() const { return now(clock_); }
 
--- a/scheduler/src/SchedulerActor.cpp
+++ b/scheduler/src/SchedulerActor.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/scheduler/SchedulerActor.h"
 
 #include "Scheduler.h"
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Text.h"
@@ -64,6 +65,20 @@
     }
 }
 
+asio::awaitable<void> Scheduler::postAfter(Duration delay, SchedulerMessage message)
+{
+    auto self = shared_from_this();
+    if (delay > Duration(0))
+        co_await sleepFor(delay);
+    co_await mailbox_.post(std::move(message));
+}
+
+void Scheduler::spawnWork(std::string name, asio::awaitable<void> body, SchedulerMessage failure, Duration delay)
+{
+    auto self = shared_from_this();
+    persimmondoor::spawnWork(executor_, std::move(name), std::move(body), [self, failure = std::move(failure), delay] { return self->postAfter(delay, failure); });
+}
+
 rpc::Link Scheduler::linkTo(const Address& address)
 {
     return links_.try_emplace(address, executor_, address).first->second;
@@ -93,6 +108,13 @@
     return peers;
 }
 
+template <typename Answer>
+static asio::awaitable<void> sendReply(Reply<Answer> reply, Answer answer)
+{
+    reply.send(std::move(answer));
+    co_return;
+}
+
 void Scheduler::handle(CallMessage message)
 {
     if (auto* role = std::get_if<Leading>(&role_)) {
@@ -112,7 +134,8 @@
     bool canRelay = message.call_.mayRelay_ && std::holds_alternative<Following>(role_) && leadership_.leader_ && leadership_.leader_ != options_.self_;
     if (!canRelay)
         return message.reply_.send(workflow::NotLeader { "no leader of the queues is known" });
-    spawn(executor_, "relay call", relay(std::move(message)));
+    Reply<workflow::ClientAnswer> reply = message.reply_;
+    persimmondoor::spawnWork(executor_, "relay call", relay(std::move(message)), [reply] { return sendReply(reply, workflow::ClientAnswer(workflow::OutcomeUnknown { "the relay of the call has failed" })); });
 }
 
 asio::awaitable<void> Scheduler::relay(CallMessage message)
@@ -159,10 +182,10 @@
         return decide(*role, workflow::ReportArrived { std::move(message.report_) });
     }
     bool canRelay = message.report_.mayRelay_ && std::holds_alternative<Following>(role_) && leadership_.leader_ && leadership_.leader_ != options_.self_;
-    if (canRelay)
-        spawn(executor_, "relay report", relay(std::move(message)));
-    else
-        message.reply_.send(workflow::ExchangeAnswer { std::nullopt, view() });
+    if (!canRelay)
+        return message.reply_.send(workflow::ExchangeAnswer { std::nullopt, view() });
+    Reply<workflow::ExchangeAnswer> reply = message.reply_;
+    persimmondoor::spawnWork(executor_, "relay report", relay(std::move(message)), [reply, view = view()] { return sendReply(reply, workflow::ExchangeAnswer { std::nullopt, view }); });
 }
 
 asio::awaitable<void> Scheduler::relay(ExchangeMessage message)
@@ -218,15 +241,16 @@
     LeaderClaim claim = role->claim_;
     store::RowVersion version = role->leaderRowVersion_;
     stepDown("this entry is shutting down");
-    spawn(executor_, "resign", writeResignation(rows_, std::move(claim), version, message.reply_));
+    Reply<bool> reply = message.reply_;
+    persimmondoor::spawnWork(executor_, "resign", writeResignation(rows_, std::move(claim), version, reply), [reply] { return sendReply(reply, false); });
 }
 
 SchedulerActor SchedulerActor::start(const asio::any_io_executor& executor, SchedulerOptions options)
 {
     auto state = std::make_shared<State>();
     state->scheduler_ = std::make_shared<Scheduler>(executor, std::move(options));
-    spawn(executor, "scheduler", state->scheduler_->run());
-    spawn(executor, "scheduler ticks", state->scheduler_->tick());
+    spawnActor(executor, "scheduler", state->scheduler_->run());
+    spawnActor(executor, "scheduler ticks", state->scheduler_->tick());
     return SchedulerActor(std::move(state));
 }
 
--- a/settings/src/SettingsActor.cpp
+++ b/settings/src/SettingsActor.cpp
@@ -1,5 +1,6 @@
 #include "persimmondoor/settings/SettingsActor.h"
 
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 
@@ -65,7 +66,7 @@
     : mailbox_(executor, mailboxCapacity)
 {
     auto loop = std::make_shared<SettingsLoop>(std::move(clock), std::move(listener), mailbox_);
-    spawn(executor, "settings", SettingsLoop::run(loop));
+    spawnActor(executor, "settings", SettingsLoop::run(loop));
 }
 
 bool SettingsActor::apply(std::vector<Subtree> subtrees) const
--- a/supervision/src/SupervisorActor.cpp
+++ b/supervision/src/SupervisorActor.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/supervision/SupervisorActor.h"
 
 #include "LeaderLink.h"
+#include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Visitor.h"
@@ -88,6 +89,19 @@
         co_await state->mailbox_.post(std::move(message));
     }
 
+    template <typename State>
+    asio::awaitable<void> postFailure(std::shared_ptr<State> state, SupervisorMessage failure)
+    {
+        co_await state->mailbox_.post(std::move(failure));
+    }
+
+    // Posts the outcome that a call owes the actor, if the call ends by an error.
+    template <typename State>
+    std::function<asio::awaitable<void>()> postOnFailure(std::shared_ptr<State> state, SupervisorMessage failure)
+    {
+        return [state = std::move(state), failure = std::move(failure)]() -> asio::awaitable<void> { return postFailure(state, failure); };
+    }
+
     // Performs the actions of the decisions.
     template <typename State>
     class ActionVisitor {
@@ -99,21 +113,26 @@
 
         void operator()(CallStart& call)
         {
-            withClient(call.order_.worker_, "start", [&](auto client) { return callStart(state_, std::move(client), std::move(call)); });
+            // The call may have reached the worker.
+            StartCompleted failure { call.fence_, call.order_, workflow::NoAnswer { "the call ended by an error" } };
+            withClient(call.order_.worker_, "start", failure, [&](auto client) { return callStart(state_, std::move(client), std::move(call)); });
         }
         void operator()(CallStop& call)
         {
-            withClient(call.order_.worker_, "stop", [&](auto client) { return callStop(state_, std::move(client), std::move(call)); });
+            StopCompleted failure { call.fence_, call.order_.number_, false };
+            withClient(call.order_.worker_, "stop", failure, [&](auto client) { return callStop(state_, std::move(client), std::move(call)); });
         }
         void operator()(CallList& call)
         {
-            withClient(call.worker_, "list", [&](auto client) { return callList(state_, std::move(client), std::move(call)); });
+            withClient(call.worker_, "list", ListFailed { call.worker_, false }, [&](auto client) { return callList(state_, std::move(client), std::move(call)); });
         }
         void operator()(CallPace& call)
         {
-            withClient(call.worker_, "pace", [&](auto client) { return callPace(state_, std::move(client), std::move(call)); });
+            auto client = state_->clients_.find(call.worker_);
+            if (client != state_->clients_.end())
+                spawn(state_->executor_, "pace", callPace(state_, client->second, std::move(call)));
         }
-        void operator()(SendReport& call) { spawn(state_->executor_, "report", sendReport(state_, std::move(call))); }
+        void operator()(SendReport& call) { spawnWork(state_->executor_, "report", sendReport(state_, std::move(call)), postOnFailure(state_, ReportFailed {})); }
         void operator()(AddWorker& addition)
         {
             state_->clients_.insert_or_assign(addition.worker_, platform::WorkerClient::create(state_->executor_, addition.address_, addition.worker_.name_));
@@ -123,11 +142,11 @@
 
     private:
         template <typename Call>
-        void withClient(const workflow::WorkerIncarnation& incarnation, const char* name, Call call)
+        void withClient(const workflow::WorkerIncarnation& incarnation, const char* name, SupervisorMessage failure, Call call)
         {
             auto client = state_->clients_.find(incarnation);
             if (client != state_->clients_.end())
-                spawn(state_->executor_, name, call(client->second));
+                spawnWork(state_->executor_, name, call(client->second), postOnFailure(state_, std::move(failure)));
         }
 
         std::shared_ptr<State> state_;
@@ -167,8 +186,8 @@
 SupervisorActor SupervisorActor::start(const asio::any_io_executor& executor, SupervisorOptions options)
 {
     auto state = std::make_shared<State>(executor, std::move(options));
-    spawn(executor, "supervisor", run(state));
-    spawn(executor, "supervisor ticks", tick(state));
+    spawnActor(executor, "supervisor", run(state));
+    spawnActor(executor, "supervisor ticks", tick(state));
     return SupervisorActor(std::move(state));
 }
 
