Let probes by other tasks not put off the probe of one that has failed

A long-running task that has failed may probe an unproven worker once in probeInterval_. The time was counted from the last probe of any task, so that probes that neither prove the worker nor quarantine it (refused starts, runs of tasks that have failed before) put it off for as long as they followed each other. It now has a time of its own, set by probes of such tasks and by a quarantine; the bound that keeps them from taking each probe stays.

Test: probes_by_other_tasks_do_not_put_off_that_of_a_long_running_task_that_has_failed; without the fix the task gets no probe in 2.5 s.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -173,6 +173,9 @@
     /// quarantine; empty if there is none.
     std::optional<TaskKey> probe_;
     std::optional<Instant> nextProbeAt_;
+    /// The earliest time for the next probe by a long-running task that has failed, whatever else probes the worker meanwhile;
+    /// empty if there is none.
+    std::optional<Instant> nextProbeOfFailedAt_;
     /// Runs that belong to no assigned task and were ordered to stop, with the time of the order.
     std::map<RunKey, Instant> unassignedRuns_;
     bool operator==(const Worker&) const = default;
--- a/workflow/src/decisions/Quarantine.cpp
+++ b/workflow/src/decisions/Quarantine.cpp
@@ -20,11 +20,18 @@
     return worker.quarantineCount_ > 0;
 }
 
+static bool hasFailedLongRunning(const Step& step, const Task& task)
+{
+    return step.longRunning_ && task.progress_.failures_ > 0;
+}
+
 bool isHeldBack(const Worker& worker, const Step& step, const Task& task, Instant now)
 {
     bool isProbeDue = worker.nextProbeAt_ && now >= *worker.nextProbeAt_;
-    // A task that fails again and again, without a bound, must not keep the worker from those that would prove it.
-    if (isUnproven(worker) && step.longRunning_ && task.progress_.failures_ > 0 && !isProbeDue)
+    // A task that fails again and again, without a bound, must not keep the worker from those that would prove it. Nor must their
+    // probes, which follow each other without end, keep it from the worker.
+    bool isProbeOfFailedDue = worker.nextProbeOfFailedAt_ && now >= *worker.nextProbeOfFailedAt_;
+    if (isUnproven(worker) && hasFailedLongRunning(step, task) && !isProbeOfFailedDue)
         return true;
     // A probe that neither ends nor makes progress, such as a paused filling task, holds others back only for a time.
     if (!isQuarantined(worker, now))
@@ -38,6 +45,9 @@
 {
     worker.probe_ = key;
     worker.nextProbeAt_ = context.now_ + context.state_.tuning_.probeInterval_;
+    const Job& job = context.state_.jobs_.at(key.job_);
+    if (hasFailedLongRunning(stepOf(job, key), job.tasks_[taskNumber(job, key)]))
+        worker.nextProbeOfFailedAt_ = worker.nextProbeAt_;
 }
 
 static bool isQuarantineFull(const LeaderState& state, const std::string& service, Instant now)
@@ -71,6 +81,7 @@
     ++worker.quarantineCount_;
     worker.probe_.reset();
     worker.nextProbeAt_ = context.now_ + tuning.probeInterval_;
+    worker.nextProbeOfFailedAt_ = worker.nextProbeAt_;
     // After the quarantine, one more failure starts the next one.
     worker.consecutiveFailures_ = tuning.failuresBeforeQuarantine_ - 1;
     std::string consequence = isAllowed ? concat("for ", milliseconds(quarantine), " ms") : "not quarantined, as half of its service's workers are; gets one task at a time";
--- a/workflow/tests/QuarantineTest.cpp
+++ b/workflow/tests/QuarantineTest.cpp
@@ -327,6 +327,7 @@
     Worker& unproven = world.state_.workers_.at({ "w-1", world.bornMs_, world.host_ });
     unproven.quarantineCount_ = 1;
     unproven.nextProbeAt_ = at(1000);
+    unproven.nextProbeOfFailedAt_ = at(1000);
     Step step = longRunningStep("search");
     step.count_ = 3;
     world.submit({ step }, 20, longRunningJob);
@@ -338,6 +339,37 @@
     BOOST_TEST(world.assigned("w-1").front().task_.index_ == 1U);
 }
 
+// Guards against a long-running task that has failed and never gets its turn, as each probe by another task puts it off.
+BOOST_AUTO_TEST_CASE(probes_by_other_tasks_do_not_put_off_that_of_a_long_running_task_that_has_failed)
+{
+    QuarantineWorld world;
+    world.draining_ = true;
+    world.report("w-1", 10);
+    Worker& unproven = world.state_.workers_.at({ "w-1", world.bornMs_, world.host_ });
+    unproven.quarantineCount_ = 1;
+    unproven.nextProbeAt_ = at(1000);
+    unproven.nextProbeOfFailedAt_ = at(1000);
+    world.submit({ longRunningStep("search") }, 20, longRunningJob);
+    world.submit({ stepOfTasks(1) }, 21, failingJob);
+    Job& failing = world.state_.jobs_.at(JobId::of(failingJob));
+    failing.queue_.maxAttempts_ = 0;
+    failing.queue_.priority_ = 1;
+    failing.record_.queue_.priority_ = 1;
+    for (const std::string& id : { longRunningJob, failingJob })
+        world.state_.jobs_.at(JobId::of(id)).tasks_[0].progress_.failures_ = 2;
+    world.draining_ = false;
+    bool isProbe = false;
+    for (int64_t time = 30; time <= 2500 && !isProbe; time += 400) {
+        world.report("w-1", time);
+        world.commit(time + 1);
+        for (const RunKey& run : world.assigned("w-1"))
+            isProbe = isProbe || run.task_.job_.value() == longRunningJob;
+        if (!isProbe)
+            world.end("w-1", RunEnd::Failed, time + 300);
+    }
+    BOOST_TEST(isProbe);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
--- a/workflow/tests/RoomHoldsTest.cpp
+++ b/workflow/tests/RoomHoldsTest.cpp
@@ -272,6 +272,7 @@
     Worker& worker = world.state_.workers_.begin()->second;
     worker.quarantineCount_ = 1;
     worker.nextProbeAt_ = at(60'000);
+    worker.nextProbeOfFailedAt_ = at(60'000);
     Step large = longRunningStep("search");
     large.count_ = 2;
     large.demand_ = *Resources::create(2000, 1000, 0);
