Test what a takeover adds to the wait of a long-running task

Room is held 0.5 s after the takeover while workers known from the rows are still awaited, and a worker that its agent reports as ended frees its tasks at once, without the wait of 12 s for the leases of a predecessor. The wait of 12 s remains where both a worker and its agent are lost.

--- a/workflow/tests/ReachabilityTest.cpp
+++ b/workflow/tests/ReachabilityTest.cpp
@@ -251,6 +251,24 @@
     BOOST_TEST(world.starts("w-2", 9202).size() == 1U);
 }
 
+// Guards against a new leader that waits for its predecessor's leases although the worker's agent knows that they have expired.
+BOOST_AUTO_TEST_CASE(task_of_a_worker_that_its_agent_reports_as_ended_is_started_elsewhere_after_a_takeover)
+{
+    LeaderWorld former;
+    former.report("w-1", 10);
+    Step step = stepOfTasks(1);
+    step.longRunning_ = true;
+    former.submit({ step }, 20);
+    former.commit(30);
+    LeaderWorld world(former.rows(), 2);
+    world.report("w-2", 40);
+    BOOST_TEST(world.starts("w-2", 41).empty());
+    world.endedWorkers_ = { { "w-1", 1000, "" } };
+    world.reportBy("w-1", 7, "w-3", 50);
+    world.commit(51);
+    BOOST_TEST(world.starts("w-2", 52).size() + world.starts("w-1", 52).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
--- a/workflow/tests/RoomHoldsTest.cpp
+++ b/workflow/tests/RoomHoldsTest.cpp
@@ -304,6 +304,49 @@
     BOOST_TEST(holds.begin()->first.job_.value() == "00000000000000cc");
 }
 
+// Guards against a leader that takes over and first waits for its predecessor's workers, and only then begins to hold room.
+BOOST_AUTO_TEST_CASE(room_is_held_after_a_takeover_while_known_workers_are_awaited)
+{
+    const std::string shortJob = "00000000000000bb";
+    LeaderWorld former;
+    former.report("w-1", 10);
+    former.submit({ stepOfTasks(4) }, 20, shortJob);
+    former.commit(30);
+    BOOST_REQUIRE(former.starts("w-1", 31).size() == 4U);
+    Step large = longRunningStep("search");
+    large.demand_ = *Resources::create(2000, 1000, 0);
+    former.submit({ large }, 40, waitingJob);
+    former.commit(50);
+    former.capacity_ = *Resources::create(1000, 1'000'000, 0);
+    former.report("w-2", 60);
+    former.submit({ stepOfTasks(1) }, 70, "00000000000000cc");
+    former.commit(80);
+
+    // The second worker is lost for good together with its agent.
+    LeaderWorld world(former.rows(), 2);
+    auto reportShort = [&](int64_t time, uint32_t firstActive) {
+        std::vector<ActiveRun> active;
+        std::vector<EndedRun> ended;
+        for (uint32_t index = 0; index < 4; ++index) {
+            if (index >= firstActive)
+                active.push_back({ runOf(shortJob, index), "", static_cast<uint32_t>(time / 100), 0, 100 });
+            else
+                ended.push_back({ index + 1, runOf(shortJob, index), RunEnd::Done, "" });
+        }
+        world.report("w-1", time, active, ended);
+        world.handle(Tick { 1'000'000 + time }, time + 1);
+        world.commit(time + 2);
+    };
+    for (int64_t time = 100; time <= 800; time += 100)
+        reportShort(time, 0);
+    BOOST_TEST(world.logged("room.held").size() == 1U);
+    for (int64_t time = 900; time <= 1200; time += 100)
+        reportShort(time, 2);
+    std::vector<RunKey> started = world.starts("w-1", 1203);
+    BOOST_REQUIRE(!started.empty());
+    BOOST_TEST(started.front().task_.job_.value() == waitingJob);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
