Tell an agent on the wire that it has to ask again for newer settings

Cause: an entry whose sources of newer settings are all busy answers AskAgain, but the encoding had no such answer and sent "up to date".

Change: the answer has an alternative askAgain. An older agent takes it for up to date, as before.

Ruled out by counting the answers in the bench: lost announcements, connections that are accepted late, and failed fetches; asking again after a fetch from a named source left the bench as it was.

Tests: membership_codec/every_hint_is_decoded_as_it_was_encoded and membership_path/agent_that_is_told_to_ask_again_does_so_before_its_next_keepalive failed with the change taken out (3 checks). test_membership, test_settings, test_app and test_routing pass.

--- a/membership/schema/Membership.capnp
+++ b/membership/schema/Membership.capnp
@@ -39,6 +39,8 @@
     fetchHere @3 :Void;
     # Newer settings can be fetched from this address.
     fetchFrom @4 :Text;
+    # Newer settings exist, but all sources of them are busy.
+    askAgain @5 :Void;
   }
 }
 
--- a/membership/src/Codec.cpp
+++ b/membership/src/Codec.cpp
@@ -66,7 +66,7 @@
 {
     std::visit(Visitor {
                    [&](const settings::UpToDate&) { wire.setUpToDate(); },
-                   [&](const settings::AskAgain&) { wire.setUpToDate(); },
+                   [&](const settings::AskAgain&) { wire.setAskAgain(); },
                    [&](const settings::FetchHere&) { wire.setFetchHere(); },
                    [&](const settings::FetchFrom& from) { wire.setFetchFrom(from.source_.text()); },
                },
@@ -77,6 +77,8 @@
 {
     if (wire.isFetchHere())
         return settings::FetchHere {};
+    if (wire.isAskAgain())
+        return settings::AskAgain {};
     if (!wire.isFetchFrom())
         return settings::UpToDate {};
     auto source = Address::parse(wire.getFetchFrom().cStr());
--- a/membership/tests/MembershipPathTest.cpp
+++ b/membership/tests/MembershipPathTest.cpp
@@ -27,12 +27,12 @@
 
 // An entry: its view and the RPC server that offers it.
 struct Entry {
-    explicit Entry(const asio::any_io_executor& executor)
+    explicit Entry(const asio::any_io_executor& executor, const settings::Hint& hint = settings::UpToDate {})
         : present_(std::make_shared<std::set<std::string>>())
         , view_(executor, SteadyClock(), [present = present_](ViewAction action) { return recordAction(present, std::move(action)); })
     {
         rpc::Interfaces interfaces;
-        offerMembership(interfaces, view_);
+        offerMembership(interfaces, view_, [hint](const settings::DigestAnnouncement&) { return answerWith(hint); });
         server_ = *rpc::Server::listen(executor, *Address::parse("127.0.0.1:0"), std::move(interfaces));
     }
 
@@ -45,6 +45,8 @@
         co_return;
     }
 
+    static asio::awaitable<settings::Hint> answerWith(settings::Hint hint) { co_return hint; }
+
     std::shared_ptr<std::set<std::string>> present_;
     ViewActor view_;
     std::unique_ptr<rpc::Server> server_;
@@ -87,6 +89,31 @@
         }
     }
 
+    // Adds so many other workers that keepalives become rare.
+    void joinOthers(const Entry& entry)
+    {
+        constexpr size_t others = 200;
+        auto join = [](ViewActor view) -> asio::awaitable<void> {
+            for (size_t number = 0; number < others; ++number) {
+                Announcement announcement = announcementOf("other-" + std::to_string(number), 1);
+                ViewMessage message = Announced { announcement };
+                co_await view.handle(std::move(message), announcement.worker_, announcement.incarnation_);
+            }
+        };
+        spawn(executor_, "others", join(entry.view_));
+        runUntil([&] { return entry.present_->size() == others; });
+    }
+
+    // True if an agent that never gets newer settings asks the entry three times, long before its keepalives are due.
+    bool asksAgain(const Entry& entry)
+    {
+        auto hints = std::make_shared<int>(0);
+        Announcer announcer(executor_, { entry.server_->address() }, announcementOf("w1", 1), [hints](const Address&, const settings::Hint&) { ++*hints; });
+        runUntil([&] { return *hints >= 3; });
+        announcer.stop();
+        return *hints >= 3;
+    }
+
     rpc::Loop loop_;
     asio::any_io_executor executor_ = loop_.context().get_executor();
 };
@@ -166,6 +193,15 @@
     announcer.stop();
 }
 
+// Guards against an agent that takes a busy entry for one without newer settings, and waits for its next keepalive, 20 s
+// later among 200 agents.
+BOOST_AUTO_TEST_CASE(agent_that_is_told_to_ask_again_does_so_before_its_next_keepalive)
+{
+    Entry entry(executor_, settings::AskAgain {});
+    joinOthers(entry);
+    BOOST_TEST(asksAgain(entry));
+}
+
 BOOST_AUTO_TEST_CASE(message_sizes_are_within_the_byte_budget)
 {
     Entry entry(executor_);
