Add the command report: who waited, for what, and where work went, from log lines

Which jobs waited, for what, and what stood idle meanwhile had to be put together by hand from the lines of some hundred processes.

Change: persimmondoor report FILE... reads log lines and adds them up: waiting time by cause, queue, size and failure domain; second by second tasks that wait, cores, workers out of use, slow transactions, refusals and leaders; cores that stand idle beside a backlog, by reason. As text, JSON or one page with charts. The slice report/ parses a line into a variant of events, folds it into a summary that does not depend on the order of lines, and composes a document that three renderers show. Drawings and the escape of markup move from burn/ and bench/colocation to the slice pages/, which all three use.

Ruled out: a script beside the product; holding all lines in memory; sorting lines by time, as clocks of hosts differ and logs may be large.

--- a/app/src/Main.cpp
+++ b/app/src/Main.cpp
@@ -2,6 +2,7 @@
 
 #include "Deployed.h"
 #include "Options.h"
+#include "Report.h"
 #include "ctl/Ctl.h"
 #include "persimmondoor/app/Agent.h"
 #include "persimmondoor/app/Entry.h"
@@ -197,7 +198,8 @@
 
 static constexpr std::string_view usageText = "usage: persimmondoor entry|agent|local --settings FILE [--name NAME] [--log-level LEVEL]\n"
                                               "       persimmondoor entry|agent --deployment FILE [--log-level LEVEL]\n"
-                                              "       persimmondoor ctl VERB ... [--entry IP:PORT]... [--json] [--token TOKEN]\n";
+                                              "       persimmondoor ctl VERB ... [--entry IP:PORT]... [--json] [--token TOKEN]\n"
+                                              "       persimmondoor report FILE... [--format text|json|html] [--output FILE] [--jobs N]\n";
 
 int runProgram(int argc, char** argv)
 {
@@ -216,6 +218,8 @@
         return runDaemon(subcommand, arguments, startLocal);
     if (subcommand == "ctl")
         return ctl::runCtl(arguments);
+    if (subcommand == "report")
+        return runReport(arguments);
     std::cerr << usageText;
     return Usage;
 }
--- a/bench/colocation/Plot.cpp
+++ b/bench/colocation/Plot.cpp
@@ -1,8 +1,10 @@
 #include "Plot.h"
 
+#include "persimmondoor/pages/SVG.h"
+
+#include <absl/strings/str_format.h>
 #include <algorithm>
 #include <fstream>
-#include <map>
 
 namespace persimmondoor::colocation {
 
@@ -22,35 +24,47 @@
     return height - margin - (std::min(tail, highestTail) - 1) / (highestTail - 1) * (height - 2 * margin);
 }
 
-static void writeAxes(std::ofstream& file, double throughputBound, double tailBound)
+static std::string textOf(double number)
+{
+    return absl::StrFormat("%g", number);
+}
+
+static std::vector<pages::Shape> axes(double throughputBound, double tailBound)
 {
-    file << "<rect x='" << margin << "' y='" << margin << "' width='" << width - 2 * margin << "' height='" << height - 2 * margin << "' fill='none' stroke='black'/>\n";
-    file << "<line x1='" << xOf(throughputBound) << "' x2='" << xOf(throughputBound) << "' y1='" << margin << "' y2='" << height - margin
-         << "' stroke='gray' stroke-dasharray='4'/>\n";
-    file << "<line y1='" << yOf(tailBound) << "' y2='" << yOf(tailBound) << "' x1='" << margin << "' x2='" << width - margin << "' stroke='gray' stroke-dasharray='4'/>\n";
+    std::vector<pages::Shape> shapes { pages::Rectangle { { 0, 0 }, width, height, "page" }, pages::Rectangle { { margin, margin }, width - 2 * margin, height - 2 * margin, "frame" } };
+    shapes.push_back(pages::Line { { xOf(throughputBound), margin }, { xOf(throughputBound), height - margin }, "bound" });
+    shapes.push_back(pages::Line { { margin, yOf(tailBound) }, { width - margin, yOf(tailBound) }, "bound" });
     for (double tick = 0; tick <= highestThroughput; tick += 0.25)
-        file << "<text x='" << xOf(tick) << "' y='" << height - margin + 18 << "' text-anchor='middle'>" << tick << "</text>\n";
+        shapes.push_back(pages::Label { { xOf(tick), height - margin + 18 }, textOf(tick), "middle" });
     for (double tick = 1; tick <= highestTail; tick += 0.25)
-        file << "<text x='" << margin - 8 << "' y='" << yOf(tick) + 4 << "' text-anchor='end'>" << tick << "</text>\n";
-    file << "<text x='" << width / 2 << "' y='" << height - 16 << "' text-anchor='middle'>batch throughput / no control</text>\n";
-    file << "<text transform='translate(16," << height / 2 << ") rotate(-90)' text-anchor='middle'>p99 / no colocation</text>\n";
+        shapes.push_back(pages::Label { { margin - 8, yOf(tick) + 4 }, textOf(tick), "end" });
+    shapes.push_back(pages::Label { { width / 2, height - 16 }, "batch throughput / no control", "middle" });
+    shapes.push_back(pages::Label { { margin, margin - 12 }, "p99 / no colocation", "middle" });
+    return shapes;
+}
+
+static constexpr std::string_view styles = "text{font-family:sans-serif;font-size:12px}.page{fill:white}.frame{fill:none;stroke:black}.bound{stroke:gray;stroke-dasharray:4}"
+                                           ".middle{text-anchor:middle}.end{text-anchor:end}.no-colocation{fill:gray}.no-control{fill:red}.fixed-threshold{fill:orange}.learned{fill:green}";
+
+// The class in the style sheet that gives the policy its colour.
+static std::string classOf(std::string policy)
+{
+    std::replace(policy.begin(), policy.end(), ' ', '-');
+    return policy;
 }
 
 void writePlot(const std::string& path, const std::vector<PlotPoint>& points, double throughputBound, double tailBound)
 {
-    static const std::map<std::string, std::string> colours { { "no colocation", "gray" }, { "no control", "red" }, { "fixed threshold", "orange" }, { "learned", "green" } };
-    std::ofstream file(path);
-    file << "<svg xmlns='http://www.w3.org/2000/svg' width='" << width << "' height='" << height << "' font-family='sans-serif' font-size='12'>\n";
-    file << "<rect width='100%' height='100%' fill='white'/>\n";
-    writeAxes(file, throughputBound, tailBound);
+    std::vector<pages::Shape> shapes = axes(throughputBound, tailBound);
     for (const PlotPoint& point : points)
-        file << "<circle cx='" << xOf(point.throughput_) << "' cy='" << yOf(point.tail_) << "' r='4' fill='" << colours.at(point.policy_) << "'/>\n";
+        shapes.push_back(pages::Circle { { xOf(point.throughput_), yOf(point.tail_) }, 4, classOf(point.policy_) });
     double line = margin + 16;
-    for (const auto& [policy, colour] : colours) {
-        file << "<circle cx='" << margin + 14 << "' cy='" << line - 4 << "' r='4' fill='" << colour << "'/><text x='" << margin + 24 << "' y='" << line << "'>" << policy << "</text>\n";
+    for (const char* policy : { "fixed threshold", "learned", "no colocation", "no control" }) {
+        shapes.push_back(pages::Circle { { margin + 14, line - 4 }, 4, classOf(policy) });
+        shapes.push_back(pages::Label { { margin + 24, line }, policy, "" });
         line += 16;
     }
-    file << "</svg>\n";
+    std::ofstream(path) << pages::toSVG({ width, height, "tail latency against throughput", std::move(shapes), std::string(styles) }) << "\n";
 }
 
 } // namespace persimmondoor::colocation
--- a/burn/src/HTML.cpp
+++ b/burn/src/HTML.cpp
@@ -1,9 +1,9 @@
 #include "persimmondoor/burn/Report.h"
 
 #include "persimmondoor/core/Text.h"
+#include "persimmondoor/pages/SVG.h"
 
 #include <absl/strings/str_format.h>
-#include <absl/strings/str_replace.h>
 #include <algorithm>
 
 namespace persimmondoor::burn {
@@ -13,10 +13,7 @@
 static constexpr double plotHeight = 80;
 static constexpr double minimumScale = 2;
 
-static std::string escape(const std::string& text)
-{
-    return absl::StrReplaceAll(text, { { "&", "&amp;" }, { "<", "&lt;" }, { ">", "&gt;" }, { "\"", "&quot;" } });
-}
+using pages::escape;
 
 // Plots the burn rate of each half hour as a line, with a dashed rule at the rate 1.
 static std::string plotOf(const ServiceReport& service, Minute now)
@@ -25,16 +22,15 @@
     for (const PlotPoint& point : service.plot_)
         scale = std::max(scale, point.burnRate_);
     uint64_t last = now.value() / minutesPerHalfHour;
-    std::string points;
+    pages::Polyline rates;
     for (const PlotPoint& point : service.plot_) {
         uint64_t age = std::min<uint64_t>(last - std::min(last, point.halfHour_), halfHoursKept - 1);
         double x = plotWidth * (1 - static_cast<double>(age) / static_cast<double>(halfHoursKept - 1));
-        points += absl::StrFormat("%.1f,%.1f ", x, plotHeight * (1 - point.burnRate_ / scale));
+        rates.points_.push_back({ x, plotHeight * (1 - point.burnRate_ / scale) });
     }
     double rule = plotHeight * (1 - 1 / scale);
-    return absl::StrFormat("<svg width=\"%.0f\" height=\"%.0f\" role=\"img\" aria-label=\"burn rate over three days, up to %.1f\">"
-                           "<line x1=\"0\" x2=\"%.0f\" y1=\"%.1f\" y2=\"%.1f\" class=\"rule\"/><polyline points=\"%s\"/></svg>",
-        plotWidth, plotHeight, scale, plotWidth, rule, rule, points);
+    std::string description = absl::StrFormat("burn rate over three days, up to %.1f", scale);
+    return pages::toSVG({ plotWidth, plotHeight, description, { pages::Line { { 0, rule }, { plotWidth, rule }, "rule" }, rates } });
 }
 
 static std::string rowOf(const ServiceReport& service, Minute now)
