Count the rest of the leader's path: a start, an end, a list, messages and rows

bench_leader counted placement, a reading and the estimates, but not what a task costs from its acceptance to the order in the reply, what one end costs until it is durable, a list with many runs, or any bytes.

--- a/bench/leader/Fleet.cpp
+++ b/bench/leader/Fleet.cpp
@@ -1,6 +1,9 @@
 #include "Fleet.h"
 
 #include "persimmondoor/core/Text.h"
+#include "persimmondoor/workflow/Record.h"
+
+#include <algorithm>
 
 namespace persimmondoor::workflow {
 
@@ -9,9 +12,17 @@
 static constexpr int64_t workerMilliCores = 64'000;
 static constexpr int64_t workerBytes = 256'000'000'000;
 
+static constexpr uint32_t firstWorker = 1'000'000;
+
 static std::string workerName(uint32_t worker)
 {
-    return concat("i-", 1'000'000 + worker);
+    return concat("i-", firstWorker + worker);
+}
+
+static std::string jobName(uint64_t number)
+{
+    std::string digits = concat(number);
+    return std::string(16 - digits.size(), '0') + digits;
 }
 
 Fleet::Fleet(uint32_t workers)
@@ -49,16 +60,15 @@
 
 void Fleet::submit(Step step)
 {
-    std::string digits = concat(++jobs_);
-    std::string id = std::string(16 - digits.size(), '0') + digits;
+    std::string id = jobName(++jobs_);
     handle(CallArrived { CallToken(jobs_), { "h.example", "/q/" + id, Submit { *JobSpec::create("spec", { std::move(step) }, {}) }, std::chrono::seconds(3) }, 1'000'000 });
 }
 
-void Fleet::submitFilling(uint32_t tasks, int64_t milliCores)
+void Fleet::submitFilling(uint32_t tasks, int64_t milliCores, int64_t memoryBytes)
 {
     Step step;
     step.count_ = tasks;
-    step.demand_ = *Resources::create(milliCores, 13'000'000'000, 0);
+    step.demand_ = *Resources::create(milliCores, memoryBytes, 0);
     step.estimate_ = std::chrono::milliseconds(1700);
     step.isFilling_ = true;
     step.savesProgress_ = true;
@@ -66,10 +76,49 @@
     submit(std::move(step));
 }
 
-void Fleet::commitAll()
+uint64_t Fleet::commitAll()
 {
-    while (!state_.stagedOrder_.empty())
-        handle(BatchDurable { extractBatch(state_), now_ });
+    uint64_t bytes = 0;
+    while (!state_.stagedOrder_.empty()) {
+        Batch batch = extractBatch(state_);
+        for (const Batch::Item& item : batch.items_) {
+            if (std::optional<Progress> progress = progressOf(state_, item.job_))
+                bytes += encodeProgress(*progress).size();
+        }
+        handle(BatchDurable { std::move(batch), now_ });
+    }
+    return bytes;
+}
+
+uint32_t Fleet::startTask()
+{
+    submitFilling(1, 1000);
+    commitAll();
+    JobId job = JobId::of(jobName(jobs_));
+    std::string agent = state_.jobs_.at(job).tasks_.front().progress_.worker_.name_;
+    for (const Order& order : makeReportReply(state_, agent, now_).orders_)
+        takeOrder(agent, order);
+    return static_cast<uint32_t>(std::stoul(agent.substr(2)) - firstWorker);
+}
+
+uint64_t Fleet::endRun(uint32_t worker)
+{
+    std::string name = workerName(worker);
+    auto& active = active_[name];
+    auto filling = std::find_if(active.begin(), active.end(), [&](const auto& run) { return run.second; });
+    if (filling == active.end())
+        return 0;
+    RunKey run = filling->first;
+    active.erase(filling);
+    AgentReport report = reportOf(worker);
+    report.workers_.front().ended_.push_back({ 1, run, RunEnd::Done, "" });
+    handle(ReportArrived { std::move(report) });
+    return commitAll();
+}
+
+ReportReply Fleet::replyTo(uint32_t worker)
+{
+    return makeReportReply(state_, workerName(worker), now_);
 }
 
 AgentReport Fleet::reportOf(uint32_t worker)
@@ -84,15 +133,19 @@
     return { name, concat("zone-", worker % 6), 1, state_.epoch_, fence, Sequence(++sequence_), completed_[name], { std::move(lists) }, {}, true, {} };
 }
 
+void Fleet::takeOrder(const std::string& agent, const Order& order)
+{
+    if (const auto* start = std::get_if<StartRun>(&order))
+        active_[agent][start->run_] = state_.jobs_.at(start->run_.task_.job_).record_.spec_.steps()[0].isFilling_;
+    completed_[agent] = numberOf(order);
+}
+
 void Fleet::report(uint32_t worker)
 {
     std::string name = workerName(worker);
     handle(ReportArrived { reportOf(worker) });
-    for (const Order& order : makeReportReply(state_, name, now_).orders_) {
-        if (const auto* start = std::get_if<StartRun>(&order))
-            active_[name][start->run_] = state_.jobs_.at(start->run_.task_.job_).record_.spec_.steps()[0].isFilling_;
-        completed_[name] = numberOf(order);
-    }
+    for (const Order& order : makeReportReply(state_, name, now_).orders_)
+        takeOrder(name, order);
 }
 
 void Fleet::reportAll()
--- a/bench/leader/Fleet.h
+++ b/bench/leader/Fleet.h
@@ -10,14 +10,24 @@
 public:
     explicit Fleet(uint32_t workers);
 
-    // Submits a job of one step and writes it.
-    void submitFilling(uint32_t tasks, int64_t milliCores);
+    // Submits a job of one step.
+    void submitFilling(uint32_t tasks, int64_t milliCores, int64_t memoryBytes = 13'000'000'000);
     // Every agent reports a new reading of its worker; runs that were ordered are listed as active.
     void reportAll();
     // One agent reports its worker.
     void report(uint32_t worker);
-    // Writes all staged jobs.
-    void commitAll();
+    // Writes all staged jobs, with the encoding of their rows.
+    // Returns the bytes of the rows.
+    uint64_t commitAll();
+    // Submits a task, places and writes it, and makes the reply with the order to start it.
+    // Returns the worker.
+    uint32_t startTask();
+    // The agent of the worker reports that a filling run has ended, which is written.
+    // Returns the bytes of the rows.
+    uint64_t endRun(uint32_t worker);
+    // What the agent would report, and what the leader would reply, at this time.
+    AgentReport reportOf(uint32_t worker);
+    ReportReply replyTo(uint32_t worker);
     // The leader's periodic work, with all its log lines.
     void tick();
     void advance(Duration duration) { now_ = now_ + duration; }
@@ -26,7 +36,8 @@
 private:
     void handle(LeaderMessage);
     void submit(Step);
-    AgentReport reportOf(uint32_t worker);
+    // The agent's worker starts or stops the run of the order.
+    void takeOrder(const std::string& agent, const Order&);
 
     Instant now_ { Instant::fromMicroseconds(1'000'000'000) };
     LeaderState state_;
--- a/bench/leader/main.cpp
+++ b/bench/leader/main.cpp
@@ -4,9 +4,22 @@
 //     bench_leader reading 160   one agent reports a new reading of its worker
 //     bench_leader backlog 160   a report, and a round of placement, beside a backlog of jobs that wait for room
 //     bench_leader line 160      the log lines of a tick beside many waiting jobs
+//     bench_leader order 160     one task is accepted, placed, written and ordered to start
+//     bench_leader end 160       an agent reports the end of one run, which is written
+//     bench_leader list 30       an agent reports its worker with 30 runs
+//     bench_leader encode 30     that report is encoded
 //     bench_leader observe 30    the estimates of 16 long-running images are updated with one reading, of 30 filling images
+//
+// Bytes, without callgrind:
+//
+//     bench_leader report-bytes 30   a report of a worker with 30 runs
+//     bench_leader reply-bytes 30    a reply with the orders of 30 starts
+//     bench_leader row-bytes 100     the row that the end of one task rewrites, of a job of 100 tasks
+#include "ExchangeCodec.h"
 #include "Fleet.h"
 
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <chrono>
 #include <iostream>
 #include <string>
@@ -23,13 +36,16 @@
 constexpr uint32_t backlogJobs = 60;
 constexpr uint32_t longBacklogJobs = 600;
 constexpr int64_t tooManyMilliCores = 60'000;
+// Demand of tasks of which hundreds fit a worker.
+constexpr int64_t smallMilliCores = 100;
+constexpr int64_t smallBytes = 100'000'000;
 constexpr uint32_t longRunningImages = 16;
 
 } // namespace
 
 static int usage()
 {
-    std::cerr << "usage: bench_leader start|reading|backlog|line WORKERS, or bench_leader observe IMAGES\n";
+    std::cerr << "usage: bench_leader start|reading|backlog|line|order|end WORKERS, list|encode|report-bytes|reply-bytes RUNS, row-bytes TASKS, or observe IMAGES\n";
     return 2;
 }
 
@@ -57,6 +73,65 @@
     return 0;
 }
 
+// A fleet of one worker with so many small filling tasks; ordered, or reported as active.
+static Fleet crowdedWorker(uint32_t runs, bool isOrdered)
+{
+    Fleet fleet(1);
+    fleet.submitFilling(runs, smallMilliCores, smallBytes);
+    fleet.commitAll();
+    for (uint32_t round = 0; isOrdered && round < 3; ++round) {
+        fleet.advance(std::chrono::milliseconds(500));
+        fleet.reportAll();
+    }
+    return fleet;
+}
+
+template <typename Wire, typename Message>
+static uint64_t encodedBytes(const Message& message)
+{
+    capnp::MallocMessageBuilder builder;
+    persimmondoor::workflow::encode(message, builder.initRoot<Wire>());
+    return capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
+}
+
+static int measureWorker(const std::string& step, uint32_t size)
+{
+    namespace wire = persimmondoor::workflow::wire;
+    Fleet fleet = crowdedWorker(size, step != "reply-bytes");
+    uint64_t bytes = 0;
+    if (step == "list") {
+        CALLGRIND_START_INSTRUMENTATION;
+        fleet.report(0);
+        CALLGRIND_STOP_INSTRUMENTATION;
+    } else if (step == "encode") {
+        auto report = fleet.reportOf(0);
+        CALLGRIND_START_INSTRUMENTATION;
+        bytes = encodedBytes<wire::Report>(report);
+        CALLGRIND_STOP_INSTRUMENTATION;
+    } else if (step == "report-bytes") {
+        bytes = encodedBytes<wire::Report>(fleet.reportOf(0));
+    } else if (step == "reply-bytes") {
+        bytes = encodedBytes<wire::Directive>(fleet.replyTo(0));
+    }
+    std::cout << step << ": " << fleet.assignedTasks() << " tasks assigned, " << bytes << " bytes\n";
+    return 0;
+}
+
+// The row of a job, half of whose tasks are done, and half assigned to workers of their own.
+static int measureRow(uint32_t tasks)
+{
+    namespace workflow = persimmondoor::workflow;
+    workflow::Progress progress;
+    progress.hasStarted_ = true;
+    for (uint32_t task = 0; task < tasks; ++task) {
+        std::string name = "i-" + std::to_string(1'000'000 + task);
+        workflow::TaskPhase phase = task % 2 == 0 ? workflow::TaskPhase::Done : workflow::TaskPhase::Assigned;
+        progress.tasks_.push_back({ phase, 1, 0, { name, 1'700'000'000'000, name }, "", 0 });
+    }
+    std::cout << "row-bytes: " << workflow::encodeProgress(progress).size() << " bytes\n";
+    return 0;
+}
+
 int main(int count, char** arguments)
 {
     if (count != 3)
@@ -64,9 +139,16 @@
     std::string step = arguments[1];
     if (step == "observe")
         return observeReading(static_cast<uint32_t>(std::stoul(arguments[2])));
-    if (step != "start" && step != "reading" && step != "backlog" && step != "line")
+    for (const char* name : { "list", "encode", "report-bytes", "reply-bytes" }) {
+        if (step == name)
+            return measureWorker(step, static_cast<uint32_t>(std::stoul(arguments[2])));
+    }
+    if (step == "row-bytes")
+        return measureRow(static_cast<uint32_t>(std::stoul(arguments[2])));
+    if (step != "order" && step != "end" && step != "start" && step != "reading" && step != "backlog" && step != "line")
         return usage();
-    Fleet fleet(static_cast<uint32_t>(std::stoul(arguments[2])));
+    auto workers = static_cast<uint32_t>(std::stoul(arguments[2]));
+    Fleet fleet(workers);
     for (uint32_t job = 0; job < 8; ++job)
         fleet.submitFilling(4, wideJobMilliCores);
     fleet.commitAll();
@@ -82,12 +164,24 @@
     }
     fleet.advance(std::chrono::milliseconds(100));
     uint64_t assigned = fleet.assignedTasks();
+    uint32_t worker = 1;
+    if (step == "end") {
+        worker = fleet.startTask();
+        fleet.advance(std::chrono::milliseconds(100));
+        fleet.report(worker);
+    }
+    if (step == "order" || step == "end")
+        fleet.commitAll();
     auto begun = std::chrono::steady_clock::now();
     CALLGRIND_START_INSTRUMENTATION;
     if (step == "start")
         fleet.submitFilling(wideJobTasks, wideJobMilliCores);
     else if (step == "line")
         fleet.tick();
+    else if (step == "order")
+        fleet.startTask();
+    else if (step == "end")
+        fleet.endRun(worker);
     else
         fleet.report(1);
     CALLGRIND_STOP_INSTRUMENTATION;
