A connection that cannot be accepted no longer ends its server

Cause: the accept loops of the HTTP and RPC servers ended with any error of accept, such as too many open files or a client that reset its connection, while the process went on without accepting anything. Change: the error is logged (connection.not_accepted) and the loop goes on after 50 ms; a closed acceptor still ends it. TCP_NODELAY on a connection that has gone is no error. Ruled out: ending the process, as its open connections serve on. Without the mend http_server/server_accepts_again_once_there_are_file_descriptors gets no answer (actor.failed, 'Too many open files'). The RPC server has the same loop and no test of its own.

--- a/http/src/Server.cpp
+++ b/http/src/Server.cpp
@@ -2,6 +2,7 @@
 
 #include "Convert.h"
 #include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Log.h"
 
 #include "persimmondoor/core/Text.h"
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -24,6 +25,9 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
+// Pause after a connection that could not be accepted, so that the server does not spin while it lacks file descriptors.
+static constexpr Duration acceptRetryInterval = std::chrono::milliseconds(50);
+
 // One accepted connection.
 struct Session {
     explicit Session(asio::ip::tcp::socket socket)
@@ -166,8 +170,18 @@
 static asio::awaitable<void> acceptSessions(std::shared_ptr<State> state)
 {
     while (state->acceptor_.is_open()) {
-        asio::ip::tcp::socket socket = co_await state->acceptor_.async_accept(asio::use_awaitable);
-        socket.set_option(asio::ip::tcp::no_delay(true));
+        boost::system::error_code error;
+        asio::ip::tcp::socket socket = co_await state->acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted)
+            co_return;
+        // The client may be gone, or the process may be out of file descriptors for a while.
+        if (error) {
+            logWarning("connection.not_accepted", { { "reason", error.message() } });
+            co_await sleepFor(acceptRetryInterval);
+            continue;
+        }
+        boost::system::error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored); // NOLINT(bugprone-unused-return-value)
         auto session = std::make_shared<Session>(std::move(socket));
         state->sessions_.insert(session);
         spawn(state->acceptor_.get_executor(), "http session", serveSession(state, session));
--- /dev/null
+++ b/http/tests/ServerTest.cpp
@@ -0,0 +1,77 @@
+#include "persimmondoor/http/Server.h"
+
+#include "persimmondoor/core/Coroutine.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace persimmondoor::http {
+
+namespace asio = boost::asio;
+
+// Lowers the limit of this process's file descriptors so far that none can be opened, until destroyed.
+class NoFileDescriptors {
+public:
+    NoFileDescriptors()
+    {
+        getrlimit(RLIMIT_NOFILE, &former_);
+        int next = dup(STDIN_FILENO);
+        close(next);
+        rlimit lowered { static_cast<rlim_t>(next), former_.rlim_max };
+        setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+    ~NoFileDescriptors() { setrlimit(RLIMIT_NOFILE, &former_); }
+    NoFileDescriptors(const NoFileDescriptors&) = delete;
+    NoFileDescriptors& operator=(const NoFileDescriptors&) = delete;
+
+private:
+    rlimit former_ {};
+};
+
+// Connects while the process has no file descriptor for the server's side, and returns what the server answers afterwards.
+static asio::awaitable<std::string> connectWithoutDescriptors(Address address)
+{
+    asio::ip::tcp::socket socket(co_await asio::this_coro::executor, asio::ip::tcp::v4());
+    {
+        NoFileDescriptors none;
+        co_await socket.async_connect({ asio::ip::make_address(address.ip()), address.port() }, asio::use_awaitable);
+        co_await sleepFor(std::chrono::milliseconds(100));
+    }
+    std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+    std::string answer;
+    boost::system::error_code error;
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(answer), "\r\n", asio::redirect_error(asio::use_awaitable, error));
+    co_return answer;
+}
+
+BOOST_AUTO_TEST_SUITE(http_server)
+
+// Guards against a process that accepts no connection any more after one could not be accepted.
+BOOST_AUTO_TEST_CASE(server_accepts_again_once_there_are_file_descriptors)
+{
+    asio::io_context context;
+    auto server = Server::listen(context.get_executor(), *Address::parse("127.0.0.1:0"), {}, [](Request) -> asio::awaitable<Response> { co_return Response { 200, {}, "" }; });
+    BOOST_REQUIRE(server.ok());
+    std::string answer;
+    asio::co_spawn(context, connectWithoutDescriptors((*server)->address()), [&](const std::exception_ptr& error, std::string text) {
+        answer = error ? "no connection" : std::move(text);
+        context.stop();
+    });
+    context.run_for(std::chrono::seconds(5));
+    BOOST_TEST(answer.substr(0, 12) == "HTTP/1.1 200");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace persimmondoor::http
--- a/rpc/src/Server.cpp
+++ b/rpc/src/Server.cpp
@@ -7,6 +7,7 @@
 
 #include "persimmondoor/core/Text.h"
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <capnp/rpc-twoparty.h>
@@ -15,6 +16,9 @@
 
 namespace asio = boost::asio;
 
+// Pause after a connection that could not be accepted, so that the server does not spin while it lacks file descriptors.
+static constexpr Duration acceptRetryInterval = std::chrono::milliseconds(50);
+
 capnp::Capability::Client Interfaces::find(const std::string& name) const
 {
     auto found = clients_.find(name);
@@ -81,8 +85,18 @@
         asio::awaitable<void> run(std::shared_ptr<TCPServer> self)
         {
             while (self->acceptor_.is_open()) {
-                asio::ip::tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
-                socket.set_option(asio::ip::tcp::no_delay(true));
+                boost::system::error_code error;
+                asio::ip::tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+                if (error == asio::error::operation_aborted)
+                    co_return;
+                // The peer may be gone, or the process may be out of file descriptors for a while.
+                if (error) {
+                    logWarning("connection.not_accepted", { { "reason", error.message() } });
+                    co_await sleepFor(acceptRetryInterval);
+                    continue;
+                }
+                boost::system::error_code ignored;
+                socket.set_option(asio::ip::tcp::no_delay(true), ignored); // NOLINT(bugprone-unused-return-value)
                 adopt(std::move(socket));
             }
         }
