Report a refused start until a report with it is answered

An agent dropped its refusals as soon as it had sent a report with them. Where that report was lost, or arrived after a later one and was ignored, the leader learnt of the refusal only when all earlier orders of the agent were completed.

Refusals now stay in the reports until the answer to one that carried them.

Ruled out: putting them back when a report fails, as a report that was overtaken does not fail.

--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -79,7 +80,8 @@
     /// of the call.
     std::map<workflow::RunKey, Instant> recentStarts_;
     std::vector<workflow::EndedRun> ended_;
-    std::vector<workflow::RefusedStart> refused_;
+    /// Refused starts that no answered report has carried yet, with the first report that carried each; 0 before it was sent.
+    std::vector<std::pair<workflow::RefusedStart, Sequence>> refused_;
     uint64_t durableEnd_ { 0 };
     /// When the load of the runs is read next.
     Instant nextReadingAt_;
--- a/supervision/src/decisions/Reporting.cpp
+++ b/supervision/src/decisions/Reporting.cpp
@@ -23,7 +23,8 @@
             report.active_.push_back({ run, "", 0, 0, fullPace });
     }
     report.ended_ = worker.ended_;
-    report.refused_ = worker.refused_;
+    for (const auto& [refused, reportedIn] : worker.refused_)
+        report.refused_.push_back(refused);
     return report;
 }
 
@@ -37,7 +38,10 @@
     workflow::AgentReport report { state.name_, state.domain_, state.session_, state.epoch_, state.fence_, state.sequence_, state.lastCompletedOrder_, {}, {}, true, {} };
     for (auto& [incarnation, worker] : state.workers_) {
         report.workers_.push_back(reportOf(state, incarnation, worker, context.now_));
-        worker.refused_.clear();
+        for (auto& [refused, reportedIn] : worker.refused_) {
+            if (reportedIn == Sequence())
+                reportedIn = state.sequence_;
+        }
     }
     for (const auto& [incarnation, time] : state.endedWorkers_)
         report.endedWorkers_.push_back(incarnation);
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -29,7 +29,7 @@
 {
     auto worker = context.state_.workers_.find(order.worker_);
     if (worker != context.state_.workers_.end())
-        worker->second.refused_.push_back({ order.run_, reason });
+        worker->second.refused_.push_back({ { order.run_, reason }, Sequence() });
     context.logEvent("run.refused", workflow::describe(order.run_), concat("worker ", describe(order.worker_), ": ", workflow::describe(reason)));
     completeOrder(context, order.number_);
 }
@@ -83,6 +83,13 @@
     }
 }
 
+// Drops the refusals that the answered report carried; a report may be lost or overtaken by a later one.
+static void dropKnownRefusals(const DecisionContext& context, Sequence answered)
+{
+    for (auto& [incarnation, worker] : context.state_.workers_)
+        std::erase_if(worker.refused_, [&](const auto& entry) { return entry.second != Sequence() && entry.second <= answered; });
+}
+
 static void handleReportReply(const DecisionContext& context, const workflow::ReportReply& reply)
 {
     workflow::Fence lowestFence = std::max(context.state_.fence_, context.state_.voidFence_.next());
@@ -95,6 +102,7 @@
     if (sent != context.state_.reportsSentAt_.end() && reply.lease_ > Duration(0))
         context.state_.leaseHorizon_ = std::max(context.state_.leaseHorizon_, sent->second + reply.lease_);
     context.state_.reportsSentAt_.erase(context.state_.reportsSentAt_.begin(), context.state_.reportsSentAt_.lower_bound(reply.answeredReport_));
+    dropKnownRefusals(context, reply.answeredReport_);
     for (const workflow::DurableEnds& durable : reply.durableEnds_) {
         auto worker = context.state_.workers_.find(durable.worker_);
         if (worker == context.state_.workers_.end() || durable.number_ <= worker->second.durableEnd_)
--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -202,6 +202,25 @@
     BOOST_TEST((agent.actionsOf<SendReport>()[0].report_.workers_[0].refused_ == refused));
 }
 
+// Guards against a refusal that the leader never learns, as the report that carried it was lost or overtaken.
+BOOST_AUTO_TEST_CASE(refusal_is_reported_until_a_report_with_it_is_answered)
+{
+    Agent agent;
+    agent.attach();
+    agent.handle(ListFailed { incarnation, false }, 600);
+    agent.sendReply(610, { start(1) });
+    std::vector<workflow::RefusedStart> refused { { firstRun, workflow::StartRefusal::Unavailable } };
+    BOOST_REQUIRE((agent.actionsOf<SendReport>().at(0).report_.workers_[0].refused_ == refused));
+    agent.handle(ReportFailed {}, 700);
+    agent.handle(SupervisorTick {}, 1500);
+    BOOST_REQUIRE(agent.actionsOf<SendReport>().size() == 1U);
+    BOOST_TEST((agent.actionsOf<SendReport>()[0].report_.workers_[0].refused_ == refused));
+    agent.sendReply(1600);
+    agent.sendReply(1601);
+    BOOST_REQUIRE(agent.actionsOf<SendReport>().size() == 1U);
+    BOOST_TEST(agent.actionsOf<SendReport>()[0].report_.workers_[0].refused_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(unreachable_worker_is_removed_after_its_leases_have_expired)
 {
     Agent agent;
