Free the room of a stopped run once its worker lists the end

The room of a run that is being stopped stayed reserved until the order to stop it counted as completed. Orders complete in the sequence of their agent, so that an earlier stop, to another worker that does not answer, kept the room taken although the end was listed. The end now counts as proof: the worker refuses a start of that run from then on.

Ruled out: releasing on absence alone, as a start may still be under way.

Remains: a run that leaves no trace (no end, not listed) still waits for all earlier orders of its agent, also those to other workers.

--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -52,6 +52,9 @@
 void orderStop(const DecisionContext&, const TaskKey&, Task&, std::string_view why);
 // Keeps the room of a run that is ordered to stop until its worker no longer lists it, as it is released only then.
 void reserveStoppingRun(Worker&, const RunKey&, const Step&, OrderNumber stopOrder);
+// Notes that the worker has listed the end of a run, whose room then no longer waits for the order to stop it: that order counts
+// as open as long as an earlier one of the agent is, such as one to another worker.
+void noteStoppedRun(Worker&, const RunKey&);
 // Releases the room of the stopped runs that are neither active on the worker nor still to be stopped by an order.
 void releaseStoppedRuns(Worker&, const std::vector<ActiveRun>& active, OrderNumber lastCompletedOrder);
 // Stops all assigned tasks of the job; starts that have not been released are withdrawn.
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -148,6 +148,7 @@
 {
     Worker& worker = context.state_.workers_.at(incarnation);
     worker.lastHandledEnd_ = end.number_;
+    noteStoppedRun(worker, end.run_);
     if (holdUnreadableEnd(context, incarnation, worker, end))
         return;
     Task* task = findTask(context.state_, end.run_.task_);
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -238,6 +238,12 @@
         worker.reserved_ = worker.reserved_ + demand;
 }
 
+void noteStoppedRun(Worker& worker, const RunKey& run)
+{
+    if (auto stopping = worker.stoppingRuns_.find(run); stopping != worker.stoppingRuns_.end())
+        stopping->second.order_ = OrderNumber();
+}
+
 void releaseStoppedRuns(Worker& worker, const std::vector<ActiveRun>& active, OrderNumber lastCompletedOrder)
 {
     for (auto run = worker.stoppingRuns_.begin(); run != worker.stoppingRuns_.end();) {
--- a/workflow/tests/StoppingRoomTest.cpp
+++ b/workflow/tests/StoppingRoomTest.cpp
@@ -169,6 +169,14 @@
     BOOST_TEST(second.state_.workers_.at(worker).reserved_.milliCores() == 0);
 }
 
+// Guards against room that stays taken after its run has ended, as an order to another worker of the agent is still open.
+BOOST_AUTO_TEST_CASE(room_is_free_once_the_end_is_listed_while_an_earlier_order_of_the_agent_is_open)
+{
+    StoppingWorld world;
+    world.report("w-2", 200, {}, { { 1, world.run_.run_, RunEnd::Stopped, "" } });
+    BOOST_TEST(world.reservedCores() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
