Leave slowed tasks' cores to others beside a long-running task without a target

Readings are taken only of long-running tasks with a target for their tail, so that one without a target kept the idle cores of slowed filling tasks for as long as it ran. Only images with a target count now, as they do in the agent's computation of paces.

Ruled out: a change of paceAt and of the score of images, which count every image; no fault was shown there.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -142,6 +142,8 @@
     uint32_t longRunningCount_ { 0 };
     Resources longRunningReserved_;
     std::map<std::string, uint32_t> longRunningByImage_;
+    /// Number by image of those with a target for their tail; readings are known of these alone.
+    std::map<std::string, uint32_t> targetedByImage_;
     /// A task under which another worker has crashed and that was started here: no other run is started until a reading
     /// shows it.
     std::optional<TaskKey> observedTask_;
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -69,15 +69,15 @@
     return worker.traits_.capacity_.milliCores() - worker.reserved_.milliCores() + worker.fillingMilliCores_;
 }
 
-// True if the tails of all long-running tasks on the worker leave room for filling tasks. Images of which no reading is known
-// yet leave none.
+// True if the tails of all long-running tasks on the worker leave room for filling tasks. Images with a target of
+// which no reading is known yet leave none.
 static bool hasHeadroom(const Worker& worker)
 {
     auto hasReading = [&](const auto& image) {
         return std::any_of(worker.headrooms_.begin(), worker.headrooms_.end(), [&](const Headroom& headroom) { return headroom.image_ == image.first; });
     };
     return std::all_of(worker.headrooms_.begin(), worker.headrooms_.end(), [](const Headroom& headroom) { return headroom.utilisation_ > 0; })
-        && std::all_of(worker.longRunningByImage_.begin(), worker.longRunningByImage_.end(), hasReading);
+        && std::all_of(worker.targetedByImage_.begin(), worker.targetedByImage_.end(), hasReading);
 }
 
 int64_t spareMilliCores(const Worker& worker)
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -187,6 +187,8 @@
         return;
     ++worker.longRunningCount_;
     ++worker.longRunningByImage_[step.image_];
+    if (step.targetTailMs_ > 0)
+        ++worker.targetedByImage_[step.image_];
     worker.longRunningReserved_ = worker.longRunningReserved_ + step.demand_;
 }
 
@@ -226,6 +228,8 @@
     --worker.longRunningCount_;
     if (auto image = worker.longRunningByImage_.find(step.image_); --image->second == 0)
         worker.longRunningByImage_.erase(image);
+    if (auto image = worker.targetedByImage_.find(step.image_); step.targetTailMs_ > 0 && --image->second == 0)
+        worker.targetedByImage_.erase(image);
     worker.longRunningReserved_ = worker.longRunningReserved_ - step.demand_;
 }
 
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -155,6 +155,22 @@
     BOOST_TEST(world.starts(world.search_, 1311).empty());
 }
 
+// Guards against idle cores that are kept for a long-running task without a target, of which no reading is ever known.
+BOOST_AUTO_TEST_CASE(slowed_tasks_leave_their_cores_beside_a_long_running_task_without_a_target)
+{
+    FillingWorld world;
+    Step untargeted = longRunningStep("indexing");
+    untargeted.targetTailMs_ = 0;
+    untargeted.demand_ = *Resources::create(100, 1000, 0);
+    world.submit({ untargeted }, 150, "00000000000000ee");
+    world.commit(160);
+    BOOST_REQUIRE(world.starts(world.search_, 161).size() == 1U);
+    world.lastCompletedOrder_ = world.lastCompletedOrder_.next();
+    world.unreadBesideSearch_ = { { runOf("00000000000000ee"), "", 100, 0, 100 } };
+    submitBesidePausedTasks(world);
+    BOOST_TEST(!world.starts(world.search_, 1311).empty());
+}
+
 // Guards against two groups of slowed tasks that wait for each other's cores.
 BOOST_AUTO_TEST_CASE(slowed_tasks_trade_places)
 {
