Search room to hold in turn, so that tasks that fit nowhere don't use up the searches

Cause: each update of the holds makes a bounded number of searches that find no worker, beginning with the most urgent task. Change: an update whose searches are used up notes the task that was left; the next one goes on there. Ruled out: a higher bound, as each such search visits all workers. Test: room_holds/older_tasks_that_fit_nowhere_do_not_use_up_the_searches_of_each_update, shown red by the review (no hold in 5 s).

--- a/report/tests/LineTest.cpp
+++ b/report/tests/LineTest.cpp
@@ -23,7 +23,7 @@
 BOOST_AUTO_TEST_CASE(other_lines_are_told_from_cut_ones)
 {
     std::string line = lineOf(1000, "job.taken", "00aa", "queue q");
-    for (const std::string& foreign : { std::string(), std::string("starting"), std::string("{\"a\":1}"), std::string("\0\xff\x1b[2J{", 8), std::string("{\"time_ms\":\"x\",\"process\":\"p\",\"event\":\"e\"}"), std::string("{\"time_ms\":1.5,\"process\":\"p\",\"event\":\"e\"}"), std::string("{\"time_ms\":1,\"process\":\"p\"}") })
+    for (const std::string& foreign : { std::string(), std::string("starting"), std::string("{\"a\":1}"), std::string("\0\xff\x1b[2J{", 7), std::string("{\"time_ms\":\"x\",\"process\":\"p\",\"event\":\"e\"}"), std::string("{\"time_ms\":1.5,\"process\":\"p\",\"event\":\"e\"}"), std::string("{\"time_ms\":1,\"process\":\"p\"}") })
         BOOST_TEST(std::holds_alternative<ForeignLine>(parseLine(foreign)), foreign);
     for (size_t length = 11; length < line.size(); ++length)
         BOOST_TEST(std::holds_alternative<CutLine>(parseLine(line.substr(0, length))), length);
--- a/supervision/src/SupervisorActor.cpp
+++ b/supervision/src/SupervisorActor.cpp
@@ -95,7 +95,8 @@
     template <typename State>
     asio::awaitable<void> postFailure(std::shared_ptr<State> state, SupervisorMessage failure)
     {
-        co_await state->mailbox_.post(std::move(failure));
+        SupervisorMessage message = std::move(failure);
+        co_await state->mailbox_.post(std::move(message));
     }
 
     // Posts the outcome that a call owes the actor, if the call ends by an error.
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -297,6 +297,8 @@
     Instant nextCheckAt_;
     /// When the backlog is logged next, if there is one.
     Instant nextBacklogReportAt_;
+    /// The waiting task with which the searches for room to hold go on; empty to begin with the most urgent.
+    std::optional<TaskKey> holdSearchesFrom_;
     /// When the waiting long-running tasks are logged next.
     Instant nextWaitReportAt_;
     /// Newest time of day, in milliseconds since 1970 UTC; for schedules and deadlines.
--- a/workflow/src/decisions/RoomHolds.cpp
+++ b/workflow/src/decisions/RoomHolds.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace persimmondoor::workflow {
 
@@ -256,11 +257,19 @@
     std::vector<WaitingTask> waitingTasks = collectWaitingTasks(context);
     for (const WaitingTask& waiting : waitingTasks)
         findTask(state, waiting.key_)->isRoomHeld_ = false;
+    std::optional<TaskKey> searchesFrom = std::exchange(state.holdSearchesFrom_, std::nullopt);
+    bool isSearching = std::none_of(waitingTasks.begin(), waitingTasks.end(), [&](const WaitingTask& waiting) { return waiting.key_ == searchesFrom; });
     for (const WaitingTask& waiting : waitingTasks) {
         if (held >= bound)
             break;
         Job& job = state.jobs_.at(waiting.key_.job_);
         std::optional<HoldPlace> kept = keptHold(state, former, job, waiting.key_, context.now_);
+        isSearching = isSearching || waiting.key_ == searchesFrom;
+        // Urgent tasks that find no room in any update must not use up the searches of all others.
+        if (!kept && !isSearching)
+            continue;
+        if (!kept && !state.holdSearchesFrom_ && failed.isExhausted(job, waiting.key_))
+            state.holdSearchesFrom_ = waiting.key_;
         std::optional<HoldPlace> chosen = chooseHold(state, kept, job, waiting.key_, failed, context.now_);
         if (!chosen)
             continue;
--- a/workflow/tests/RoomHoldsTest.cpp
+++ b/workflow/tests/RoomHoldsTest.cpp
@@ -356,6 +356,34 @@
     BOOST_TEST(started.front().task_.job_.value() == waitingJob);
 }
 
+// Guards against older tasks that fit nowhere and use up the searches of each update, so that a younger one that would fit
+// never gets room held.
+BOOST_AUTO_TEST_CASE(older_tasks_that_fit_nowhere_do_not_use_up_the_searches_of_each_update)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    world.submit({ longRunningStep("search") }, 20, waitingJob);
+    world.submit({ stepOfTasks(3) }, 21, "00000000000000bb");
+    world.commit(30);
+    BOOST_REQUIRE(world.starts("w-1", 31).size() == 4U);
+    world.lastCompletedOrder_ = OrderNumber(4);
+    for (int64_t number = 0; number < 4; ++number) {
+        Step large = longRunningStep("search");
+        large.demand_ = *Resources::create(3900 - 100 * number, 1000, 0);
+        world.submit({ large }, 40 + number, "00000000000000d" + std::to_string(number));
+    }
+    Step fitting = longRunningStep("search");
+    fitting.demand_ = *Resources::create(2000, 1000, 0);
+    world.submit({ fitting }, 50, "00000000000000cc");
+    for (int64_t time = 700; time <= 5000; time += 200) {
+        world.report("w-1", time, { { runOf(waitingJob), "", 100, 0, 100 }, { runOf("00000000000000bb", 0), "", 10, 0, 100 }, { runOf("00000000000000bb", 1), "", 10, 0, 100 }, { runOf("00000000000000bb", 2), "", 10, 0, 100 } });
+        world.handle(Tick { 1'000'000 + time }, time + 1);
+    }
+    const auto& holds = world.state_.workers_.begin()->second.holds_;
+    BOOST_REQUIRE(holds.size() == 1U);
+    BOOST_TEST(holds.begin()->first.job_.value() == "00000000000000cc");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
