--- a/supervision/src/SupervisorActor.cpp
+++ b/supervision/src/SupervisorActor.cpp
@@ -95,7 +95,7 @@
     template <typename State>
     asio::awaitable<void> postFailure(std::shared_ptr<State> state, SupervisorMessage failure)
     {
-        SupervisorMessage message = std::move(failure);
+        SupervisorMessage message = failure;
         co_await state->mailbox_.post(std::move(message));
     }
 
