--- a/bench/capacity/PlatformPage.cpp
+++ b/bench/capacity/PlatformPage.cpp
@@ -32,7 +32,7 @@
 {
     page.text("# Capacity\n");
     page.text("What each role of the programs on the users' platform needs at the size in two years: 6,300 workers, 3,900 task starts a second, 204,000 tasks running. The slopes");
-    page.text("come from a sweep of the users' bench over lcr-sched-large (one day with killed and restarted processes, workers that leave, a change of the configuration and a lost failure domain, at three sizes, processor charged);");
+    page.text("come from a sweep of the users' bench over its large deployment (one day with killed and restarted processes, workers that leave, a change of the configuration and a lost failure domain, at three sizes, processor charged);");
     page.text("`bench_capacity record` adds the figures of a sweep to [capacity/sweep.json](capacity/sweep.json), `bench_capacity render` writes this page from them, and a test");
     page.text("checks that the page follows from the slopes and each line from its points. The programs without the platform have [a page of their own](capacity/local.md).\n");
     page.text("Needs are carried on along the lines to 6,309 machines, 20 times the largest size that was played. The days of the sweep start 1.3 to 1.4 tasks a second and");
