--- a/review/standins/Cases.h
+++ b/review/standins/Cases.h
@@ -5,11 +5,15 @@
 
 namespace persimmondoor::review {
 
-// An accepted job is given up after two crashes of minions, none of its runs having ended `failed`.
-bool runCrashCase(const std::string& folder, bool hasTrouble);
-// A gang is started again with different values of `saved` after the crash of a minion, and never gets together.
+// A gang is started again with different values of `saved` after the crash of a worker, and never gets together.
 bool runGangCase(const std::string& folder, bool hasTrouble);
-// The notice that a minion leaves arrives after the minion has started again, and its tasks are started a second time.
+// The notice that a worker leaves arrives after the worker has started again, and its tasks are started a second time.
 bool runLeaveCase(const std::string& folder, bool hasTrouble);
+// A worker leaves and its agent is stopped while nobody leads, and the next leader doesn't start its lasting tasks again.
+bool runAwayCase(const std::string& folder, bool hasTrouble);
+// A task crashes one worker after the other, some time after each start, and is never given up.
+bool runDeadlyCase(const std::string& folder, bool hasTrouble);
+// The end of a member of a gang is taken note of before the store has the end of the gang, which is then lost.
+bool runNotedCase(const std::string& folder, bool hasTrouble);
 
 } // namespace persimmondoor::review
--- a/review/standins/Main.cc
+++ b/review/standins/Main.cc
@@ -10,7 +10,7 @@
 int main(int argc, char** argv)
 {
     using namespace persimmondoor::review;
-    const std::map<std::string, bool (*)(const std::string&, bool)> cases { { "crash", runCrashCase }, { "gang", runGangCase }, { "leave", runLeaveCase } };
+    const std::map<std::string, bool (*)(const std::string&, bool)> cases { { "away", runAwayCase }, { "gang", runGangCase }, { "leave", runLeaveCase }, { "noted", runNotedCase }, { "deadly", runDeadlyCase } };
     auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
         std::cerr << "usage: case NAME FOLDER\n";
--- a/review/standins/Minion.h
+++ b/review/standins/Worker.h
@@ -1,4 +1,4 @@
-// A stand-in for a minion. It runs what it is told to start under a lease, and sends heartbeats to the agent on its machine.
+// A stand-in for a worker. It runs what it is told to start under a lease, and sends heartbeats to the agent on its machine.
 #pragma once
 
 #include "Http.h"
@@ -16,7 +16,7 @@
 
 namespace persimmondoor::review {
 
-// What the tasks of a step do, which minions know from the task itself.
+// What the tasks of a step do, which workers know from the task itself.
 struct Work {
     int64_t workMs_ { 1000 };
     int64_t milliCores_ { 1000 };
@@ -26,22 +26,24 @@
     uint32_t gangSize_ { 0 };
     // Bytes of a value of `saved`, at least 16.
     size_t savedBytes_ { 16 };
+    // The task runs until it is stopped.
+    bool lasts_ { false };
 };
 
-// One run on a minion, for the checks of a case.
+// One run on a worker, for the checks of a case.
 struct RunSpan {
     std::string task_;
     uint32_t run_ { 0 };
-    std::string minion_;
+    std::string worker_;
     std::string saved_;
     int64_t startMs_ { 0 };
     // 0 while it runs.
     int64_t endMs_ { 0 };
-    // How it ended, as the minion lists it, or "crash".
+    // How it ended, as the worker lists it, or "crash".
     std::string how_;
 };
 
-// What all minions of a case share: the tasks' work, and the runs.
+// What all workers of a case share: the tasks' work, and the runs.
 class Fleet {
 public:
     explicit Fleet(Record& record)
@@ -74,7 +76,7 @@
 // The step "ID.K.STEP" of a task "ID.K.STEP.INDEX".
 std::string stepOf(const std::string& task);
 
-struct MinionPlace {
+struct WorkerPlace {
     std::string id_;
     std::string ip_;
     uint16_t port_ { 0 };
@@ -85,21 +87,25 @@
     uint16_t controlPort_ { 0 };
 };
 
-// One life of a minion.
-class Minion {
+// One life of a worker.
+class Worker {
 public:
     // `onStart` is called after a start was answered.
-    Minion(MinionPlace place, Fleet& fleet, std::function<void(const std::string& task, uint32_t run)> onStart);
-    ~Minion();
-    Minion(const Minion&) = delete;
-    Minion& operator=(const Minion&) = delete;
+    Worker(WorkerPlace place, Fleet& fleet, std::function<void(const std::string& task, uint32_t run)> onStart);
+    ~Worker();
+    Worker(const Worker&) = delete;
+    Worker& operator=(const Worker&) = delete;
 
     // Ends the life at once: all connections are closed, and all that runs is gone.
     void crash();
     // Says `draining` from now on.
     void drain();
+    // Says that it leaves, and ends.
+    void leave();
     int64_t bornMs() const { return bornMs_; }
     size_t runningCount();
+    // True if an end of the task has been taken note of.
+    bool hasNotedEnd(const std::string& task);
     // Number of list requests that were answered.
     int64_t listCount() const { return lists_; }
 
@@ -129,9 +135,9 @@
     Response start(const std::string& body);
     Response stop(const std::string& body);
     Response hold(const std::string& body);
-    int64_t clockMs() const { return steadyMs() - bornSteadyMs_; }
+    int64_t timeMs() const { return steadyMs() - bornSteadyMs_; }
     int64_t workDoneMs(const Run&) const;
-    void extendLease(int64_t untilMs);
+    void extendLease(int64_t leaseEndMs);
     bool isFenced(int64_t fence);
     std::string newSaved(const std::string& task, Run&);
     void endRun(const std::string& task, const std::string& how);
@@ -139,7 +145,7 @@
     void advance(const std::string& task, Run& run, std::vector<std::pair<std::string, std::string>>& ends);
     void beat();
 
-    MinionPlace place_;
+    WorkerPlace place_;
     Fleet& fleet_;
     std::function<void(const std::string&, uint32_t)> onStart_;
     int64_t bornMs_ { wallMs() };
@@ -154,6 +160,7 @@
     std::map<std::string, Run> running_;
     std::map<std::string, uint32_t> highestEnded_;
     std::vector<End> ended_;
+    std::set<std::string> noted_;
     std::atomic<int64_t> lists_ { 0 };
     std::unique_ptr<Server> server_;
     std::thread worker_;
--- a/review/standins/World.h
+++ b/review/standins/World.h
@@ -1,9 +1,9 @@
-// A small deployment on loopback addresses: the store, entries and agents as processes of their own, and minions.
+// A small deployment on loopback addresses: the store, entries and agents as processes of their own, and workers.
 #pragma once
 
-#include "Minion.h"
 #include "Record.h"
 #include "Store.h"
+#include "Worker.h"
 
 #include <memory>
 #include <string>
@@ -16,7 +16,7 @@
     // Folder of the case; the record is written there.
     std::string folder_;
     size_t entries_ { 2 };
-    size_t minions_ { 8 };
+    size_t workers_ { 8 };
     uint32_t maxAttempts_ { 3 };
 };
 
@@ -52,18 +52,24 @@
     Fleet& fleet() { return *fleet_; }
     Record& record() { return *record_; }
     Store& store() { return *store_; }
-    Minion& minion(size_t index) { return *minions_.at(index); }
-    const MinionPlace& place(size_t index) const { return places_.at(index); }
-    size_t minions() const { return minions_.size(); }
-    // Index of the minion of that name.
-    size_t indexOf(const std::string& minion) const;
-    // Ends the minion's life at once; it starts again under its id after `downMs`.
+    Worker& worker(size_t index) { return *workers_.at(index); }
+    const WorkerPlace& place(size_t index) const { return places_.at(index); }
+    size_t workers() const { return workers_.size(); }
+    // Index of the worker of that name.
+    size_t indexOf(const std::string& worker) const;
+    // Ends the worker's life at once; it starts again under its id after `downMs`.
     void crash(size_t index, int64_t downMs);
-    // Begins a new life of a minion that has ended.
+    // Begins a new life of a worker that has ended.
     void restart(size_t index);
+    // Lets the worker say that it leaves, and end.
+    void leave(size_t index) { workers_.at(index)->leave(); }
     void signalEntry(size_t index, int number);
-    // Called for each start that a minion has taken; set before `start`.
-    std::function<void(size_t minion, const std::string& task, uint32_t run)> onStart_;
+    // The agent on the machine of that worker.
+    void signalAgent(size_t index, int number);
+    // Index of the entry that leads, according to the store.
+    size_t leader();
+    // Called for each start that a worker has taken; set before `start`.
+    std::function<void(size_t worker, const std::string& task, uint32_t run)> onStart_;
 
 private:
     std::string ip(size_t number) const { return prefix_ + std::to_string(number); }
@@ -71,7 +77,7 @@
     void writeConfiguration();
     void launch(const std::string& role, const std::string& name, const std::string& ip, const std::string& zone, bool isEntry);
     void awaitReady();
-    std::unique_ptr<Minion> bear(size_t index);
+    std::unique_ptr<Worker> bear(size_t index);
 
     WorldOptions options_;
     std::string repository_;
@@ -80,8 +86,8 @@
     std::unique_ptr<Record> record_;
     std::unique_ptr<Fleet> fleet_;
     std::unique_ptr<Store> store_;
-    std::vector<MinionPlace> places_;
-    std::vector<std::unique_ptr<Minion>> minions_;
+    std::vector<WorkerPlace> places_;
+    std::vector<std::unique_ptr<Worker>> workers_;
     std::vector<pid_t> entries_;
     std::vector<pid_t> agents_;
 };
