--- a/review/standins/Cases.cc
+++ b/review/standins/Cases.cc
@@ -131,7 +131,8 @@
     world.worker(restarted).drain();
     std::this_thread::sleep_for(std::chrono::milliseconds(3500));
     int64_t sentMs = steadyMs();
-    world.record().write("worker " + place.id_ + " sends DELETE, which a cut of 3 s holds up");
+    world.worker(restarted).cutOff();
+    world.record().write("worker " + place.id_ + " sends DELETE, which the cut of 3 s holds up");
     std::this_thread::sleep_for(std::chrono::milliseconds(2000));
     world.crash(restarted, 1000);
     std::this_thread::sleep_for(std::chrono::milliseconds(1500));
--- a/review/standins/Worker.cc
+++ b/review/standins/Worker.cc
@@ -136,6 +136,12 @@
     isDraining_ = true;
 }
 
+void Worker::cutOff()
+{
+    isCutOff_ = true;
+    fleet_.record().write("worker " + place_.id_ + " is cut off from its agent");
+}
+
 void Worker::leave()
 {
     Response response = exchange(place_.ip_, place_.controlPort_, { "DELETE", "/instances/" + place_.id_, { { "Host", "control" } }, "" }, 1000);
@@ -157,6 +163,8 @@
 
 Response Worker::serve(const Request& request)
 {
+    if (isCutOff_)
+        return { 0, "" };
     auto expected = request.headers_.find("persimmondoor-expect-instance");
     if (expected != request.headers_.end() && expected->second != place_.id_)
         return { 421, "{}" };
@@ -280,6 +288,8 @@
     changed_.wait_for(lock, std::chrono::milliseconds(std::min<int64_t>(integer(request, "waitMs"), 2000)), [&] { return !ended_.empty() || isOver_; });
     if (isOver_)
         return { -1, "" };
+    if (isCutOff_)
+        return { 0, "" };
     json::array running;
     for (const auto& [task, run] : running_) {
         int64_t percent = std::min<int64_t>(99, 100 * workDoneMs(run) / std::max<int64_t>(run.work_.workMs_, 1));
@@ -393,7 +403,8 @@
             { "capacity", json::object { { "cpu", workerMilliCores }, { "memMb", workerMemoryMb }, { "gpu", 0 } } }, { "labels", json::array { "a", place_.rack_ } }, { "clockMs", timeMs() }, { "born", bornMs_ }, { "seq", sequence } };
         if (state == "draining")
             body["remainingMs"] = 1000;
-        exchange(place_.ip_, place_.controlPort_, { "PUT", "/instances/" + place_.id_, { { "Host", "control" }, { "Content-Type", "application/json" } }, json::serialize(body) }, 1000);
+        if (!isCutOff_)
+            exchange(place_.ip_, place_.controlPort_, { "PUT", "/instances/" + place_.id_, { { "Host", "control" }, { "Content-Type", "application/json" } }, json::serialize(body) }, 1000);
         std::unique_lock lock(mutex_);
         changed_.wait_for(lock, std::chrono::milliseconds(heartbeatMs), [&] { return isOver_; });
     }
--- a/review/standins/Worker.h
+++ b/review/standins/Worker.h
@@ -100,6 +100,8 @@
     void crash();
     // Says `draining` from now on.
     void drain();
+    // From now on nothing passes between the worker and its agent, until the life ends.
+    void cutOff();
     // Says that it leaves, and ends.
     void leave();
     int64_t bornMs() const { return bornMs_; }
@@ -154,6 +156,7 @@
     std::condition_variable changed_;
     bool isOver_ { false };
     bool isDraining_ { false };
+    std::atomic<bool> isCutOff_ { false };
     int64_t fence_ { 0 };
     int64_t leaseMs_ { 0 };
     int64_t lastEnd_ { 0 };
