Remove a worker that announces its leaving only once its host refuses connections

Cause: the notice that a worker leaves states its name and not its incarnation. The agent removed each incarnation of that name at once. A notice that a partition held up arrives after the worker has ended without an answer and started again, so that it removed the next incarnation, and the leader started its tasks elsewhere while they ran.

Change: a notice is a hint. The agent asks the worker for its lists at once, and removes it when its host refuses the connection within 10 s of the notice, as no process listens there. A worker that answers stays; one that is silent waits for its leases, as without a notice. Failed list requests are logged with their reason.

Ruled out: telling the incarnations apart by the state that the agent has seen (a later incarnation may be draining too), and by the connection of the notice (the notice may come on any connection).

--- a/http/include/persimmondoor/http/Client.h
+++ b/http/include/persimmondoor/http/Client.h
@@ -26,6 +26,10 @@
 
 using ExchangeOutcome = std::variant<Response, ExchangeFailure>;
 
+/// True if a connection was not opened because no process listens at the address.
+/// \param status the error of `Connection::connect` or of an exchange.
+bool isConnectionRefused(const absl::Status& status);
+
 class Connection {
 public:
     /// \return the connection, or Unavailable or DeadlineExceeded.
--- a/http/src/Client.cpp
+++ b/http/src/Client.cpp
@@ -33,11 +33,22 @@
     bool isReusable_ { true };
 };
 
+// Marks the status of a refused connection.
+static constexpr char refusedPayload[] = "persimmondoor/connection-refused";
+
 static absl::Status describe(std::string_view step, const boost::system::error_code& error)
 {
     if (error == beast::error::timeout)
         return absl::DeadlineExceededError(concat(step, ": timeout"));
-    return absl::UnavailableError(concat(step, ": ", error.message()));
+    absl::Status status = absl::UnavailableError(concat(step, ": ", error.message()));
+    if (error == asio::error::connection_refused)
+        status.SetPayload(refusedPayload, absl::Cord());
+    return status;
+}
+
+bool isConnectionRefused(const absl::Status& status)
+{
+    return status.GetPayload(refusedPayload).has_value();
 }
 
 Connection::Connection(std::unique_ptr<State> state)
--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -14,6 +14,7 @@
 #include "persimmondoor/workflow/WorkerCalls.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -47,6 +48,9 @@
     /// A run is suspected of a crash of its worker unless the worker has answered a list request at least this long after
     /// the start was called: a task that crashes its worker does so as it starts.
     Duration crashWindow_ { std::chrono::milliseconds(100) };
+    /// A worker whose host refuses connections within this time after a notice that the worker leaves has ended. Bounds how
+    /// long a notice that was delayed, and concerns an earlier incarnation, can be taken for one of the present incarnation.
+    Duration leaveNoticeValidity_ { std::chrono::seconds(10) };
     /// How long reports repeat that an incarnation of a worker has ended.
     Duration endedWorkerRetention_ { std::chrono::seconds(10) };
     /// Bound on the reports in flight: one that waits for orders and one that carries changes.
@@ -61,6 +65,8 @@
     uint64_t lastHeartbeat_ { 0 };
     bool draining_ { false };
     Instant leavesAt_;
+    /// When the last notice that a worker of this name leaves arrived; empty if none has.
+    std::optional<Instant> leaveNoticedAt_;
     /// The worker's clock as last read, and when the agent read it.
     int64_t workerTimeMs_ { 0 };
     Instant clockReadAt_;
@@ -159,6 +165,10 @@
     workflow::WorkerIncarnation worker_;
     /// Another worker answers at the address.
     bool isOtherWorker_ { false };
+    /// The host refused the connection, as no process listens at the address.
+    bool isRefused_ { false };
+    /// For the log.
+    std::string reason_ {};
     auto operator<=>(const ListFailed&) const = default;
 };
 struct StartCompleted {
--- a/supervision/src/SupervisorActor.cpp
+++ b/supervision/src/SupervisorActor.cpp
@@ -64,7 +64,7 @@
     {
         Instant askedAt = now(state->clock_);
         auto lists = co_await client.list(call.request_, call.request_.maximumWait_ + callTimeout);
-        SupervisorMessage message = ListFailed { call.worker_, absl::IsNotFound(lists.status()) };
+        SupervisorMessage message = ListFailed { call.worker_, absl::IsNotFound(lists.status()), http::isConnectionRefused(lists.status()), std::string(lists.status().message()) };
         if (lists.ok())
             message = ListArrived { call.worker_, call.request_.fence_, askedAt, *std::move(lists) };
         co_await state->mailbox_.post(std::move(message));
@@ -128,7 +128,7 @@
         }
         void operator()(CallList& call)
         {
-            withClient(call.worker_, "list", ListFailed { call.worker_, false }, [&](auto client) { return callList(state_, std::move(client), std::move(call)); });
+            withClient(call.worker_, "list", ListFailed { call.worker_, false, false, "the call ended by an error" }, [&](auto client) { return callList(state_, std::move(client), std::move(call)); });
         }
         void operator()(CallPace& call)
         {
--- a/supervision/src/decisions/LocalWorkers.cpp
+++ b/supervision/src/decisions/LocalWorkers.cpp
@@ -126,15 +126,17 @@
     requestLists(context, heartbeat.incarnation_, worker);
 }
 
+// The notice may concern an earlier incarnation, so the worker is removed only once its host refuses connections.
 void handleLeaving(const DecisionContext& context, const workflow::Leaving& message)
 {
-    std::vector<WorkerIncarnation> leaving;
-    for (const auto& [incarnation, worker] : context.state_.workers_) {
-        if (incarnation.name_ == message.name_)
-            leaving.push_back(incarnation);
+    for (auto& [incarnation, worker] : context.state_.workers_) {
+        if (incarnation.name_ != message.name_)
+            continue;
+        context.logEvent("worker.leaving", describe(incarnation), worker.draining_ ? "notice of a draining worker" : "notice of a worker that is not draining");
+        worker.leaveNoticedAt_ = context.now_;
+        worker.nextListAt_ = context.now_;
+        requestLists(context, incarnation, worker);
     }
-    for (const WorkerIncarnation& incarnation : leaving)
-        removeWorker(context, incarnation, WorkerEnd::Left, "the worker announced that it leaves");
 }
 
 static uint64_t lastEnd(const std::vector<EndedRun>& ended)
@@ -212,10 +214,13 @@
     worker.isListCallInFlight_ = false;
     worker.nextListAt_ = context.now_ + context.state_.tuning_.retryInterval_;
     if (worker.isReachable_)
-        context.logEvent("worker.unreachable", describe(failure.worker_), "the list request failed");
+        context.logEvent("worker.unreachable", describe(failure.worker_), concat("the list request failed: ", failure.reason_));
     setReachable(context, worker, false);
+    bool isLeaving = worker.leaveNoticedAt_ && context.now_ - *worker.leaveNoticedAt_ <= context.state_.tuning_.leaveNoticeValidity_;
     if (failure.isOtherWorker_)
         removeWorker(context, failure.worker_, WorkerEnd::Replaced, "another worker answers at its address");
+    else if (failure.isRefused_ && isLeaving)
+        removeWorker(context, failure.worker_, WorkerEnd::Left, "the worker announced that it leaves, and its host refuses connections");
 }
 
 void dropExpiredWorkers(const DecisionContext& context)
--- a/supervision/src/decisions/SupervisorRules.h
+++ b/supervision/src/decisions/SupervisorRules.h
@@ -35,7 +35,7 @@
 enum class WorkerEnd : uint8_t {
     // Another incarnation has taken its place: it has crashed, unless it was draining.
     Replaced,
-    // It announced that it leaves.
+    // It announced that it leaves, and nothing listens at its address any more.
     Left,
     // It cannot be reached, and all its leases have expired.
     LeasesExpired,
--- a/supervision/tests/ProtocolModel.cpp
+++ b/supervision/tests/ProtocolModel.cpp
@@ -150,8 +150,10 @@
     if (chance(0.004))
         workers_[random_() % hosts].unreachableUntil_ = now_ + randomDelay(500, 10'000);
     if (chance(0.002)) {
-        // The worker crashes and restarts as a new incarnation.
-        WorkerModel& worker = workers_[random_() % hosts];
+        // The worker crashes and restarts as a new incarnation. Its notice that it leaves arrives late or never.
+        size_t crashed = random_() % hosts;
+        WorkerModel& worker = workers_[crashed];
+        schedule(randomDelay(100, 8000), [this, crashed, incarnation = agents_[crashed].incarnation_, name = worker.incarnation_.name_] { deliverLeaveNotice(crashed, incarnation, name); });
         WorkerModel restarted;
         restarted.incarnation_ = { worker.incarnation_.name_, worker.incarnation_.bornMs_ + 1 };
         restarted.unreachableUntil_ = worker.unreachableUntil_;
@@ -178,6 +180,13 @@
         perform(index, action);
 }
 
+void ProtocolModel::deliverLeaveNotice(size_t index, uint64_t incarnation, const std::string& name)
+{
+    sendToAgent(index, incarnation, workflow::Leaving { name });
+    if (injectedFault_ == InjectedFault::LeaveNoticesTakenForPresentIncarnation)
+        sendToAgent(index, incarnation, ListFailed { workers_[index].incarnation_, false, true, "connection refused" });
+}
+
 void ProtocolModel::perform(size_t index, SupervisorAction& action)
 {
     if (const auto* start = std::get_if<CallStart>(&action))
--- a/supervision/tests/ProtocolModel.h
+++ b/supervision/tests/ProtocolModel.h
@@ -22,6 +22,7 @@
     WorkersIgnoreFences,
     WorkersIgnoreLeases,
     EndsAcknowledgedEarly,
+    LeaveNoticesTakenForPresentIncarnation,
 };
 
 class ProtocolModel {
@@ -79,6 +80,7 @@
 
     template <typename Message>
     void sendToAgent(size_t index, uint64_t incarnation, Message message);
+    void deliverLeaveNotice(size_t index, uint64_t incarnation, const std::string& name);
     void perform(size_t index, SupervisorAction&);
     void callStart(size_t index, const CallStart&);
     void callStop(size_t index, const CallStop&);
--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -66,6 +66,13 @@
         handle(ListArrived { incarnation, state_.fence_, at(milliseconds), { milliseconds, incarnation.bornMs_, std::move(active), std::move(ended) } }, milliseconds);
     }
 
+    // Announces that the worker leaves, after which its host refuses connections.
+    void leave(int64_t milliseconds)
+    {
+        handle(workflow::Leaving { incarnation.name_ }, milliseconds);
+        handle(ListFailed { incarnation, false, true, "connection refused" }, milliseconds);
+    }
+
     // Registers the worker, begins a session with the leader and delivers the worker's lists, all by 100 ms.
     void attach()
     {
@@ -256,6 +263,46 @@
     BOOST_TEST(agent.state_.workers_.count(incarnation) == 0U);
 }
 
+// Guards against tasks that are started twice: the notice that an incarnation leaves was delayed by a partition, and arrives
+// while a later incarnation runs tasks under the same name.
+BOOST_AUTO_TEST_CASE(late_leave_notice_does_not_end_a_later_incarnation)
+{
+    Agent agent;
+    agent.attach();
+    agent.sendReply(110, { start(1) });
+    agent.handle(StartCompleted { Fence(5), start(1), workflow::Started {} }, 120);
+    agent.handle(workflow::Leaving { incarnation.name_ }, 200);
+    for (int64_t time = 210; time < 20'000; time += 500) {
+        BOOST_TEST(agent.state_.workers_.count(incarnation) == 1U);
+        BOOST_TEST(agent.state_.endedWorkers_.empty());
+        agent.sendReply(time);
+        agent.deliverList(time + 10, { { firstRun, "", 0, 0, 100 } });
+        // Without an answer nothing is known of the worker, whose runs have a lease.
+        agent.handle(ListFailed { incarnation, false, false, "timeout" }, time + 20);
+    }
+    // A refusal long after the notice may be that of a worker that is overloaded or restarts its server.
+    agent.handle(ListFailed { incarnation, false, true, "connection refused" }, 20'000);
+    BOOST_TEST(agent.state_.workers_.count(incarnation) == 1U);
+}
+
+// Guards against tasks of a worker that has left which wait for the end of its leases.
+BOOST_AUTO_TEST_CASE(worker_that_leaves_has_ended_once_its_host_refuses_connections)
+{
+    Agent agent;
+    agent.attach();
+    agent.handle(workflow::Leaving { incarnation.name_ }, 200);
+    // It answers requests until its process ends.
+    agent.deliverList(210);
+    BOOST_TEST(agent.state_.workers_.count(incarnation) == 1U);
+    BOOST_REQUIRE(agent.actionsOf<CallList>().size() == 1U);
+    agent.handle(ListFailed { incarnation, false, false, "connection closed" }, 220);
+    agent.handle(SupervisorTick {}, 330);
+    BOOST_REQUIRE(agent.actionsOf<CallList>().size() == 1U);
+    agent.handle(ListFailed { incarnation, false, true, "connection refused" }, 340);
+    BOOST_TEST(agent.state_.workers_.count(incarnation) == 0U);
+    BOOST_TEST(agent.state_.endedWorkers_.count(incarnation) == 1U);
+}
+
 // Lets the agent start a run at 110 ms and deliver a list at `listAt`, after which the worker is replaced at 3000 ms.
 // \return the runs that the agent's reports name as just started when the worker crashed.
 static std::vector<RunKey> crashedRunsAfterList(int64_t listAt, bool isDraining)
@@ -302,7 +349,7 @@
         agent.sendReply(110, { start(1) });
         agent.handle(StartCompleted { Fence(5), start(1), workflow::Started {} }, 115);
         if (leaves)
-            agent.handle(workflow::Leaving { "w-1" }, 120);
+            agent.leave(120);
         for (int64_t time = 200; time < 12'000 && !leaves; time += 400) {
             agent.handle(ListFailed { incarnation, false }, time);
             agent.handle(SupervisorTick {}, time + 150);
@@ -330,7 +377,7 @@
     agent.sendReply(110, { start(1), workflow::StopRun { OrderNumber(2), incarnation, firstRun } });
     agent.handle(StartCompleted { Fence(5), start(1), workflow::Started {} }, 120);
     BOOST_TEST((agent.state_.lastCompletedOrder_ == OrderNumber(1)));
-    agent.handle(workflow::Leaving { incarnation.name_ }, 200);
+    agent.leave(200);
     BOOST_TEST((agent.state_.lastCompletedOrder_ == OrderNumber(2)));
     BOOST_TEST(agent.state_.pendingStops_.empty());
 }
@@ -391,7 +438,7 @@
     // The first incarnation that answered may have been born before the agent.
     Agent reconnected;
     reconnected.attach();
-    reconnected.handle(workflow::Leaving { incarnation.name_ }, 150);
+    reconnected.leave(150);
     reconnected.sendHeartbeat(200);
     BOOST_TEST((reconnected.state_.workers_.at(incarnation).leaseEnd_ == longest));
     // So may a worker at another address.
--- a/workflow/include/persimmondoor/workflow/WorkerCalls.h
+++ b/workflow/include/persimmondoor/workflow/WorkerCalls.h
@@ -28,7 +28,8 @@
     bool operator==(const Heartbeat&) const = default;
 };
 
-/// The worker is shutting down.
+/// A worker of this name is shutting down. The notice does not state the incarnation, and a network partition may delay it
+/// until a later incarnation runs under the same name.
 struct Leaving {
     std::string name_;
     auto operator<=>(const Leaving&) const = default;
