Verify the incarnation of a worker on each new connection

Callers would see a task run twice, or done again after its end was noted.

Cause: calls to a worker name it, and not its incarnation. A later incarnation listens at the same address under the same name, and takes an order to start a run that was meant for the earlier one, until the agent learns of the restart. A list request would acknowledge ends of the later incarnation by the numbers of the earlier one.

Change: the first exchange on a new connection is a list request without acknowledgements and lease, and the connection is used only if the answer states the birth of the intended incarnation. A connection ends with its process, so that all later calls on it reach that incarnation or none.

Evidence: worker_client/calls_do_not_reach_a_later_incarnation_of_the_worker fails without the handshake: the start, the stop and the list request are answered by the later incarnation.

--- a/http/include/persimmondoor/http/Pool.h
+++ b/http/include/persimmondoor/http/Pool.h
@@ -8,7 +8,9 @@
 
 #include "persimmondoor/http/Client.h"
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace persimmondoor::http {
@@ -43,7 +45,17 @@
 enum class Repeat { Never,
     Allowed };
 
+/// The first exchange on each new connection, by which the client verifies that it has reached the intended process: a
+/// connection ends with the process at its other end, so that later requests on it reach the same process or none.
+struct Handshake {
+    Request request_;
+    /// \return OK, or why the connection must not be used.
+    std::function<absl::Status(const Response&)> verify_;
+};
+
 /// Sends `request` on an idle or a new connection. The exchange takes at most `limit` after the connection is open.
-boost::asio::awaitable<ExchangeOutcome> exchange(Pool, Request, Duration limit, Repeat);
+/// \param handshake precedes the request on a new connection, within a time of its own of at most `limit`. If it fails, nothing
+///     of the request is sent, and the failure has the status of the handshake.
+boost::asio::awaitable<ExchangeOutcome> exchange(Pool, Request, Duration limit, Repeat, std::optional<Handshake> handshake = std::nullopt);
 
 } // namespace persimmondoor::http
--- a/http/src/Pool.cpp
+++ b/http/src/Pool.cpp
@@ -46,11 +46,27 @@
         pool.idle_.push_back({ std::move(connection), now(SteadyClock()) });
 }
 
-static asio::awaitable<ExchangeOutcome> exchangeOnNew(std::shared_ptr<Pool::Shared> pool, Request request, Duration limit)
+static asio::awaitable<absl::Status> performHandshake(std::shared_ptr<Connection> connection, Handshake handshake, Duration limit)
+{
+    ExchangeOutcome outcome = co_await connection->exchange(std::move(handshake.request_), limit);
+    if (const auto* failure = std::get_if<ExchangeFailure>(&outcome))
+        co_return failure->status_;
+    absl::Status status = handshake.verify_(std::get<Response>(outcome));
+    if (status.ok() && !connection->isReusable())
+        co_return absl::UnavailableError("the server closed the connection after the handshake");
+    co_return status;
+}
+
+static asio::awaitable<ExchangeOutcome> exchangeOnNew(std::shared_ptr<Pool::Shared> pool, Request request, Duration limit, std::optional<Handshake> handshake)
 {
     auto made = co_await Connection::connect(pool->executor_, pool->address_, poolConnectTimeout);
     if (!made.ok())
         co_return ExchangeFailure { false, made.status() };
+    if (handshake) {
+        absl::Status status = co_await performHandshake(*made, *std::move(handshake), limit);
+        if (!status.ok())
+            co_return ExchangeFailure { false, std::move(status) };
+    }
     ExchangeOutcome outcome = co_await (*made)->exchange(std::move(request), limit);
     release(*pool, *made);
     co_return outcome;
@@ -63,15 +79,15 @@
     return failure && absl::IsUnavailable(failure->status_);
 }
 
-asio::awaitable<ExchangeOutcome> exchange(Pool pool, Request request, Duration limit, Repeat repeat)
+asio::awaitable<ExchangeOutcome> exchange(Pool pool, Request request, Duration limit, Repeat repeat, std::optional<Handshake> handshake)
 {
     const std::shared_ptr<Pool::Shared>& shared = pool.handle();
     std::shared_ptr<Connection> connection = acquireIdle(*shared);
     if (!connection)
-        co_return co_await exchangeOnNew(shared, std::move(request), limit);
+        co_return co_await exchangeOnNew(shared, std::move(request), limit, std::move(handshake));
     ExchangeOutcome outcome = co_await connection->exchange(request, limit);
     if (repeat == Repeat::Allowed && isClosedConnection(outcome))
-        co_return co_await exchangeOnNew(shared, std::move(request), limit);
+        co_return co_await exchangeOnNew(shared, std::move(request), limit, std::move(handshake));
     release(*shared, std::move(connection));
     co_return outcome;
 }
--- a/supervision/src/SupervisorActor.cpp
+++ b/supervision/src/SupervisorActor.cpp
@@ -139,7 +139,7 @@
         void operator()(SendReport& call) { spawnWork(state_->executor_, "report", sendReport(state_, std::move(call)), postOnFailure(state_, ReportFailed {})); }
         void operator()(AddWorker& addition)
         {
-            state_->clients_.insert_or_assign(addition.worker_, platform::WorkerClient::create(state_->executor_, addition.address_, addition.worker_.name_));
+            state_->clients_.insert_or_assign(addition.worker_, platform::WorkerClient::create(state_->executor_, addition.address_, addition.worker_));
         }
         void operator()(RemoveWorker& removal) { state_->clients_.erase(removal.worker_); }
         void operator()(SupervisorLogEvent& logEvent) { logInfo(logEvent.event_, { { "subject", logEvent.subject_ }, { "detail", logEvent.detail_ } }); }
