Acknowledge an end only with a durable write of its job

Cause: an end was held back until its job was written only if it changed its task. The first end of a gang completes all members in memory. The ends of the others changed nothing then, and were acknowledged at once, although the store did not have the end of the gang; lost with the leader, it ran again.

Change: each end of a known task is staged with its job, and acknowledged once a write that was staged then or later is durable.

The same cause on a related path: a worker that was dropped while the store was down, and is back, lists an end again whose change is still not durable. It was acknowledged at once as well.

Three tests of durable_ends fail with the decision of before. An end that changes nothing costs one write of its job, together with the others of its batch.

--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -155,6 +155,10 @@
     if (!task)
         return;
     Job& job = context.state_.jobs_.at(end.run_.task_.job_);
+    // An end that changes nothing here may stand for a change that is not durable yet: another member has ended the gang, or
+    // the worker was dropped meanwhile and lists the end again.
+    worker.nonDurableEnds_.insert(end.number_);
+    stage(context.state_, job.record_.id_, ReleaseEnd { incarnation, end.number_ });
     bool isCurrent = task->progress_.phase_ == TaskPhase::Assigned && task->progress_.run_ == end.run_.run_ && task->progress_.worker_ == incarnation;
     bool changesTask = end.end_ == RunEnd::Done ? task->progress_.phase_ != TaskPhase::Done : isCurrent;
     if (!changesTask)
@@ -169,8 +173,6 @@
         handleCompletion(context, job, end, *task, isCurrent);
     else
         handleIncompleteEnd(context, job, end, *task, worker);
-    worker.nonDurableEnds_.insert(end.number_);
-    stage(context.state_, job.record_.id_, ReleaseEnd { incarnation, end.number_ });
     closeIfEnded(context, job);
 }
 
