Pass a lease on only to workers that the answered report contained

Callers would see a task run twice.

Cause: a reply grants its lease to an agent. The leader counts the leases of a worker from the last report that contained it. An agent that had just been restarted reported no worker, was granted a lease, and passed it on to its worker at the next heartbeat. Until a report with the worker arrived, the leader took the leases of the worker to end earlier than they did.

Change: each worker has a horizon of its own, which replies to reports that contained the worker extend.

Evidence: supervisor/lease_is_passed_on_only_to_workers_that_the_answered_report_contained fails with the decision of before.

--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -76,6 +76,11 @@
     Instant nextListAt_;
     /// The last list request succeeded.
     bool isReachable_ { false };
+    /// First report that contained the worker; 0 before one has.
+    Sequence firstReport_;
+    /// Leases granted to the worker may last until this time. The leader extends it with replies to reports that contained
+    /// the worker.
+    Instant leaseHorizon_;
     /// Latest lease end that any call to the worker carried.
     Instant leaseEnd_;
     std::map<workflow::RunKey, workflow::ActiveRun> active_;
@@ -121,7 +126,7 @@
     Sequence sequence_;
     /// Send times of the reports that may still be answered.
     std::map<Sequence, Instant> reportsSentAt_;
-    /// Leases granted to workers may last until this time.
+    /// The latest `LocalWorker::leaseHorizon_` so far.
     Instant leaseHorizon_;
     /// All orders up to this number have completed.
     workflow::OrderNumber lastCompletedOrder_;
--- a/supervision/src/decisions/LocalWorkers.cpp
+++ b/supervision/src/decisions/LocalWorkers.cpp
@@ -65,10 +65,10 @@
 // tasks are known to have ended.
 int64_t grantLease(const DecisionContext& context, LocalWorker& worker)
 {
-    if (context.state_.leaseHorizon_ <= context.now_ || !worker.isReachable_)
+    if (worker.leaseHorizon_ <= context.now_ || !worker.isReachable_)
         return 0;
-    worker.leaseEnd_ = std::max(worker.leaseEnd_, context.state_.leaseHorizon_);
-    return onWorkerClock(worker, context.state_.leaseHorizon_);
+    worker.leaseEnd_ = std::max(worker.leaseEnd_, worker.leaseHorizon_);
+    return onWorkerClock(worker, worker.leaseHorizon_);
 }
 
 void requestLists(const DecisionContext& context, const WorkerIncarnation& incarnation, LocalWorker& worker)
--- a/supervision/src/decisions/Reporting.cpp
+++ b/supervision/src/decisions/Reporting.cpp
@@ -38,6 +38,8 @@
     workflow::AgentReport report { state.name_, state.domain_, state.session_, state.epoch_, state.fence_, state.sequence_, state.lastCompletedOrder_, {}, {}, true, {} };
     for (auto& [incarnation, worker] : state.workers_) {
         report.workers_.push_back(reportOf(state, incarnation, worker, context.now_));
+        if (worker.firstReport_ == Sequence())
+            worker.firstReport_ = state.sequence_;
         for (auto& [refused, reportedIn] : worker.refused_) {
             if (reportedIn == Sequence())
                 reportedIn = state.sequence_;
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -83,6 +83,21 @@
     }
 }
 
+// Extends the leases of the workers that the answered report contained. The leader does not know of others, whose tasks it may
+// start elsewhere.
+static void extendLeases(const DecisionContext& context, const workflow::ReportReply& reply)
+{
+    auto sent = context.state_.reportsSentAt_.find(reply.answeredReport_);
+    if (sent == context.state_.reportsSentAt_.end() || reply.lease_ <= Duration(0))
+        return;
+    Instant horizon = sent->second + reply.lease_;
+    for (auto& [incarnation, worker] : context.state_.workers_) {
+        if (worker.firstReport_ != Sequence() && worker.firstReport_ <= reply.answeredReport_)
+            worker.leaseHorizon_ = std::max(worker.leaseHorizon_, horizon);
+    }
+    context.state_.leaseHorizon_ = std::max(context.state_.leaseHorizon_, horizon);
+}
+
 // Drops the refusals that the answered report carried; a report may be lost or overtaken by a later one.
 static void dropKnownRefusals(const DecisionContext& context, Sequence answered)
 {
@@ -98,9 +113,7 @@
         return;
     if (reply.epoch_ != context.state_.epoch_ || reply.fence_ != context.state_.fence_)
         beginSession(context, reply);
-    auto sent = context.state_.reportsSentAt_.find(reply.answeredReport_);
-    if (sent != context.state_.reportsSentAt_.end() && reply.lease_ > Duration(0))
-        context.state_.leaseHorizon_ = std::max(context.state_.leaseHorizon_, sent->second + reply.lease_);
+    extendLeases(context, reply);
     context.state_.reportsSentAt_.erase(context.state_.reportsSentAt_.begin(), context.state_.reportsSentAt_.lower_bound(reply.answeredReport_));
     dropKnownRefusals(context, reply.answeredReport_);
     for (const workflow::DurableEnds& durable : reply.durableEnds_) {
--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -396,6 +396,26 @@
     }
 }
 
+// Guards against a task that runs twice: the leader counts the leases of a worker from the last report that contained it, and an
+// agent that had just been restarted passed a lease on to a worker that it had not reported yet.
+BOOST_AUTO_TEST_CASE(lease_is_passed_on_only_to_workers_that_the_answered_report_contained)
+{
+    Agent agent;
+    agent.handle(SupervisorTick {}, 0);
+    agent.sendReply(10);
+    agent.sendReply(20);
+    BOOST_REQUIRE((agent.state_.leaseHorizon_ > at(20)));
+    agent.sendHeartbeat(30);
+    agent.deliverList(40);
+    BOOST_TEST((agent.state_.workers_.at(incarnation).leaseHorizon_ == Instant()));
+    for (const CallList& call : agent.actionsOf<CallList>())
+        BOOST_TEST(call.request_.leaseEndMs_ == 0);
+    agent.sendReply(50);
+    agent.deliverList(60);
+    BOOST_REQUIRE(agent.actionsOf<CallList>().size() == 1U);
+    BOOST_TEST(agent.actionsOf<CallList>()[0].request_.leaseEndMs_ > 60);
+}
+
 // Guards against a worker that is known to be lost seconds late, as it is taken to hold leases of an earlier agent although
 // it was born under this one.
 BOOST_AUTO_TEST_CASE(worker_born_under_this_agent_is_removed_after_the_leases_of_this_agent)
