Count the lease of a worker although an overtaken report arrives late

Callers would see a task run twice.

Cause: a reply counts as a lease of the workers that were in the agent's last report. A report that was overtaken by a newer one is not handled, but moved the time of the last report. The next reply then granted a lease that the leader did not count.

Change: compare with the time at which the newest report was handled.

Evidence: lease_bounds/lease_is_noted_although_an_earlier_report_arrives_late fails with the comparison of before.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -194,6 +194,8 @@
     Fence fence_;
     Sequence newestReport_;
     Instant lastReportAt_;
+    /// When the newest report under this fence was handled.
+    Instant newestReportAt_;
     /// The agent has reported its workers under this fence. Before that, no leases are granted, as they could extend to
     /// workers that this leader does not know.
     bool hasReported_ { false };
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -350,7 +350,7 @@
         if (found == state.workers_.end() || found->second.agent_ != name)
             continue;
         Worker& worker = found->second;
-        if (reply.lease_ > Duration(0) && worker.lastReportAt_ >= agent.lastReportAt_)
+        if (reply.lease_ > Duration(0) && worker.lastReportAt_ >= agent.newestReportAt_)
             worker.leaseEnd_ = std::max(worker.leaseEnd_, now + maximumLeaseDuration(state.tuning_));
         worker.acknowledgedEnd_ = durableEnd(worker);
         reply.durableEnds_.push_back({ incarnation, worker.acknowledgedEnd_ });
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -439,6 +439,7 @@
     if (!isNewest)
         return;
     agent.hasReported_ = true;
+    agent.newestReportAt_ = context.now_;
     agent.lastCompletedOrder_ = std::max(agent.lastCompletedOrder_, report.lastCompletedOrder_);
     std::erase_if(agent.pendingOrders_, [&](const Order& order) { return numberOf(order) <= agent.lastCompletedOrder_; });
     for (const WorkerIncarnation& incarnation : report.endedWorkers_) {
