Store the bounds on task leases for the next leader

Cause: only the leader knew until when leases may last. Its successor took each worker that no agent reports to hold a lease until 4 s (the period for which a leader grants leases without the store) plus a full lease after the claim, 11.95 s, however long the worker had been gone. Lists awaited, held room and refused starts had no part in it.

Change: - Each write of a leader states a bound on all leases that it grants until the next write is durable, on the store's clock, in the chain row. Leases are shortened so that they end by the bound. A leader grants none before its first write. - A worker that has not been reported for 1 s gets no more leases, and a row names the bound on those that it has. It gets leases again once the store no longer names it, so that a bound outlives any number of leaders. - A successor waits for these bounds. Rows without a bound, of an earlier version, give the 11.95 s of before.

A lease is never taken to end before it does: the bounds are converted between the clocks with the time of the call on the safe side, and the model of the protocol checks it with leaders and agents that are lost and cut off at any time. Ruled out: a shorter lease, which would let tasks lapse in partitions that they survive now, and a notice of the agent at its end, which is lost with a host that loses power.

A leader that lost the store now keeps tasks alive for 8.0 s instead of 11.5 s; the outages of the deployments last up to 6.5 s.

--- a/bench/leader/Fleet.cpp
+++ b/bench/leader/Fleet.cpp
@@ -26,10 +26,11 @@
 }
 
 Fleet::Fleet(uint32_t workers)
-    : state_(restoreState(LeaderEpoch(1), {}, {}, now_))
+    : state_(restoreState(LeaderEpoch(1), {}, {}, {}, now_))
     , workers_(workers)
 {
-    state_.leaseGrantsUntil_ = now_ + std::chrono::hours(1);
+    state_.lastDurableWriteAt_ = now_ + std::chrono::hours(1);
+    state_.leasesEndBy_ = now_ + std::chrono::hours(1);
     handle(CatalogChanged { { 1, { { "queue", "h.example", "/q/", "service", 0, 3, 1.5, std::chrono::milliseconds(300), std::chrono::seconds(3) } }, { { "service", true, false } } } });
     for (uint32_t longRunning = 0; longRunning < longRunningImages; ++longRunning) {
         Sensitivity& sensitivity = state_.interference_.sensitivities_[concat("serving-image-", longRunning)];
--- a/scheduler/src/LeaderRow.cpp
+++ b/scheduler/src/LeaderRow.cpp
@@ -41,11 +41,6 @@
     return absl::InvalidArgumentError(concat("unreadable leader row: got '", text.substr(0, maximumQuotedBytes), "', expected a JSON object with epoch, address and nonce: ", error));
 }
 
-std::string chainValue(workflow::LeaderEpoch epoch, uint64_t transaction)
-{
-    return concat(epoch.value(), ":", transaction);
-}
-
 std::string recordRow(const JobId& job)
 {
     return concat(recordTable, "/", job.value());
--- a/scheduler/src/LeaderRow.h
+++ b/scheduler/src/LeaderRow.h
@@ -33,9 +33,6 @@
 // Returns the claim, or InvalidArgument.
 absl::StatusOr<LeaderClaim> decodeClaim(std::string_view);
 
-// Value that a transaction writes to the chain row.
-std::string chainValue(workflow::LeaderEpoch, uint64_t transaction);
-
 std::string recordRow(const JobId&);
 std::string progressRow(const JobId&);
 
--- a/scheduler/src/Leading.cpp
+++ b/scheduler/src/Leading.cpp
@@ -65,10 +65,12 @@
     leading.leaderRowVersion_ = role->leaderRowVersion_;
     leading.chainVersion_ = message.rows_->chainVersion_;
     leading.lastWriteSentAt_ = role->claimWonAt_;
-    leading.leaderState_ = workflow::restoreState(message.epoch_, options_.tuning_, std::move(message.rows_->jobs_), time());
+    leading.storeClock_ = message.rows_->clock_;
+    workflow::LeaseBounds bounds = restoreLeaseBounds(options_.tuning_, message.rows_->chain_, message.rows_->silentWorkers_, message.rows_->clock_, role->claimWonAt_);
+    leading.leaderState_ = workflow::restoreState(message.epoch_, options_.tuning_, std::move(message.rows_->jobs_), bounds, time());
     leading.leaderState_.unreadableJobs_ = std::move(message.rows_->unreadableJobs_);
     leading.leaderState_.interference_ = std::move(message.rows_->interference_);
-    leading.leaderState_.leaseGrantsUntil_ = role->claimWonAt_ + options_.tuning_.leadershipLease_;
+    leading.leaderState_.lastDurableWriteAt_ = role->claimWonAt_;
     logInfo("queues.loaded", { { "epoch", std::to_string(message.epoch_.value()) }, { "jobs", std::to_string(jobs) }, { "open", std::to_string(leading.leaderState_.openJobs_.size()) }, { "unreadable", std::to_string(leading.leaderState_.unreadableJobs_.size()) }, { "took_ms", std::to_string((time() - role->claimWonAt_).count() / 1000) } });
     role_ = std::move(leading);
     auto& leader = std::get<Leading>(role_);
@@ -186,9 +188,30 @@
     });
 }
 
-store::Transaction Scheduler::transactionOf(const Leading& role, const workflow::Batch& batch, uint64_t number) const
+std::string Scheduler::encodeSilentWorkersOf(Leading& role, const workflow::Batch& batch)
 {
-    store::Transaction transaction { { { std::string(leaderRow), role.leaderRowVersion_ }, { std::string(chainRow), role.chainVersion_ } }, { store::Put { std::string(chainRow), chainValue(role.claim_.epoch_, number) } } };
+    std::map<workflow::WorkerIncarnation, std::pair<Instant, int64_t>> bounds;
+    SilentWorkers silent;
+    for (const auto& [incarnation, leaseEnd] : batch.silentWorkers_) {
+        auto known = role.silentWorkerReadings_.find(incarnation);
+        // The same bound keeps its reading, so that the row is written only when the workers change.
+        bool isKnown = known != role.silentWorkerReadings_.end() && known->second.first == leaseEnd;
+        std::optional<int64_t> reading = isKnown ? known->second.second : latestReadingAt(role.storeClock_, leaseEnd);
+        if (!reading || silent.leaseEndsMs_.size() >= maximumSilentWorkers)
+            break;
+        bounds[incarnation] = { leaseEnd, *reading };
+        silent.leaseEndsMs_[incarnation] = *reading;
+    }
+    role.silentWorkerReadings_ = std::move(bounds);
+    return encodeSilentWorkers(silent);
+}
+
+store::Transaction Scheduler::transactionOf(const Leading& role, const PendingCommit& pending) const
+{
+    const workflow::Batch& batch = pending.batch_;
+    store::Transaction transaction { { { std::string(leaderRow), role.leaderRowVersion_ }, { std::string(chainRow), role.chainVersion_ } }, { store::Put { std::string(chainRow), pending.chain_ } } };
+    if (role.storedSilentWorkers_ != pending.silentWorkers_)
+        transaction.writes_.emplace_back(store::Put { std::string(silentWorkersRow), pending.silentWorkers_ });
     if (needsOperators(batch)) {
         for (store::Condition& condition : conditionsOf(role.operators_, options_.domains_))
             transaction.conditions_.push_back(std::move(condition));
@@ -223,13 +246,17 @@
 {
     if (role.pendingCommit_ || time() < role.nextCommitAt_)
         return;
-    if (role.leaderState_.stagedOrder_.empty() && time() - role.lastWriteSentAt_ < renewalInterval)
+    // The first transaction stores the bound without which no leases are granted.
+    bool isDue = role.commitCount_ == 0 || !role.leaderState_.stagedOrder_.empty() || role.leaderState_.hasLeaseChanges_ || time() - role.lastWriteSentAt_ >= renewalInterval;
+    if (!isDue)
         return;
-    workflow::Batch batch = workflow::extractBatch(role.leaderState_);
-    uint64_t number = ++role.commitCount_;
-    store::Transaction transaction = transactionOf(role, batch, number);
+    PendingCommit pending { ++role.commitCount_, workflow::extractBatch(role.leaderState_), time(), "", "" };
+    int64_t leaseEndMs = latestReadingAt(role.storeClock_, workflow::leaseBoundAfterWrite(options_.tuning_, pending.sentAt_)).value_or(0);
+    pending.chain_ = encodeChain({ role.claim_.epoch_, pending.number_, leaseEndMs });
+    pending.silentWorkers_ = encodeSilentWorkersOf(role, pending.batch_);
+    store::Transaction transaction = transactionOf(role, pending);
     writeEstimates(role, transaction);
-    role.pendingCommit_ = PendingCommit { number, std::move(batch), time() };
+    role.pendingCommit_ = std::move(pending);
     spawnWork("commit", commit(role.claim_.epoch_, std::move(transaction), role.commitTimeout_), CommitCompleted { role.claim_.epoch_, time(), store::ReplyLost { "the write ended by an unexpected error" } });
 }
 
@@ -264,19 +291,22 @@
     co_await mailbox_.post(std::move(read));
 }
 
-void Scheduler::finishCommit(Leading& role, store::RowVersion version, Instant sentAt)
+void Scheduler::finishCommit(Leading& role, store::RowVersion version)
 {
-    role.chainVersion_ = version;
-    role.lastWriteSentAt_ = sentAt;
-    workflow::Batch batch = std::move(role.pendingCommit_->batch_);
+    PendingCommit pending = std::move(*role.pendingCommit_);
     role.pendingCommit_.reset();
-    decide(role, workflow::BatchDurable { std::move(batch), sentAt });
+    role.chainVersion_ = version;
+    role.lastWriteSentAt_ = pending.sentAt_;
+    role.storedSilentWorkers_ = std::move(pending.silentWorkers_);
+    decide(role, workflow::BatchDurable { std::move(pending.batch_), pending.sentAt_ });
 }
 
 void Scheduler::retryCommit(Leading& role, Duration after, bool mayBeStored)
 {
     workflow::restage(role.leaderState_, std::move(role.pendingCommit_->batch_), mayBeStored);
     role.pendingCommit_.reset();
+    if (mayBeStored)
+        role.storedSilentWorkers_.reset();
     role.nextCommitAt_ = time() + after;
     commitIfDue(role);
 }
@@ -293,7 +323,9 @@
                                 logInfo("commit.slow", { { "commit", std::to_string(role->pendingCommit_->number_) }, { "took_ms", std::to_string(took.count() / 1000) }, { "jobs", std::to_string(role->pendingCommit_->batch_.items_.size()) } });
                             role->averageCommitTime_ = (role->averageCommitTime_ * 7 + took) / 8;
                             role->commitTimeout_ = std::clamp(role->averageCommitTime_ * commitTimeoutFactor, minimumCommitTimeout, maximumCommitTimeout);
-                            finishCommit(*role, committed.version_, message.sentAt_);
+                            if (committed.clockMs_ > 0)
+                                role->storeClock_ = { committed.clockMs_, message.sentAt_, time() };
+                            finishCommit(*role, committed.version_);
                         },
                    [&](const store::Conflict& conflict) {
                        logInfo("commit.conflict", { { "row", conflict.key_ }, { "commit", std::to_string(role->pendingCommit_->number_) } });
@@ -335,8 +367,8 @@
         return;
     }
     const store::Row& row = *message.row_;
-    if (row.value_ == chainValue(role->claim_.epoch_, role->pendingCommit_->number_))
-        return finishCommit(*role, row.version_, role->pendingCommit_->sentAt_);
+    if (row.value_ == role->pendingCommit_->chain_)
+        return finishCommit(*role, row.version_);
     // The pending transaction has not been carried out so far. The version differs from the last one known if an earlier
     // transaction of this leader, whose reply was lost, has been carried out late.
     role->chainVersion_ = row.version_;
--- a/scheduler/src/QueueRows.cpp
+++ b/scheduler/src/QueueRows.cpp
@@ -85,15 +85,22 @@
     if (!chain.ok())
         co_return chain.status();
     loaded.chainVersion_ = chain->version_;
+    loaded.chain_ = std::move(chain->value_);
+    auto silentWorkers = co_await rows.readRow(std::string(silentWorkersRow), queueReadTimeout);
+    if (!silentWorkers.ok())
+        co_return silentWorkers.status();
+    loaded.silentWorkers_ = std::move(silentWorkers->value_);
     auto records = co_await rows.readTable(std::string(recordTable), queueReadTimeout);
     if (!records.ok())
         co_return records.status();
     auto progress = co_await rows.readTable(std::string(progressTable), queueReadTimeout);
     if (!progress.ok())
         co_return progress.status();
+    Instant sentAt = now(SteadyClock());
     auto operators = co_await rows.readTable(std::string(platform::operatorTable), queueReadTimeout);
     if (!operators.ok())
         co_return operators.status();
+    loaded.clock_ = { operators->clockMs_, sentAt, now(SteadyClock()) };
     loaded.operators_ = toView(*operators);
     auto estimates = co_await rows.readRow(std::string(estimatesRow), queueReadTimeout);
     loaded.interference_ = decodeEstimates(estimates);
--- a/scheduler/src/QueueRows.h
+++ b/scheduler/src/QueueRows.h
@@ -1,6 +1,7 @@
 // The rows of the queues in the store, which a new leader reads.
 #pragma once
 
+#include "LeaseRows.h"
 #include "Operators.h"
 #include "persimmondoor/platform/RowStore.h"
 #include "persimmondoor/workflow/Leader.h"
@@ -18,6 +19,10 @@
     // Jobs with a row that cannot be read, so that they cannot be led.
     std::map<JobId, workflow::UnreadableJob> unreadableJobs_;
     store::RowVersion chainVersion_;
+    // Values of the rows that state the bounds on task leases; empty if a row is absent.
+    std::string chain_;
+    std::string silentWorkers_;
+    StoreClock clock_;
     OperatorView operators_;
     workflow::Interference interference_;
 };
--- a/scheduler/src/Scheduler.h
+++ b/scheduler/src/Scheduler.h
@@ -77,6 +77,9 @@
     uint64_t number_ { 0 };
     workflow::Batch batch_;
     Instant sentAt_;
+    // Values that the transaction gives the rows of the lease bounds.
+    std::string chain_;
+    std::string silentWorkers_;
 };
 
 // An agent's report that has not been answered yet, so that new orders can be sent at once.
@@ -105,6 +108,11 @@
     store::RowVersion leaderRowVersion_;
     store::RowVersion chainVersion_;
     workflow::LeaderState leaderState_;
+    StoreClock storeClock_;
+    // Bounds on the leases of silent workers, and the readings of the store's clock that stand for them.
+    std::map<workflow::WorkerIncarnation, std::pair<Instant, int64_t>> silentWorkerReadings_;
+    // Value of the silent workers' row; empty if it is not known.
+    std::optional<std::string> storedSilentWorkers_;
     OperatorView operators_;
     // When the store last confirmed that `operators_` is current.
     Instant operatorsConfirmedAt_;
@@ -175,12 +183,14 @@
     void updateOperators(Leading&, const OperatorView&);
     void answerReports(Leading&, const std::string& agent, bool all);
     void commitIfDue(Leading&);
-    store::Transaction transactionOf(const Leading&, const workflow::Batch&, uint64_t number) const;
+    store::Transaction transactionOf(const Leading&, const PendingCommit&) const;
+    // The value of the silent workers' row for the batch.
+    static std::string encodeSilentWorkersOf(Leading&, const workflow::Batch&);
     void writeEstimates(Leading&, store::Transaction&) const;
     boost::asio::awaitable<void> commit(workflow::LeaderEpoch, store::Transaction, Duration limit);
     boost::asio::awaitable<void> readChain(workflow::LeaderEpoch, Duration after);
     boost::asio::awaitable<void> rereadOperators(workflow::LeaderEpoch);
-    void finishCommit(Leading&, store::RowVersion, Instant sentAt);
+    void finishCommit(Leading&, store::RowVersion);
     void retryCommit(Leading&, Duration after, bool mayBeStored);
     void stepDown(std::string_view reason);
     // The role if this entry leads under that epoch, or null.
--- a/scheduler/tests/SchedulerActorTest.cpp
+++ b/scheduler/tests/SchedulerActorTest.cpp
@@ -1,5 +1,6 @@
 #include "SchedulerWorld.h"
 
+#include "LeaseRows.h"
 #include "persimmondoor/core/Text.h"
 
 namespace persimmondoor::scheduler {
@@ -102,6 +103,25 @@
     }(world));
 }
 
+// Guards against a successor that waits for leases that could not have been granted, as no bound on them is stored.
+BOOST_AUTO_TEST_CASE(leader_stores_the_bound_on_its_leases_with_each_write)
+{
+    SchedulerWorld world(1);
+    world.run([](SchedulerWorld& world) -> asio::awaitable<void> {
+        std::string answer = co_await submitWithRetries(world.entry(0), "00000000000000aa");
+        BOOST_TEST(answer == "accepted");
+        int64_t storeClockMs = now(SteadyClock()).microseconds() / 1000;
+        auto entry = decodeChain(world.store().read("chain", "chain"));
+        BOOST_REQUIRE(entry.ok());
+        BOOST_REQUIRE(entry->leaseEndMs_.has_value());
+        workflow::Tuning tuning;
+        int64_t longest = (workflow::leaseBoundAfterWrite(tuning, Instant()) - Instant()).count() / 1000;
+        BOOST_TEST(*entry->leaseEndMs_ > storeClockMs + longest - 5000);
+        BOOST_TEST(*entry->leaseEndMs_ <= storeClockMs + longest + 1000);
+        BOOST_TEST(world.store().read("leases", "silent") == "[]");
+    }(world));
+}
+
 BOOST_AUTO_TEST_CASE(lost_reply_is_read_back)
 {
     SchedulerWorld world(1);
--- a/store/include/persimmondoor/store/Table.h
+++ b/store/include/persimmondoor/store/Table.h
@@ -55,6 +55,8 @@
 /// The transaction took effect; the rows that it put have this version.
 struct Committed {
     RowVersion version_;
+    /// Reading of the service's steady clock as it answered, in milliseconds; 0 if not stated.
+    int64_t clockMs_ { 0 };
     auto operator<=>(const Committed&) const = default;
 };
 
--- a/supervision/tests/ProtocolModel.cpp
+++ b/supervision/tests/ProtocolModel.cpp
@@ -387,11 +387,17 @@
     }
     uint64_t epoch = leader_->epoch_;
     Instant sentAt = now_;
+    workflow::LeaseBounds bounds { workflow::leaseBoundAfterWrite(leader_->state_.tuning_, sentAt), batch.silentWorkers_ };
+    if (injectedFault_ == InjectedFault::LeasesOutliveTheirBound)
+        bounds.latest_ = sentAt;
+    if (injectedFault_ == InjectedFault::SilentWorkersStayNamed)
+        bounds.silentWorkers_.insert(storedBounds_.silentWorkers_.begin(), storedBounds_.silentWorkers_.end());
     // The write is applied first and answered later. A write of a former leader finds the later epoch and has no
     // effect.
-    schedule(randomDelay(5, 30), [this, epoch, batch = std::move(batch), rows = std::move(rows), sentAt]() mutable {
+    schedule(randomDelay(5, 30), [this, epoch, batch = std::move(batch), rows = std::move(rows), bounds = std::move(bounds), sentAt]() mutable {
         bool refused = epoch != epoch_ || (!areFaultsOver() && chance(0.05));
         if (!refused) {
+            storedBounds_ = bounds;
             for (const auto& [job, row] : rows)
                 rows_[job] = row;
         }
@@ -426,8 +432,8 @@
         rows.push_back(row);
     leader_ = LeaderModel {};
     leader_->epoch_ = ++epoch_;
-    leader_->state_ = workflow::restoreState(workflow::LeaderEpoch(epoch_), {}, std::move(rows), now_);
-    leader_->state_.leaseGrantsUntil_ = now_ + leader_->state_.tuning_.leadershipLease_;
+    leader_->state_ = workflow::restoreState(workflow::LeaderEpoch(epoch_), {}, std::move(rows), storedBounds_, now_);
+    leader_->state_.lastDurableWriteAt_ = now_;
     workflow::Catalog catalog { 1, { { "q", "h", "/q/", "packs", 0, 6, 1.5, std::chrono::milliseconds(250), std::chrono::seconds(3) } }, { { "packs", true, false } } };
     sendToLeader(workflow::CatalogChanged { catalog });
 }
--- a/supervision/tests/ProtocolModel.h
+++ b/supervision/tests/ProtocolModel.h
@@ -22,6 +22,8 @@
     WorkersIgnoreFences,
     WorkersIgnoreLeases,
     EndsAcknowledgedEarly,
+    LeasesOutliveTheirBound,
+    SilentWorkersStayNamed,
     LeaveNoticesTakenForPresentIncarnation,
 };
 
@@ -115,6 +117,7 @@
     std::vector<AgentModel> agents_;
     std::optional<LeaderModel> leader_;
     std::map<JobId, workflow::StoredJob> rows_;
+    workflow::LeaseBounds storedBounds_;
     uint64_t epoch_ { 0 };
     uint64_t submittedJobs_ { 0 };
     uint64_t sessions_ { 0 };
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -6,7 +6,7 @@
 /// order to start a run, the acknowledgement of an end) are released once the batch is durable.
 ///
 /// \code
-/// LeaderState state = restoreState(epoch, tuning, rows, now);
+/// LeaderState state = restoreState(epoch, tuning, rows, bounds, now);
 /// Decision decision = decide(std::move(state), ReportArrived { report }, now);
 /// Batch batch = extractBatch(decision.state_);
 /// ... // write it
@@ -19,6 +19,7 @@
 #include "persimmondoor/workflow/Delays.h"
 #include "persimmondoor/workflow/Exchange.h"
 #include "persimmondoor/workflow/Interference.h"
+#include "persimmondoor/workflow/LeaseBounds.h"
 #include "persimmondoor/workflow/Record.h"
 #include "persimmondoor/workflow/Tuning.h"
 
@@ -114,6 +115,15 @@
     bool operator==(const StoppingRun&) const = default;
 };
 
+/// Whether replies may grant a worker a lease.
+enum class LeaseGrants : uint8_t {
+    Allowed,
+    /// No agent reports the worker, and the store may name a bound on its leases.
+    Suspended,
+    /// The worker is reported again, and the store may still name the bound.
+    Requested,
+};
+
 /// A worker as the leader knows it.
 struct Worker {
     std::string agent_;
@@ -129,6 +139,7 @@
     Instant lastReportAt_;
     /// Upper bound on the expiry of the task leases granted so far.
     Instant leaseEnd_;
+    LeaseGrants leaseGrants_ { LeaseGrants::Allowed };
     std::set<TaskKey> assignedTasks_;
     /// Runs that are being stopped for tasks that are done or belong to another run.
     std::map<RunKey, StoppingRun> stoppingRuns_;
@@ -257,6 +268,8 @@
         bool operator==(const Item&) const = default;
     };
     std::vector<Item> items_;
+    /// Bounds on the leases of silent workers, to be stored with the jobs.
+    std::map<WorkerIncarnation, Instant> silentWorkers_;
     bool operator==(const Batch&) const = default;
 };
 
@@ -286,8 +299,13 @@
     Interference interference_;
     /// Time of the first failed write since the last durable one; empty if none has failed.
     std::optional<Instant> storeFailedAt_;
-    /// Task leases may be granted until this time.
-    Instant leaseGrantsUntil_;
+    /// When the newest durable write was sent.
+    Instant lastDurableWriteAt_;
+    /// Leases granted now end at this time at the latest, as the store's bound on them says. None are granted before the first
+    /// durable batch.
+    Instant leasesEndBy_;
+    /// Leases were suspended or requested since the last batch.
+    bool hasLeaseChanges_ { false };
     uint64_t sessionCount_ { 0 };
     /// Until when tasks that interfere with each other wait for workers that no agent has reported yet.
     Instant awaitsWorkersUntil_;
@@ -388,7 +406,7 @@
 
 /// Restores the state of a new leader from the rows of its predecessor. Each worker named in the rows may still run its
 /// assigned tasks until an agent reports the worker or its leases have expired.
-LeaderState restoreState(LeaderEpoch, Tuning, std::vector<StoredJob>, Instant now);
+LeaderState restoreState(LeaderEpoch, Tuning, std::vector<StoredJob>, const LeaseBounds&, Instant now);
 
 /// Handles one message.
 /// \return the new state and the actions to carry out.
@@ -397,8 +415,9 @@
 /// Largest number of jobs in one batch: a transaction holds at most 100 entries, of which a new job takes two.
 inline constexpr size_t maximumBatchJobs = 40;
 
-/// Removes up to `maximumBatchJobs` of the oldest staged jobs from the state. Only one batch may be in flight at a time.
-/// \return the batch; empty if nothing is staged.
+/// Removes up to `maximumBatchJobs` of the oldest staged jobs from the state, and adds the present bounds of silent workers.
+/// Only one batch may be in flight at a time.
+/// \return the batch; without jobs if nothing is staged.
 Batch extractBatch(LeaderState&);
 
 /// Stages a batch again that did not become durable.
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -3,7 +3,7 @@
 /// \code
 /// Tuning tuning;
 /// tuning.taskLease_ = std::chrono::milliseconds(5000);
-/// LeaderState state = restoreState(epoch, tuning, rows, now);
+/// LeaderState state = restoreState(epoch, tuning, rows, bounds, now);
 /// \endcode
 #pragma once
 
@@ -19,9 +19,14 @@
     /// Lease of the tasks on a worker, granted with each reply to its agent. Below the 10 s that workers allow at most,
     /// and above the network partitions of 5 to 6 s that tasks must survive.
     Duration taskLease_ { std::chrono::milliseconds(7500) };
-    /// A leader grants leases for this long after it sent its last durable write. A successor waits this long plus the
-    /// duration of a task lease before it reassigns the tasks of workers that it cannot reach.
-    Duration leadershipLease_ { std::chrono::milliseconds(4000) };
+    /// A leader grants full leases for this long after it sent its last durable write; the leader writes at least this often.
+    /// Later leases are shorter and end with the last full one, which is the bound that the write stores for a successor.
+    Duration fullLeasePeriod_ { std::chrono::milliseconds(500) };
+    /// A leader of an earlier version, which stores no bound, grants full leases for this long after its last durable write.
+    Duration grantPeriodWithoutBound_ { std::chrono::milliseconds(4000) };
+    /// The leases of a worker that no agent has reported for this long are suspended, and their bound is stored. Two intervals
+    /// of the agents' reports.
+    Duration suspendLeasesAfter_ { std::chrono::milliseconds(1000) };
     /// New jobs are refused once the last durable write is older than this; the leader writes at least twice a second.
     Duration maximumWriteAge_ { std::chrono::milliseconds(1500) };
     /// Once the store has failed for this long, jobs that were never sent to the store are refused, and new jobs are
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -49,7 +49,7 @@
         return context.addAction(AnswerClient { message.token_, NotAccepted { "too many unfinished jobs", context.state_.tuning_.retryAfter_ } });
     }
     // A job that cannot be stored now is refused at once, so that none of its tasks can run.
-    Instant writtenAt = context.state_.leaseGrantsUntil_ - context.state_.tuning_.leadershipLease_;
+    Instant writtenAt = context.state_.lastDurableWriteAt_;
     if (context.now_ - writtenAt > context.state_.tuning_.maximumWriteAge_ || isStoreUnavailable(context.state_, context.now_)) {
         context.logEvent("job.refused", id.value(), concat("no durable write for ", (context.now_ - writtenAt).count() / 1000, " ms"));
         return context.addAction(AnswerClient { message.token_, refuseUnstorable(context.state_, context.now_) });
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -9,12 +9,6 @@
 
 namespace persimmondoor::workflow {
 
-// Upper bound on the duration of a lease granted now, by this process's clock; the worker's clock may run slower.
-static Duration maximumLeaseDuration(const Tuning& tuning)
-{
-    return tuning.taskLease_ * (100 + tuning.clockDriftPercent_) / 100 + tuning.leaseSlack_;
-}
-
 static Job restoreJob(StoredJob&& stored, Instant now)
 {
     Job job;
@@ -42,7 +36,7 @@
 }
 
 // Reserves resources for the tasks that are assigned according to the predecessor's rows.
-static void restoreAssignments(LeaderState& state, const Job& job, Instant leaseEnd)
+static void restoreAssignments(LeaderState& state, const Job& job, const LeaseBounds& bounds)
 {
     for (uint32_t number = 0; number < job.tasks_.size(); ++number) {
         const TaskProgress& progress = job.tasks_[number].progress_;
@@ -50,21 +44,21 @@
             continue;
         TaskKey key = keyOf(job, number);
         Worker& worker = state.workers_[progress.worker_];
-        worker.leaseEnd_ = leaseEnd;
+        worker.leaseEnd_ = leaseEndOf(bounds, progress.worker_);
+        worker.leaseGrants_ = bounds.silentWorkers_.count(progress.worker_) > 0 ? LeaseGrants::Suspended : LeaseGrants::Allowed;
         reserveResources(worker, key, stepOf(job, key));
     }
 }
 
-LeaderState restoreState(LeaderEpoch epoch, Tuning tuning, std::vector<StoredJob> rows, Instant now)
+LeaderState restoreState(LeaderEpoch epoch, Tuning tuning, std::vector<StoredJob> rows, const LeaseBounds& bounds, Instant now)
 {
     LeaderState state;
     state.epoch_ = epoch;
     state.tuning_ = tuning;
     state.awaitsWorkersUntil_ = now + tuning.maximumWorkerWait_;
-    Instant leaseEnd = now + tuning.leadershipLease_ + maximumLeaseDuration(tuning);
     for (StoredJob& stored : rows) {
         Job job = restoreJob(std::move(stored), now);
-        restoreAssignments(state, job, leaseEnd);
+        restoreAssignments(state, job, bounds);
         if (isOpen(job)) {
             state.openJobs_.insert(job.record_.id_);
             makeReady(state, job);
@@ -96,7 +90,7 @@
         context.state_.silentAgents_.insert(worker.agent_);
         dropWorker(context, incarnation, "no agent reports it and its leases have expired");
     }
-    Duration longest = maximumLeaseDuration(context.state_.tuning_);
+    Duration longest = longestLease(context.state_.tuning_, context.state_.tuning_.taskLease_);
     std::erase_if(context.state_.agents_, [&](const auto& entry) { return context.now_ - entry.second.lastReportAt_ > longest; });
 }
 
@@ -176,6 +170,7 @@
         return startReadyTasks(context);
     context.state_.nextCheckAt_ = context.now_ + context.state_.tuning_.checkInterval_;
     refuseUnsentJobs(context);
+    suspendLeasesOfSilentWorkers(context);
     dropUnreachableWorkers(context);
     stopHungRuns(context);
     moveSlowedRuns(context);
@@ -252,11 +247,14 @@
         batch.items_.push_back({ staged.key(), phase, std::move(staged.mapped()) });
     }
     state.stagedOrder_.erase(state.stagedOrder_.begin(), state.stagedOrder_.begin() + static_cast<std::ptrdiff_t>(count));
+    batch.silentWorkers_ = silentWorkersOf(state);
+    state.hasLeaseChanges_ = false;
     return batch;
 }
 
 void restage(LeaderState& state, Batch batch, bool mayBeStored)
 {
+    state.hasLeaseChanges_ = true;
     std::vector<JobId> order;
     for (Batch::Item& item : batch.items_) {
         order.push_back(item.job_);
@@ -334,8 +332,7 @@
 {
     Agent& agent = state.agents_.at(name);
     ReportReply reply { state.epoch_, agent.fence_, agent.newestReport_, Duration(0), {}, {}, {}, {} };
-    if (agent.hasReported_ && now < state.leaseGrantsUntil_)
-        reply.lease_ = state.tuning_.taskLease_;
+    reply.lease_ = grantableLease(state, agent, now);
     bool resend = isResendDue(state, agent, now);
     for (const Order& order : agent.pendingOrders_) {
         if (resend || numberOf(order) > agent.lastSentOrder_)
@@ -350,8 +347,8 @@
         if (found == state.workers_.end() || found->second.agent_ != name)
             continue;
         Worker& worker = found->second;
-        if (reply.lease_ > Duration(0) && worker.lastReportAt_ >= agent.newestReportAt_)
-            worker.leaseEnd_ = std::max(worker.leaseEnd_, now + maximumLeaseDuration(state.tuning_));
+        if (reply.lease_ > Duration(0) && isInNewestReport(agent, worker))
+            worker.leaseEnd_ = std::max(worker.leaseEnd_, now + longestLease(state.tuning_, reply.lease_));
         worker.acknowledgedEnd_ = durableEnd(worker);
         reply.durableEnds_.push_back({ incarnation, worker.acknowledgedEnd_ });
         addRunTraits(state, worker, reply);
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -108,6 +108,21 @@
 // \return false if the job is not an unreadable one.
 bool holdUnreadableEnd(const DecisionContext&, const WorkerIncarnation&, Worker&, const EndedRun&);
 
+// Upper bound on the duration of a lease granted now, by this process's clock; the worker's clock may run slower.
+Duration longestLease(const Tuning&, Duration lease);
+// True if the newest report that was handled contained the worker, so that its agent passes the lease of a reply on to it.
+bool isInNewestReport(const Agent&, const Worker&);
+// The lease that a reply to the agent may grant; 0 for none.
+Duration grantableLease(const LeaderState&, const Agent&, Instant now);
+// Suspends the leases of workers that are not reported, so that the present bounds on them can be stored.
+void suspendLeasesOfSilentWorkers(const DecisionContext&);
+// Notes that a worker is reported. If its leases are suspended, they are granted again once the store no longer names it.
+void requestLeaseGrants(const DecisionContext&, Worker&);
+// Allows leases of reported workers that the durable batch does not name as silent.
+void allowLeaseGrants(const DecisionContext&, const Batch& durable);
+// The workers with assigned tasks whose leases are suspended, and the bounds on their leases.
+std::map<WorkerIncarnation, Instant> silentWorkersOf(const LeaderState&);
+
 void handleCall(const DecisionContext&, const CallArrived&);
 void handleReport(const DecisionContext&, const AgentReport&);
 void handleBatchDurable(const DecisionContext&, const BatchDurable&);
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -393,6 +393,7 @@
     context.state_.agents_.at(message.agent_).workers_.insert(report.incarnation_);
     worker.traits_ = report.traits_;
     worker.lastReportAt_ = context.now_;
+    requestLeaseGrants(context, worker);
     worker.draining_ = report.draining_;
     bool wasReachable = std::exchange(worker.isReachable_, report.isReachable_);
     worker.leavesAt_ = context.now_ + std::chrono::milliseconds(report.remainingMs_);
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -341,7 +341,9 @@
 void handleBatchDurable(const DecisionContext& context, const BatchDurable& message)
 {
     context.state_.storeFailedAt_.reset();
-    context.state_.leaseGrantsUntil_ = std::max(context.state_.leaseGrantsUntil_, message.writeSentAt_ + context.state_.tuning_.leadershipLease_);
+    context.state_.lastDurableWriteAt_ = std::max(context.state_.lastDurableWriteAt_, message.writeSentAt_);
+    context.state_.leasesEndBy_ = std::max(context.state_.leasesEndBy_, message.writeSentAt_ + context.state_.tuning_.fullLeasePeriod_ + context.state_.tuning_.taskLease_);
+    allowLeaseGrants(context, message.batch_);
     for (const Batch::Item& item : message.batch_.items_) {
         auto job = context.state_.jobs_.find(item.job_);
         if (job != context.state_.jobs_.end())
--- a/workflow/tests/LeaderTest.cpp
+++ b/workflow/tests/LeaderTest.cpp
@@ -115,7 +115,7 @@
     first.reply("w-1", 21);
     LeaderWorld second(first.rows(), 2);
     Tuning tuning;
-    int64_t bound = (tuning.leadershipLease_ + tuning.taskLease_ * (100 + tuning.clockDriftPercent_) / 100).count() / 1000;
+    int64_t bound = (tuning.grantPeriodWithoutBound_ + tuning.taskLease_ * (100 + tuning.clockDriftPercent_) / 100).count() / 1000;
     for (int64_t time = 100; time < bound; time += 500) {
         second.commit(time);
         second.report("w-2", time);
--- a/workflow/tests/LeaderWorld.h
+++ b/workflow/tests/LeaderWorld.h
@@ -15,10 +15,11 @@
 
 class LeaderWorld {
 public:
-    explicit LeaderWorld(std::vector<StoredJob> rows = {}, uint64_t epoch = 1)
-        : state_(restoreState(LeaderEpoch(epoch), {}, std::move(rows), at(0)))
+    explicit LeaderWorld(std::vector<StoredJob> rows = {}, uint64_t epoch = 1, LeaseBounds bounds = boundsWithoutRecord({}, Tuning().grantPeriodWithoutBound_, at(0)))
+        : state_(restoreState(LeaderEpoch(epoch), {}, std::move(rows), bounds, at(0)))
     {
-        state_.leaseGrantsUntil_ = at(4000);
+        state_.lastDurableWriteAt_ = at(0);
+        state_.leasesEndBy_ = at(0) + Tuning().fullLeasePeriod_ + Tuning().taskLease_;
         Catalog catalog { 3, { { "tests", "h.example", "/tests/", "packs", 0, 2, 1.5, std::chrono::milliseconds(250), std::chrono::seconds(3) } }, { { "packs", true, false } } };
         handle(CatalogChanged { catalog }, 0);
     }
@@ -41,6 +42,7 @@
     void commit(int64_t milliseconds)
     {
         Batch batch = extractBatch(state_);
+        storedBounds_ = { leaseBoundAfterWrite(state_.tuning_, at(milliseconds)), batch.silentWorkers_ };
         for (const Batch::Item& item : batch.items_) {
             auto progress = progressOf(state_, item.job_);
             if (!progress) {
@@ -129,6 +131,8 @@
     }
 
     LeaderState state_;
+    // Bounds on the leases that the last commit has stored.
+    LeaseBounds storedBounds_;
     std::string domain_ { "north" };
     // Start time and host of the reported workers.
     int64_t bornMs_ { 1000 };
--- a/workflow/tests/ReachabilityTest.cpp
+++ b/workflow/tests/ReachabilityTest.cpp
@@ -319,7 +319,7 @@
     BOOST_REQUIRE(world.starts("a", 101).size() == 1U);
     // The start was unanswered, and the worker has confirmed its stop.
     for (int64_t time = 200; time <= 6200; time += 200) {
-        world.state_.leaseGrantsUntil_ = at(time + 4000);
+        world.state_.lastDurableWriteAt_ = at(time);
         world.reachable_ = false;
         world.reportBy("a", 7, "w-1", time, { { first, "", 10, 0, 100 } });
         world.reachable_ = true;
--- a/workflow/tests/StarvationTest.cpp
+++ b/workflow/tests/StarvationTest.cpp
@@ -25,7 +25,7 @@
         {
             std::vector<std::string> workers = refusing_;
             workers.push_back("w-9");
-            state_.leaseGrantsUntil_ = at(time + 4000);
+            state_.lastDurableWriteAt_ = at(time);
             for (const std::string& worker : workers) {
                 auto agent = state_.agents_.find(worker);
                 lastCompletedOrder_ = agent == state_.agents_.end() ? OrderNumber() : agent->second.lastOrder_;
--- a/workflow/tests/StoppingRoomTest.cpp
+++ b/workflow/tests/StoppingRoomTest.cpp
@@ -145,7 +145,7 @@
     StoppingWorld world;
     int64_t time = 200;
     for (; time <= 130'000; time += 1000) {
-        world.state_.leaseGrantsUntil_ = at(time + 4000);
+        world.state_.lastDurableWriteAt_ = at(time);
         world.report("w-2", time, { world.run_ });
         world.handle(Tick { 1'000'000 + time }, time + 1);
         world.reply("w-2", time + 2);
