Fuzz the rows with bounds on leases

The chain row and the row of silent workers are decoded by the third choice of the target, and have a seed each.

--- a/fuzz/QueuesTarget.cpp
+++ b/fuzz/QueuesTarget.cpp
@@ -1,6 +1,7 @@
 // Fuzz target of the decoders of the queues' messages and rows: the first byte chooses the decoder, the rest is the message
 // or row. Exceptions of Cap'n Proto for a malformed message are expected, as a server turns them into an error of the call.
 #include "scheduler/src/LeaderRow.h"
+#include "scheduler/src/LeaseRows.h"
 #include "workflow/src/ExchangeCodec.h"
 
 #include <capnp/serialize.h>
@@ -23,6 +24,8 @@
         break;
     default:
         (void)scheduler::decodeClaim(text);
+        (void)scheduler::decodeChain(text);
+        (void)scheduler::decodeSilentWorkers(text);
     }
 }
 
--- a/fuzz/Seeds.cpp
+++ b/fuzz/Seeds.cpp
@@ -1,5 +1,6 @@
 // Writes the seeds of the target `queues` with the project's encoders. Usage: fuzz_seeds FOLDER
 #include "scheduler/src/LeaderRow.h"
+#include "scheduler/src/LeaseRows.h"
 #include "workflow/src/ExchangeCodec.h"
 
 #include <capnp/message.h>
@@ -52,6 +53,8 @@
     Interference estimates;
     estimates.sensitivities_["search"] = { 4, { { "heavy", 0.9 }, { "light", 0.05 } }, { 0.01, 0, 0, 0.02 } };
     write(folder + "interference", 2, encodeInterference(estimates));
+    write(folder + "chain", 3, scheduler::encodeChain({ LeaderEpoch(7), 12, 58450 }));
+    write(folder + "silent-workers", 3, scheduler::encodeSilentWorkers({ { { { "w-1", 1733308107000, "host-4" }, 51000 } } }));
     write(folder + "claim", 3, scheduler::encodeClaim({ LeaderEpoch(4), *Address::parse("127.0.0.1:80"), 17 }));
     WorkerReport lists { worker, { "packs", "north", { "a", "r1" }, *Resources::create(4000, 1'000'000, 0) }, false, 0, true, true, 7, { { run, "ck", 40, 900, 100 } }, { { 1, run, RunEnd::Failed, "ck" } }, {} };
     AgentReport report { "agent-1", "north", 7, LeaderEpoch(4), Fence(5), Sequence(6), OrderNumber(7), { lists }, { worker }, true, { run } };
