--- a/scheduler/src/Leading.cpp
+++ b/scheduler/src/Leading.cpp
@@ -323,8 +323,8 @@
                                 logInfo("commit.slow", { { "commit", std::to_string(role->pendingCommit_->number_) }, { "took_ms", std::to_string(took.count() / 1000) }, { "jobs", std::to_string(role->pendingCommit_->batch_.items_.size()) } });
                             role->averageCommitTime_ = (role->averageCommitTime_ * 7 + took) / 8;
                             role->commitTimeout_ = std::clamp(role->averageCommitTime_ * commitTimeoutFactor, minimumCommitTimeout, maximumCommitTimeout);
-                            if (committed.clockMs_ > 0)
-                                role->storeClock_ = { committed.clockMs_, message.sentAt_, time() };
+                            if (committed.clockReadingMs_ > 0)
+                                role->storeClock_ = { committed.clockReadingMs_, message.sentAt_, time() };
                             finishCommit(*role, committed.version_);
                         },
                    [&](const store::Conflict& conflict) {
--- a/scheduler/src/QueueRows.cpp
+++ b/scheduler/src/QueueRows.cpp
@@ -100,7 +100,7 @@
     auto operators = co_await rows.readTable(std::string(platform::operatorTable), queueReadTimeout);
     if (!operators.ok())
         co_return operators.status();
-    loaded.clock_ = { operators->clockMs_, sentAt, now(SteadyClock()) };
+    loaded.clock_ = { operators->clockReadingMs_, sentAt, now(SteadyClock()) };
     loaded.operators_ = toView(*operators);
     auto estimates = co_await rows.readRow(std::string(estimatesRow), queueReadTimeout);
     loaded.interference_ = decodeEstimates(estimates);
--- a/store/include/persimmondoor/store/Table.h
+++ b/store/include/persimmondoor/store/Table.h
@@ -56,7 +56,7 @@
 struct Committed {
     RowVersion version_;
     /// Reading of the service's steady clock as it answered, in milliseconds; 0 if not stated.
-    int64_t clockMs_ { 0 };
+    int64_t clockReadingMs_ { 0 };
     auto operator<=>(const Committed&) const = default;
 };
 
