--- a/bench/capacity/PlatformPage.cpp
+++ b/bench/capacity/PlatformPage.cpp
@@ -123,8 +123,8 @@
         page.text(concat("| ", loss.name_, " | ", Writer::number(loss.hosts_), " hosts, ", Writer::number(tasks), " tasks | ", Writer::number(taskLeaseSeconds), " s | ", Writer::number(tasks / startsPerSecond), " s |"));
     }
     page.text("");
-    page.text("A restarted host (530 a day) is known at once, as its new worker shows that the former one is gone. While the store is away, running tasks go on for the length");
-    page.text("of the leader's own lease (4 s) and their own (7.5 s); nothing new is started.\n");
+    page.text("A restarted host (530 a day) is known at once, as its new worker shows that the former one is gone. While the store is away, running tasks go on until the");
+    page.text("stored bound on their leases, 8.0 s after the leader's last write; nothing new is started.\n");
     page.text("Not measured: more than 305 machines, 7,000 accelerators, 48 teams with quotas, six regions, the store's own limits, 204,000 tasks at once.");
 }
 
