Remove a worker that its agent never reached

Callers: a task of a worker that was lost for good just after its agent had been restarted is never started again, a short one or a long-running one.

Cause: an agent drops an unreachable worker once its leases have expired, but only if it has read the worker's clock. That stands for 'its lists were asked for', as none are without a leader. A worker that sent a heartbeat and was lost before it answered the first list request is never dropped, so that the leader keeps its runs as assigned and the agent reports the worker for ever.

Change: the agent notes that a list request has failed; such a worker is dropped after the longest lease (10 s) since it was first seen, which bounds the leases of an earlier process of the agent.

The test failed before: 'worker_that_was_never_reached_is_removed_after_the_longest_lease: check agent.state_.workers_.count(incarnation) == 0U has failed [1 != 0]'. A worker that nobody asked, as there is no leader, is kept as before (second test).

--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -76,6 +76,8 @@
     Instant nextListAt_;
     /// The last list request succeeded.
     bool isReachable_ { false };
+    /// A list request has failed. Without a leader none is sent, so that a worker may be unreachable without it.
+    bool hasListFailed_ { false };
     /// First report that contained the worker; 0 before one has.
     Sequence firstReport_;
     /// Leases granted to the worker may last until this time. The leader extends it with replies to reports that contained
--- a/supervision/src/decisions/LocalWorkers.cpp
+++ b/supervision/src/decisions/LocalWorkers.cpp
@@ -212,6 +212,7 @@
         return;
     LocalWorker& worker = found->second;
     worker.isListCallInFlight_ = false;
+    worker.hasListFailed_ = true;
     worker.nextListAt_ = context.now_ + context.state_.tuning_.retryInterval_;
     if (worker.isReachable_)
         context.logEvent("worker.unreachable", describe(failure.worker_), concat("the list request failed: ", failure.reason_));
@@ -228,7 +229,7 @@
     std::vector<WorkerIncarnation> expired;
     for (const auto& [incarnation, worker] : context.state_.workers_) {
         Duration margin = context.state_.tuning_.leaseSlack_ + context.state_.tuning_.longestLease_ * context.state_.tuning_.clockDriftPercent_ / 100;
-        if (!worker.isReachable_ && worker.clockReadAt_ != Instant() && context.now_ > worker.leaseEnd_ + margin)
+        if (!worker.isReachable_ && worker.hasListFailed_ && context.now_ > worker.leaseEnd_ + margin)
             expired.push_back(incarnation);
     }
     for (const WorkerIncarnation& incarnation : expired)
--- a/supervision/tests/LeasesTest.cpp
+++ b/supervision/tests/LeasesTest.cpp
@@ -111,6 +111,34 @@
     BOOST_TEST((agent.state_.fence_ == Fence(6)));
 }
 
+// Guards against tasks that wait without end for a worker that the agent has heard of and never reached: it was lost for good
+// just after the agent had been restarted.
+BOOST_AUTO_TEST_CASE(worker_that_was_never_reached_is_removed_after_the_longest_lease)
+{
+    Agent agent;
+    agent.sendHeartbeat(0);
+    agent.sendReply(10);
+    Instant longest = at(0) + SupervisorTuning().longestLease_;
+    for (int64_t time = 100; time < 11'000; time += 400) {
+        agent.handle(ListFailed { incarnation, false }, time);
+        agent.handle(SupervisorTick {}, time + 150);
+        if (at(time + 150) <= longest)
+            BOOST_TEST(agent.state_.workers_.count(incarnation) == 1U);
+    }
+    BOOST_TEST(agent.state_.workers_.count(incarnation) == 0U);
+    BOOST_TEST(agent.state_.endedWorkers_.count(incarnation) == 1U);
+}
+
+// Guards against the removal of a worker that was not asked for its lists, as there was no leader.
+BOOST_AUTO_TEST_CASE(worker_that_was_never_asked_for_its_lists_is_kept)
+{
+    Agent agent;
+    agent.sendHeartbeat(0);
+    for (int64_t time = 100; time < 30'000; time += 400)
+        agent.handle(SupervisorTick {}, time);
+    BOOST_TEST(agent.state_.workers_.count(incarnation) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::supervision
