Let a job that stands still share the cores of slowed filling tasks

A job of which nothing runs ignores interference after 1.5 s, but not the lack of such cores. Once slowed tasks of other jobs have them on every worker, it waits until one of these ends, and tasks at a pace of 0 don't.

Evidence: the new test failed before, 'reportUntilStarted(world, paused, 2500, 16'000) < 16'000 has failed [16000 >= 16000]': two workers whose long-running tasks take a quarter of the cores and next to no memory, all other cores kept by paused tasks.

Change: after 6 s one task of such a job is placed where it is slowed down least, whatever cores filling tasks have there: they share them, as the cores of filling tasks do not count against a worker's capacity. Memory counts as before.

--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -141,8 +141,10 @@
     // Only if it disturbs some on every worker, and only where it can run at nearly its full speed.
     Avoided,
     Allowed,
+    // Also where other filling tasks have all the cores that long-running tasks leave unused, which they then share.
+    AllowedOnSharedCores,
 };
-// `Disturbance::Allowed` if the job has waited long without assigned tasks.
+// `Disturbance::Avoided` unless nothing of the job has run for long and none of its tasks is assigned.
 Disturbance disturbanceOf(const LeaderState&, const Job&, Instant now);
 // Why a worker cannot take a task now. In the order in which the reasons are checked.
 enum class WorkerObstacle : uint8_t {
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -95,15 +95,23 @@
     return freeMilliCores(worker) < 0 || worker.reserved_.memoryBytes() > capacity.memoryBytes() || worker.reserved_.accelerators() > capacity.accelerators();
 }
 
-static WorkerObstacle capacityObstacle(const Worker& worker, const Job& job, const TaskKey& key)
+// Cores in thousandths that the worker has for the task, without regard to those that are held for others.
+static int64_t usableMilliCores(const Worker& worker, const Step& step, Disturbance disturbance)
+{
+    if (!step.isFilling_)
+        return freeMilliCores(worker);
+    return disturbance == Disturbance::AllowedOnSharedCores ? worker.traits_.capacity_.milliCores() : spareMilliCores(worker);
+}
+
+static WorkerObstacle capacityObstacle(const Worker& worker, const Job& job, const TaskKey& key, Disturbance disturbance)
 {
     const Step& step = stepOf(job, key);
     const Resources& capacity = worker.traits_.capacity_;
     Resources held = heldForOthers(worker, job, key);
     // Filling tasks wait for spare cores, as beyond them they would only slow each other down. They take no cores that are
     // held for others, as theirs are not counted against the capacity.
-    int64_t cores = step.isFilling_ ? spareMilliCores(worker) : freeMilliCores(worker) - held.milliCores();
-    if (step.demand_.milliCores() > cores)
+    int64_t heldCores = step.isFilling_ ? 0 : held.milliCores();
+    if (step.demand_.milliCores() > usableMilliCores(worker, step, disturbance) - heldCores)
         return WorkerObstacle::Cores;
     if (worker.reserved_.memoryBytes() + held.memoryBytes() + step.demand_.memoryBytes() > capacity.memoryBytes())
         return WorkerObstacle::Memory;
@@ -147,7 +155,7 @@
     return isHeldBack(worker, stepOf(job, key), job.tasks_[taskNumber(job, key)], now) ? WorkerObstacle::Quarantined : WorkerObstacle::None;
 }
 
-static WorkerObstacle roomObstacle(const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+static WorkerObstacle roomObstacle(const Job& job, const TaskKey& key, const Worker& worker, Disturbance disturbance, Instant now)
 {
     const Step& step = stepOf(job, key);
     if (now < worker.backoffUntil_)
@@ -158,13 +166,13 @@
         return WorkerObstacle::MissingLabel;
     if (step.maxPerWorker_ > 0 && countSiblings(worker, key) >= step.maxPerWorker_)
         return WorkerObstacle::StepBound;
-    return capacityObstacle(worker, job, key);
+    return capacityObstacle(worker, job, key, disturbance);
 }
 
-WorkerObstacle taskObstacle(const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+WorkerObstacle taskObstacle(const Job& job, const TaskKey& key, const Worker& worker, Disturbance disturbance, Instant now)
 {
     WorkerObstacle obstacle = serviceObstacle(job, key, worker, now);
-    return obstacle == WorkerObstacle::None ? roomObstacle(job, key, worker, now) : obstacle;
+    return obstacle == WorkerObstacle::None ? roomObstacle(job, key, worker, disturbance, now) : obstacle;
 }
 
 WorkerObstacle obstacleAt(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
@@ -172,7 +180,7 @@
     WorkerObstacle obstacle = serviceObstacle(job, key, worker, now);
     if (obstacle == WorkerObstacle::None)
         obstacle = stateObstacle(state, worker, now);
-    return obstacle == WorkerObstacle::None ? roomObstacle(job, key, worker, now) : obstacle;
+    return obstacle == WorkerObstacle::None ? roomObstacle(job, key, worker, Disturbance::Avoided, now) : obstacle;
 }
 
 // Score of a worker for a long-running task: prefers the fullest worker with tasks of its image only, then an empty one,
@@ -223,8 +231,10 @@
 
 Disturbance disturbanceOf(const LeaderState& state, const Job& job, Instant now)
 {
-    bool hasWaitedLong = job.idleSince_ && now - *job.idleSince_ > state.tuning_.ignoreInterferenceAfter_;
-    return hasWaitedLong ? Disturbance::Allowed : Disturbance::Avoided;
+    Duration idle = job.idleSince_ && !hasAssignedTasks(job) ? now - *job.idleSince_ : Duration(0);
+    if (idle > state.tuning_.shareCoresAfter_)
+        return Disturbance::AllowedOnSharedCores;
+    return idle > state.tuning_.ignoreInterferenceAfter_ ? Disturbance::Allowed : Disturbance::Avoided;
 }
 
 PlacementObstacle placementObstacle(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -64,7 +64,7 @@
     const Candidate* best = nullptr;
     int64_t bestScore = 0;
     const Step& step = stepOf(job, key);
-    bool ignoresInterference = disturbance == Disturbance::Allowed || !step.isFilling_;
+    bool ignoresInterference = disturbance != Disturbance::Avoided || !step.isFilling_;
     // Filling tasks wait for a worker without interference if there is one, even if it has no free capacity now.
     bool mayCauseInterference = ignoresInterference || !hasHarmlessWorker(job, step);
     const std::vector<bool>* disturbed = step.isFilling_ ? &disturbedBy(step.image_) : nullptr;
@@ -73,7 +73,7 @@
         bool isHarmlessHere = !disturbed || isHarmless(candidate, *disturbed);
         if (!isHarmlessHere && !mayCauseInterference)
             continue;
-        if (taskObstacle(job, key, worker, now_) != WorkerObstacle::None)
+        if (taskObstacle(job, key, worker, disturbance, now_) != WorkerObstacle::None)
             continue;
         if (!isHarmlessHere && !ignoresInterference && paceAt(state_, step, worker) < minimumPace)
             continue;
--- a/workflow/src/decisions/PlacementScore.h
+++ b/workflow/src/decisions/PlacementScore.h
@@ -16,7 +16,7 @@
 // Why the worker may not be given new runs, whatever the task; without regard to a quarantine.
 WorkerObstacle stateObstacle(const LeaderState&, const Worker&, Instant now);
 // Why a worker that accepts new runs cannot take the task.
-WorkerObstacle taskObstacle(const Job&, const TaskKey&, const Worker&, Instant now);
+WorkerObstacle taskObstacle(const Job&, const TaskKey&, const Worker&, Disturbance, Instant now);
 // The pace, from 0 to 1, at which a filling task could run on the worker if all filling tasks on the worker are busy.
 double paceAt(const LeaderState&, const Step&, const Worker&);
 // Score of a worker that can take the task; the highest is chosen.
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -162,7 +162,7 @@
             continue;
         ++placedDespiteInterference;
         // One task keeps the job running; the others wait, as tasks that disturb are slowed down and end late.
-        if (round.hasHarmlessWorker(job, step))
+        if (disturbance == Disturbance::AllowedOnSharedCores || round.hasHarmlessWorker(job, step))
             disturbance = Disturbance::Avoided;
     }
     if (isFull && !isUnplaceable)
--- a/workflow/src/decisions/UnplaceableDemands.h
+++ b/workflow/src/decisions/UnplaceableDemands.h
@@ -14,7 +14,7 @@
     // A job that may disturb long-running tasks may be placed on workers that others have to avoid.
     bool contains(const Job& job, const Step& step, Disturbance disturbance) const
     {
-        if (disturbance == Disturbance::Allowed)
+        if (disturbance != Disturbance::Avoided)
             return false;
         return std::any_of(demands_.begin(), demands_.end(), [&](const Demand& demand) {
             return demand.service_ == job.queue_.service_ && demand.isFilling_ == step.isFilling_ && demand.isLongRunning_ == step.longRunning_ && demand.image_ == step.image_ && demand.label_ == step.requiredLabel_ && demand.demand_.fitsIn(step.demand_);
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -24,6 +24,53 @@
     world.commit(1310);
 }
 
+static const std::string waitingJob = "00000000000000dd";
+
+// Fills both workers with tasks that turn out to disturb the long-running ones, which have no headroom, and are paused.
+// \return the paused runs by worker.
+static std::map<std::string, std::vector<ActiveRun>> fillWithPausedTasks(FillingWorld& world)
+{
+    for (const char* image : { "search", "ranking" })
+        world.state_.interference_.sensitivities_[image].factors_ = { { "heavy", 0.02 }, { "light", 0.02 } };
+    world.submit({ fillingStep(6, "heavy") }, 200, fillingJob);
+    world.commit(210);
+    // Three quarters of the target are 13.5 ms.
+    world.tailMs_ = 14;
+    std::map<std::string, std::vector<ActiveRun>> paused;
+    for (const std::string& worker : { world.search_, world.ranking_ }) {
+        std::vector<RunKey> runs = world.starts(worker, 211);
+        BOOST_REQUIRE(runs.size() == 3U);
+        for (const RunKey& run : runs)
+            paused[worker].push_back({ run, "ck", 10, 0, 0 });
+    }
+    world.lastCompletedOrder_ = OrderNumber(4);
+    for (int64_t time = 700; time <= 1700; time += 500) {
+        world.reportReadings(time, paused[world.search_], paused[world.ranking_]);
+        world.commit(time + 10);
+    }
+    return paused;
+}
+
+// Reports readings each half second until a task of the waiting job is ordered to start.
+// \return when it was; `end` if none was.
+static int64_t reportUntilStarted(FillingWorld& world, const std::map<std::string, std::vector<ActiveRun>>& paused, int64_t begin, int64_t end)
+{
+    for (int64_t time = begin; time < end; time += 500) {
+        world.reportReadings(time, paused.at(world.search_), paused.at(world.ranking_));
+        world.commit(time + 10);
+        for (const std::string& worker : { world.search_, world.ranking_ }) {
+            std::vector<RunKey> runs = world.starts(worker, time + 20);
+            if (runs.empty())
+                continue;
+            BOOST_TEST(runs.size() == 1U);
+            BOOST_TEST(runs.front().task_.job_.value() == waitingJob);
+            world.lastCompletedOrder_ = OrderNumber(100);
+            return time;
+        }
+    }
+    return end;
+}
+
 BOOST_AUTO_TEST_SUITE(filling)
 
 BOOST_AUTO_TEST_CASE(long_running_tasks_of_an_image_share_workers)
@@ -83,6 +130,19 @@
     BOOST_TEST(world.starts(world.search_, 1960).size() == 1U);
 }
 
+// Guards against a job that waits without end for cores that the slowed tasks of another job keep on every worker, although most
+// of the workers' room is free.
+BOOST_AUTO_TEST_CASE(job_without_running_tasks_shares_cores_with_slowed_tasks_before_it_counts_as_lost)
+{
+    FillingWorld world;
+    std::map<std::string, std::vector<ActiveRun>> paused = fillWithPausedTasks(world);
+    world.submit({ fillingStep(2, "light") }, 2000, waitingJob);
+    BOOST_TEST(reportUntilStarted(world, paused, 2500, 16'000) < 16'000);
+    // One task keeps the job running; more would slow down all others.
+    const std::vector<Task>& tasks = world.state_.jobs_.at(JobId::of(waitingJob)).tasks_;
+    BOOST_TEST(std::count_if(tasks.begin(), tasks.end(), [](const Task& task) { return task.progress_.phase_ == TaskPhase::Assigned; }) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(image_that_disturbs_every_long_running_task_is_placed_within_their_headroom)
 {
     FillingWorld world;
