Count the wait of a job from its last listed run

A job that has waited for a worker, and whose start is then refused or comes to nothing, waits as long again; such starts may follow each other without end.

Cause: the time for which nothing of a job runs began anew whenever a task was assigned, not when a worker listed a run.

Change: only a listed run ends the wait. While a task is assigned no further one is placed by the exception, as before.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -87,7 +87,8 @@
     bool hasStarted_ { false };
     /// Phase as of the last durable batch; empty before the first.
     std::optional<JobPhase> durablePhase_;
-    /// Since when the job has had tasks to start, or occurrences that are not due yet, while none of its tasks is assigned.
+    /// Since when the job has had tasks to start, or occurrences that are not due yet, while none of its runs was listed by a
+    /// worker.
     std::optional<Instant> idleSince_;
     /// The job has missed its objective, and a log line says so.
     bool isReportedLate_ { false };
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -174,7 +174,9 @@
 
 static void updateIdleTime(const DecisionContext& context, Job& job, bool waits)
 {
-    if (!waits || hasAssignedTasks(job))
+    // A start that comes to nothing does not begin the wait anew, as such starts may follow each other without end.
+    bool hasListedRun = std::any_of(job.tasks_.begin(), job.tasks_.end(), [](const Task& task) { return task.isOnWorker_; });
+    if (!waits || hasListedRun)
         job.idleSince_.reset();
     else if (!job.idleSince_)
         job.idleSince_ = context.now_;
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -143,6 +143,20 @@
     BOOST_TEST(std::count_if(tasks.begin(), tasks.end(), [](const Task& task) { return task.progress_.phase_ == TaskPhase::Assigned; }) == 1);
 }
 
+// Guards against a wait that begins anew with each start that is refused.
+BOOST_AUTO_TEST_CASE(refused_start_does_not_begin_the_wait_of_a_job_without_running_tasks_anew)
+{
+    FillingWorld world;
+    std::map<std::string, std::vector<ActiveRun>> paused = fillWithPausedTasks(world);
+    world.submit({ fillingStep(2, "light") }, 2000, waitingJob);
+    int64_t startedAt = reportUntilStarted(world, paused, 2500, 16'000);
+    BOOST_REQUIRE(startedAt < 16'000);
+    world.refused_ = { { runOf(waitingJob), StartRefusal::NoRoom } };
+    world.reportReadings(startedAt + 50, paused[world.search_], paused[world.ranking_]);
+    world.refused_.clear();
+    BOOST_TEST(reportUntilStarted(world, paused, startedAt + 500, startedAt + 5000) < startedAt + 2000);
+}
+
 BOOST_AUTO_TEST_CASE(image_that_disturbs_every_long_running_task_is_placed_within_their_headroom)
 {
     FillingWorld world;
