Give a job that stood still its next place at once

Change: where long-running and short tasks take no more than 60 percent of the service's capacity (half is the users' bound), a job waits 2 s for its first place on shared cores, and its next task follows at once. Elsewhere the former rule applies: under overload more tasks would only slow each other down.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -90,6 +90,8 @@
     /// Since when the job has had tasks to start, or occurrences that are not due yet, while none of its runs was listed by a
     /// worker.
     std::optional<Instant> idleSince_;
+    /// The last placed task was placed regardless of interference, as nothing of the job had run for long.
+    bool hasExceptionalPlace_ { false };
     /// The job has missed its objective, and a log line says so.
     bool isReportedLate_ { false };
     /// When the job ended; starts its retention time.
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -144,8 +144,6 @@
     // Also where other filling tasks have all the cores that long-running tasks leave unused, which they then share.
     AllowedOnSharedCores,
 };
-// `Disturbance::Avoided` unless nothing of the job has run for long and none of its tasks is assigned.
-Disturbance disturbanceOf(const LeaderState&, const Job&, Instant now);
 // Why a worker cannot take a task now. In the order in which the reasons are checked.
 enum class WorkerObstacle : uint8_t {
     None,
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -229,14 +229,6 @@
     return score - failureWeight * worker.consecutiveFailures_;
 }
 
-Disturbance disturbanceOf(const LeaderState& state, const Job& job, Instant now)
-{
-    Duration idle = job.idleSince_ && !hasAssignedTasks(job) ? now - *job.idleSince_ : Duration(0);
-    if (idle > state.tuning_.shareCoresAfter_)
-        return Disturbance::AllowedOnSharedCores;
-    return idle > state.tuning_.ignoreInterferenceAfter_ ? Disturbance::Allowed : Disturbance::Avoided;
-}
-
 PlacementObstacle placementObstacle(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
 {
     bool hasRoom = std::any_of(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) { return obstacleAt(state, job, key, entry.second, now) == WorkerObstacle::None; });
--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -59,6 +59,40 @@
     });
 }
 
+bool PlacementRound::isMostlyFree(const std::string& service)
+{
+    auto [known, isNew] = mostlyFreeByService_.try_emplace(service, false);
+    if (!isNew)
+        return known->second;
+    int64_t milliCores = 0;
+    int64_t takenMilliCores = 0;
+    int64_t memory = 0;
+    int64_t takenMemory = 0;
+    for (const Candidate& candidate : candidates_) {
+        const Worker& worker = *candidate.worker_;
+        if (worker.traits_.service_ != service)
+            continue;
+        milliCores += worker.traits_.capacity_.milliCores();
+        takenMilliCores += worker.traits_.capacity_.milliCores() - freeMilliCores(worker);
+        memory += worker.traits_.capacity_.memoryBytes();
+        takenMemory += worker.reserved_.memoryBytes();
+    }
+    int64_t bound = state_.tuning_.maximumTakenPercent_;
+    known->second = takenMilliCores * 100 <= milliCores * bound && takenMemory * 100 <= memory * bound;
+    return known->second;
+}
+
+Disturbance PlacementRound::disturbanceOf(const Job& job)
+{
+    if (hasAssignedTasks(job))
+        return Disturbance::Avoided;
+    Duration idle = job.idleSince_ ? now_ - *job.idleSince_ : Duration(0);
+    bool mayShareCores = job.hasExceptionalPlace_ || idle > state_.tuning_.shareCoresAfter_;
+    if (mayShareCores && isMostlyFree(job.queue_.service_))
+        return Disturbance::AllowedOnSharedCores;
+    return idle > state_.tuning_.ignoreInterferenceAfter_ ? Disturbance::Allowed : Disturbance::Avoided;
+}
+
 std::optional<WorkerIncarnation> PlacementRound::chooseWorker(const Job& job, const TaskKey& key, Disturbance disturbance)
 {
     const Candidate* best = nullptr;
--- a/workflow/src/decisions/PlacementRound.h
+++ b/workflow/src/decisions/PlacementRound.h
@@ -17,6 +17,8 @@
 
     // The worker with the best score for the task, or nothing if the task has to wait.
     std::optional<WorkerIncarnation> chooseWorker(const Job&, const TaskKey&, Disturbance);
+    // `Disturbance::Avoided` unless nothing of the job has run for long and none of its tasks is assigned.
+    Disturbance disturbanceOf(const Job&);
     // True if filling tasks of the step would disturb no long-running task on at least one worker, whatever its free capacity.
     bool hasHarmlessWorker(const Job&, const Step&);
     // To be called after long-running tasks have been assigned to workers or removed from them.
@@ -38,11 +40,15 @@
     const std::vector<bool>& disturbedBy(const std::string& fillingImage);
     static bool isHarmless(const Candidate&, const std::vector<bool>& disturbed);
 
+    // True if most of the capacity of the service is free, without regard to the cores of filling tasks.
+    bool isMostlyFree(const std::string& service);
+
     const LeaderState& state_;
     Instant now_;
     std::vector<Candidate> candidates_;
     std::map<std::string, size_t> longRunningImages_;
     std::map<std::string, std::vector<bool>> disturbedByFilling_;
+    std::map<std::string, bool> mostlyFreeByService_;
 };
 
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -71,7 +71,7 @@
             return false;
         run = std::max(run, progress.run_);
     }
-    Disturbance disturbance = disturbanceOf(context.state_, job, context.now_);
+    Disturbance disturbance = round.disturbanceOf(job);
     StagedJob before = stage(context.state_, job.record_.id_);
     for (uint32_t index = 0; index < step.count_; ++index) {
         TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
@@ -127,7 +127,7 @@
         return startGang(context, job, occurrence, stepNumber, round);
     if ((step.longRunning_ || step.isFilling_) && isAwaitingWorkers(context.state_, context.now_))
         return true;
-    Disturbance disturbance = disturbanceOf(context.state_, job, context.now_);
+    Disturbance disturbance = round.disturbanceOf(job);
     // Room that is held for a task of the step was of no use to the steps that found no worker.
     bool isUnplaceable = !isRoomHeld(job, occurrence, stepNumber) && unplaceable.contains(job, step, disturbance);
     // Whether a search has found no worker: for any task of the step, or for those that have failed. Workers that have to prove
@@ -158,6 +158,7 @@
         assign(context, job, key, *incarnation, progress.run_ + 1);
         if (step.longRunning_)
             round.refreshImages();
+        job.hasExceptionalPlace_ = step.isFilling_ && disturbance != Disturbance::Avoided;
         if (disturbance == Disturbance::Avoided)
             continue;
         ++placedDespiteInterference;
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -25,6 +25,8 @@
 }
 
 static const std::string waitingJob = "00000000000000dd";
+// A job with nothing running counts as lost after this time (stated by the platform).
+static constexpr int64_t lostAfterMs = 3000;
 
 // Fills both workers with tasks that turn out to disturb the long-running ones, which have no headroom, and are paused.
 // \return the paused runs by worker.
@@ -137,12 +139,42 @@
     FillingWorld world;
     std::map<std::string, std::vector<ActiveRun>> paused = fillWithPausedTasks(world);
     world.submit({ fillingStep(2, "light") }, 2000, waitingJob);
-    BOOST_TEST(reportUntilStarted(world, paused, 2500, 16'000) < 16'000);
+    BOOST_TEST(reportUntilStarted(world, paused, 2500, 16'000) < 2000 + lostAfterMs);
     // One task keeps the job running; more would slow down all others.
     const std::vector<Task>& tasks = world.state_.jobs_.at(JobId::of(waitingJob)).tasks_;
     BOOST_TEST(std::count_if(tasks.begin(), tasks.end(), [](const Task& task) { return task.progress_.phase_ == TaskPhase::Assigned; }) == 1);
 }
 
+// Guards against a job that stands still again after each of its tasks, as the next one waits for cores anew.
+BOOST_AUTO_TEST_CASE(next_task_of_a_job_that_shares_cores_follows_at_once)
+{
+    FillingWorld world;
+    std::map<std::string, std::vector<ActiveRun>> paused = fillWithPausedTasks(world);
+    world.submit({ fillingStep(3, "light") }, 2000, waitingJob);
+    int64_t startedAt = reportUntilStarted(world, paused, 2500, 16'000);
+    for (uint32_t index = 0; index < 2; ++index) {
+        const WorkerIncarnation worker = world.state_.jobs_.at(JobId::of(waitingJob)).tasks_[index].progress_.worker_;
+        std::map<std::string, std::vector<ActiveRun>> active = paused;
+        active[worker.name_].push_back({ runOf(waitingJob, index), "", 50, 0, 100 });
+        world.reportReadings(startedAt + 500, active[world.search_], active[world.ranking_]);
+        world.commit(startedAt + 510);
+        world.ended_[worker.name_].push_back({ index + 1, runOf(waitingJob, index), RunEnd::Done, "" });
+        int64_t endedAt = startedAt + 1000;
+        startedAt = reportUntilStarted(world, paused, endedAt, endedAt + 10'000);
+        BOOST_TEST(startedAt == endedAt);
+    }
+}
+
+// Guards against filling tasks beyond what long-running tasks leave unused where these need most of the capacity.
+BOOST_AUTO_TEST_CASE(job_without_running_tasks_shares_no_cores_where_most_of_the_capacity_is_taken)
+{
+    FillingWorld world;
+    std::map<std::string, std::vector<ActiveRun>> paused = fillWithPausedTasks(world);
+    world.state_.tuning_.maximumTakenPercent_ = 20;
+    world.submit({ fillingStep(2, "light") }, 2000, waitingJob);
+    BOOST_TEST(reportUntilStarted(world, paused, 2500, 16'000) == 16'000);
+}
+
 // Guards against a wait that begins anew with each start that is refused.
 BOOST_AUTO_TEST_CASE(refused_start_does_not_begin_the_wait_of_a_job_without_running_tasks_anew)
 {
@@ -154,7 +186,7 @@
     world.refused_ = { { runOf(waitingJob), StartRefusal::NoRoom } };
     world.reportReadings(startedAt + 50, paused[world.search_], paused[world.ranking_]);
     world.refused_.clear();
-    BOOST_TEST(reportUntilStarted(world, paused, startedAt + 500, startedAt + 5000) < startedAt + 2000);
+    BOOST_TEST(reportUntilStarted(world, paused, startedAt + 500, startedAt + 10'000) < startedAt + 1000);
 }
 
 BOOST_AUTO_TEST_CASE(image_that_disturbs_every_long_running_task_is_placed_within_their_headroom)
--- a/workflow/tests/FillingWorld.h
+++ b/workflow/tests/FillingWorld.h
@@ -60,13 +60,15 @@
         besideSearch.insert(besideSearch.end(), unreadBesideSearch_.begin(), unreadBesideSearch_.end());
         besideRanking.push_back({ runOf(rankingJob), "", 100, tailMs_, 0 });
         readingNumber_ = static_cast<uint64_t>(milliseconds);
-        report(search_, milliseconds, std::move(besideSearch));
-        report(ranking_, milliseconds, std::move(besideRanking));
+        report(search_, milliseconds, std::move(besideSearch), ended_[search_]);
+        report(ranking_, milliseconds, std::move(besideRanking), ended_[ranking_]);
     }
 
     uint32_t tailMs_ { 8 };
     // Further runs on the worker of "search", without a reading.
     std::vector<ActiveRun> unreadBesideSearch_;
+    // Ends that the next reports list, by worker.
+    std::map<std::string, std::vector<EndedRun>> ended_;
     std::string search_;
     std::string ranking_;
 };
