Start all members of a gang from one checkpoint

Cause: any member's checkpoint is valid for the gang, and all members must carry the same one. The leader kept a checkpoint for each member and started each from its own; the ends after a crash or a stop differ.

Change: the leader chooses one checkpoint for the gang when it assigns all members, so that the choice is durable with the assignment, before any order leaves, and a new leader reads one value from all rows. A late end of an earlier run changes no task, as before. A checkpoint of a later run goes before one of an earlier run, as that run went on from the earlier choice; within a run the one that appeared at the most progress is chosen; otherwise, such as after a change of the leader, that of the lowest index.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -32,6 +32,15 @@
 
 namespace persimmondoor::workflow {
 
+/// Where a checkpoint came from. A greater one is at least as advanced, as far as the leader can tell.
+struct CheckpointOrigin {
+    /// The run that first listed the checkpoint; 0 if an earlier leader saw it.
+    uint32_t run_ { 0 };
+    /// Share of the work that was done, as listed with the checkpoint or, if an end named it, just before; 0 to 100.
+    uint32_t percent_ { 0 };
+    auto operator<=>(const CheckpointOrigin&) const = default;
+};
+
 /// A task in the leader's memory: its durable progress, and state that is not stored.
 struct Task {
     TaskProgress progress_;
@@ -44,6 +53,7 @@
     bool isStopping_ { false };
     Instant stopOrderedAt_;
     uint32_t progressPercent_ { 0 };
+    CheckpointOrigin checkpointOrigin_;
     /// Number of load readings that contained the newest run.
     uint32_t readings_ { 0 };
     /// Times of the newest run.
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -134,8 +134,7 @@
 static void handleIncompleteEnd(const DecisionContext& context, Job& job, const EndedRun& end, Task& task, Worker& worker)
 {
     const TaskKey& key = end.run_.task_;
-    if (!end.checkpoint_.empty())
-        task.progress_.checkpoint_ = end.checkpoint_;
+    noteCheckpoint(task, end.checkpoint_);
     // The worker is alive to list the end.
     task.progress_.crashes_ = 0;
     if (end.end_ == RunEnd::Failed)
@@ -213,8 +212,7 @@
     else if (!task->slowedSince_)
         task->slowedSince_ = context.now_;
     job.hasStarted_ = true;
-    if (!active.checkpoint_.empty())
-        task->progress_.checkpoint_ = active.checkpoint_;
+    noteCheckpoint(*task, active.checkpoint_);
     bool isStopOverdue = task->isStopping_ && task->lastOrder_ <= lastCompletedOrder && context.now_ - task->stopOrderedAt_ > context.state_.tuning_.stopRetryInterval_;
     if (isStopOverdue) {
         task->isStopping_ = false;
