Count the failed runs of a gang, not of its members

Callers: a gang whose runs fail is started more often than its queue's `maxAttempts` allows, if another member fails each time, and its job is not shown as failed.

Evidence: found by reading. With the members not levelled the new test fails: 'gang_is_given_up_whichever_of_its_members_failed: check world.progress(index).run_ == 2U has failed [3 != 2]' and '[running != failed]'.

Change: when the gang is assigned all members get its number of failed runs. They start each run with the same number, so that a run in which several members fail counts once, also after a change of the leader (second test, which guards the change and passed before).

Measured: test_workflow: 164 tests, no error.

--- a/workflow/include/persimmondoor/workflow/Record.h
+++ b/workflow/include/persimmondoor/workflow/Record.h
@@ -32,7 +32,7 @@
     TaskPhase phase_ { TaskPhase::Waiting };
     /// Number of the newest run, 0 before the first.
     uint32_t run_ { 0 };
-    /// Number of runs that failed.
+    /// Number of runs that failed; of a gang, at the start of its newest run, those in which any member failed.
     uint32_t failures_ { 0 };
     /// Worker of the newest run; meaningful while the task is assigned.
     WorkerIncarnation worker_;
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -86,10 +86,9 @@
 
 // Notes a checkpoint that the task's newest run has listed or ended with; an empty one is none.
 void noteCheckpoint(Task&, const std::string& checkpoint);
-// Makes all members of the gang go on from one checkpoint, as any member's is valid for all: the most advanced one, as far as
-// the leader can tell, otherwise that of the lowest index. To be called when the gang is assigned, so that the choice becomes
-// durable with the assignment.
-void chooseGangCheckpoint(Job&, const TaskKey& member);
+// Gives all members of the gang the same checkpoint and the same number of failed runs, which hold for the gang as a whole. To
+// be called when the gang is assigned, so that both become durable with the assignment.
+void levelGang(Job&, const TaskKey& member);
 
 void completeTask(const DecisionContext&, Job&, const TaskKey&, Task&);
 void handleEnd(const DecisionContext&, const WorkerIncarnation&, const EndedRun&);
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -90,7 +90,7 @@
         context.state_.staged_[job.record_.id_] = before;
         return true;
     }
-    chooseGangCheckpoint(job, makeTaskKey(job, occurrence, stepNumber, 0));
+    levelGang(job, makeTaskKey(job, occurrence, stepNumber, 0));
     return false;
 }
 
--- a/workflow/tests/GangTest.cpp
+++ b/workflow/tests/GangTest.cpp
@@ -231,6 +231,35 @@
     checkStarts(startsOn(world, gangSize + 1, time + 11), 2, "e");
 }
 
+// Guards against a gang that is started again after as many failed runs as its queue allows, as another member failed each time.
+BOOST_AUTO_TEST_CASE(gang_is_given_up_whichever_of_its_members_failed)
+{
+    GangWorld world;
+    for (uint32_t run = 1; run <= 2; ++run) {
+        int64_t time = run * 100;
+        for (uint32_t index = 0; index < gangSize; ++index)
+            world.list(index, "", 20, time + index);
+        for (uint32_t index = 0; index < gangSize; ++index)
+            world.end(index, index == run ? RunEnd::Failed : RunEnd::GangMemberEnded, "", time + 50 + index);
+        world.commit(time + 60);
+    }
+    for (uint32_t index = 0; index < gangSize; ++index)
+        BOOST_TEST(world.progress(index).run_ == 2U);
+    BOOST_TEST(world.answer(world.call(GetStatus {}, 301)) == "failed");
+}
+
+// Guards against a gang that is given up too early, as several of its members failed in one run.
+BOOST_AUTO_TEST_CASE(run_in_which_several_members_failed_counts_as_one_failure)
+{
+    GangWorld world;
+    for (uint32_t index = 0; index < gangSize; ++index)
+        world.list(index, "", 20, 30 + index);
+    for (uint32_t index = 0; index < gangSize; ++index)
+        world.end(index, RunEnd::Failed, "", 50 + index);
+    world.commit(60);
+    checkStarts(startsOn(world, gangSize + 1, 61), 2, "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
