--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -84,6 +84,12 @@
 // Logs once per `Tuning::backlogReportInterval_` what the waiting tasks wait for.
 void reportBacklog(const DecisionContext&);
 
+// Notes a checkpoint that the task's newest run has listed or ended with; an empty one is none.
+void noteCheckpoint(Task&, const std::string& checkpoint);
+// Gives all members of the gang the same checkpoint and the same number of failed runs, which hold for the gang as a whole. To
+// be called when the gang is assigned, so that both become durable with the assignment.
+void levelGang(Job&, const TaskKey& member);
+
 void completeTask(const DecisionContext&, Job&, const TaskKey&, Task&);
 void handleEnd(const DecisionContext&, const WorkerIncarnation&, const EndedRun&);
 // Removes a worker on which no run is left, and marks its assigned runs as lost.
