Wait for the lists of the silent worker itself

A task whose run was lost on a silent worker was started again as soon as its agent listed any worker, although its own worker could still list the run as done: the task ran a second time.

Cause: the wait was kept by agent, and ended with the first complete list of any worker of that agent.

The leader now notes the silent worker with its agent and its tasks. The wait ends when this incarnation is listed, when its agent reports its end, when a later incarnation is seen, or after maximumListWait_, counted once from when the agent first attached after its last report of the worker.

The check of the listed test moves into the fixture that the four tests share, with its times.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -21,6 +21,8 @@
 #include "persimmondoor/workflow/Interference.h"
 #include "persimmondoor/workflow/LeaseBounds.h"
 #include "persimmondoor/workflow/Record.h"
+#include "persimmondoor/workflow/ReservedRoom.h"
+#include "persimmondoor/workflow/SilentWorker.h"
 #include "persimmondoor/workflow/Tuning.h"
 
 #include <map>
@@ -62,11 +64,9 @@
     std::optional<Instant> slowedSince_;
     /// A worker holds room for the waiting task.
     bool isRoomHeld_ { false };
-    /// Agent of the silent worker on which the last run was taken to be lost when its lease had expired; empty if there is
-    /// none. The run may have ended before. Not set for long-running tasks, whose runs never end as done.
-    std::string silentAgent_;
-    /// When that agent first attached after the loss; empty before it has.
-    std::optional<Instant> listsAwaitedSince_;
+    /// The silent worker on which the last run was taken to be lost when its lease had expired; empty if there is none. The run
+    /// may have ended before. Not set for long-running tasks, whose runs never end as done.
+    std::optional<WorkerIncarnation> silentWorker_;
     /// Worker on which the task last failed, hung, was slowed down or did not appear after its start.
     std::string avoidedWorker_;
     bool operator==(const Task&) const = default;
@@ -97,25 +97,6 @@
     bool operator==(const Job&) const = default;
 };
 
-/// Room on a worker that is held for a waiting task: tasks of the same or a lower priority must leave it free.
-struct RoomHold {
-    Resources demand_;
-    /// Priority of the waiting task's queue; 0 is the highest.
-    uint32_t priority_ { 0 };
-    /// Since when the room is held on this worker.
-    Instant since_;
-    bool operator==(const RoomHold&) const = default;
-};
-
-/// Room of a run that no task is assigned to any more and that its worker has not stopped yet.
-struct StoppingRun {
-    /// Without the cores of a filling run, which count against no capacity.
-    Resources demand_;
-    /// The order to stop the run; 0 if it was given in an earlier session of the agent.
-    OrderNumber order_;
-    bool operator==(const StoppingRun&) const = default;
-};
-
 /// Whether replies may grant a worker a lease.
 enum class LeaseGrants : uint8_t {
     Allowed,
@@ -138,6 +119,8 @@
     bool isReachable_ { true };
     /// When an agent last reported the worker.
     Instant lastReportAt_;
+    /// When its agent first began a session after that, in which the worker is missing so far; empty if it has not.
+    std::optional<Instant> missingSince_;
     /// Upper bound on the expiry of the task leases granted so far.
     Instant leaseEnd_;
     LeaseGrants leaseGrants_ { LeaseGrants::Allowed };
@@ -295,8 +278,8 @@
     std::set<JobId> readyJobs_;
     std::map<WorkerIncarnation, Worker> workers_;
     std::map<std::string, Agent> agents_;
-    /// Agents that have not attached since a worker of theirs was removed as its leases had expired.
-    std::set<std::string> silentAgents_;
+    /// Workers that were removed as their leases had expired, and whose lists may still show what ended there.
+    std::map<WorkerIncarnation, SilentWorker> silentWorkers_;
     Interference interference_;
     /// Time of the first failed write since the last durable one; empty if none has failed.
     std::optional<Instant> storeFailedAt_;
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -38,8 +38,9 @@
     Duration leaseSlack_ { std::chrono::milliseconds(300) };
     /// A worker whose last report is older than this gets no new runs; agents report at least every 500 ms.
     Duration maximumReportAge_ { std::chrono::milliseconds(1500) };
-    /// A task whose run was lost on a silent worker is not started again until the worker's agent, once it is back, has listed
-    /// what ended there, or this time has passed since the agent first attached again. Does not apply to long-running tasks.
+    /// A task whose run was lost on a silent worker is not started again, once the worker's agent is back, until that worker's
+    /// lists have arrived, the worker is known to have ended, or this time has passed since the agent first attached again.
+    /// Does not apply to long-running tasks.
     Duration maximumListWait_ { std::chrono::milliseconds(4000) };
     /// An order whose outcome has not been reported is sent again after this time.
     Duration resendAfter_ { std::chrono::milliseconds(400) };
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -83,11 +83,7 @@
         // Removing the agent makes its next report begin a session with a higher fence, which invalidates pending orders.
         const Worker& worker = context.state_.workers_.at(incarnation);
         context.state_.agents_.erase(worker.agent_);
-        for (const TaskKey& key : worker.assignedTasks_) {
-            if (!stepOf(context.state_.jobs_.at(key.job_), key).longRunning_)
-                findTask(context.state_, key)->silentAgent_ = worker.agent_;
-        }
-        context.state_.silentAgents_.insert(worker.agent_);
+        noteSilentWorker(context, incarnation, worker);
         dropWorker(context, incarnation, "no agent reports it and its leases have expired");
     }
     Duration longest = longestLease(context.state_.tuning_, context.state_.tuning_.taskLease_);
@@ -172,6 +168,7 @@
     refuseUnsentJobs(context);
     suspendLeasesOfSilentWorkers(context);
     dropUnreachableWorkers(context);
+    endOverdueListWaits(context);
     stopHungRuns(context);
     moveSlowedRuns(context);
     removeExpiredJobs(context);
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -88,6 +88,19 @@
 void handleEnd(const DecisionContext&, const WorkerIncarnation&, const EndedRun&);
 // Removes a worker on which no run is left, and marks its assigned runs as lost.
 void dropWorker(const DecisionContext&, const WorkerIncarnation&, std::string_view why);
+// Notes a worker that is to be dropped as its leases have expired, and the tasks whose runs may have ended there before.
+void noteSilentWorker(const DecisionContext&, const WorkerIncarnation&, const Worker&);
+// Begins the wait for the lists of the agent's silent workers. Later sessions do not begin it again, so that an agent that
+// attaches in series cannot prolong it.
+void beginListWaits(const DecisionContext&, const std::string& agent);
+// Ends the wait for the worker's lists, as they have arrived or never will.
+void endListWait(const DecisionContext&, const WorkerIncarnation&);
+void endListWaitsOfEarlierIncarnations(const DecisionContext&, const WorkerIncarnation&);
+// Ends the waits for lists that have lasted for `Tuning::maximumListWait_` or concern no task any more.
+void endOverdueListWaits(const DecisionContext&);
+// True if the agent of the silent worker that had the task's last run is back and has not listed that worker yet: the run may
+// have ended as done before the worker's leases expired.
+bool mayHaveEnded(const LeaderState&, const Task&, Instant now);
 // Fails the job and stops its tasks.
 void failJob(const DecisionContext&, Job&, std::string why);
 
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -20,20 +20,6 @@
     return Fence((state.epoch_.value() << sessionFenceBits) + ++state.sessionCount_);
 }
 
-// Begins the wait for the agent's lists of the tasks whose runs were lost while it was silent. Later sessions do not begin it
-// again, so that an agent that attaches in series cannot prolong it.
-static void beginListWaits(const DecisionContext& context, const std::string& agent)
-{
-    if (context.state_.silentAgents_.erase(agent) == 0)
-        return;
-    for (const JobId& id : context.state_.openJobs_) {
-        for (Task& task : context.state_.jobs_.at(id).tasks_) {
-            if (task.silentAgent_ == agent && !task.listsAwaitedSince_)
-                task.listsAwaitedSince_ = context.now_;
-        }
-    }
-}
-
 // Starts a session with an agent that has restarted, has removed a worker, or is new to this leader. The new fence
 // invalidates earlier orders.
 static void beginSession(const DecisionContext& context, const AgentReport& report, Agent& agent)
@@ -47,6 +33,8 @@
         if (worker.agent_ != report.agent_)
             continue;
         worker.isListed_ = false;
+        if (!worker.missingSince_)
+            worker.missingSince_ = context.now_;
         for (const TaskKey& key : worker.assignedTasks_) {
             Task* task = findTask(context.state_, key);
             task->lastOrder_ = OrderNumber();
@@ -383,6 +371,7 @@
         if (hasLaterIncarnation(context.state_, report.incarnation_))
             return;
         dropEarlierIncarnations(context, report.incarnation_);
+        endListWaitsOfEarlierIncarnations(context, report.incarnation_);
     }
     Worker& worker = context.state_.workers_[report.incarnation_];
     if (worker.agent_ != message.agent_)
@@ -393,6 +382,7 @@
     context.state_.agents_.at(message.agent_).workers_.insert(report.incarnation_);
     worker.traits_ = report.traits_;
     worker.lastReportAt_ = context.now_;
+    worker.missingSince_.reset();
     requestLeaseGrants(context, worker);
     worker.draining_ = report.draining_;
     bool wasReachable = std::exchange(worker.isReachable_, report.isReachable_);
@@ -400,6 +390,7 @@
     if (!report.isListed_)
         return;
     worker.isListed_ = true;
+    endListWait(context, report.incarnation_);
     std::set<TaskKey> seen;
     bool isNewReading = report.readingNumber_ != worker.readingNumber_;
     for (const EndedRun& end : report.ended_) {
@@ -446,6 +437,7 @@
     for (const WorkerIncarnation& incarnation : report.endedWorkers_) {
         countCrash(context, incarnation, report.crashedRuns_);
         dropWorker(context, incarnation, "its agent reports that it has ended");
+        endListWait(context, incarnation);
     }
     for (const WorkerReport& worker : report.workers_)
         handleWorkerReport(context, report, worker);
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -35,8 +35,7 @@
     task.isStartReleased_ = false;
     task.isOnWorker_ = false;
     task.isStopping_ = false;
-    task.silentAgent_.clear();
-    task.listsAwaitedSince_.reset();
+    task.silentWorker_.reset();
     task.progressPercent_ = 0;
     task.readings_ = 0;
     task.throttledMilliCores_ = 0;
@@ -105,20 +104,6 @@
     return std::any_of(first, first + job.record_.spec_.steps()[stepNumber].count_, [](const Task& task) { return task.isRoomHeld_; });
 }
 
-// True if the agent of the silent worker that had the task's last run is back and has not listed its worker yet: the run may
-// have ended as done before the worker's leases expired.
-static bool mayHaveEnded(const LeaderState& state, const Task& task, Instant now)
-{
-    auto agent = task.silentAgent_.empty() ? state.agents_.end() : state.agents_.find(task.silentAgent_);
-    bool isAwaited = agent != state.agents_.end() && task.listsAwaitedSince_ && now - *task.listsAwaitedSince_ < state.tuning_.maximumListWait_;
-    if (!isAwaited)
-        return false;
-    return std::none_of(agent->second.workers_.begin(), agent->second.workers_.end(), [&](const WorkerIncarnation& incarnation) {
-        auto worker = state.workers_.find(incarnation);
-        return worker != state.workers_.end() && worker->second.isListed_;
-    });
-}
-
 // \return true if a task of the step still waits for free capacity.
 static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, UnplaceableDemands& unplaceable)
 {
--- a/workflow/tests/ReachabilityTest.cpp
+++ b/workflow/tests/ReachabilityTest.cpp
@@ -269,30 +269,74 @@
     BOOST_TEST(world.starts("w-2", 52).size() + world.starts("w-1", 52).size() == 1U);
 }
 
+// A worker whose agent is silent for longer than its leases and comes back with another worker only.
+class TwoWorkersWorld : public LeaderWorld {
+public:
+    TwoWorkersWorld()
+    {
+        reportBy("a", 7, "w-1", 10);
+        submit({ stepOfTasks(1) }, 20);
+        commit(30);
+        BOOST_REQUIRE(starts("a", 31).size() == 1U);
+        lastCompletedOrder_ = OrderNumber(1);
+        reportBy("a", 7, "w-1", 40, { { run_, "", 10, 0, 100 } });
+        reply("a", 41);
+        for (int64_t time = 200; time <= 9000; time += 200)
+            handle(Tick { 1'000'000 + time }, time);
+        BOOST_REQUIRE(logged("worker.gone").size() == 1U);
+        lastCompletedOrder_ = OrderNumber();
+        reportBy("a", 7, "w-2", 9100);
+        commit(9101);
+        BOOST_TEST(starts("a", 9102).empty());
+    }
+
+    RunKey run_ { { JobId::of("00000000000000aa"), 0, 0, 0 }, 1 };
+};
+
 // Guards against a task that is started again while its own worker's lists are missing, as another worker of the agent is listed.
-BOOST_AUTO_TEST_CASE(task_of_a_silent_worker_waits_for_the_lists_of_that_worker, *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(task_of_a_silent_worker_waits_for_the_lists_of_that_worker)
 {
-    LeaderWorld world;
-    world.reportBy("a", 7, "w-1", 10);
-    world.submit({ stepOfTasks(1) }, 20);
-    world.commit(30);
-    BOOST_REQUIRE(world.starts("a", 31).size() == 1U);
-    world.lastCompletedOrder_ = OrderNumber(1);
-    RunKey run { { JobId::of("00000000000000aa"), 0, 0, 0 }, 1 };
-    world.reportBy("a", 7, "w-1", 40, { { run, "", 10, 0, 100 } });
-    world.reply("a", 41);
-    for (int64_t time = 200; time <= 9000; time += 200)
-        world.handle(Tick { 1'000'000 + time }, time);
-    BOOST_REQUIRE(world.logged("worker.gone").size() == 1U);
-    world.lastCompletedOrder_ = OrderNumber();
-    world.reportBy("a", 7, "w-2", 9100);
-    world.commit(9101);
-    BOOST_TEST(world.starts("a", 9102).empty());
-    world.reportBy("a", 7, "w-1", 9200, {}, { { 1, run, RunEnd::Done, "" } });
+    TwoWorkersWorld world;
+    world.reportBy("a", 7, "w-1", 9200, {}, { { 1, world.run_, RunEnd::Done, "" } });
     world.commit(9201);
     BOOST_TEST(world.starts("a", 9202).empty());
 }
 
+// Guards against a task that waits for the lists of a worker that its agent reports as ended.
+BOOST_AUTO_TEST_CASE(task_of_a_silent_worker_is_started_elsewhere_once_the_end_of_that_worker_is_reported)
+{
+    TwoWorkersWorld world;
+    world.endedWorkers_ = { { "w-1", 1000, "" } };
+    world.reportBy("a", 7, "w-2", 9200);
+    world.commit(9201);
+    BOOST_TEST(world.starts("a", 9202).size() == 1U);
+}
+
+// Guards against a task that waits for the lists of an incarnation which a later one has replaced, even if that one is not listed.
+BOOST_AUTO_TEST_CASE(task_of_a_silent_worker_is_started_elsewhere_once_a_later_incarnation_is_seen)
+{
+    TwoWorkersWorld world;
+    WorkerReport later { { "w-1", 2000, "" }, { "packs", "north", { "a", "r1" }, world.capacity_ }, false, 0, false, true, 0, {}, {}, {} };
+    world.handle(ReportArrived { { "a", "north", 7, world.state_.epoch_, world.fenceOf("a"), Sequence(1000), OrderNumber(), { later }, {}, true, {} } }, 9200);
+    world.commit(9201);
+    BOOST_TEST(world.starts("a", 9202).size() == 1U);
+}
+
+// Guards against a wait for lists that begins anew with each loss of a worker that is reported without its lists.
+BOOST_AUTO_TEST_CASE(worker_that_falls_silent_again_without_lists_does_not_prolong_the_wait)
+{
+    TwoWorkersWorld world;
+    WorkerReport unlisted { { "w-1", 1000, "" }, { "packs", "north", { "a", "r1" }, world.capacity_ }, false, 0, false, true, 0, {}, {}, {} };
+    world.handle(ReportArrived { { "a", "north", 7, world.state_.epoch_, world.fenceOf("a"), Sequence(1000), OrderNumber(), { unlisted }, {}, true, {} } }, 9200);
+    for (int64_t time = 9400; time <= 13'200; time += 200) {
+        world.reportBy("a", world.logged("worker.gone").size() > 1U ? 8 : 7, "w-2", time);
+        world.handle(Tick { 1'000'000 + time }, time);
+    }
+    BOOST_TEST(world.logged("worker.gone").size() == 2U);
+    world.commit(13'201);
+    BOOST_TEST(world.starts("a", 13'202).size() == 1U);
+}
+
 // Guards against a run without a trace that counts as running for as long as an order of its agent to another worker is open.
 BOOST_AUTO_TEST_CASE(run_without_a_trace_is_lost_although_an_order_to_another_worker_is_open, *boost::unit_test::disabled())
 {
