Let a gang wait for the lists of a silent worker's agent

Callers: a gang that was done, while the workers of its members were silent, is done a second time, although the agent that will list the end is back.

Evidence: the new test failed before: 'gang_with_a_member_on_a_silent_worker_ waits_for_the_lists_of_its_agent_that_is_back: check world.starts("w-2", 9202).empty() has failed'.

Change: a gang waits as long as any of its members would.

--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -59,18 +59,36 @@
     return { job.record_.id_, occurrence, step, index };
 }
 
+// True if the agent of the silent worker that had the task's last run is back and has not listed its worker yet: the run may
+// have ended as done before the worker's leases expired.
+static bool mayHaveEnded(const LeaderState& state, const Task& task, Instant now)
+{
+    auto agent = task.silentAgent_.empty() ? state.agents_.end() : state.agents_.find(task.silentAgent_);
+    bool isAwaited = agent != state.agents_.end() && task.listsAwaitedSince_ && now - *task.listsAwaitedSince_ < state.tuning_.maximumListWait_;
+    if (!isAwaited)
+        return false;
+    return std::none_of(agent->second.workers_.begin(), agent->second.workers_.end(), [&](const WorkerIncarnation& incarnation) {
+        auto worker = state.workers_.find(incarnation);
+        return worker != state.workers_.end() && worker->second.isListed_;
+    });
+}
+
 // Places all members of the gang or none.
-// \return true if the gang still waits for free capacity.
+// \return true if the gang still waits for free capacity, or for the lists of an agent.
 static bool startGang(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round)
 {
     const Step& step = job.record_.spec_.steps()[stepNumber];
     uint32_t run = 0;
+    bool mustAwaitList = false;
     for (uint32_t index = 0; index < step.count_; ++index) {
-        const TaskProgress& progress = job.tasks_[taskNumber(job, makeTaskKey(job, occurrence, stepNumber, index))].progress_;
-        if (progress.phase_ != TaskPhase::Waiting)
+        const Task& task = job.tasks_[taskNumber(job, makeTaskKey(job, occurrence, stepNumber, index))];
+        if (task.progress_.phase_ != TaskPhase::Waiting)
             return false;
-        run = std::max(run, progress.run_);
+        run = std::max(run, task.progress_.run_);
+        mustAwaitList = mustAwaitList || mayHaveEnded(context.state_, task, context.now_);
     }
+    if (mustAwaitList)
+        return true;
     Disturbance disturbance = disturbanceOf(context.state_, job, context.now_);
     StagedJob before = stage(context.state_, job.record_.id_);
     for (uint32_t index = 0; index < step.count_; ++index) {
@@ -106,20 +124,6 @@
     return std::any_of(first, first + job.record_.spec_.steps()[stepNumber].count_, [](const Task& task) { return task.isRoomHeld_; });
 }
 
-// True if the agent of the silent worker that had the task's last run is back and has not listed its worker yet: the run may
-// have ended as done before the worker's leases expired.
-static bool mayHaveEnded(const LeaderState& state, const Task& task, Instant now)
-{
-    auto agent = task.silentAgent_.empty() ? state.agents_.end() : state.agents_.find(task.silentAgent_);
-    bool isAwaited = agent != state.agents_.end() && task.listsAwaitedSince_ && now - *task.listsAwaitedSince_ < state.tuning_.maximumListWait_;
-    if (!isAwaited)
-        return false;
-    return std::none_of(agent->second.workers_.begin(), agent->second.workers_.end(), [&](const WorkerIncarnation& incarnation) {
-        auto worker = state.workers_.find(incarnation);
-        return worker != state.workers_.end() && worker->second.isListed_;
-    });
-}
-
 // \return true if a task of the step still waits for free capacity.
 static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, UnplaceableDemands& unplaceable)
 {
--- a/workflow/tests/ReachabilityTest.cpp
+++ b/workflow/tests/ReachabilityTest.cpp
@@ -215,6 +215,24 @@
     BOOST_TEST(world.answer(world.call(GetStatus {}, 9310)) == "completed");
 }
 
+// Guards against a second run of a gang one of whose members was done on a worker which was silent for a while.
+BOOST_AUTO_TEST_CASE(gang_with_a_member_on_a_silent_worker_waits_for_the_lists_of_its_agent_that_is_back)
+{
+    Step gang = stepOfTasks(2);
+    gang.gang_ = true;
+    SilentWorld world(gang);
+    BOOST_REQUIRE(world.logged("worker.gone").size() == 1U);
+    BOOST_TEST(world.starts("w-2", 9202).empty());
+    for (int64_t time = 9400; time <= 13'200; time += 200) {
+        world.report("w-2", time);
+        world.handle(Tick { 1'000'000 + time }, time);
+        if (time < 13'000)
+            BOOST_TEST(world.starts("w-2", time).empty());
+    }
+    world.commit(13'201);
+    BOOST_TEST(world.starts("w-2", 13'202).size() == 2U);
+}
+
 // Guards against a task that waits for ever for an agent that does not list its worker.
 BOOST_AUTO_TEST_CASE(task_of_a_silent_worker_is_started_elsewhere_if_its_agent_lists_nothing)
 {
