--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -59,17 +59,21 @@
 }
 
 // Places all members of the gang or none.
-// \return true if the gang still waits for free capacity.
+// \return true if the gang still waits for free capacity, or for the lists of a silent worker.
 static bool startGang(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round)
 {
     const Step& step = job.record_.spec_.steps()[stepNumber];
     uint32_t run = 0;
+    bool mustAwaitList = false;
     for (uint32_t index = 0; index < step.count_; ++index) {
-        const TaskProgress& progress = job.tasks_[taskNumber(job, makeTaskKey(job, occurrence, stepNumber, index))].progress_;
-        if (progress.phase_ != TaskPhase::Waiting)
+        const Task& task = job.tasks_[taskNumber(job, makeTaskKey(job, occurrence, stepNumber, index))];
+        if (task.progress_.phase_ != TaskPhase::Waiting)
             return false;
-        run = std::max(run, progress.run_);
+        run = std::max(run, task.progress_.run_);
+        mustAwaitList = mustAwaitList || mayHaveEnded(context.state_, task, context.now_);
     }
+    if (mustAwaitList)
+        return true;
     Disturbance disturbance = round.disturbanceOf(job);
     StagedJob before = stage(context.state_, job.record_.id_);
     for (uint32_t index = 0; index < step.count_; ++index) {
