Report the completed orders beyond the first open one

A run that left no trace on its worker counted as running for as long as an earlier order of its agent was open, such as a stop that a silent worker does not confirm: its task had no run for up to the lease of that worker.

Cause: agents reported the completed orders as a prefix only.

Reports now name the completed orders beyond the prefix as well, the lowest ones, at most 128 (1 KB). The leader removes them from the pending orders of the agent; a run is lost if its own orders are all reported as completed, the stop of a run does not stand for its start. An agent reports an order as completed under the same condition as before: the lists contain its outcome, and a started or stopped run counts as active until a list that was requested later. The same test serves the room of stopped runs and the repeated stop, and completed orders are not sent again. The field is new on the wire: agents of the former version do not state it, leaders of the former version ignore it, which gives the former behaviour.

--- a/supervision/src/decisions/Reporting.cpp
+++ b/supervision/src/decisions/Reporting.cpp
@@ -28,6 +28,18 @@
     return report;
 }
 
+static std::set<workflow::OrderNumber> completedOrdersOf(const SupervisorState& state)
+{
+    std::set<workflow::OrderNumber> completed;
+    for (const auto& [number, isCompleted] : state.completionByOrder_) {
+        if (completed.size() == workflow::maximumCompletedOrders)
+            break;
+        if (isCompleted)
+            completed.insert(number);
+    }
+    return completed;
+}
+
 static void sendReport(const DecisionContext& context)
 {
     SupervisorState& state = context.state_;
@@ -35,7 +47,7 @@
     state.reportsSentAt_[state.sequence_] = context.now_;
     state.hasChanges_ = false;
     ++state.reportsInFlight_;
-    workflow::AgentReport report { state.name_, state.domain_, state.session_, state.epoch_, state.fence_, state.sequence_, state.lastCompletedOrder_, {}, {}, true, {} };
+    workflow::AgentReport report { state.name_, state.domain_, state.session_, state.epoch_, state.fence_, state.sequence_, state.lastCompletedOrder_, {}, {}, true, {}, completedOrdersOf(state) };
     for (auto& [incarnation, worker] : state.workers_) {
         report.workers_.push_back(reportOf(state, incarnation, worker, context.now_));
         if (worker.firstReport_ == Sequence())
--- a/supervision/tests/ProtocolModel.h
+++ b/supervision/tests/ProtocolModel.h
@@ -25,6 +25,7 @@
     LeasesOutliveTheirBound,
     SilentWorkersStayNamed,
     LeaveNoticesTakenForPresentIncarnation,
+    OpenOrdersReportedAsCompleted,
 };
 
 class ProtocolModel {
--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -45,6 +45,33 @@
     BOOST_TEST((agent.state_.lastCompletedOrder_ == OrderNumber(2)));
 }
 
+// Guards against completed orders that the leader does not learn of while an earlier order is open.
+BOOST_AUTO_TEST_CASE(orders_completed_beyond_an_open_one_are_reported_within_the_bound)
+{
+    Agent agent;
+    agent.attach();
+    std::vector<workflow::Order> orders;
+    for (uint32_t index = 0; index <= workflow::maximumCompletedOrders + 10; ++index)
+        orders.push_back(start(index + 1, { { JobId::of("00000000000000aa"), 0, 0, index }, 1 }));
+    agent.sendReply(110, orders);
+    for (const workflow::Order& order : orders) {
+        if (workflow::numberOf(order) > OrderNumber(1))
+            agent.handle(StartCompleted { Fence(5), std::get<workflow::StartRun>(order), workflow::Started {} }, 120);
+    }
+    agent.handle(ReportFailed {}, 130);
+    agent.handle(ReportFailed {}, 130);
+    agent.handle(SupervisorTick {}, 300);
+    BOOST_REQUIRE(agent.actionsOf<SendReport>().size() == 1U);
+    const workflow::AgentReport report = agent.actionsOf<SendReport>()[0].report_;
+    BOOST_TEST((report.lastCompletedOrder_ == OrderNumber(0)));
+    BOOST_REQUIRE(report.completedOrders_.size() == workflow::maximumCompletedOrders);
+    BOOST_TEST((*report.completedOrders_.begin() == OrderNumber(2)));
+    BOOST_TEST((*report.completedOrders_.rbegin() == OrderNumber(workflow::maximumCompletedOrders + 1)));
+    agent.handle(StartCompleted { Fence(5), std::get<workflow::StartRun>(orders.front()), workflow::Started {} }, 310);
+    BOOST_REQUIRE(agent.actionsOf<SendReport>().size() == 1U);
+    BOOST_TEST(agent.actionsOf<SendReport>()[0].report_.completedOrders_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(unanswered_start_is_stopped_before_its_order_completes)
 {
     Agent agent;
--- a/workflow/include/persimmondoor/workflow/Exchange.h
+++ b/workflow/include/persimmondoor/workflow/Exchange.h
@@ -13,6 +13,7 @@
 #include "persimmondoor/workflow/Interference.h"
 #include "persimmondoor/workflow/Worker.h"
 
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -72,6 +73,9 @@
     bool operator==(const WorkerReport&) const = default;
 };
 
+/// Bound on the completed orders that a report names one by one.
+inline constexpr size_t maximumCompletedOrders = 128;
+
 struct AgentReport {
     std::string agent_;
     std::string domain_;
@@ -92,6 +96,9 @@
     bool mayRelay_ { true };
     /// Runs that had just been started when their worker crashed: one of them may have caused the crash.
     std::vector<RunKey> crashedRuns_;
+    /// Orders beyond `lastCompletedOrder_` whose outcome is final and contained in the lists, as an earlier one is still open: the
+    /// lowest ones, up to `maximumCompletedOrders`. Agents of an earlier version report none.
+    std::set<OrderNumber> completedOrders_ {};
     bool operator==(const AgentReport&) const = default;
 };
 
@@ -116,6 +123,8 @@
 
 /// Number of an order, whatever its type.
 OrderNumber numberOf(const Order&);
+/// The run that an order starts or stops.
+const RunKey& runOf(const Order&);
 
 /// The ends of `worker_` up to `number_` are durable; the worker may remove them from its list.
 struct DurableEnds {
--- a/workflow/schema/Workflow.capnp
+++ b/workflow/schema/Workflow.capnp
@@ -67,6 +67,8 @@
   gone @8 :List(Life);
   mayRelay @9 :Bool;
   crashed @10 :List(Run);
+  # Completed orders beyond the first open one.
+  completed @11 :List(UInt64);
 }
 
 struct Order {
--- a/workflow/src/ExchangeCodec.cpp
+++ b/workflow/src/ExchangeCodec.cpp
@@ -156,12 +156,16 @@
     auto crashed = builder.initCrashed(static_cast<unsigned>(report.crashedRuns_.size()));
     for (unsigned index = 0; index < crashed.size(); ++index)
         encode(report.crashedRuns_[index], crashed[index]);
+    auto completed = builder.initCompleted(static_cast<unsigned>(report.completedOrders_.size()));
+    unsigned index = 0;
+    for (OrderNumber order : report.completedOrders_)
+        completed.set(index++, order.value());
 }
 
 absl::StatusOr<AgentReport> decode(wire::Report::Reader reader)
 {
     AgentReport report { fromWire(reader.getAgent()), fromWire(reader.getDomain()), reader.getSession(), LeaderEpoch(reader.getEpoch()), Fence(reader.getFence()),
-        Sequence(reader.getSequence()), OrderNumber(reader.getSettled()), {}, {}, reader.getMayRelay(), {} };
+        Sequence(reader.getSequence()), OrderNumber(reader.getSettled()), {}, {}, reader.getMayRelay(), {}, {} };
     for (auto worker : reader.getWorkers()) {
         auto decoded = decode(worker);
         if (!decoded.ok())
@@ -176,6 +180,8 @@
             return run.status();
         report.crashedRuns_.push_back(*std::move(run));
     }
+    for (uint64_t order : reader.getCompleted())
+        report.completedOrders_.insert(OrderNumber(order));
     return report;
 }
 
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -55,8 +55,12 @@
 // Notes that the worker has listed the end of a run, whose room then no longer waits for the order to stop it: that order counts
 // as open as long as an earlier one of the agent is, such as one to another worker.
 void noteStoppedRun(Worker&, const RunKey&);
+// True if the outcome of all orders for the run is final and contained in the lists of the agent's newest report, whether or not
+// earlier orders for other runs are open.
+// \param lastOrder the last order for the run.
+bool areOrdersCompleted(const Agent&, const RunKey&, OrderNumber lastOrder);
 // Releases the room of the stopped runs that are neither active on the worker nor still to be stopped by an order.
-void releaseStoppedRuns(Worker&, const std::vector<ActiveRun>& active, OrderNumber lastCompletedOrder);
+void releaseStoppedRuns(Worker&, const std::vector<ActiveRun>& active, const Agent&);
 // Stops all assigned tasks of the job; starts that have not been released are withdrawn.
 void stopTasks(const DecisionContext&, Job&, std::string_view why);
 // Releases the task's resources on its worker, where its run has ended or never started, and makes the task wait again
--- a/workflow/src/decisions/Messages.cpp
+++ b/workflow/src/decisions/Messages.cpp
@@ -9,6 +9,11 @@
     return std::visit([](const auto& alternative) { return alternative.number_; }, order);
 }
 
+const RunKey& runOf(const Order& order)
+{
+    return std::visit([](const auto& alternative) -> const RunKey& { return alternative.run_; }, order);
+}
+
 std::string_view describe(JobPhase phase)
 {
     switch (phase) {
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -173,7 +173,7 @@
 
 // Updates the task of a run that its worker lists as active.
 // \return false if the run is not the assigned run of a task.
-static bool handleActiveRun(const DecisionContext& context, const WorkerIncarnation& incarnation, const ActiveRun& active, OrderNumber lastCompletedOrder, bool isNewReading)
+static bool handleActiveRun(const DecisionContext& context, const WorkerIncarnation& incarnation, const ActiveRun& active, const Agent& agent, bool isNewReading)
 {
     Task* task = findTask(context.state_, active.run_.task_);
     if (!task || task->progress_.phase_ != TaskPhase::Assigned || task->progress_.run_ != active.run_.run_ || task->progress_.worker_ != incarnation)
@@ -203,7 +203,7 @@
     job.hasStarted_ = true;
     if (!active.checkpoint_.empty())
         task->progress_.checkpoint_ = active.checkpoint_;
-    bool isStopOverdue = task->isStopping_ && task->lastOrder_ <= lastCompletedOrder && context.now_ - task->stopOrderedAt_ > context.state_.tuning_.stopRetryInterval_;
+    bool isStopOverdue = task->isStopping_ && areOrdersCompleted(agent, active.run_, task->lastOrder_) && context.now_ - task->stopOrderedAt_ > context.state_.tuning_.stopRetryInterval_;
     if (isStopOverdue) {
         task->isStopping_ = false;
         orderStop(context, active.run_.task_, *task, "still active after an order to stop");
@@ -272,13 +272,14 @@
 }
 
 // Marks assigned runs as lost that are neither active nor ended although their orders are completed: they never started
-// or left no trace on the worker. A refusal is final for its run, whether or not earlier orders of the agent are completed.
-static void markAbsentRunsLost(const DecisionContext& context, const WorkerReport& report, bool wasReachable, Worker& worker, const std::set<TaskKey>& seen, OrderNumber lastCompletedOrder)
+// or left no trace on the worker. A refusal is final for its run, whether or not its order is reported as completed.
+static void markAbsentRunsLost(const DecisionContext& context, const WorkerReport& report, bool wasReachable, Worker& worker, const std::set<TaskKey>& seen, const Agent& agent)
 {
     std::vector<TaskKey> absent;
     for (const TaskKey& key : worker.assignedTasks_) {
         const Task* task = findTask(context.state_, key);
-        bool isFinal = task->lastOrder_ <= lastCompletedOrder || isRefused(report, { key, task->progress_.run_ });
+        const RunKey run { key, task->progress_.run_ };
+        bool isFinal = areOrdersCompleted(agent, run, task->lastOrder_) || isRefused(report, run);
         if (task->isStartReleased_ && isFinal && seen.count(key) == 0)
             absent.push_back(key);
     }
@@ -391,6 +392,7 @@
         return;
     worker.isListed_ = true;
     endListWait(context, report.incarnation_);
+    const Agent& agent = context.state_.agents_.at(message.agent_);
     std::set<TaskKey> seen;
     bool isNewReading = report.readingNumber_ != worker.readingNumber_;
     for (const EndedRun& end : report.ended_) {
@@ -398,7 +400,7 @@
             handleEnd(context, report.incarnation_, end);
     }
     for (const ActiveRun& active : report.active_) {
-        if (handleActiveRun(context, report.incarnation_, active, message.lastCompletedOrder_, isNewReading)) {
+        if (handleActiveRun(context, report.incarnation_, active, agent, isNewReading)) {
             seen.insert(active.run_.task_);
             continue;
         }
@@ -408,10 +410,10 @@
         if (findTask(context.state_, active.run_.task_))
             reserveStoppingRun(worker, active.run_, stepOf(context.state_.jobs_.at(active.run_.task_.job_), active.run_.task_), OrderNumber());
     }
-    releaseStoppedRuns(worker, report.active_, message.lastCompletedOrder_);
+    releaseStoppedRuns(worker, report.active_, agent);
     observeLoad(context, report, worker);
     backOffAfterRefusals(context, report, wasReachable, worker);
-    markAbsentRunsLost(context, report, wasReachable, worker, seen, message.lastCompletedOrder_);
+    markAbsentRunsLost(context, report, wasReachable, worker, seen, agent);
     if (worker.draining_)
         stopRunsOnDrainingWorker(context, worker);
 }
@@ -433,7 +435,7 @@
     agent.hasReported_ = true;
     agent.newestReportAt_ = context.now_;
     agent.lastCompletedOrder_ = std::max(agent.lastCompletedOrder_, report.lastCompletedOrder_);
-    std::erase_if(agent.pendingOrders_, [&](const Order& order) { return numberOf(order) <= agent.lastCompletedOrder_; });
+    std::erase_if(agent.pendingOrders_, [&](const Order& order) { return numberOf(order) <= agent.lastCompletedOrder_ || report.completedOrders_.count(numberOf(order)) > 0; });
     for (const WorkerIncarnation& incarnation : report.endedWorkers_) {
         countCrash(context, incarnation, report.crashedRuns_);
         dropWorker(context, incarnation, "its agent reports that it has ended");
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -248,11 +248,18 @@
         stopping->second.order_ = OrderNumber();
 }
 
-void releaseStoppedRuns(Worker& worker, const std::vector<ActiveRun>& active, OrderNumber lastCompletedOrder)
+bool areOrdersCompleted(const Agent& agent, const RunKey& run, OrderNumber lastOrder)
+{
+    if (lastOrder <= agent.lastCompletedOrder_)
+        return true;
+    return std::none_of(agent.pendingOrders_.begin(), agent.pendingOrders_.end(), [&](const Order& order) { return runOf(order) == run; });
+}
+
+void releaseStoppedRuns(Worker& worker, const std::vector<ActiveRun>& active, const Agent& agent)
 {
     for (auto run = worker.stoppingRuns_.begin(); run != worker.stoppingRuns_.end();) {
         bool isActive = std::any_of(active.begin(), active.end(), [&](const ActiveRun& other) { return other.run_ == run->first; });
-        if (isActive || run->second.order_ > lastCompletedOrder) {
+        if (isActive || !areOrdersCompleted(agent, run->first, run->second.order_)) {
             ++run;
             continue;
         }
--- a/workflow/tests/LeaderWorld.h
+++ b/workflow/tests/LeaderWorld.h
@@ -90,7 +90,7 @@
     void reportBy(const std::string& agent, uint64_t session, const std::string& worker, int64_t milliseconds, std::vector<ActiveRun> active = {}, std::vector<EndedRun> ended = {})
     {
         WorkerReport lists { { worker, bornMs_, host_ }, { "packs", domain_, { "a", "r1" }, capacity_ }, draining_, 0, true, reachable_, readingNumber_, std::move(active), std::move(ended), refused_ };
-        AgentReport report { agent, domain_, session, state_.epoch_, fenceOf(agent), Sequence(++sequence_), lastCompletedOrder_, { lists }, endedWorkers_, true, crashedRuns_ };
+        AgentReport report { agent, domain_, session, state_.epoch_, fenceOf(agent), Sequence(++sequence_), lastCompletedOrder_, { lists }, endedWorkers_, true, crashedRuns_, completedOrders_ };
         handle(ReportArrived { report }, milliseconds);
         if (report.fence_ == fenceOf(agent))
             return;
@@ -145,6 +145,7 @@
     // Number of the load reading in the next report.
     uint64_t readingNumber_ { 0 };
     OrderNumber lastCompletedOrder_;
+    std::set<OrderNumber> completedOrders_;
     std::vector<WorkerIncarnation> endedWorkers_;
     std::vector<RunKey> crashedRuns_;
 
--- a/workflow/tests/ReachabilityTest.cpp
+++ b/workflow/tests/ReachabilityTest.cpp
@@ -140,12 +140,12 @@
     BOOST_TEST(world.starts("w-1", 42).size() == 1U);
 }
 
-// Guards against reports that lose whether the agent reaches its worker, or what crashed it, on the way.
+// Guards against reports that lose whether the agent reaches its worker, what crashed it, or which orders are completed, on the way.
 BOOST_AUTO_TEST_CASE(reachability_survives_the_encoding_of_a_report)
 {
     for (bool reachable : { false, true }) {
         WorkerReport worker { { "w-1", 1000, "host" }, { "packs", "north", { "a" }, *Resources::create(4000, 1'000'000, 0) }, true, 20, true, reachable, 3, {}, {}, { { runOf(0, 1), StartRefusal::Unavailable } } };
-        AgentReport report { "agent", "north", 7, LeaderEpoch(2), Fence(5), Sequence(9), OrderNumber(4), { worker }, {}, true, { runOf(1, 2) } };
+        AgentReport report { "agent", "north", 7, LeaderEpoch(2), Fence(5), Sequence(9), OrderNumber(4), { worker }, {}, true, { runOf(1, 2) }, { OrderNumber(6), OrderNumber(9) } };
         capnp::MallocMessageBuilder message;
         auto builder = message.initRoot<wire::Report>();
         encode(report, builder);
@@ -338,7 +338,7 @@
 }
 
 // Guards against a run without a trace that counts as running for as long as an order of its agent to another worker is open.
-BOOST_AUTO_TEST_CASE(run_without_a_trace_is_lost_although_an_order_to_another_worker_is_open, *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(run_without_a_trace_is_lost_although_an_order_to_another_worker_is_open)
 {
     LeaderWorld world;
     world.reportBy("a", 7, "w-1", 10);
@@ -362,6 +362,7 @@
     world.commit(100);
     BOOST_REQUIRE(world.starts("a", 101).size() == 1U);
     // The start was unanswered, and the worker has confirmed its stop.
+    world.completedOrders_ = { OrderNumber(3) };
     for (int64_t time = 200; time <= 6200; time += 200) {
         world.state_.lastDurableWriteAt_ = at(time);
         world.reachable_ = false;
--- a/workflow/tests/UnstartedRunsTest.cpp
+++ b/workflow/tests/UnstartedRunsTest.cpp
@@ -170,6 +170,42 @@
     BOOST_TEST(world.starts("w-1", 42).size() == 2U);
 }
 
+// Guards against a run that is lost because the order for another run is completed before its own.
+BOOST_AUTO_TEST_CASE(run_is_not_lost_as_a_later_order_for_another_run_is_completed)
+{
+    OrderedWorld world;
+    world.completedOrders_ = { OrderNumber(2) };
+    world.report("w-1", 30);
+    BOOST_TEST(world.isRun(0, 1));
+    BOOST_TEST((world.progress(1).phase_ == TaskPhase::Waiting));
+}
+
+// Guards against a run that is lost while its start is open, as the stop that followed is completed.
+BOOST_AUTO_TEST_CASE(run_is_not_lost_as_its_stop_is_completed_before_its_start)
+{
+    OrderedWorld world;
+    world.call(Cancel {}, 25);
+    world.commit(26);
+    world.completedOrders_ = { OrderNumber(3), OrderNumber(4) };
+    world.report("w-1", 30);
+    BOOST_TEST(world.isRun(0, 1));
+    world.completedOrders_ = { OrderNumber(1), OrderNumber(4) };
+    world.report("w-1", 40);
+    BOOST_TEST(!world.isRun(0, 1));
+    BOOST_TEST(world.isRun(1, 1));
+}
+
+// Guards against orders that are sent again although they are completed, for as long as an earlier one is open.
+BOOST_AUTO_TEST_CASE(completed_order_is_not_sent_again_while_an_earlier_one_is_open)
+{
+    OrderedWorld world;
+    world.completedOrders_ = { OrderNumber(2) };
+    world.report("w-1", 30, { { runOf(1, 1), "", 10, 0, 100 } });
+    std::vector<Order> repeated = world.reply("w-1", 1000);
+    BOOST_REQUIRE(repeated.size() == 1U);
+    BOOST_TEST((numberOf(repeated.front()) == OrderNumber(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
