Find out what stands between a demand and the workers once a second

Callers see no change; the log lines read as before.

The lines on the backlog and on waiting long-running tasks each went through all workers for their own counts, and the coming line on jobs with nothing running needs the same ones. DemandSurvey holds them for one class of tasks; the surveys of one tick are shared, so that a class costs one search a second. Backlog.cpp loses what moved.

--- a/workflow/src/decisions/Backlog.cpp
+++ b/workflow/src/decisions/Backlog.cpp
@@ -1,4 +1,4 @@
-#include "LeaderRules.h"
+#include "DemandSurvey.h"
 #include "Packing.h"
 
 #include "persimmondoor/core/Text.h"
@@ -33,20 +33,6 @@
 
 namespace {
 
-    // What decides which workers can take a task. Tasks that agree in it face the same obstacles.
-    struct DemandClass {
-        std::string service_;
-        std::string label_;
-        bool isFilling_ { false };
-        bool isLongRunning_ { false };
-        bool isGang_ { false };
-        uint32_t priority_ { 0 };
-        std::array<int64_t, 3> demand_ {};
-        // The step itself if its tasks count against each other on a worker.
-        std::optional<TaskKey> boundedStep_;
-        auto operator<=>(const DemandClass&) const = default;
-    };
-
     // The waiting tasks of one class, and one step of them.
     struct DemandBacklog {
         const Job* job_ { nullptr };
@@ -71,15 +57,6 @@
 
 } // namespace
 
-static DemandClass classOf(const Job& job, const TaskKey& key)
-{
-    const Step& step = stepOf(job, key);
-    std::optional<TaskKey> boundedStep;
-    if (step.maxPerWorker_ > 0)
-        boundedStep = key;
-    return { job.queue_.service_, step.requiredLabel_, step.isFilling_, step.longRunning_, step.gang_, job.record_.queue_.priority_, { step.demand_.milliCores(), step.demand_.memoryBytes(), step.demand_.accelerators() }, boundedStep };
-}
-
 // Counts the waiting tasks of the job's startable steps.
 static void addJob(const LeaderState& state, const Job& job, Backlog& backlog)
 {
@@ -96,7 +73,7 @@
         if (waiting == 0)
             continue;
         isWaiting = true;
-        DemandBacklog& demand = backlog.demands_.try_emplace(classOf(job, key), DemandBacklog { &job, key, 0 }).first->second;
+        DemandBacklog& demand = backlog.demands_.try_emplace(demandClassOf(job, key), DemandBacklog { &job, key, 0 }).first->second;
         demand.tasks_ += waiting;
     }
     if (isWaiting)
@@ -104,17 +81,12 @@
 }
 
 // Text of the cores that the demand with the most waiting tasks leaves unused, by the reason why its tasks are not there.
-static std::string describeUnusedCores(const LeaderState& state, const Backlog& backlog, Instant now)
+static std::string describeUnusedCores(DemandSurveys& surveys, const Backlog& backlog)
 {
     auto byTasks = [](const auto& left, const auto& right) { return left.second.tasks_ < right.second.tasks_; };
     const DemandBacklog& widest = std::max_element(backlog.demands_.begin(), backlog.demands_.end(), byTasks)->second;
-    const Step& step = stepOf(*widest.job_, widest.key_);
-    std::array<int64_t, workerObstacleCount> cores {};
-    for (const auto& [incarnation, worker] : state.workers_) {
-        int64_t unused = step.isFilling_ ? spareMilliCores(worker) : freeMilliCores(worker);
-        cores.at(static_cast<size_t>(obstacleAt(state, *widest.job_, widest.key_, worker, now))) += std::max<int64_t>(0, unused);
-    }
-    std::string text = concat("widest demand: ", widest.tasks_, " tasks, ", step.demand_.milliCores(), " thousandths of a core; cores that they leave unused: ");
+    const auto& cores = surveys.of(*widest.job_, widest.key_).unusedMilliCores_;
+    std::string text = concat("widest demand: ", widest.tasks_, " tasks, ", stepOf(*widest.job_, widest.key_).demand_.milliCores(), " thousandths of a core; cores that they leave unused: ");
     std::string_view separator;
     for (size_t obstacle = 0; obstacle < cores.size(); ++obstacle) {
         if (cores.at(obstacle) == 0)
@@ -142,7 +114,7 @@
     return sum;
 }
 
-void reportBacklog(const DecisionContext& context)
+void reportBacklog(const DecisionContext& context, DemandSurveys& surveys)
 {
     LeaderState& state = context.state_;
     if (context.now_ < state.nextBacklogReportAt_ || state.readyJobs_.empty())
@@ -156,13 +128,13 @@
     size_t withoutCapacity = 0;
     size_t withInterference = 0;
     for (const auto& [demandClass, demand] : backlog.demands_) {
-        bool isCapacity = placementObstacle(state, *demand.job_, demand.key_, context.now_) == PlacementObstacle::Capacity;
+        bool isCapacity = surveys.of(*demand.job_, demand.key_).suitableWorkers() == 0;
         (isCapacity ? withoutCapacity : withInterference) += demand.tasks_;
     }
     CoreUse cores = sumCores(state, context.now_);
     const auto& jobs = backlog.jobsByProspect_;
     context.logEvent("queues.backlog", concat(jobs[0] + jobs[1] + jobs[2], " jobs"),
-        concat("on time ", jobs[0], ", late ", jobs[1], ", worthless ", jobs[2], "; tasks waiting for capacity ", withoutCapacity, ", for a worker without interference ", withInterference, "; filling cores, in thousandths: ", cores.assigned_, " assigned, ", cores.atWork_, " at work, ", cores.spare_, " spare; held: ", cores.holds_, " rooms, ", cores.held_, " thousandths of a core; ", describeUnusedCores(state, backlog, context.now_)));
+        concat("on time ", jobs[0], ", late ", jobs[1], ", worthless ", jobs[2], "; tasks waiting for capacity ", withoutCapacity, ", for a worker without interference ", withInterference, "; filling cores, in thousandths: ", cores.assigned_, " assigned, ", cores.atWork_, " at work, ", cores.spare_, " spare; held: ", cores.holds_, " rooms, ", cores.held_, " thousandths of a core; ", describeUnusedCores(surveys, backlog)));
 }
 
 // The waiting tasks of a long-running step.
@@ -191,26 +163,10 @@
 }
 
 // Text of how many workers cannot take the task, by reason, and of the most that one of them has free.
-static std::string describeObstacles(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
+static std::string describeWorkers(const DemandSurvey& survey, const Step& step)
 {
-    std::array<size_t, workerObstacleCount> workers {};
-    int64_t mostMilliCores = 0;
-    int64_t mostMemory = 0;
-    for (const auto& [incarnation, worker] : state.workers_) {
-        WorkerObstacle obstacle = obstacleAt(state, job, key, worker, now);
-        ++workers.at(static_cast<size_t>(obstacle));
-        if (obstacle == WorkerObstacle::Cores)
-            mostMilliCores = std::max(mostMilliCores, freeMilliCores(worker));
-        if (obstacle == WorkerObstacle::Memory)
-            mostMemory = std::max(mostMemory, worker.traits_.capacity_.memoryBytes() - worker.reserved_.memoryBytes());
-    }
-    std::string text;
-    for (size_t obstacle = 0; obstacle < workers.size(); ++obstacle) {
-        if (workers.at(obstacle) > 0)
-            text += concat(text.empty() ? "" : ", ", workers.at(obstacle), " ", describe(static_cast<WorkerObstacle>(obstacle)));
-    }
-    const Resources& demand = stepOf(job, key).demand_;
-    return concat(text, "; demand ", demand.milliCores(), " thousandths of a core, ", demand.memoryBytes(), " bytes; most free among those without the cores ", mostMilliCores, ", without the memory ", mostMemory);
+    const Resources& demand = step.demand_;
+    return concat(describeObstacles(survey), "; demand ", demand.milliCores(), " thousandths of a core, ", demand.memoryBytes(), " bytes; most free among those without the cores ", survey.mostFreeMilliCores_, ", without the memory ", survey.mostFreeMemoryBytes_);
 }
 
 static std::string describe(const LongRunningRoom& room)
@@ -272,7 +228,7 @@
             const std::string& service = job.queue_.service_;
             if (roomByService.count(service) == 0)
                 roomByService[service] = roomForLongRunningTasks(state, service, context.now_);
-            context.logEvent("task.waits", describe(*waiting.longest_), concat(milliseconds(waiting.longestWait_), " ms, with ", waiting.count_ - 1, " others of its step; job ", isReady ? "ready" : "not ready", ", priority ", job.record_.queue_.priority_, "; workers: ", describeObstacles(state, job, *waiting.longest_, context.now_), "; ", describe(roomByService[service])));
+            context.logEvent("task.waits", describe(*waiting.longest_), concat(milliseconds(waiting.longestWait_), " ms, with ", waiting.count_ - 1, " others of its step; job ", isReady ? "ready" : "not ready", ", priority ", job.record_.queue_.priority_, "; workers: ", describeWorkers(surveyWorkers(state, job, *waiting.longest_, context.now_), steps[step]), "; ", describe(roomByService[service])));
         }
     }
 }
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -1,6 +1,6 @@
 #include "persimmondoor/workflow/Leader.h"
 
-#include "LeaderRules.h"
+#include "DemandSurvey.h"
 #include "PlacementRound.h"
 #include "UnplaceableDemands.h"
 #include "persimmondoor/core/Text.h"
@@ -178,7 +178,8 @@
     updateRoomHolds(context);
     startReadyTasks(context);
     reportLateJobs(context);
-    reportBacklog(context);
+    DemandSurveys surveys(context.state_, context.now_);
+    reportBacklog(context, surveys);
     reportWaitingLongRunningTasks(context);
 }
 
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -5,6 +5,8 @@
 
 namespace persimmondoor::workflow {
 
+class DemandSurveys;
+
 // Context of one decision: the state, the actions so far and the time.
 struct DecisionContext {
     LeaderState& state_;
@@ -82,7 +84,7 @@
 // Logs, once per `Tuning::waitReportInterval_` for each step, what long-running tasks without a run wait for.
 void reportWaitingLongRunningTasks(const DecisionContext&);
 // Logs once per `Tuning::backlogReportInterval_` what the waiting tasks wait for.
-void reportBacklog(const DecisionContext&);
+void reportBacklog(const DecisionContext&, DemandSurveys&);
 
 void completeTask(const DecisionContext&, Job&, const TaskKey&, Task&);
 void handleEnd(const DecisionContext&, const WorkerIncarnation&, const EndedRun&);
@@ -173,14 +175,6 @@
 std::string_view describe(WorkerObstacle);
 WorkerObstacle obstacleAt(const LeaderState&, const Job&, const TaskKey&, const Worker&, Instant now);
 
-// Why a task waits for a worker.
-enum class PlacementObstacle : uint8_t {
-    // No worker that the task may run on has enough free capacity.
-    Capacity,
-    // Workers have enough free capacity, but the task would disturb long-running tasks there.
-    Interference,
-};
-PlacementObstacle placementObstacle(const LeaderState&, const Job&, const TaskKey&, Instant now);
 // Number of tasks of the same step and occurrence on the worker.
 int64_t countSiblings(const Worker&, const TaskKey&);
 // Unreserved cores in thousandths; the cores of filling tasks are not counted against the capacity.
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -237,10 +237,4 @@
     return idle > state.tuning_.ignoreInterferenceAfter_ ? Disturbance::Allowed : Disturbance::Avoided;
 }
 
-PlacementObstacle placementObstacle(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
-{
-    bool hasRoom = std::any_of(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) { return obstacleAt(state, job, key, entry.second, now) == WorkerObstacle::None; });
-    return hasRoom ? PlacementObstacle::Interference : PlacementObstacle::Capacity;
-}
-
 } // namespace persimmondoor::workflow
