Log why jobs have nothing running, each second

Callers see no change; no decision depends on the line.

At most 20 lines a second, the longest waits first; job.waits_omitted counts the rest. Each class of demand costs one search of the workers a second, shared with queues.backlog. Jobs that wait for their schedule alone come last, and only if they are due within a minute.

--- a/workflow/include/persimmondoor/workflow/Delays.h
+++ b/workflow/include/persimmondoor/workflow/Delays.h
@@ -74,4 +74,12 @@
     auto operator<=>(const StepTimes&) const = default;
 };
 
+/// A job of which no worker lists a run although the dependencies of one of its steps are done.
+struct Standstill {
+    Instant since_;
+    /// Such a step is due; otherwise the job only waits for its schedule.
+    bool isDue_ { false };
+    auto operator<=>(const Standstill&) const = default;
+};
+
 } // namespace persimmondoor::workflow
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -21,6 +21,7 @@
 #include "persimmondoor/workflow/Interference.h"
 #include "persimmondoor/workflow/LeaseBounds.h"
 #include "persimmondoor/workflow/Record.h"
+#include "persimmondoor/workflow/Room.h"
 #include "persimmondoor/workflow/Tuning.h"
 
 #include <map>
@@ -90,6 +91,8 @@
     /// Since when the job has had tasks to start, or occurrences that are not due yet, while none of its runs was listed by a
     /// worker.
     std::optional<Instant> idleSince_;
+    /// Empty while a run of the job is listed or none of its steps may start.
+    std::optional<Standstill> standstill_;
     /// The job has missed its objective, and a log line says so.
     bool isReportedLate_ { false };
     /// When the job ended; starts its retention time.
@@ -97,25 +100,6 @@
     bool operator==(const Job&) const = default;
 };
 
-/// Room on a worker that is held for a waiting task: tasks of the same or a lower priority must leave it free.
-struct RoomHold {
-    Resources demand_;
-    /// Priority of the waiting task's queue; 0 is the highest.
-    uint32_t priority_ { 0 };
-    /// Since when the room is held on this worker.
-    Instant since_;
-    bool operator==(const RoomHold&) const = default;
-};
-
-/// Room of a run that no task is assigned to any more and that its worker has not stopped yet.
-struct StoppingRun {
-    /// Without the cores of a filling run, which count against no capacity.
-    Resources demand_;
-    /// The order to stop the run; 0 if it was given in an earlier session of the agent.
-    OrderNumber order_;
-    bool operator==(const StoppingRun&) const = default;
-};
-
 /// Whether replies may grant a worker a lease.
 enum class LeaseGrants : uint8_t {
     Allowed,
@@ -322,6 +306,8 @@
     std::optional<TaskKey> holdSearchesFrom_;
     /// When the waiting long-running tasks are logged next.
     Instant nextWaitReportAt_;
+    /// When the jobs with nothing running are logged next.
+    Instant nextJobWaitReportAt_;
     /// Newest time of day, in milliseconds since 1970 UTC; for schedules and deadlines.
     int64_t wallMs_ { 0 };
     /// Jobs to be written, in the order in which they were staged.
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -97,6 +97,14 @@
     /// Long-running tasks that have waited this long for a worker are logged, in this interval.
     Duration reportWaitAfter_ { std::chrono::milliseconds(1000) };
     Duration waitReportInterval_ { std::chrono::milliseconds(1000) };
+    /// A job with nothing running for this long is logged. Two intervals of the agents' reports, within which starts are listed;
+    /// a third of the time after which the job counts as lost (stated by the platform).
+    Duration reportJobWaitAfter_ { std::chrono::milliseconds(1000) };
+    /// Bound on such lines at a time, so that a backlog leaves the log room for other lines.
+    size_t maximumReportedJobs_ { 20 };
+    /// A job that waits for its schedule alone is logged if it is due within this time: a clock that has been set back delays
+    /// it by at most that much unseen, and jobs that are due in hours are not of interest.
+    Duration reportUndueWithin_ { std::chrono::seconds(60) };
     /// A long-running task that has waited this long for room gets room held on the worker that has least to free for it.
     /// Otherwise shorter and smaller tasks take all room that becomes free, as they fit in sooner.
     Duration holdRoomAfter_ { std::chrono::milliseconds(500) };
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -181,6 +181,8 @@
     DemandSurveys surveys(context.state_, context.now_);
     reportBacklog(context, surveys);
     reportWaitingLongRunningTasks(context);
+    updateStandstills(context);
+    reportWaitingJobs(context, surveys);
 }
 
 namespace {
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -85,6 +85,10 @@
 void reportWaitingLongRunningTasks(const DecisionContext&);
 // Logs once per `Tuning::backlogReportInterval_` what the waiting tasks wait for.
 void reportBacklog(const DecisionContext&, DemandSurveys&);
+// Notes since when the open jobs have had nothing running although a step of theirs may start.
+void updateStandstills(const DecisionContext&);
+// Logs once per `Tuning::waitReportInterval_` why jobs have nothing running, those that have waited longest first.
+void reportWaitingJobs(const DecisionContext&, DemandSurveys&);
 
 void completeTask(const DecisionContext&, Job&, const TaskKey&, Task&);
 void handleEnd(const DecisionContext&, const WorkerIncarnation&, const EndedRun&);
@@ -190,6 +194,15 @@
 void releaseHold(Worker&, const TaskKey&);
 // True if the steps on which the step depends are done in that occurrence, and the occurrence is due.
 bool isStartable(const LeaderState&, const Job&, uint32_t occurrence, const Step&);
+// True if the steps on which the step depends are done in that occurrence.
+bool areDependenciesDone(const Job&, uint32_t occurrence, const Step&);
+// True if the occurrence is due by the leader's clock.
+bool isDue(const LeaderState&, const Job&, uint32_t occurrence);
+// True if workers that are known from the predecessor's rows may still be reported soon.
+bool isAwaitingWorkers(const LeaderState&, Instant now);
+// True if the agent of the silent worker that had the task's last run is back and has not listed its worker yet: the run may
+// have ended as done before the worker's leases expired.
+bool mayHaveEnded(const LeaderState&, const Task&, Instant now);
 // True if the tasks assigned to the worker demand more than its capacity, as it has shrunk.
 bool isOvercommitted(const Worker&);
 // True if the worker may be given new runs.
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -9,13 +9,13 @@
 
 namespace persimmondoor::workflow {
 
-static bool areDependenciesDone(const Job& job, uint32_t occurrence, const Step& step)
+bool areDependenciesDone(const Job& job, uint32_t occurrence, const Step& step)
 {
     size_t first = occurrence * job.record_.spec_.steps().size();
     return std::all_of(step.dependencies_.begin(), step.dependencies_.end(), [&](uint32_t earlier) { return job.unfinishedTasks_[first + earlier] == 0; });
 }
 
-static bool isDue(const LeaderState& state, const Job& job, uint32_t occurrence)
+bool isDue(const LeaderState& state, const Job& job, uint32_t occurrence)
 {
     const Schedule& schedule = job.record_.spec_.schedule();
     return schedule.occurrences_ == 0 || state.wallMs_ >= schedule.firstDueMs_ + int64_t(occurrence) * schedule.periodMs_;
@@ -93,8 +93,7 @@
     return false;
 }
 
-// True if workers that are known from the predecessor's rows may still be reported soon.
-static bool isAwaitingWorkers(const LeaderState& state, Instant now)
+bool isAwaitingWorkers(const LeaderState& state, Instant now)
 {
     return now < state.awaitsWorkersUntil_ && std::any_of(state.workers_.begin(), state.workers_.end(), [](const auto& entry) { return entry.second.agent_.empty(); });
 }
@@ -105,9 +104,7 @@
     return std::any_of(first, first + job.record_.spec_.steps()[stepNumber].count_, [](const Task& task) { return task.isRoomHeld_; });
 }
 
-// True if the agent of the silent worker that had the task's last run is back and has not listed its worker yet: the run may
-// have ended as done before the worker's leases expired.
-static bool mayHaveEnded(const LeaderState& state, const Task& task, Instant now)
+bool mayHaveEnded(const LeaderState& state, const Task& task, Instant now)
 {
     auto agent = task.silentAgent_.empty() ? state.agents_.end() : state.agents_.find(task.silentAgent_);
     bool isAwaited = agent != state.agents_.end() && task.listsAwaitedSince_ && now - *task.listsAwaitedSince_ < state.tuning_.maximumListWait_;
