--- a/app/src/Main.cpp
+++ b/app/src/Main.cpp
@@ -199,7 +199,7 @@
 static constexpr std::string_view usageText = "usage: persimmondoor entry|agent|local --settings FILE [--name NAME] [--log-level LEVEL]\n"
                                               "       persimmondoor entry|agent --deployment FILE [--log-level LEVEL]\n"
                                               "       persimmondoor ctl VERB ... [--entry IP:PORT]... [--json] [--token TOKEN]\n"
-                                              "       persimmondoor report FILE... [--format text|json|html] [--output FILE] [--jobs N]\n";
+                                              "       persimmondoor report FILE... [--format text|json|html] [--output FILE] [--jobs N] [--job ID]\n";
 
 int runProgram(int argc, char** argv)
 {
--- a/app/src/ctl/Completion.cpp
+++ b/app/src/ctl/Completion.cpp
@@ -29,7 +29,7 @@
                   "  if [ \"$COMP_CWORD\" -eq 1 ]; then\n"
                   "    words=\"entry agent local ctl report\"\n"
                   "  elif [ \"${COMP_WORDS[1]}\" = report ]; then\n"
-                  "    words=\"--format --json --output --jobs --help $(compgen -f -- \"$current\")\"\n"
+                  "    words=\"--format --json --output --jobs --job --help $(compgen -f -- \"$current\")\"\n"
                   "  elif [ \"${COMP_WORDS[1]}\" != ctl ]; then\n"
                   "    words=\"--settings --name --log-level --shutdown-limit-ms\"\n"
                   "  elif [ \"$COMP_CWORD\" -eq 2 ]; then\n"
--- a/app/tests/ReportTest.cpp
+++ b/app/tests/ReportTest.cpp
@@ -46,6 +46,28 @@
     BOOST_TEST(std::get<report::LongRunningWait>(readBack("task.waits", other.logged("task.waits").front())).workers_.size() == 1U);
 }
 
+// Guards against lines on jobs with nothing running that the report no longer reads.
+BOOST_AUTO_TEST_CASE(lines_of_the_leader_on_jobs_with_nothing_running_are_read)
+{
+    workflow::LeaderWorld world;
+    workflow::Step step = workflow::stepOfTasks(2);
+    step.demand_ = *Resources::create(5000, 1, 0);
+    for (int64_t job = 10; job < 31; ++job)
+        world.submit({ step }, 0, "00000000000000" + std::to_string(job));
+    for (int64_t time = 100; time <= 1500; time += 200) {
+        world.report("w-1", time);
+        world.handle(workflow::Tick { 1'000'000 + time }, time);
+    }
+    BOOST_REQUIRE(!world.logged("job.waits").empty());
+    report::Event event = readBack("job.waits", world.logged("job.waits").front());
+    BOOST_REQUIRE(std::holds_alternative<report::JobWait>(event));
+    const auto& wait = std::get<report::JobWait>(event);
+    BOOST_TEST(wait.waitedMs_ == 1200);
+    BOOST_TEST((wait.reasons_ == report::AmountsByReason { { "no suitable worker", 2 } }));
+    BOOST_TEST(wait.mainReason() == "no suitable worker: without the cores");
+    BOOST_TEST(world.logged("job.waits_omitted").size() == 1U);
+}
+
 namespace {
 
     // A file of the test's own that is removed after it.
@@ -100,6 +122,18 @@
     BOOST_TEST(runCommand({ log.path(), "--output", "/nonexistent/page" }) == Failure);
 }
 
+BOOST_AUTO_TEST_CASE(story_of_one_job_is_written_or_missed)
+{
+    ScratchFile log("{\"time_ms\":1000,\"process\":\"e\",\"event\":\"run.start\",\"subject\":\"00aa/0/0/0#1\",\"detail\":\"worker w-1, domain north\"}\n");
+    std::string output = log.path() + ".txt";
+    BOOST_TEST(runCommand({ log.path(), "--job", "00aa", "--output", output }) == Success);
+    std::ostringstream page;
+    page << std::ifstream(output).rdbuf();
+    std::filesystem::remove(output);
+    BOOST_TEST(page.str().find("00aa/0/0/0#1") != std::string::npos);
+    BOOST_TEST(runCommand({ log.path(), "--job", "00ab", "--output", output }) == Failure);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::app
--- a/report/include/persimmondoor/report/Document.h
+++ b/report/include/persimmondoor/report/Document.h
@@ -5,6 +5,7 @@
 /// \endcode
 #pragma once
 
+#include "persimmondoor/report/Story.h"
 #include "persimmondoor/report/Summary.h"
 
 namespace persimmondoor::report {
@@ -55,6 +56,9 @@
 /// \param maximumJobs how many single jobs are listed, those that waited longest first.
 Document compose(const Summary&, size_t maximumJobs);
 
+/// Composes the story of one job: its lines in the order of their time.
+Document compose(const Story&);
+
 /// Renders tables as text; charts are left out.
 std::string textOf(const Document&);
 /// Renders one page with its charts.
--- a/report/include/persimmondoor/report/Event.h
+++ b/report/include/persimmondoor/report/Event.h
@@ -72,6 +72,8 @@
 };
 
 using AmountsByReason = std::map<std::string, int64_t, std::less<>>;
+/// \return the reason with the highest amount; empty if there is none.
+std::string mostFrequent(const AmountsByReason&);
 
 /// `queues.backlog`; cores in thousandths.
 struct Backlog {
@@ -99,6 +101,25 @@
     bool operator==(const LongRunningWait&) const = default;
 };
 
+/// `job.waits`: a job with nothing running.
+struct JobWait {
+    std::string id_;
+    int64_t waitedMs_ { 0 };
+    /// The tasks of the step that has waited longest, by reason, and the number of workers by obstacle.
+    AmountsByReason reasons_;
+    AmountsByReason workers_;
+    bool operator==(const JobWait&) const = default;
+
+    /// The reason of most of the tasks; if no worker is suitable for them, with the obstacle at most of the workers.
+    std::string mainReason() const;
+};
+
+/// `job.waits_omitted`: jobs with nothing running for which the leader wrote no line.
+struct JobWaitsOmitted {
+    int64_t jobs_ { 0 };
+    auto operator<=>(const JobWaitsOmitted&) const = default;
+};
+
 struct RunStarted {
     std::string worker_;
     std::string domain_;
@@ -169,7 +190,7 @@
     auto operator<=>(const UnreadableEvent&) const = default;
 };
 
-using Event = std::variant<OtherEvent, UnreadableEvent, JobEnded, JobLate, Refused, Backlog, LongRunningWait, RunStarted, RunEnded, WorkerChanged, SlowCommit, LeaderChanged, LinesDropped>;
+using Event = std::variant<OtherEvent, UnreadableEvent, JobEnded, JobLate, Refused, Backlog, LongRunningWait, JobWait, JobWaitsOmitted, RunStarted, RunEnded, WorkerChanged, SlowCommit, LeaderChanged, LinesDropped>;
 
 /// Reads the event that the line tells.
 Event parseEvent(const LogLine&);
--- a/report/include/persimmondoor/report/Summary.h
+++ b/report/include/persimmondoor/report/Summary.h
@@ -72,6 +72,17 @@
     auto operator<=>(const WorkerRuns&) const = default;
 };
 
+/// The lines on a job with nothing running; the leader writes one a second.
+struct JobStandstill {
+    int64_t firstMs_ { 0 };
+    int64_t lastMs_ { 0 };
+    int64_t seconds_ { 0 };
+    int64_t longestMs_ { 0 };
+    /// Seconds by main reason.
+    AmountsByReason reasons_;
+    bool operator==(const JobStandstill&) const = default;
+};
+
 struct Summary {
     LineCounts lines_;
     std::optional<int64_t> firstMs_;
@@ -81,6 +92,9 @@
     /// Jobs that were late, by queue.
     std::map<std::string, int64_t, std::less<>> lateJobs_;
     std::map<Refused, RefusalFigures> refusals_;
+    /// Jobs with nothing running, by id, and the number of such seconds of jobs that the leader left out.
+    std::map<std::string, JobStandstill, std::less<>> standstills_;
+    int64_t omittedStandstills_ { 0 };
     /// By seconds since the epoch.
     std::map<int64_t, SecondFigures> seconds_;
     std::vector<TimedWorkerChange> workerChanges_;
--- a/report/src/decisions/Compose.cpp
+++ b/report/src/decisions/Compose.cpp
@@ -64,7 +64,7 @@
 
 Document compose(const Summary& summary, size_t maximumJobs)
 {
-    return { { composeLines(summary), composeJobs(summary), composeSingleJobs(summary, maximumJobs), composeIdleCores(summary), composeWaits(summary), composeRefusals(summary), composeLeaders(summary), composeRuns(summary), composeSeconds(summary) } };
+    return { { composeLines(summary), composeJobs(summary), composeSingleJobs(summary, maximumJobs), composeIdleCores(summary), composeWaits(summary), composeStandstills(summary, maximumJobs), composeRefusals(summary), composeLeaders(summary), composeRuns(summary), composeSeconds(summary) } };
 }
 
 } // namespace persimmondoor::report
--- a/report/src/decisions/Compose.h
+++ b/report/src/decisions/Compose.h
@@ -19,6 +19,8 @@
 Section composeSeconds(const Summary&);
 // Long-running tasks that waited, by step.
 Section composeWaits(const Summary&);
+// Jobs with nothing running, by job and by reason.
+Section composeStandstills(const Summary&, size_t maximumJobs);
 // Cores that were unused while tasks waited, by reason.
 Section composeIdleCores(const Summary&);
 
--- a/report/src/decisions/Events.cpp
+++ b/report/src/decisions/Events.cpp
@@ -2,6 +2,7 @@
 
 #include "persimmondoor/core/Text.h"
 
+#include <algorithm>
 #include <charconv>
 #include <numeric>
 
@@ -20,6 +21,26 @@
     return sum;
 }
 
+std::string mostFrequent(const AmountsByReason& amounts)
+{
+    auto found = std::max_element(amounts.begin(), amounts.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+    return found == amounts.end() ? "" : found->first;
+}
+
+// What the leader calls the lack of a worker, and an obstacle that explains nothing where there are others.
+static constexpr std::string_view noWorker = "no suitable worker";
+static constexpr std::string_view otherService = "of another service";
+
+std::string JobWait::mainReason() const
+{
+    std::string reason = mostFrequent(reasons_);
+    if (reason != noWorker || workers_.empty())
+        return reason;
+    AmountsByReason ownWorkers = workers_;
+    std::erase_if(ownWorkers, [](const auto& amount) { return amount.first == otherService; });
+    return concat(reason, ": ", mostFrequent(ownWorkers.empty() ? workers_ : ownWorkers));
+}
+
 static std::optional<int64_t> numberAt(std::string_view text)
 {
     int64_t number = 0;
@@ -169,6 +190,24 @@
     return LongRunningWait { line.field("subject"), *waited, *others + 1, amountsOf(between(detail, "workers: ", ";")) };
 }
 
+static Event parseJobWait(const LogLine& line)
+{
+    std::string detail = line.field("detail");
+    auto waited = numberAt(detail);
+    AmountsByReason reasons = amountsOf(between(detail, "reasons: ", ";"));
+    if (!waited || reasons.empty())
+        return UnreadableEvent { line.event_ };
+    return JobWait { line.field("subject"), *waited, std::move(reasons), amountsOf(between(detail, "workers: ", ";")) };
+}
+
+static Event parseJobWaitsOmitted(const LogLine& line)
+{
+    auto jobs = numberAt(line.field("subject"));
+    if (!jobs)
+        return UnreadableEvent { line.event_ };
+    return JobWaitsOmitted { *jobs };
+}
+
 static Event parseRunStart(const LogLine& line)
 {
     std::string detail = line.field("detail");
@@ -245,6 +284,8 @@
         { "call.answered", parseCallAnswered },
         { "queues.backlog", parseBacklog },
         { "task.waits", parseLongRunningWait },
+        { "job.waits", parseJobWait },
+        { "job.waits_omitted", parseJobWaitsOmitted },
         { "run.start", parseRunStart },
         { "run.ended", parseRunEnded },
         { "run.lost", parseRunLost },
--- a/report/src/decisions/Fold.cpp
+++ b/report/src/decisions/Fold.cpp
@@ -51,6 +51,16 @@
             figures.backlogAtMs_ = line_.timeMs_;
         }
         void operator()(const LongRunningWait& wait) const { second().waits_.insert_or_assign(wait.task_, wait); }
+        void operator()(const JobWait& wait) const
+        {
+            JobStandstill& job = summary_.standstills_[wait.id_];
+            job.firstMs_ = job.seconds_ == 0 ? line_.timeMs_ : std::min(job.firstMs_, line_.timeMs_);
+            job.lastMs_ = std::max(job.lastMs_, line_.timeMs_);
+            job.longestMs_ = std::max(job.longestMs_, wait.waitedMs_);
+            ++job.seconds_;
+            ++job.reasons_[wait.mainReason()];
+        }
+        void operator()(const JobWaitsOmitted& omitted) const { summary_.omittedStandstills_ += omitted.jobs_; }
         void operator()(const RunStarted& run) const
         {
             WorkerRuns& worker = summary_.workers_[run.worker_];
--- a/report/src/decisions/Seconds.cpp
+++ b/report/src/decisions/Seconds.cpp
@@ -23,12 +23,6 @@
 
 } // namespace
 
-static std::string mostFrequent(const AmountsByReason& amounts)
-{
-    auto found = std::max_element(amounts.begin(), amounts.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
-    return found == amounts.end() ? "" : found->first;
-}
-
 static WaitSum sumWaits(const SecondFigures& figures)
 {
     WaitSum sum;
--- a/report/tests/EventTest.cpp
+++ b/report/tests/EventTest.cpp
@@ -58,7 +58,7 @@
 BOOST_AUTO_TEST_CASE(cut_details_are_read_or_reported)
 {
     std::string detail = "completed; placement 1 ms, write 30, startup 31, work 1660, slowed 2, repeated 3; queue q-1, 3 tasks, domain north; worker w-1; workers: 7 draining; leave unused: 1 a";
-    for (const char* name : { "job.ended", "job.late", "job.refused", "run.refused", "queues.backlog", "task.waits", "run.start", "run.ended", "run.lost", "worker.gone", "worker.quarantined", "commit.slow", "leader.claim", "queues.loaded", "log.dropped" }) {
+    for (const char* name : { "job.ended", "job.late", "job.refused", "run.refused", "queues.backlog", "task.waits", "job.waits", "job.waits_omitted", "run.start", "run.ended", "run.lost", "worker.gone", "worker.quarantined", "commit.slow", "leader.claim", "queues.loaded", "log.dropped" }) {
         for (size_t length = 0; length <= detail.size(); ++length)
             BOOST_CHECK_NO_THROW(eventOf(name, detail.substr(0, length), detail.substr(0, length)));
     }
