--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -102,6 +102,8 @@
     std::optional<Instant> idleSince_;
     /// The last placed task was placed regardless of interference, as nothing of the job had run for long.
     bool hasExceptionalPlace_ { false };
+    /// Empty while a run of the job is listed or none of its steps may start.
+    std::optional<Standstill> standstill_;
     /// The job has missed its objective, and a log line says so.
     bool isReportedLate_ { false };
     /// When the job ended; starts its retention time.
@@ -317,6 +319,8 @@
     std::optional<TaskKey> holdSearchesFrom_;
     /// When the waiting long-running tasks are logged next.
     Instant nextWaitReportAt_;
+    /// When the jobs with nothing running are logged next.
+    Instant nextJobWaitReportAt_;
     /// Newest time of day, in milliseconds since 1970 UTC; for schedules and deadlines.
     int64_t wallMs_ { 0 };
     /// Jobs to be written, in the order in which they were staged.
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -5,6 +5,8 @@
 
 namespace persimmondoor::workflow {
 
+class DemandSurveys;
+
 // Context of one decision: the state, the actions so far and the time.
 struct DecisionContext {
     LeaderState& state_;
@@ -86,7 +88,11 @@
 // Logs, once per `Tuning::waitReportInterval_` for each step, what long-running tasks without a run wait for.
 void reportWaitingLongRunningTasks(const DecisionContext&);
 // Logs once per `Tuning::backlogReportInterval_` what the waiting tasks wait for.
-void reportBacklog(const DecisionContext&);
+void reportBacklog(const DecisionContext&, DemandSurveys&);
+// Notes since when the open jobs have had nothing running although a step of theirs may start.
+void updateStandstills(const DecisionContext&);
+// Logs once per `Tuning::waitReportInterval_` why jobs have nothing running, those that have waited longest first.
+void reportWaitingJobs(const DecisionContext&, DemandSurveys&);
 
 // Notes a checkpoint that the task's newest run has listed or ended with; an empty one is none.
 void noteCheckpoint(Task&, const std::string& checkpoint);
@@ -167,6 +173,8 @@
     // Also where other filling tasks have all the cores that long-running tasks leave unused, which they then share.
     AllowedOnSharedCores,
 };
+// For how long nothing of the job has run; 0 while one of its tasks is assigned.
+Duration idleTimeOf(const Job&, Instant now);
 // Why a worker cannot take a task now. In the order in which the reasons are checked.
 enum class WorkerObstacle : uint8_t {
     None,
@@ -194,14 +202,6 @@
 std::string_view describe(WorkerObstacle);
 WorkerObstacle obstacleAt(const LeaderState&, const Job&, const TaskKey&, const Worker&, Instant now);
 
-// Why a task waits for a worker.
-enum class PlacementObstacle : uint8_t {
-    // No worker that the task may run on has enough free capacity.
-    Capacity,
-    // Workers have enough free capacity, but the task would disturb long-running tasks there.
-    Interference,
-};
-PlacementObstacle placementObstacle(const LeaderState&, const Job&, const TaskKey&, Instant now);
 // Number of tasks of the same step and occurrence on the worker.
 int64_t countSiblings(const Worker&, const TaskKey&);
 // Unreserved cores in thousandths; the cores of filling tasks are not counted against the capacity.
@@ -217,6 +217,12 @@
 void releaseHold(Worker&, const TaskKey&);
 // True if the steps on which the step depends are done in that occurrence, and the occurrence is due.
 bool isStartable(const LeaderState&, const Job&, uint32_t occurrence, const Step&);
+// True if the steps on which the step depends are done in that occurrence.
+bool areDependenciesDone(const Job&, uint32_t occurrence, const Step&);
+// True if the occurrence is due by the leader's clock.
+bool isDue(const LeaderState&, const Job&, uint32_t occurrence);
+// True if workers that are known from the predecessor's rows may still be reported soon.
+bool isAwaitingWorkers(const LeaderState&, Instant now);
 // True if the tasks assigned to the worker demand more than its capacity, as it has shrunk.
 bool isOvercommitted(const Worker&);
 // True if the worker may be given new runs.
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -229,10 +229,9 @@
     return score - failureWeight * worker.consecutiveFailures_;
 }
 
-PlacementObstacle placementObstacle(const LeaderState& state, const Job& job, const TaskKey& key, Instant now)
+Duration idleTimeOf(const Job& job, Instant now)
 {
-    bool hasRoom = std::any_of(state.workers_.begin(), state.workers_.end(), [&](const auto& entry) { return obstacleAt(state, job, key, entry.second, now) == WorkerObstacle::None; });
-    return hasRoom ? PlacementObstacle::Interference : PlacementObstacle::Capacity;
+    return job.idleSince_ && !hasAssignedTasks(job) ? now - *job.idleSince_ : Duration(0);
 }
 
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -86,7 +86,7 @@
 {
     if (hasAssignedTasks(job))
         return Disturbance::Avoided;
-    Duration idle = job.idleSince_ ? now_ - *job.idleSince_ : Duration(0);
+    Duration idle = idleTimeOf(job, now_);
     bool mayShareCores = job.hasExceptionalPlace_ || idle > state_.tuning_.shareCoresAfter_;
     if (mayShareCores && isMostlyFree(job.queue_.service_))
         return Disturbance::AllowedOnSharedCores;
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -9,13 +9,13 @@
 
 namespace persimmondoor::workflow {
 
-static bool areDependenciesDone(const Job& job, uint32_t occurrence, const Step& step)
+bool areDependenciesDone(const Job& job, uint32_t occurrence, const Step& step)
 {
     size_t first = occurrence * job.record_.spec_.steps().size();
     return std::all_of(step.dependencies_.begin(), step.dependencies_.end(), [&](uint32_t earlier) { return job.unfinishedTasks_[first + earlier] == 0; });
 }
 
-static bool isDue(const LeaderState& state, const Job& job, uint32_t occurrence)
+bool isDue(const LeaderState& state, const Job& job, uint32_t occurrence)
 {
     const Schedule& schedule = job.record_.spec_.schedule();
     return schedule.occurrences_ == 0 || state.wallMs_ >= schedule.firstDueMs_ + int64_t(occurrence) * schedule.periodMs_;
@@ -97,8 +97,7 @@
     return false;
 }
 
-// True if workers that are known from the predecessor's rows may still be reported soon.
-static bool isAwaitingWorkers(const LeaderState& state, Instant now)
+bool isAwaitingWorkers(const LeaderState& state, Instant now)
 {
     return now < state.awaitsWorkersUntil_ && std::any_of(state.workers_.begin(), state.workers_.end(), [](const auto& entry) { return entry.second.agent_.empty(); });
 }
