Order the jobs with nothing running without copies of their ids

The ids were copied at each comparison, and the survey of the workers was looked up for each task rather than once a step. A new step of bench_leader, waits, measures this tick, and its growth with the workers is checked like that of the others.

--- a/bench/leader/check_cost.sh
+++ b/bench/leader/check_cost.sh
@@ -38,6 +38,7 @@
 check order 30 300 1000
 echo "start, order: the growth that is asked for is 168 percent (issue 27)"
 check line 30 300 1000
+check waits 30 300 1000
 check list 30 300 1680
 check encode 30 300 1000
 check observe 10 30 1000
--- a/bench/leader/main.cpp
+++ b/bench/leader/main.cpp
@@ -4,6 +4,7 @@
 //     bench_leader reading 160   one agent reports a new reading of its worker
 //     bench_leader backlog 160   a report, and a round of placement, beside a backlog of jobs that wait for room
 //     bench_leader line 160      the log lines of a tick beside many waiting jobs
+//     bench_leader waits 160     the same a second later, when the jobs have had nothing running for long enough to be logged
 //     bench_leader order 160     one task is accepted, placed, written and ordered to start
 //     bench_leader end 160       an agent reports the end of one run, which is written
 //     bench_leader list 30       an agent reports its worker with 30 runs
@@ -45,7 +46,7 @@
 
 static int usage()
 {
-    std::cerr << "usage: bench_leader start|reading|backlog|line|order|end WORKERS, list|encode|report-bytes|reply-bytes RUNS, row-bytes TASKS, or observe IMAGES\n";
+    std::cerr << "usage: bench_leader start|reading|backlog|line|waits|order|end WORKERS, list|encode|report-bytes|reply-bytes RUNS, row-bytes TASKS, or observe IMAGES\n";
     return 2;
 }
 
@@ -145,7 +146,7 @@
     }
     if (step == "row-bytes")
         return measureRow(static_cast<uint32_t>(std::stoul(arguments[2])));
-    if (step != "order" && step != "end" && step != "start" && step != "reading" && step != "backlog" && step != "line")
+    if (step != "order" && step != "end" && step != "start" && step != "reading" && step != "backlog" && step != "line" && step != "waits")
         return usage();
     auto workers = static_cast<uint32_t>(std::stoul(arguments[2]));
     Fleet fleet(workers);
@@ -153,8 +154,8 @@
         fleet.submitFilling(4, wideJobMilliCores);
     fleet.commitAll();
     fleet.reportAll();
-    uint32_t waitingJobs = step == "backlog" ? backlogJobs : step == "line" ? longBacklogJobs
-                                                                            : 0;
+    uint32_t waitingJobs = step == "backlog" ? backlogJobs : step == "line" || step == "waits" ? longBacklogJobs
+                                                                                               : 0;
     for (uint32_t job = 0; job < waitingJobs; ++job)
         fleet.submitFilling(wideJobTasks, tooManyMilliCores);
     fleet.commitAll();
@@ -172,11 +173,17 @@
     }
     if (step == "order" || step == "end")
         fleet.commitAll();
+    if (step == "waits") {
+        // Jobs with nothing running are logged after a second.
+        fleet.tick();
+        fleet.advance(std::chrono::milliseconds(1100));
+        fleet.reportAll();
+    }
     auto begun = std::chrono::steady_clock::now();
     CALLGRIND_START_INSTRUMENTATION;
     if (step == "start")
         fleet.submitFilling(wideJobTasks, wideJobMilliCores);
-    else if (step == "line")
+    else if (step == "line" || step == "waits")
         fleet.tick();
     else if (step == "order")
         fleet.startTask();
--- a/workflow/src/decisions/JobWaits.cpp
+++ b/workflow/src/decisions/JobWaits.cpp
@@ -45,9 +45,13 @@
         Instant since_;
     };
 
-    struct TimedJobId {
-        Standstill standstill_;
-        JobId id_;
+    // A job with nothing running; those that wait for their schedule alone come last.
+    struct StandingJob {
+        bool isUndue_ { false };
+        Instant since_;
+        const JobId* id_ { nullptr };
+
+        bool operator<(const StandingJob& other) const { return std::tie(isUndue_, since_, *id_) < std::tie(other.isUndue_, other.since_, *other.id_); }
     };
 
 } // namespace
@@ -180,27 +184,34 @@
     return task.isStopping_ ? TaskWait::Stopping : TaskWait::Ordered;
 }
 
-// The first reason for which `startReadyTasks` leaves the waiting task out.
-static TaskWait waitOfWaiting(const LeaderState& state, const Job& job, const TaskKey& key, bool hasAssignedSibling, DemandSurveys& surveys, Instant now)
+// The first reason for which `startReadyTasks` seeks no worker for the waiting task; empty if it does.
+static std::optional<TaskWait> waitBeforeSearch(const LeaderState& state, const Job& job, const TaskKey& key, bool hasAssignedSibling, Instant now)
 {
     const Step& step = stepOf(job, key);
-    const Task& task = job.tasks_[taskNumber(job, key)];
     if (step.gang_ && hasAssignedSibling)
         return TaskWait::GangMember;
     if (state.readyJobs_.count(key.job_) == 0)
         return TaskWait::NotReady;
-    if (!step.gang_ && (step.longRunning_ || step.isFilling_) && isAwaitingWorkers(state, now))
+    if (step.gang_)
+        return std::nullopt;
+    if ((step.longRunning_ || step.isFilling_) && isAwaitingWorkers(state, now))
         return TaskWait::KnownWorkers;
-    if (!step.gang_ && mayHaveEnded(state, task, now))
+    if (mayHaveEnded(state, job.tasks_[taskNumber(job, key)], now))
         return TaskWait::SilentWorkerLists;
-    if (!step.gang_ && mustAwaitObservation(state, job, key, now))
+    if (mustAwaitObservation(state, job, key, now))
         return TaskWait::Observation;
+    return std::nullopt;
+}
+
+// Why the search for a worker finds none for the tasks of the step.
+static TaskWait waitForWorker(const LeaderState& state, const Job& job, const TaskKey& key, DemandSurveys& surveys, Instant now)
+{
     const DemandSurvey& survey = surveys.of(job, key);
     if (survey.suitableWorkers() == 0)
         return TaskWait::NoWorker;
     if (survey.suitableWorkers() == survey.leftOutForInterference_ && disturbanceOf(state, job, now) == Disturbance::Avoided)
         return TaskWait::Interference;
-    return step.gang_ ? TaskWait::GangRoom : TaskWait::Placement;
+    return stepOf(job, key).gang_ ? TaskWait::GangRoom : TaskWait::Placement;
 }
 
 // The unfinished tasks of the step of `first`, by reason.
@@ -210,17 +221,20 @@
     const Step& step = stepOf(job, first);
     auto begin = job.tasks_.begin() + taskNumber(job, { first.job_, first.occurrence_, first.step_, 0 });
     bool hasAssigned = std::any_of(begin, begin + step.count_, isAssigned);
+    std::optional<TaskWait> forWorker;
     for (uint32_t index = 0; index < step.count_; ++index) {
         TaskKey key { first.job_, first.occurrence_, first.step_, index };
         const Task& task = job.tasks_[taskNumber(job, key)];
         if (task.progress_.phase_ == TaskPhase::Done)
             continue;
-        TaskWait wait = TaskWait::NotDue;
+        std::optional<TaskWait> wait;
         if (isAssigned(task))
             wait = waitOfAssigned(state, task, now);
-        else if (job.standstill_->isDue_)
-            wait = waitOfWaiting(state, job, key, hasAssigned, surveys, now);
-        ++waits.at(static_cast<size_t>(wait));
+        else
+            wait = job.standstill_->isDue_ ? waitBeforeSearch(state, job, key, hasAssigned, now) : TaskWait::NotDue;
+        if (!wait && !forWorker)
+            forWorker = waitForWorker(state, job, key, surveys, now);
+        ++waits.at(static_cast<size_t>(wait ? *wait : *forWorker));
     }
     return waits;
 }
@@ -285,24 +299,22 @@
     LeaderState& state = context.state_;
     if (context.now_ < state.nextJobWaitReportAt_)
         return;
-    std::vector<TimedJobId> jobs;
+    std::vector<StandingJob> jobs;
     for (const JobId& id : state.openJobs_) {
         const std::optional<Standstill>& standstill = state.jobs_.at(id).standstill_;
         if (standstill && context.now_ - standstill->since_ > state.tuning_.reportJobWaitAfter_)
-            jobs.push_back({ *standstill, id });
+            jobs.push_back({ !standstill->isDue_, standstill->since_, &id });
     }
     if (jobs.empty())
         return;
     state.nextJobWaitReportAt_ = context.now_ + state.tuning_.waitReportInterval_;
-    // Those that wait for their schedule alone come last.
-    std::sort(jobs.begin(), jobs.end(), [](const TimedJobId& left, const TimedJobId& right) {
-        return std::tuple(!left.standstill_.isDue_, left.standstill_.since_, left.id_) < std::tuple(!right.standstill_.isDue_, right.standstill_.since_, right.id_);
-    });
     size_t reported = std::min(jobs.size(), state.tuning_.maximumReportedJobs_);
+    // The first that is left out is in its place too.
+    std::partial_sort(jobs.begin(), jobs.begin() + static_cast<std::ptrdiff_t>(std::min(jobs.size(), reported + 1)), jobs.end());
     for (size_t number = 0; number < reported; ++number)
-        context.logEvent("job.waits", jobs[number].id_.value(), describeWait(state, state.jobs_.at(jobs[number].id_), surveys, context.now_));
+        context.logEvent("job.waits", jobs[number].id_->value(), describeWait(state, state.jobs_.at(*jobs[number].id_), surveys, context.now_));
     if (reported < jobs.size())
-        context.logEvent("job.waits_omitted", concat(jobs.size() - reported, " jobs"), concat("the longest of them has had nothing running for ", milliseconds(context.now_ - jobs[reported].standstill_.since_), " ms"));
+        context.logEvent("job.waits_omitted", concat(jobs.size() - reported, " jobs"), concat("the longest of them has had nothing running for ", milliseconds(context.now_ - jobs[reported].since_), " ms"));
 }
 
 } // namespace persimmondoor::workflow
