Give up tasks that crash their workers some time after their start

Cause: the agent suspects a run only within 0.1 s of its start, and two load readings clear the leader's count.

Change: the leader counts, in the job's row, the runs in series that are lost with their workers at a similar age. It measures the age from the order to the moment at which the agent no longer reached the worker, so that agents of any version serve and an agent may restart with its worker. From the second loss on the task is a late suspect: it starts apart from others, every other time after a delay. A loss of it alone, or along with workers of other suspects only, is evidence; the second one fails the job, or the fifth loss in series with one. A run that ends or outlives that age clears its task.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -22,6 +22,7 @@
 #include "persimmondoor/workflow/LeaseBounds.h"
 #include "persimmondoor/workflow/Record.h"
 #include "persimmondoor/workflow/Tuning.h"
+#include "persimmondoor/workflow/WorkerLoss.h"
 
 #include <map>
 #include <optional>
@@ -116,15 +117,6 @@
     bool operator==(const StoppingRun&) const = default;
 };
 
-/// Whether replies may grant a worker a lease.
-enum class LeaseGrants : uint8_t {
-    Allowed,
-    /// No agent reports the worker, and the store may name a bound on its leases.
-    Suspended,
-    /// The worker is reported again, and the store may still name the bound.
-    Requested,
-};
-
 /// A worker as the leader knows it.
 struct Worker {
     std::string agent_;
@@ -159,6 +151,10 @@
     /// A task under which another worker has crashed and that was started here: no other run is started until a reading
     /// shows it.
     std::optional<TaskKey> observedTask_;
+    /// Late suspects that were started here and have not outlived the age at which their workers were lost.
+    std::set<TaskKey> suspects_;
+    /// Since when its agent has not reached the worker; empty while it does.
+    std::optional<Instant> lostAt_;
     /// Room held for long-running tasks that wait for this worker.
     std::map<TaskKey, RoomHold> holds_;
     /// Number of the newest end that was handled, and the handled ends that are not durable yet.
@@ -297,6 +293,8 @@
     std::map<std::string, Agent> agents_;
     /// Agents that have not attached since a worker of theirs was removed as its leases had expired.
     std::set<std::string> silentAgents_;
+    /// The workers lost within `Tuning::lossRetention_`, oldest first.
+    std::vector<WorkerLoss> losses_;
     Interference interference_;
     /// Time of the first failed write since the last durable one; empty if none has failed.
     std::optional<Instant> storeFailedAt_;
--- a/workflow/include/persimmondoor/workflow/LeaseBounds.h
+++ b/workflow/include/persimmondoor/workflow/LeaseBounds.h
@@ -11,6 +11,7 @@
 #include "persimmondoor/workflow/Tuning.h"
 #include "persimmondoor/workflow/Worker.h"
 
+#include <cstdint>
 #include <map>
 
 namespace persimmondoor::workflow {
@@ -36,4 +37,13 @@
 /// \param now a time at which that leader could write no more.
 LeaseBounds boundsWithoutRecord(const Tuning&, Duration grantPeriod, Instant now);
 
+/// Whether replies may grant a worker a lease.
+enum class LeaseGrants : uint8_t {
+    Allowed,
+    /// No agent reports the worker, and the store may name a bound on its leases.
+    Suspended,
+    /// The worker is reported again, and the store may still name the bound.
+    Requested,
+};
+
 } // namespace persimmondoor::workflow
--- a/workflow/include/persimmondoor/workflow/Record.h
+++ b/workflow/include/persimmondoor/workflow/Record.h
@@ -27,6 +27,17 @@
     Done,
 };
 
+/// The latest runs of a task in series that were lost with their workers at a similar age, with none between that ended or
+/// outlived that age.
+struct CrashSeries {
+    uint32_t count_ { 0 };
+    /// Number of those that were started apart from other suspects while no worker without a suspect was lost at the same time.
+    uint32_t evidence_ { 0 };
+    /// Age of the last of these runs when its worker was lost, in milliseconds.
+    int64_t ageMs_ { 0 };
+    auto operator<=>(const CrashSeries&) const = default;
+};
+
 /// Durable state of a task, which a new leader restores.
 struct TaskProgress {
     TaskPhase phase_ { TaskPhase::Waiting };
@@ -40,6 +51,7 @@
     /// Number of the latest runs in series that were lost as their worker crashed just after their start. 0 again once a run
     /// has outlived its start.
     uint32_t crashes_ { 0 };
+    CrashSeries crashSeries_ {};
     auto operator<=>(const TaskProgress&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -122,6 +122,26 @@
     /// them, at most for the time below.
     size_t maximumObservedPercent_ { 50 };
     Duration maximumSuspectWait_ { std::chrono::milliseconds(2000) };
+    /// Crashes of a task's workers are in series if the age of its run then differs by at most this much, or this share, from that
+    /// at the previous crash. A run that is older than the longest age has outlived the series.
+    Duration crashAgeTolerance_ { std::chrono::milliseconds(500) };
+    int64_t crashAgeTolerancePercent_ { 20 };
+    Duration longestCrashAge_ { std::chrono::milliseconds(15000) };
+    /// A task is a late suspect from this many crashes in series on. Its job is given up with the second number of crashes that
+    /// are evidence, or with the third number in series if one of them is.
+    uint32_t crashesBeforeSuspicion_ { 2 };
+    uint32_t evidenceBeforeFailure_ { 2 };
+    uint32_t crashesInSeriesBeforeFailure_ { 5 };
+    /// Workers are lost together if their losses are at most this far apart. Such a loss counts for no series from this many
+    /// workers and this share of all on, unless a late suspect was on each of them.
+    Duration lossWindow_ { std::chrono::milliseconds(500) };
+    size_t fewestInMassLoss_ { 4 };
+    size_t massLossPercent_ { 20 };
+    Duration lossRetention_ { std::chrono::milliseconds(30000) };
+    /// Bound on the time for which no other run is started beside a late suspect, and on the time that it waits for a worker
+    /// without another one.
+    Duration longestLateObservation_ { std::chrono::milliseconds(2000) };
+    Duration longestIsolationWait_ { std::chrono::milliseconds(5000) };
     /// Finished jobs are kept for at least this long; the settings state how long clients may query them.
     Duration finishedJobRetention_ { std::chrono::seconds(120) };
     /// Bound on the unfinished jobs, beyond which new ones are refused; keeps an entry within its 160 MB of memory.
--- a/workflow/src/RecordCodec.cpp
+++ b/workflow/src/RecordCodec.cpp
@@ -133,13 +133,14 @@
 }
 
 // A task is encoded as [phase, run, failures, index of the worker, checkpoint]; empty fields at the end are left out. The
-// workers are in a separate list, as most tasks of a job share a few workers. The crashes are in a list of [task, crashes],
-// as few tasks have any.
+// workers are in a separate list, as most tasks of a job share a few workers. The crashes are in a list of [task, crashes]
+// and the series of crashes in one of [task, crashes, evidence, age], as few tasks have any.
 std::string encodeProgress(const Progress& progress)
 {
     json::array workers;
     json::array tasks;
     json::array crashes;
+    json::array series;
     std::map<WorkerIncarnation, int64_t> numbers;
     for (const TaskProgress& task : progress.tasks_) {
         json::array fields { static_cast<int>(task.phase_), task.run_, task.failures_ };
@@ -154,11 +155,15 @@
             fields.emplace_back(task.checkpoint_);
         if (task.crashes_ > 0)
             crashes.emplace_back(json::array { tasks.size(), task.crashes_ });
+        if (task.crashSeries_.count_ > 0)
+            series.emplace_back(json::array { tasks.size(), task.crashSeries_.count_, task.crashSeries_.evidence_, task.crashSeries_.ageMs_ });
         tasks.emplace_back(std::move(fields));
     }
     json::object object { { "cancelled", progress.isCancelled_ }, { "failed", progress.hasFailed_ }, { "started", progress.hasStarted_ }, { "workers", std::move(workers) }, { "tasks", std::move(tasks) } };
     if (!crashes.empty())
         object["crashes"] = std::move(crashes);
+    if (!series.empty())
+        object["crash_series"] = std::move(series);
     return json::serialize(object);
 }
 
@@ -178,6 +183,22 @@
     return task;
 }
 
+// Both lists are absent in rows of earlier versions.
+static void decodeCrashes(const json::object& object, Progress& progress)
+{
+    static const json::value none = json::array();
+    const json::value* crashes = object.if_contains("crashes");
+    for (const json::value& item : (crashes ? *crashes : none).as_array()) {
+        const json::array& fields = item.as_array();
+        progress.tasks_.at(fields.at(0).to_number<size_t>()).crashes_ = fields.at(1).to_number<uint32_t>();
+    }
+    const json::value* series = object.if_contains("crash_series");
+    for (const json::value& item : (series ? *series : none).as_array()) {
+        const json::array& fields = item.as_array();
+        progress.tasks_.at(fields.at(0).to_number<size_t>()).crashSeries_ = { fields.at(1).to_number<uint32_t>(), fields.at(2).to_number<uint32_t>(), fields.at(3).to_number<int64_t>() };
+    }
+}
+
 static absl::StatusOr<Progress> decodeProgressObject(const json::object& object)
 {
     Progress progress;
@@ -191,14 +212,7 @@
     }
     for (const json::value& task : object.at("tasks").as_array())
         progress.tasks_.push_back(decodeTask(task.as_array(), workers));
-    // Absent in rows of earlier versions.
-    const json::value* crashes = object.if_contains("crashes");
-    if (!crashes)
-        return progress;
-    for (const json::value& item : crashes->as_array()) {
-        const json::array& fields = item.as_array();
-        progress.tasks_.at(fields.at(0).to_number<size_t>()).crashes_ = fields.at(1).to_number<uint32_t>();
-    }
+    decodeCrashes(object, progress);
     return progress;
 }
 
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -47,6 +47,8 @@
         worker.leaseEnd_ = leaseEndOf(bounds, progress.worker_);
         worker.leaseGrants_ = bounds.silentWorkers_.count(progress.worker_) > 0 ? LeaseGrants::Suspended : LeaseGrants::Allowed;
         reserveResources(worker, key, stepOf(job, key));
+        if (isLateSuspect(state.tuning_, progress) && !stepOf(job, key).gang_)
+            worker.suspects_.insert(key);
     }
 }
 
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -94,6 +94,16 @@
 // Counts the crash of a worker against the tasks whose runs it had just started, and fails the jobs of those that have
 // crashed workers again and again. To be called before the worker is dropped.
 void countCrash(const DecisionContext&, const WorkerIncarnation&, const std::vector<RunKey>& crashedRuns);
+// Notes whether the worker's agent reaches it, according to its last report.
+void noteReachability(const DecisionContext&, const WorkerIncarnation&, Worker&);
+// Counts the loss of a worker in the series of crashes of its tasks, and fails the jobs of those with enough evidence against
+// them. To be called before the worker is dropped.
+// \param startedRuns runs that the agent had just started when the worker crashed.
+void countLoss(const DecisionContext&, const WorkerIncarnation&, const std::vector<RunKey>& startedRuns);
+// True if workers were lost under the task's runs in series, at a similar age, so that it is started apart from other suspects.
+bool isLateSuspect(const Tuning&, const TaskProgress&);
+// True if the task is a late suspect, another one is on the worker, and the task has not waited long for a better worker.
+bool mustBeIsolated(const Tuning&, const Job&, const TaskKey&, const Worker&, Instant now);
 // Notes that a load reading contained the task's run. Once the reading shows that the run has outlived its first moments, the
 // worker is no longer kept free of other starts; two readings clear its task of earlier crashes.
 void noteReading(const DecisionContext&, const TaskKey&, Task&);
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -180,6 +180,8 @@
     WorkerObstacle obstacle = serviceObstacle(job, key, worker, now);
     if (obstacle == WorkerObstacle::None)
         obstacle = stateObstacle(state, worker, now);
+    if (obstacle == WorkerObstacle::None && mustBeIsolated(state.tuning_, job, key, worker, now))
+        obstacle = WorkerObstacle::Observed;
     return obstacle == WorkerObstacle::None ? roomObstacle(job, key, worker, Disturbance::Avoided, now) : obstacle;
 }
 
@@ -220,7 +222,7 @@
     int64_t sparePercent = 100 * (spareMilliCores(worker) - step.demand_.milliCores()) / capacity;
     const Task& task = job.tasks_[taskNumber(job, key)];
     int64_t score = step.longRunning_ ? longRunningScore(worker, key, step, sparePercent) : spreadScore(state, step, worker, sparePercent, isHarmless);
-    if (task.progress_.crashes_ > 0)
+    if (task.progress_.crashes_ > 0 || isLateSuspect(state.tuning_, task.progress_))
         score = suspectScore(worker);
     if (!step.dataRack_.empty() && hasLabel(worker, step.dataRack_))
         score += dataRackWeight;
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -58,14 +58,6 @@
     context.logEvent("agent.attached", report.agent_, concat("fence ", agent.fence_.value(), ", domain ", report.domain_));
 }
 
-void failJob(const DecisionContext& context, Job& job, std::string why)
-{
-    job.hasFailed_ = true;
-    context.state_.readyJobs_.erase(job.record_.id_);
-    context.logEvent("job.failed", job.record_.id_.value(), std::move(why));
-    stopTasks(context, job, "job failed");
-}
-
 static void countFailure(const DecisionContext& context, Job& job, const TaskKey& key, Task& task, Worker& worker)
 {
     task.avoidedWorker_ = task.progress_.worker_.name_;
@@ -138,6 +130,7 @@
         task.progress_.checkpoint_ = end.checkpoint_;
     // The worker is alive to list the end.
     task.progress_.crashes_ = 0;
+    task.progress_.crashSeries_ = {};
     if (end.end_ == RunEnd::Failed)
         countFailure(context, job, key, task, worker);
     task.withoutRunSince_ = context.now_;
@@ -333,8 +326,10 @@
         if (incarnation.succeeds(other))
             earlier.push_back(other);
     }
-    for (const WorkerIncarnation& other : earlier)
+    for (const WorkerIncarnation& other : earlier) {
+        countLoss(context, other, {});
         dropWorker(context, other, concat(incarnation.name_, "@", incarnation.bornMs_, " has replaced it"));
+    }
 }
 
 static bool hasLaterIncarnation(const LeaderState& state, const WorkerIncarnation& incarnation)
@@ -396,6 +391,7 @@
     requestLeaseGrants(context, worker);
     worker.draining_ = report.draining_;
     bool wasReachable = std::exchange(worker.isReachable_, report.isReachable_);
+    noteReachability(context, report.incarnation_, worker);
     worker.leavesAt_ = context.now_ + std::chrono::milliseconds(report.remainingMs_);
     if (!report.isListed_)
         return;
@@ -445,6 +441,7 @@
     std::erase_if(agent.pendingOrders_, [&](const Order& order) { return numberOf(order) <= agent.lastCompletedOrder_; });
     for (const WorkerIncarnation& incarnation : report.endedWorkers_) {
         countCrash(context, incarnation, report.crashedRuns_);
+        countLoss(context, incarnation, report.crashedRuns_);
         dropWorker(context, incarnation, "its agent reports that it has ended");
     }
     for (const WorkerReport& worker : report.workers_)
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -206,12 +206,21 @@
     }
 }
 
+void failJob(const DecisionContext& context, Job& job, std::string why)
+{
+    job.hasFailed_ = true;
+    context.state_.readyJobs_.erase(job.record_.id_);
+    context.logEvent("job.failed", job.record_.id_.value(), std::move(why));
+    stopTasks(context, job, "job failed");
+}
+
 static void releaseResources(Worker& worker, const TaskKey& key, const Step& step, Task& task)
 {
     if (worker.assignedTasks_.erase(key) == 0)
         return;
     if (worker.observedTask_ == key)
         worker.observedTask_.reset();
+    worker.suspects_.erase(key);
     worker.throttledMilliCores_ -= std::exchange(task.throttledMilliCores_, 0);
     worker.reserved_ = worker.reserved_ - step.demand_;
     if (worker.probe_ == key)
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -49,8 +49,11 @@
     reserveResources(worker, key, stepOf(job, key));
     releaseHold(worker, key);
     task.isRoomHeld_ = false;
-    if (task.progress_.crashes_ > 0 && !stepOf(job, key).gang_)
+    bool isLate = isLateSuspect(context.state_.tuning_, task.progress_);
+    if ((task.progress_.crashes_ > 0 || isLate) && !stepOf(job, key).gang_)
         worker.observedTask_ = key;
+    if (isLate && !stepOf(job, key).gang_)
+        worker.suspects_.insert(key);
     stage(context.state_, key.job_, ReleaseStart { { key, run } });
 }
 
@@ -150,6 +153,11 @@
         if (hasFailed && isFullForFailed)
             continue;
         auto incarnation = isUnplaceable ? std::nullopt : round.chooseWorker(job, key, disturbance);
+        // A suspect may not use all workers that its siblings may.
+        if (!incarnation && isLateSuspect(context.state_.tuning_, progress)) {
+            mustWait = true;
+            continue;
+        }
         if (!incarnation) {
             isFull = isUnplaceable || !hasFailed;
             isFullForFailed = true;
--- a/workflow/tests/CrashTest.cpp
+++ b/workflow/tests/CrashTest.cpp
@@ -148,11 +148,12 @@
 {
     CrashWorld world;
     world.submit({ stepOfTasks(1) }, 110, suspectJob);
-    for (int count = 0; count < 5; ++count) {
+    // In turns past the age at which the previous run was lost, and well before it.
+    for (int readings : { 2, 12, 2, 12, 2, 12 }) {
         std::string worker = world.start(suspectJob);
         BOOST_REQUIRE(!worker.empty());
-        world.read();
-        world.read();
+        for (int reading = 0; reading < readings; ++reading)
+            world.read();
         world.crash(worker);
         BOOST_TEST(world.crashesOf(suspectJob) == 0U);
     }
--- a/workflow/tests/RecordTest.cpp
+++ b/workflow/tests/RecordTest.cpp
@@ -27,6 +27,7 @@
     BOOST_REQUIRE(read.ok());
     BOOST_TEST((*read == progress));
     progress.tasks_[2].crashes_ = 2;
+    progress.tasks_[1].crashSeries_ = { 3, 1, 1500 };
     read = decodeProgress(encodeProgress(progress));
     BOOST_REQUIRE(read.ok());
     BOOST_TEST((*read == progress));
@@ -39,6 +40,7 @@
     BOOST_TEST(!decodeProgress(R"({"cancelled":1})").ok());
     BOOST_TEST(!decodeProgress(R"({"cancelled":false,"failed":false,"started":false,"workers":[],"tasks":[[7,0,0]]})").ok());
     BOOST_TEST(!decodeProgress(R"({"cancelled":false,"failed":false,"started":false,"workers":[],"tasks":[[0,0,0]],"crashes":[[1,1]]})").ok());
+    BOOST_TEST(!decodeProgress(R"({"cancelled":false,"failed":false,"started":false,"workers":[],"tasks":[[0,0,0]],"crash_series":[[0,1]]})").ok());
     BOOST_TEST(!decodeSpec(R"({"payload":"","steps":[]})").ok());
 }
 
