Test: a job stands still until the leases of a lost worker end

Callers: the only run of a job is on a worker that was lost; its other tasks wait while slowed tasks have all cores, until the run is given up.

Cause: a run that a worker has listed counts as running, and an assigned task rules out the exception, while its worker is unreachable as well.

Not fixed here. Fails: 'check world.reportUntilStarted(startedAt + 1000, startedAt + 8500) < startedAt + 1000 + lostAfterMs has failed [13000 >= 8500]'. By the code, the wait ends with the leases (7.5 s, drift and slack), and takes 2 s more if the job had a regular place: about 10 s; this sum was not run.

--- a/workflow/tests/StandstillTest.cpp
+++ b/workflow/tests/StandstillTest.cpp
@@ -119,6 +119,19 @@
     BOOST_TEST(reportUntilStarted(startedAt + 100) < startedAt + 1000);
 }
 
+// Guards against a job that stands still until the leases of a lost worker end, as its run there counts as running.
+BOOST_AUTO_TEST_CASE(job_whose_only_run_is_on_an_unreachable_worker_does_not_stand_still, *boost::unit_test::disabled())
+{
+    StandstillWorld world;
+    world.submit({ fillingStep(2, "light") }, 2000, waitingJob);
+    int64_t startedAt = world.reportUntilStarted(2500, 16'000);
+    BOOST_REQUIRE(startedAt < 16'000);
+    world.active_[world.startedOn_].push_back({ world.started_, "", 50, 0, 100 });
+    world.reportAll(startedAt + 500);
+    world.lost_ = world.startedOn_;
+    BOOST_TEST(world.reportUntilStarted(startedAt + 1000, startedAt + 8500) < startedAt + 1000 + lostAfterMs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
