Test: a hold that frees nothing keeps a short job waiting

Callers: a short job never starts while three quarters of the cores and 600 of 1000 kB of the only worker are free: LOST. The code gives the wait no end.

Cause: room for a long-running task is held where its demand fits without the other tasks, and withheld from others of its priority. A paused filling task keeps its memory, so that the hold is never used; it is moved after 3 s only if another worker can make room. At most a quarter of the workers, and at least one, are held.

Not fixed here.

--- a/workflow/tests/StandstillTest.cpp
+++ b/workflow/tests/StandstillTest.cpp
@@ -177,6 +177,36 @@
     BOOST_TEST(world.reportUntilStarted(time + reportIntervalMs, time + 1500) == time + 1500);
 }
 
+// Guards against room that is held without end for a long-running task, from a job that fits beside it, where what occupies the
+// worker makes no progress.
+BOOST_AUTO_TEST_CASE(hold_that_frees_nothing_keeps_no_short_job_waiting, *boost::unit_test::disabled())
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    Step filling = fillingStep(1, "heavy");
+    filling.demand_ = *Resources::create(1000, 400'000, 0);
+    world.submit({ filling }, 20, fillingJob);
+    world.commit(30);
+    BOOST_REQUIRE(world.starts("w-1", 31).size() == 1U);
+    world.lastCompletedOrder_ = OrderNumber(1);
+    Step large = longRunningStep("search");
+    large.demand_ = *Resources::create(1000, 700'000, 0);
+    world.submit({ large }, 40, searchJob);
+    int64_t startedAt = 0;
+    for (int64_t time = 100; time < 30'000 && startedAt == 0; time += 100) {
+        world.readingNumber_ = static_cast<uint64_t>(time);
+        world.report("w-1", time, { { runOf(fillingJob), "ck", 10, 0, 0 } });
+        if (time == 1000)
+            world.submit({ stepOfTasks(1) }, time + 1, waitingJob);
+        world.handle(Tick { 1'000'000 + time }, time + 2);
+        world.commit(time + 3);
+        if (!world.starts("w-1", time + 4).empty())
+            startedAt = time;
+    }
+    BOOST_TEST(startedAt > 0);
+    BOOST_TEST(startedAt < 1000 + lostAfterMs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
