End the exception of a job with its first regular place

Callers: a job that stood still once goes on being placed where it disturbs long-running tasks, although its last task has found a place where it does not.

Cause: the mark that its last place was an exception was set by the state of the job when it was placed, not by the place. A regular place is now searched first, and only a place that it does not find is an exception. Searches that find none are remembered for each kind, so that a backlog of jobs that stand still costs one search for each demand and kind.

--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -138,7 +138,7 @@
                 continue;
             auto better = round.chooseWorker(job, key, Disturbance::Avoided);
             if (!better)
-                unplaceable.add(job, step);
+                unplaceable.add(job, step, Disturbance::Avoided);
             if (!better || *better == task.progress_.worker_)
                 continue;
             task.avoidedWorker_ = task.progress_.worker_.name_;
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -121,7 +121,9 @@
         return true;
     Disturbance disturbance = round.disturbanceOf(job);
     // Room that is held for a task of the step was of no use to the steps that found no worker.
-    bool isUnplaceable = !isRoomHeld(job, occurrence, stepNumber) && unplaceable.contains(job, step, disturbance);
+    bool isHeld = isRoomHeld(job, occurrence, stepNumber);
+    bool isUnplaceable = !isHeld && unplaceable.contains(job, step, Disturbance::Avoided);
+    bool mayBeExceptional = step.isFilling_ && disturbance != Disturbance::Avoided && (isHeld || !unplaceable.contains(job, step, disturbance));
     // Whether a search has found no worker: for any task of the step, or for those that have failed. Workers that have to prove
     // themselves are closed to the latter, but not to their siblings.
     bool isFull = false;
@@ -141,7 +143,10 @@
         bool hasFailed = step.longRunning_ && progress.failures_ > 0;
         if (hasFailed && isFullForFailed)
             continue;
-        auto incarnation = isUnplaceable ? std::nullopt : round.chooseWorker(job, key, disturbance);
+        auto incarnation = isUnplaceable ? std::nullopt : round.chooseWorker(job, key, Disturbance::Avoided);
+        bool isExceptional = !incarnation && mayBeExceptional;
+        if (isExceptional)
+            incarnation = round.chooseWorker(job, key, disturbance);
         // A suspect may not use all workers that its siblings may.
         if (!incarnation && isLateSuspect(context.state_.tuning_, progress)) {
             mustWait = true;
@@ -155,16 +160,18 @@
         assign(context, job, key, *incarnation, progress.run_ + 1);
         if (step.longRunning_)
             round.refreshImages();
-        job.hasExceptionalPlace_ = step.isFilling_ && disturbance != Disturbance::Avoided;
-        if (disturbance == Disturbance::Avoided)
+        job.hasExceptionalPlace_ = isExceptional;
+        if (!isExceptional)
             continue;
         ++placedDespiteInterference;
         // One task keeps the job running; the others wait, as tasks that disturb are slowed down and end late.
         if (disturbance == Disturbance::AllowedOnSharedCores || round.hasHarmlessWorker(job, step))
-            disturbance = Disturbance::Avoided;
+            mayBeExceptional = false;
     }
     if (isFull && !isUnplaceable)
-        unplaceable.add(job, step);
+        unplaceable.add(job, step, Disturbance::Avoided);
+    if (isFull && mayBeExceptional)
+        unplaceable.add(job, step, disturbance);
     if (step.isFilling_ && placedDespiteInterference > 0)
         context.logEvent("job.interference_ignored", job.record_.id_.value(), concat(placedDespiteInterference, " tasks of step ", stepNumber, " placed, as nothing of the job was running"));
     return isFullForFailed || mustWait;
--- a/workflow/src/decisions/UnplaceableDemands.h
+++ b/workflow/src/decisions/UnplaceableDemands.h
@@ -11,24 +11,23 @@
 // worker either.
 class UnplaceableDemands {
 public:
-    // A job that may disturb long-running tasks may be placed on workers that others have to avoid.
     bool contains(const Job& job, const Step& step, Disturbance disturbance) const
     {
-        if (disturbance != Disturbance::Avoided)
-            return false;
         return std::any_of(demands_.begin(), demands_.end(), [&](const Demand& demand) {
-            return demand.service_ == job.queue_.service_ && demand.isFilling_ == step.isFilling_ && demand.isLongRunning_ == step.longRunning_ && demand.image_ == step.image_ && demand.label_ == step.requiredLabel_ && demand.demand_.fitsIn(step.demand_);
+            return demand.disturbance_ == disturbance && demand.service_ == job.queue_.service_ && demand.isFilling_ == step.isFilling_ && demand.isLongRunning_ == step.longRunning_ && demand.image_ == step.image_ && demand.label_ == step.requiredLabel_ && demand.demand_.fitsIn(step.demand_);
         });
     }
     // A step with a bound on tasks per worker is not added: a step without the bound may find a worker nevertheless.
-    void add(const Job& job, const Step& step)
+    void add(const Job& job, const Step& step, Disturbance disturbance)
     {
         if (step.maxPerWorker_ == 0)
-            demands_.push_back({ job.queue_.service_, step.image_, step.requiredLabel_, step.isFilling_, step.longRunning_, step.demand_ });
+            demands_.push_back({ disturbance, job.queue_.service_, step.image_, step.requiredLabel_, step.isFilling_, step.longRunning_, step.demand_ });
     }
 
 private:
     struct Demand {
+        // A job that may disturb long-running tasks may be placed on workers that others have to avoid.
+        Disturbance disturbance_ { Disturbance::Avoided };
         std::string service_;
         std::string image_;
         std::string label_;
--- a/workflow/tests/StandstillTest.cpp
+++ b/workflow/tests/StandstillTest.cpp
@@ -134,7 +134,7 @@
 
 // Guards against an exception that outlasts its reason: the job is placed where it disturbs others, while a worker where it
 // does no harm is full for a moment.
-BOOST_AUTO_TEST_CASE(exceptional_place_ends_once_a_task_of_the_job_has_found_a_regular_one, *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(exceptional_place_ends_once_a_task_of_the_job_has_found_a_regular_one)
 {
     StandstillWorld world;
     std::vector<Step> chain;
