Protocol model: separate the calls to workers, and let variants replace its parts

The histories of the model stay as they are: invariants_hold_in_all_histories, 600 histories, passes.

--- a/supervision/tests/ProtocolModel.cpp
+++ b/supervision/tests/ProtocolModel.cpp
@@ -11,28 +11,58 @@
 using workflow::RunKey;
 using workflow::WorkerIncarnation;
 
-static constexpr size_t hosts = 3;
 static constexpr int64_t tickMs = 50;
-static constexpr Duration faultTime = std::chrono::seconds(25);
-static constexpr Duration recoveryTime = std::chrono::seconds(45);
 
 ProtocolModel::ProtocolModel(uint64_t seed, InjectedFault injected)
+    : ProtocolModel(seed, injected, { std::chrono::seconds(25), std::chrono::seconds(45) })
+{
+    addHosts(3);
+}
+
+ProtocolModel::ProtocolModel(uint64_t seed, InjectedFault injected, Periods periods)
     : random_(seed)
     , injectedFault_(injected)
     , now_(Instant::fromMicroseconds(1'000'000'000))
-    , faultsEndAt_(now_ + faultTime)
+    , faultsEndAt_(now_ + periods.faults_)
+    , endsAt_(faultsEndAt_ + periods.recovery_)
+{
+}
+
+void ProtocolModel::addHosts(size_t count)
 {
-    for (size_t index = 0; index < hosts; ++index) {
+    for (size_t index = 0; index < count; ++index) {
         WorkerModel worker;
         worker.incarnation_ = { concat("w-", index), 1000 };
         workers_.push_back(std::move(worker));
         AgentModel agent;
-        agent.state_.name_ = concat("agent-", index);
-        agent.state_.session_ = ++sessions_;
+        agent.state_ = initialAgentState(concat("agent-", index));
         agents_.push_back(std::move(agent));
     }
 }
 
+SupervisorState ProtocolModel::initialAgentState(const std::string& name)
+{
+    SupervisorState state;
+    state.name_ = name;
+    state.session_ = ++sessions_;
+    return state;
+}
+
+void ProtocolModel::restartAgent(size_t index)
+{
+    // Calls of the previous incarnation are still in flight.
+    AgentModel& agent = agents_[index];
+    agent.state_ = initialAgentState(agent.state_.name_);
+    ++agent.incarnation_;
+    workers_[index].heartbeats_ = 0;
+}
+
+// The number at the end of an agent's name.
+static size_t indexOf(const std::string& agent)
+{
+    return std::stoul(agent.substr(agent.find('-') + 1));
+}
+
 void ProtocolModel::schedule(Duration delay, std::function<void()> event)
 {
     eventQueue_.emplace(std::pair(now_ + delay, ++lastEvent_), std::move(event));
@@ -63,12 +93,16 @@
 {
     startLeader();
     schedule(Duration(0), [this] { tick(); });
-    Instant end = faultsEndAt_ + recoveryTime;
-    while (!eventQueue_.empty() && eventQueue_.begin()->first.first < end) {
+    while (!eventQueue_.empty() && eventQueue_.begin()->first.first < endsAt_) {
         auto event = eventQueue_.extract(eventQueue_.begin());
         now_ = event.key().first;
         event.mapped()();
     }
+    checkEnd();
+}
+
+void ProtocolModel::checkEnd()
+{
     for (const JobId& job : accepted_) {
         auto row = rows_.find(job);
         check(row != rows_.end(), concat("accepted job ", job.value(), " is not stored"));
@@ -85,14 +119,17 @@
     schedule(std::chrono::milliseconds(tickMs), [this] { tick(); });
     for (WorkerModel& worker : workers_)
         tickWorker(worker);
-    for (size_t index = 0; index < hosts; ++index)
+    for (size_t index = 0; index < agents_.size(); ++index) {
+        sendHeartbeatIfDue(index);
         sendToAgent(index, agents_[index].incarnation_, SupervisorTick {});
+    }
     if (!areFaultsOver())
         injectFaults();
+    observe();
     if (!leader_)
         return;
-    sendToLeader(workflow::Tick { toMilliseconds(now_) });
-    for (size_t index = 0; index < hosts; ++index) {
+    sendToLeader(workflow::Tick { wallMs() });
+    for (size_t index = 0; index < agents_.size(); ++index) {
         auto& waiting = leader_->waitingReports_[agents_[index].state_.name_];
         if (!waiting.empty() && now_ - waiting.front().second > std::chrono::milliseconds(450))
             answerReports(agents_[index].state_.name_, true);
@@ -111,6 +148,11 @@
         for (UnacknowledgedEnd& end : worker.ended_)
             end.hasLeaseExpired_ = true;
     }
+    progressRuns(worker);
+}
+
+void ProtocolModel::progressRuns(WorkerModel& worker)
+{
     std::vector<std::pair<RunKey, bool>> ended;
     for (const auto& [run, state] : worker.active_) {
         if (state.endsAt_ <= now_)
@@ -134,24 +176,16 @@
         cancelJob();
     if (leader_ && chance(0.012))
         killLeader();
-    size_t index = random_() % hosts;
-    if (chance(0.006)) {
-        // The agent crashes and restarts without any state. Calls of the previous incarnation are still in flight.
-        AgentModel& agent = agents_[index];
-        SupervisorState initial;
-        initial.name_ = agent.state_.name_;
-        initial.session_ = ++sessions_;
-        agent.state_ = std::move(initial);
-        ++agent.incarnation_;
-        workers_[index].heartbeats_ = 0;
-    }
+    size_t index = random_() % workers_.size();
+    if (chance(0.006))
+        restartAgent(index);
     if (chance(0.006))
-        agents_[random_() % hosts].unreachableUntil_ = now_ + randomDelay(500, 10'000);
+        agents_[random_() % workers_.size()].unreachableUntil_ = now_ + randomDelay(500, 10'000);
     if (chance(0.004))
-        workers_[random_() % hosts].unreachableUntil_ = now_ + randomDelay(500, 10'000);
+        workers_[random_() % workers_.size()].unreachableUntil_ = now_ + randomDelay(500, 10'000);
     if (chance(0.002)) {
         // The worker crashes and restarts as a new incarnation. Its notice that it leaves arrives late or never.
-        size_t crashed = random_() % hosts;
+        size_t crashed = random_() % workers_.size();
         WorkerModel& worker = workers_[crashed];
         schedule(randomDelay(100, 8000), [this, crashed, incarnation = agents_[crashed].incarnation_, name = worker.incarnation_.name_] { deliverLeaveNotice(crashed, incarnation, name); });
         WorkerModel restarted;
@@ -161,157 +195,6 @@
     }
 }
 
-template <typename Message>
-void ProtocolModel::sendToAgent(size_t index, uint64_t incarnation, Message message)
-{
-    AgentModel& agent = agents_[index];
-    if (agent.incarnation_ != incarnation)
-        return;
-    WorkerModel& worker = workers_[index];
-    bool isHeartbeatDue = std::is_same_v<Message, SupervisorTick> && now_ >= worker.unreachableUntil_ && toMilliseconds(now_) % 1000 < tickMs;
-    if (isHeartbeatDue) {
-        workflow::Heartbeat heartbeat { worker.incarnation_, { "packs", "north", {}, *Resources::create(4000, 1'000'000, 0) }, *Address::parse(concat("127.0.0.1:", 8000 + index)), false, 0, ++worker.heartbeats_ };
-        sendToAgent(index, incarnation, std::move(heartbeat));
-    }
-    SupervisorMessage wrapped = std::move(message);
-    SupervisorDecision decision = decide(std::move(agent.state_), wrapped, now_);
-    agent.state_ = std::move(decision.state_);
-    for (SupervisorAction& action : decision.actions_)
-        perform(index, action);
-}
-
-void ProtocolModel::deliverLeaveNotice(size_t index, uint64_t incarnation, const std::string& name)
-{
-    sendToAgent(index, incarnation, workflow::Leaving { name });
-    if (injectedFault_ == InjectedFault::LeaveNoticesTakenForPresentIncarnation)
-        sendToAgent(index, incarnation, ListFailed { workers_[index].incarnation_, false, true, "connection refused" });
-}
-
-void ProtocolModel::perform(size_t index, SupervisorAction& action)
-{
-    if (const auto* start = std::get_if<CallStart>(&action))
-        callStart(index, *start);
-    else if (const auto* stop = std::get_if<CallStop>(&action))
-        callStop(index, *stop);
-    else if (const auto* list = std::get_if<CallList>(&action))
-        callList(index, *list);
-    else if (const auto* report = std::get_if<SendReport>(&action))
-        sendReport(index, *report);
-}
-
-void ProtocolModel::callStart(size_t index, const CallStart& call)
-{
-    uint64_t incarnation = agents_[index].incarnation_;
-    bool unanswered = now_ < workers_[index].unreachableUntil_ || (!areFaultsOver() && chance(0.1));
-    bool isOtherIncarnation = workers_[index].incarnation_ != call.order_.worker_;
-    if (unanswered) {
-        // The worker may execute the call seconds later.
-        if (chance(0.7))
-            schedule(randomDelay(100, 8000), [this, index, call] {
-                if (workers_[index].incarnation_ == call.order_.worker_)
-                    applyStart(workers_[index], call);
-            });
-        schedule(std::chrono::milliseconds(400), [this, index, incarnation, call] { sendToAgent(index, incarnation, StartCompleted { call.fence_, call.order_, workflow::NoAnswer { "timeout" } }); });
-        return;
-    }
-    schedule(randomDelay(1, 5), [this, index, incarnation, call, isOtherIncarnation] {
-        workflow::StartOutcome outcome = workflow::StartRefusal::Unavailable;
-        if (!isOtherIncarnation && workers_[index].incarnation_ == call.order_.worker_)
-            outcome = applyStart(workers_[index], call);
-        schedule(randomDelay(1, 20), [this, index, incarnation, call, outcome] { sendToAgent(index, incarnation, StartCompleted { call.fence_, call.order_, outcome }); });
-    });
-}
-
-workflow::StartOutcome ProtocolModel::applyStart(WorkerModel& worker, const CallStart& call)
-{
-    if (call.fence_ < worker.fence_ && injectedFault_ != InjectedFault::WorkersIgnoreFences)
-        return workflow::StartRefusal::Fenced;
-    worker.fence_ = std::max(worker.fence_, call.fence_);
-    const RunKey& run = call.order_.run_;
-    if (worker.active_.count(run) > 0)
-        return workflow::Started {};
-    if (run.run_ <= worker.newestRuns_[run.task_])
-        return workflow::StartRefusal::StaleRun;
-    Instant leaseEnd = Instant::fromMicroseconds(call.leaseEndMs_ * 1000);
-    if (leaseEnd <= now_ && injectedFault_ != InjectedFault::WorkersIgnoreLeases)
-        return workflow::StartRefusal::OrderExpired;
-    for (const WorkerModel& other : workers_) {
-        for (const auto& [active, state] : other.active_)
-            check(active.task_ != run.task_, concat("two active runs of one task: ", describe(run), " beside ", describe(active)));
-    }
-    check(acknowledgedTasks_.count(run.task_) == 0, concat("run started after the end of its task was acknowledged: ", describe(run)));
-    worker.leaseEnd_ = std::max(worker.leaseEnd_, leaseEnd);
-    worker.newestRuns_[run.task_] = run.run_;
-    worker.active_[run] = { now_ + randomDelay(200, 1500), chance(0.05) };
-    ++starts_;
-    return workflow::Started {};
-}
-
-void ProtocolModel::callStop(size_t index, const CallStop& call)
-{
-    uint64_t incarnation = agents_[index].incarnation_;
-    bool unanswered = now_ < workers_[index].unreachableUntil_ || (!areFaultsOver() && chance(0.1));
-    schedule(unanswered ? std::chrono::milliseconds(400) : randomDelay(1, 5), [this, index, incarnation, call, unanswered] {
-        bool isOtherIncarnation = workers_[index].incarnation_ != call.order_.worker_;
-        bool done = !unanswered && (isOtherIncarnation || applyStop(workers_[index], call));
-        sendToAgent(index, incarnation, StopCompleted { call.fence_, call.order_.number_, done });
-    });
-}
-
-bool ProtocolModel::applyStop(WorkerModel& worker, const CallStop& call)
-{
-    if (call.fence_ < worker.fence_ && injectedFault_ != InjectedFault::WorkersIgnoreFences)
-        return true;
-    worker.fence_ = std::max(worker.fence_, call.fence_);
-    const RunKey& run = call.order_.run_;
-    if (worker.active_.count(run) > 0)
-        endRun(worker, run, RunEnd::Stopped);
-    worker.newestRuns_[run.task_] = std::max(worker.newestRuns_[run.task_], run.run_);
-    return true;
-}
-
-void ProtocolModel::callList(size_t index, const CallList& call)
-{
-    uint64_t incarnation = agents_[index].incarnation_;
-    bool unanswered = now_ < workers_[index].unreachableUntil_ || (!areFaultsOver() && chance(0.03));
-    Instant askedAt = now_;
-    if (unanswered) {
-        schedule(std::chrono::milliseconds(900), [this, index, incarnation, call] { sendToAgent(index, incarnation, ListFailed { call.worker_, workers_[index].incarnation_ != call.worker_ && now_ >= workers_[index].unreachableUntil_ }); });
-        return;
-    }
-    schedule(randomDelay(1, 5), [this, index, incarnation, call, askedAt] {
-        if (workers_[index].incarnation_.name_ != call.worker_.name_)
-            return sendToAgent(index, incarnation, ListFailed { call.worker_, true });
-        if (call.request_.fence_ < workers_[index].fence_ && injectedFault_ != InjectedFault::WorkersIgnoreFences)
-            return sendToAgent(index, incarnation, ListFailed { call.worker_, false });
-        // The worker extends leases and removes ends immediately; the answer shows its state some time later.
-        applyList(workers_[index], call.request_);
-        Duration wait = std::min<Duration>(call.request_.maximumWait_, randomDelay(0, 500));
-        schedule(wait, [this, index, incarnation, call, askedAt] {
-            workflow::WorkerLists lists = applyList(workers_[index], { call.request_.fence_, 0, 0, Duration(0) });
-            schedule(randomDelay(1, 30), [this, index, incarnation, call, askedAt, lists] { sendToAgent(index, incarnation, ListArrived { call.worker_, call.request_.fence_, askedAt, lists }); });
-        });
-    });
-}
-
-workflow::WorkerLists ProtocolModel::applyList(WorkerModel& worker, const workflow::ListRequest& listing)
-{
-    worker.fence_ = std::max(worker.fence_, listing.fence_);
-    if (listing.leaseEndMs_ > 0)
-        worker.leaseEnd_ = std::max(worker.leaseEnd_, Instant::fromMicroseconds(listing.leaseEndMs_ * 1000));
-    for (const UnacknowledgedEnd& end : worker.ended_) {
-        if (end.ended_.number_ <= listing.durableEnd_ && end.ended_.end_ == RunEnd::Done && !end.hasLeaseExpired_)
-            acknowledgedTasks_.insert(end.ended_.run_.task_);
-    }
-    std::erase_if(worker.ended_, [&](const UnacknowledgedEnd& end) { return end.ended_.number_ <= listing.durableEnd_; });
-    workflow::WorkerLists lists { toMilliseconds(now_), worker.incarnation_.bornMs_, {}, {} };
-    for (const auto& [run, state] : worker.active_)
-        lists.active_.push_back({ run, "", static_cast<uint32_t>(random_() % 100), 0, 100 });
-    for (const UnacknowledgedEnd& end : worker.ended_)
-        lists.ended_.push_back(end.ended_);
-    return lists;
-}
-
 void ProtocolModel::sendReport(size_t index, const SendReport& call)
 {
     uint64_t incarnation = agents_[index].incarnation_;
@@ -343,7 +226,7 @@
             for (workflow::DurableEnds& durable : reply.durableEnds_)
                 durable.number_ = leader_->state_.workers_.at(durable.worker_).lastHandledEnd_;
         }
-        size_t index = static_cast<size_t>(name.back() - '0');
+        size_t index = indexOf(name);
         bool lost = now_ < agents_[index].unreachableUntil_ || (!areFaultsOver() && chance(0.08));
         if (lost)
             schedule(std::chrono::milliseconds(1000), [this, index, incarnation] { sendToAgent(index, incarnation, ReportFailed {}); });
@@ -352,11 +235,9 @@
     }
 }
 
-template <typename Message>
-void ProtocolModel::sendToLeader(Message message)
+void ProtocolModel::sendToLeader(const workflow::LeaderMessage& message)
 {
-    workflow::LeaderMessage wrapped = std::move(message);
-    workflow::Decision decision = workflow::decide(std::move(leader_->state_), wrapped, now_);
+    workflow::Decision decision = workflow::decide(std::move(leader_->state_), message, now_);
     leader_->state_ = std::move(decision.state_);
     std::set<std::string> agentsToAnswer;
     for (workflow::LeaderAction& action : decision.actions_) {
@@ -394,18 +275,18 @@
         bounds.silentWorkers_.insert(storedBounds_.silentWorkers_.begin(), storedBounds_.silentWorkers_.end());
     // The write is applied first and answered later. A write of a former leader finds the later epoch and has no
     // effect.
-    schedule(randomDelay(5, 30), [this, epoch, batch = std::move(batch), rows = std::move(rows), bounds = std::move(bounds), sentAt]() mutable {
-        bool refused = epoch != epoch_ || (!areFaultsOver() && chance(0.05));
-        if (!refused) {
+    schedule(writeDelay(), [this, epoch, batch = std::move(batch), rows = std::move(rows), bounds = std::move(bounds), sentAt]() mutable {
+        WriteOutcome outcome = epoch != epoch_ ? WriteOutcome::Refused : writeOutcome();
+        if (outcome != WriteOutcome::Refused) {
             storedBounds_ = bounds;
             for (const auto& [job, row] : rows)
                 rows_[job] = row;
         }
-        schedule(randomDelay(1, 10), [this, epoch, refused, batch = std::move(batch), sentAt]() mutable {
+        schedule(randomDelay(1, 10), [this, epoch, outcome, batch = std::move(batch), sentAt]() mutable {
             if (!leader_ || leader_->epoch_ != epoch)
                 return;
             leader_->isCommitInFlight_ = false;
-            if (refused)
+            if (outcome != WriteOutcome::Stored)
                 workflow::restage(leader_->state_, std::move(batch), true);
             else
                 sendToLeader(workflow::BatchDurable { std::move(batch), sentAt });
@@ -417,12 +298,12 @@
 {
     // Reports that were waiting at the leader are never answered.
     for (const auto& [name, waiting] : leader_->waitingReports_) {
-        size_t index = static_cast<size_t>(name.back() - '0');
+        size_t index = indexOf(name);
         for (const auto& [incarnation, since] : waiting)
             schedule(std::chrono::milliseconds(1000), [this, index, incarnation = incarnation] { sendToAgent(index, incarnation, ReportFailed {}); });
     }
     leader_.reset();
-    schedule(randomDelay(200, 2500), [this] { startLeader(); });
+    schedule(takeoverDelay(), [this] { startLeader(); });
 }
 
 void ProtocolModel::startLeader()
@@ -432,24 +313,50 @@
         rows.push_back(row);
     leader_ = LeaderModel {};
     leader_->epoch_ = ++epoch_;
-    leader_->state_ = workflow::restoreState(workflow::LeaderEpoch(epoch_), {}, std::move(rows), storedBounds_, now_);
+    leader_->state_ = workflow::restoreState(workflow::LeaderEpoch(epoch_), tuning(), std::move(rows), storedBounds_, now_);
     leader_->state_.lastDurableWriteAt_ = now_;
-    workflow::Catalog catalog { 1, { { "q", "h", "/q/", "packs", 0, 6, 1.5, std::chrono::milliseconds(250), std::chrono::seconds(3) } }, { { "packs", true, false } } };
-    sendToLeader(workflow::CatalogChanged { catalog });
+    sendToLeader(workflow::CatalogChanged { catalog() });
+}
+
+workflow::Catalog ProtocolModel::catalog() const
+{
+    return { 1, { { "q", "h", "/q/", "packs", 0, 6, 1.5, std::chrono::milliseconds(250), std::chrono::seconds(3) } }, { { "packs", true, false } } };
+}
+
+ProtocolModel::WriteOutcome ProtocolModel::writeOutcome()
+{
+    return !areFaultsOver() && chance(0.05) ? WriteOutcome::Refused : WriteOutcome::Stored;
+}
+
+Duration ProtocolModel::takeoverDelay()
+{
+    return randomDelay(200, 2500);
+}
+
+Duration ProtocolModel::writeDelay()
+{
+    return randomDelay(5, 30);
 }
 
 void ProtocolModel::submitJob()
 {
     if (!leader_)
         return;
-    std::string id = concat("00000000000000", absl::Hex(++submittedJobs_, absl::kZeroPad2));
     workflow::Step first;
     first.count_ = 2;
     first.demand_ = *Resources::create(1000, 1000, 0);
     workflow::Step second = first;
     second.dependencies_ = { 0 };
+    submit("/q/", *workflow::JobSpec::create("spec", { first, second }, {}));
+}
+
+JobId ProtocolModel::submit(const std::string& prefix, const workflow::JobSpec& spec)
+{
+    std::string id = concat("00000000000000", absl::Hex(++submittedJobs_, absl::kZeroPad2));
     jobsByCall_[submittedJobs_] = JobId::of(id);
-    sendToLeader(workflow::CallArrived { workflow::CallToken(submittedJobs_), { "h", concat("/q/", id), workflow::Submit { *workflow::JobSpec::create("spec", { first, second }, {}) }, std::chrono::seconds(3) }, toMilliseconds(now_) });
+    prefixes_[JobId::of(id)] = prefix;
+    sendToLeader(workflow::CallArrived { workflow::CallToken(submittedJobs_), { "h", concat(prefix, id), workflow::Submit { spec }, std::chrono::seconds(3) }, wallMs() });
+    return JobId::of(id);
 }
 
 void ProtocolModel::cancelJob()
@@ -461,7 +368,7 @@
     jobsByCall_[token] = job;
     // Whether the cancellation is stored or not, the job need not end.
     cancelled_.insert(job);
-    sendToLeader(workflow::CallArrived { workflow::CallToken(token), { "h", concat("/q/", job.value()), workflow::Cancel {}, std::chrono::seconds(3) }, toMilliseconds(now_) });
+    sendToLeader(workflow::CallArrived { workflow::CallToken(token), { "h", concat(prefixes_.at(job), job.value()), workflow::Cancel {}, std::chrono::seconds(3) }, wallMs() });
 }
 
 } // namespace persimmondoor::supervision
--- a/supervision/tests/ProtocolModel.h
+++ b/supervision/tests/ProtocolModel.h
@@ -25,11 +25,18 @@
     LeasesOutliveTheirBound,
     SilentWorkersStayNamed,
     LeaveNoticesTakenForPresentIncarnation,
+    ListsAwaitedForever,
+    QuarantinesWithoutEnd,
+    InterferenceAlwaysAvoided,
+    CoresNeverShared,
+    UnreachedWorkersKept,
+    StopsNeverConfirmed,
 };
 
 class ProtocolModel {
 public:
     ProtocolModel(uint64_t seed, InjectedFault);
+    virtual ~ProtocolModel() = default;
 
     // Simulates a period with faults, then a period without in which all jobs must end.
     void simulate();
@@ -39,10 +46,17 @@
     uint64_t starts() const { return starts_; }
     uint64_t leaderEpochs() const { return epoch_; }
 
-private:
+protected:
+    struct Periods {
+        Duration faults_ { 0 };
+        Duration recovery_ { 0 };
+    };
     struct Run {
         Instant endsAt_;
         bool fails_ { false };
+        Instant startedAt_;
+        Duration done_ { 0 };
+        uint32_t pacePercent_ { 100 };
     };
     struct UnacknowledgedEnd {
         workflow::EndedRun ended_;
@@ -63,6 +77,10 @@
         SupervisorState state_;
         uint64_t incarnation_ { 0 };
         Instant unreachableUntil_;
+        // Messages are delivered at this time.
+        Instant frozenUntil_;
+        // Messages are lost.
+        Instant downUntil_;
     };
     struct LeaderModel {
         workflow::LeaderState state_;
@@ -71,46 +89,61 @@
         std::map<std::string, std::vector<std::pair<uint64_t, Instant>>> waitingReports_;
     };
 
+    enum class WriteOutcome {
+        Stored,
+        Refused,
+        // Stored, but the leader does not learn of it.
+        Unanswered,
+    };
+
+    // Without hosts.
+    ProtocolModel(uint64_t seed, InjectedFault, Periods);
+    void addHosts(size_t count);
+
+    // What variants of the model replace.
+    virtual void injectFaults();
+    // Called with each tick, once faults were injected.
+    virtual void observe() { }
+    virtual void checkEnd();
+    virtual int64_t wallMs() const { return toMilliseconds(now_); }
+    virtual workflow::Tuning tuning() const { return {}; }
+    virtual workflow::Catalog catalog() const;
+    virtual SupervisorState initialAgentState(const std::string& name);
+    virtual Duration takeoverDelay();
+    virtual Duration writeDelay();
+    virtual WriteOutcome writeOutcome();
+    virtual bool isProcessUp(size_t) const { return true; }
+    virtual workflow::Heartbeat heartbeatOf(size_t index);
+    virtual bool leavesUnanswered(size_t index, double probability);
+    // When an unanswered start is carried out; empty if never.
+    virtual std::optional<Duration> lateStart(size_t index);
+    virtual std::optional<workflow::StartRefusal> refusalOf(const WorkerModel&, const workflow::StartRun&) const { return std::nullopt; }
+    virtual Run makeRun(const workflow::StartRun&);
+    virtual void progressRuns(WorkerModel&);
+    virtual workflow::ActiveRun describeRun(const WorkerModel&, const workflow::RunKey&, const Run&);
+
     void schedule(Duration delay, std::function<void()> event);
     bool chance(double probability);
     Duration randomDelay(int64_t minimumMs, int64_t maximumMs);
     bool areFaultsOver() const { return now_ >= faultsEndAt_; }
+    void check(bool holds, const std::string& description);
+    int64_t toMilliseconds(Instant) const;
 
-    void tick();
-    void tickWorker(WorkerModel&);
-    void injectFaults();
-
-    template <typename Message>
-    void sendToAgent(size_t index, uint64_t incarnation, Message message);
+    void restartAgent(size_t index);
+    void sendToAgent(size_t index, uint64_t incarnation, const SupervisorMessage&);
     void deliverLeaveNotice(size_t index, uint64_t incarnation, const std::string& name);
-    void perform(size_t index, SupervisorAction&);
-    void callStart(size_t index, const CallStart&);
-    void callStop(size_t index, const CallStop&);
-    void callList(size_t index, const CallList&);
-    void sendReport(size_t index, const SendReport&);
-
-    workflow::StartOutcome applyStart(WorkerModel&, const CallStart&);
-    bool applyStop(WorkerModel&, const CallStop&);
-    workflow::WorkerLists applyList(WorkerModel&, const workflow::ListRequest&);
     void endRun(WorkerModel&, const workflow::RunKey&, workflow::RunEnd);
-
-    template <typename Message>
-    void sendToLeader(Message message);
-    void answerReports(const std::string& agent, bool all);
-    void commitIfDue();
-    void finishCommit(workflow::Batch, std::map<JobId, workflow::StoredJob> rows, Instant sentAt);
     void killLeader();
-    void startLeader();
-
     void submitJob();
+    // \return the id of the job, which the leader may not accept.
+    JobId submit(const std::string& prefix, const workflow::JobSpec&);
     void cancelJob();
-    void check(bool holds, const std::string& description);
-    int64_t toMilliseconds(Instant) const;
 
     std::mt19937_64 random_;
     InjectedFault injectedFault_;
     Instant now_;
     Instant faultsEndAt_;
+    Instant endsAt_;
     uint64_t lastEvent_ { 0 };
     std::map<std::pair<Instant, uint64_t>, std::function<void()>> eventQueue_;
     std::vector<WorkerModel> workers_;
@@ -122,11 +155,30 @@
     uint64_t submittedJobs_ { 0 };
     uint64_t sessions_ { 0 };
     std::map<uint64_t, JobId> jobsByCall_;
+    std::map<JobId, std::string> prefixes_;
     std::set<JobId> accepted_;
     std::set<JobId> cancelled_;
     std::set<workflow::TaskKey> acknowledgedTasks_;
     std::vector<std::string> violations_;
     uint64_t starts_ { 0 };
+
+private:
+    void tick();
+    void tickWorker(WorkerModel&);
+    void sendHeartbeatIfDue(size_t index);
+    void perform(size_t index, SupervisorAction&);
+    void callStart(size_t index, const CallStart&);
+    void callStop(size_t index, const CallStop&);
+    void callList(size_t index, const CallList&);
+    void callPace(size_t index, const CallPace&);
+    void sendReport(size_t index, const SendReport&);
+    workflow::StartOutcome applyStart(WorkerModel&, const CallStart&);
+    bool applyStop(WorkerModel&, const CallStop&);
+    workflow::WorkerLists applyList(WorkerModel&, const workflow::ListRequest&);
+    void sendToLeader(const workflow::LeaderMessage&);
+    void answerReports(const std::string& agent, bool all);
+    void commitIfDue();
+    void startLeader();
 };
 
 } // namespace persimmondoor::supervision
