Let a job that stands still share cores within three seconds

Cause: the wait for cores that slowed filling tasks of other jobs keep had an end, but one of 6 s, taken as time before the 14 s after the traffic. It may begin at any time, though: as the last run of a job ends or is moved, or as the turn of its next step comes. From the 14th second on 3 s without a run count as lost.

Evidence: the new test failed before, 'job_without_running_tasks_shares_cores_ within_three_seconds: check reportUntilStarted(world, paused, 2500, 16'000) < 2000 + 3000 has failed [8500 >= 5000]'.

Change: the wait ends after 2 s. Still one task of a job of which nothing runs is placed so, half a second after interference is ignored.

--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -57,9 +57,9 @@
     /// long-running task is placed regardless of interference: after 3 s the job counts as lost (stated by the platform).
     Duration ignoreInterferenceAfter_ { std::chrono::milliseconds(1500) };
     /// One task of a job of which nothing has run for this long is placed even where other filling tasks have all the cores that
-    /// long-running tasks leave unused. Slowed tasks keep their place, so that the job may otherwise wait without end. Leaves
-    /// time for further attempts before the job counts as lost, 14 s after the traffic (stated by the platform).
-    Duration shareCoresAfter_ { std::chrono::milliseconds(6000) };
+    /// long-running tasks leave unused. Slowed tasks keep their place, so that the job may otherwise wait without end. Below the
+    /// 3 s after which the job counts as lost (stated by the platform), whenever they begin: its last run may end late.
+    Duration shareCoresAfter_ { std::chrono::milliseconds(2000) };
     /// After a takeover, tasks that interfere with each other wait at most this long for workers that are known from the
     /// predecessor's rows and that no agent has reported yet. Otherwise, after all workers have restarted, the first ones
     /// to return get long-running tasks of every image, and no worker is left where a filling task does no harm.
--- a/workflow/tests/FillingTest.cpp
+++ b/workflow/tests/FillingTest.cpp
@@ -143,6 +143,15 @@
     BOOST_TEST(std::count_if(tasks.begin(), tasks.end(), [](const Task& task) { return task.progress_.phase_ == TaskPhase::Assigned; }) == 1);
 }
 
+// Guards against a job that counts as lost as it begins to wait for such cores late, for instance as its last step's turn comes.
+BOOST_AUTO_TEST_CASE(job_without_running_tasks_shares_cores_within_three_seconds)
+{
+    FillingWorld world;
+    std::map<std::string, std::vector<ActiveRun>> paused = fillWithPausedTasks(world);
+    world.submit({ fillingStep(2, "light") }, 2000, waitingJob);
+    BOOST_TEST(reportUntilStarted(world, paused, 2500, 16'000) < 2000 + 3000);
+}
+
 // Guards against a wait that begins anew with each start that is refused.
 BOOST_AUTO_TEST_CASE(refused_start_does_not_begin_the_wait_of_a_job_without_running_tasks_anew)
 {
