Place no task on a worker whose capacity has shrunk below its runs

Cause: a livelock of two decisions that disagree. A start that is durable is withdrawn if the capacity of its worker is exceeded; but the choice of a worker for a filling task counts what long-running tasks leave unused, 45 percent of their cores, so that a worker whose capacity has shrunk below them has room for it. The task is assigned, withdrawn before its release, and assigned there again with each write, as such a worker is preferred to an empty one. Since a job that stands still shares cores, any worker that has shrunk does.

The new test failed before, 'filling_task_is_not_placed_on_a_worker_that_has_shrunk_below_its_long_running_ tasks: check started == 1U has failed [0 != 1]' and 'check world.logged("run.withdrawn").empty() has failed'. The other conditions of a withdrawal (worker removed, not accepting runs, of another service) are those of the choice.

Change: such a worker is none to choose, by the same condition as the withdrawal.

--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -107,6 +107,9 @@
 {
     const Step& step = stepOf(job, key);
     const Resources& capacity = worker.traits_.capacity_;
+    // The start would be withdrawn before its release, and the task placed there again.
+    if (isOvercommitted(worker))
+        return worker.reserved_.memoryBytes() > capacity.memoryBytes() ? WorkerObstacle::Memory : WorkerObstacle::Cores;
     Resources held = heldForOthers(worker, job, key);
     // Filling tasks wait for spare cores, as beyond them they would only slow each other down. They take no cores that are
     // held for others, as theirs are not counted against the capacity.
--- a/workflow/tests/CapacityTest.cpp
+++ b/workflow/tests/CapacityTest.cpp
@@ -34,6 +34,40 @@
     BOOST_TEST(world.starts("w-1", 302).size() == 1U);
 }
 
+// Guards against a task that never runs although another worker has room, as it is placed on a worker that has shrunk below its
+// long-running tasks, withdrawn and placed there again.
+BOOST_AUTO_TEST_CASE(filling_task_is_not_placed_on_a_worker_that_has_shrunk_below_its_long_running_tasks)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    Step longRunning = longRunningStep("search");
+    longRunning.count_ = 3;
+    longRunning.targetTailMs_ = 0;
+    world.submit({ longRunning }, 20, searchJob);
+    world.commit(30);
+    BOOST_REQUIRE(world.starts("w-1", 31).size() == 3U);
+    std::vector<ActiveRun> runs;
+    for (uint32_t index = 0; index < 3; ++index)
+        runs.push_back({ runOf(searchJob, index), "", 100, 0, 100 });
+    Step filling = fillingStep(1, "light");
+    filling.demand_ = *Resources::create(300, 1000, 0);
+    size_t started = 0;
+    for (int64_t time = 100; time < 1000 && started == 0; time += 100) {
+        world.lastCompletedOrder_ = OrderNumber(3);
+        world.capacity_ = *Resources::create(2000, 1'000'000, 0);
+        world.report("w-1", time, runs);
+        world.lastCompletedOrder_ = OrderNumber();
+        world.capacity_ = *Resources::create(4000, 1'000'000, 0);
+        world.report("w-2", time);
+        if (time == 100)
+            world.submit({ filling }, 110, fillingJob);
+        world.commit(time + 20);
+        started = world.starts("w-2", time + 30).size();
+    }
+    BOOST_TEST(started == 1U);
+    BOOST_TEST(world.logged("run.withdrawn").empty());
+}
+
 // Guards against a start that was decided before the worker shrank and is ordered long after, as the store was slow.
 BOOST_AUTO_TEST_CASE(start_that_no_longer_fits_is_withdrawn)
 {
