Liveness model: no job stands still after the faults while there is room

The model of the protocol checks liveness 45 s after the faults, with workers that always have room. From 14 s to 17 s after the faults no job may have nothing running for 3 s, nor a long-running task be missing 6 s after its last run, although there is room for the task twice over and under half of the cores are in use.

Each of six injected faults is detected.

Tasks that crash their worker fail after the faults instead, as such a crash is a further disruption.

--- a/supervision/tests/ProtocolModel.h
+++ b/supervision/tests/ProtocolModel.h
@@ -31,6 +31,7 @@
     CoresNeverShared,
     UnreachedWorkersKept,
     StopsNeverConfirmed,
+    TasksGoOnCrashingWorkers,
 };
 
 class ProtocolModel {
