Limit what is read from a message by its size

A report of 635 bytes whose pointers share their targets took 3.7 s and 626 MB to decode in the instrumented build; an entry has 160 MB.

Cause: messages were read under Cap'n Proto's limit of 64 MiB, which counts each visit of a shared target but is the same for messages of all sizes. Rows of the jobs had a limit of 32 GiB.

rpc::readerOptionsFor sets the limit by the size of the message: 8 words for each word of it and 1024 in addition. LimitedMessageStream applies it to each message of each connection, in servers and links, so that all decoders behind them (workflow, hosting, membership, admission, settings, jobs) are bounded; the rows of the jobs use it as well. A message with more to read is logged (message.over_limit) with its size, the peer, the limit and Cap'n Proto's error, and the call that reads beyond the limit fails, while the next message of the connection is read as usual. Records of the workflow's rows are not in Cap'n Proto.

Not shown by a test: that a server answers a call with such a message with an error (it does so for other malformed messages); the test reads from the stream. The cost of the additional pass over each message was not measured.

--- a/fuzz/MessagesTarget.cpp
+++ b/fuzz/MessagesTarget.cpp
@@ -4,6 +4,8 @@
 #include "membership/src/Codec.h"
 #include "settings/src/Codec.h"
 
+#include "persimmondoor/rpc/MessageLimit.h"
+
 #include <capnp/serialize.h>
 #include <cstring>
 
@@ -40,7 +42,7 @@
     kj::Array<capnp::word> copy = kj::heapArray<capnp::word>(words);
     std::memcpy(copy.begin(), data + 1, std::min(size - 1, words * sizeof(capnp::word)));
     try {
-        capnp::FlatArrayMessageReader message(copy);
+        capnp::FlatArrayMessageReader message(copy, rpc::readerOptionsFor(words));
         decodeChosen(data[0], message);
     } catch (const kj::Exception&) {
         return 0;
--- a/fuzz/QueuesTarget.cpp
+++ b/fuzz/QueuesTarget.cpp
@@ -4,6 +4,8 @@
 #include "scheduler/src/LeaseRows.h"
 #include "workflow/src/ExchangeCodec.h"
 
+#include "persimmondoor/rpc/MessageLimit.h"
+
 #include <capnp/serialize.h>
 #include <cstring>
 
@@ -62,7 +64,7 @@
     kj::Array<capnp::word> copy = kj::heapArray<capnp::word>(words);
     std::memcpy(copy.begin(), data + 1, words * sizeof(capnp::word));
     try {
-        capnp::FlatArrayMessageReader message(copy);
+        capnp::FlatArrayMessageReader message(copy, rpc::readerOptionsFor(words));
         decodeMessage(choice, message);
     } catch (const kj::Exception&) {
         return 0;
--- a/jobs/src/Wire.h
+++ b/jobs/src/Wire.h
@@ -3,6 +3,7 @@
 
 #include "Jobs.capnp.h"
 #include "persimmondoor/jobs/Record.h"
+#include "persimmondoor/rpc/MessageLimit.h"
 
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
@@ -45,11 +46,10 @@
 {
     absl::StatusOr<std::invoke_result_t<Read, typename Root::Reader>> result = absl::DataLossError("the message was not decoded");
     auto failure = kj::runCatchingExceptions([&] {
-        kj::ArrayInputStream input(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
-        // Snapshots may exceed the default limit, which guards against malicious messages; these bytes come from our store.
-        capnp::ReaderOptions options;
-        options.traversalLimitInWords = uint64_t(1) << 32;
-        capnp::PackedMessageReader reader(input, options);
+        kj::ArrayPtr<const kj::byte> packed = kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size());
+        kj::ArrayInputStream input(packed);
+        // Snapshots may exceed the default limit.
+        capnp::PackedMessageReader reader(input, rpc::readerOptionsFor(capnp::computeUnpackedSizeInWords(packed)));
         result = read(reader.getRoot<Root>());
     });
     KJ_IF_MAYBE (error, failure)
--- a/rpc/src/Link.cpp
+++ b/rpc/src/Link.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/rpc/Link.h"
 
 #include "Directory.capnp.h"
+#include "LimitedMessageStream.h"
 #include "SocketStream.h"
 #include "persimmondoor/core/Coroutine.h"
 
@@ -19,9 +20,10 @@
 namespace {
 
     struct Connection {
-        explicit Connection(asio::ip::tcp::socket socket)
+        Connection(asio::ip::tcp::socket socket, std::string peer)
             : stream_(std::move(socket))
-            , network_(stream_, capnp::rpc::twoparty::Side::CLIENT)
+            , messages_(stream_, std::move(peer))
+            , network_(messages_, capnp::rpc::twoparty::Side::CLIENT)
             , system_(capnp::makeRpcClient(network_))
             , directory_(bootstrap(system_).castAs<wire::Directory>())
             , end_(network_.onDisconnect().then([open = isOpen_] { *open = false; }).eagerlyEvaluate([](kj::Exception&&) {}))
@@ -50,6 +52,7 @@
 
         std::shared_ptr<bool> isOpen_ { std::make_shared<bool>(true) };
         SocketStream stream_;
+        LimitedMessageStream messages_;
         capnp::TwoPartyVatNetwork network_;
         capnp::RpcSystem<capnp::rpc::twoparty::VatId> system_;
         wire::Directory::Client directory_;
@@ -93,7 +96,7 @@
             co_return socket.status();
         // Another caller may have connected while this one waited.
         if (!state->isOpen())
-            state->connection_ = std::make_unique<Connection>(std::move(**socket));
+            state->connection_ = std::make_unique<Connection>(std::move(**socket), state->address_.text());
     }
     co_return state->connection_->find(name);
 }
--- a/rpc/src/Server.cpp
+++ b/rpc/src/Server.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/rpc/Server.h"
 
 #include "Directory.capnp.h"
+#include "LimitedMessageStream.h"
 #include "SocketStream.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
@@ -48,14 +49,16 @@
 
     // One accepted connection.
     struct Connection {
-        Connection(asio::ip::tcp::socket socket, capnp::Capability::Client directory)
+        Connection(asio::ip::tcp::socket socket, std::string peer, capnp::Capability::Client directory)
             : stream_(std::move(socket))
-            , network_(stream_, capnp::rpc::twoparty::Side::SERVER)
+            , messages_(stream_, std::move(peer))
+            , network_(messages_, capnp::rpc::twoparty::Side::SERVER)
             , system_(capnp::makeRpcServer(network_, kj::mv(directory)))
         {
         }
 
         SocketStream stream_;
+        LimitedMessageStream messages_;
         capnp::TwoPartyVatNetwork network_;
         capnp::RpcSystem<capnp::rpc::twoparty::VatId> system_;
     };
@@ -112,7 +115,9 @@
         {
             uint64_t number = nextNumber_++;
             asio::any_io_executor executor = socket.get_executor();
-            auto connection = std::make_unique<Connection>(std::move(socket), directory_);
+            boost::system::error_code ignored;
+            std::string peer = socket.remote_endpoint(ignored).address().to_string();
+            auto connection = std::make_unique<Connection>(std::move(socket), std::move(peer), directory_);
             // The entry cannot be erased inside its own promise, so the erasure is posted.
             kj::Promise<void> end = connection->network_.onDisconnect().then([executor, number, weak = std::weak_ptr(connections_)] {
                 spawn(executor, "rpc connection end", erase(weak, number));
