Count memory as capacity in use before jobs share cores

Cause: where long-running tasks take most of the memory, half of the capacity is in use, and more filling tasks beside them only do harm.

--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -58,7 +58,7 @@
     /// long-running task is placed regardless of interference: after 3 s the job counts as lost (stated by the platform).
     Duration ignoreInterferenceAfter_ { std::chrono::milliseconds(1500) };
     /// One task of a job of which nothing has run for this long is placed even where other filling tasks have all the cores that
-    /// long-running tasks leave unused, if no more than this share of the cores of its service, in percent, is taken without the
+    /// long-running tasks leave unused, if no more than this share of the capacity of its service, in percent, is taken without the
     /// cores of filling tasks; its next task follows at once. Slowed tasks keep their place, so that the job may otherwise wait
     /// without end. It counts as lost after 3 s with under half of the capacity in use (stated by the platform).
     Duration shareCoresAfter_ { std::chrono::milliseconds(2000) };
--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -66,14 +66,19 @@
         return known->second;
     int64_t milliCores = 0;
     int64_t takenMilliCores = 0;
+    int64_t memory = 0;
+    int64_t takenMemory = 0;
     for (const Candidate& candidate : candidates_) {
         const Worker& worker = *candidate.worker_;
         if (worker.traits_.service_ != service)
             continue;
         milliCores += worker.traits_.capacity_.milliCores();
         takenMilliCores += worker.traits_.capacity_.milliCores() - freeMilliCores(worker);
+        memory += worker.traits_.capacity_.memoryBytes();
+        takenMemory += worker.reserved_.memoryBytes();
     }
-    known->second = takenMilliCores * 100 <= milliCores * state_.tuning_.maximumTakenPercent_;
+    int64_t bound = state_.tuning_.maximumTakenPercent_;
+    known->second = takenMilliCores * 100 <= milliCores * bound && takenMemory * 100 <= memory * bound;
     return known->second;
 }
 
--- a/workflow/src/decisions/PlacementRound.h
+++ b/workflow/src/decisions/PlacementRound.h
@@ -40,7 +40,7 @@
     const std::vector<bool>& disturbedBy(const std::string& fillingImage);
     static bool isHarmless(const Candidate&, const std::vector<bool>& disturbed);
 
-    // True if enough cores of the service are free, without regard to those of filling tasks.
+    // True if most of the capacity of the service is free, without regard to the cores of filling tasks.
     bool isMostlyFree(const std::string& service);
 
     const LeaderState& state_;
