--- a/rpc/src/Server.cpp
+++ b/rpc/src/Server.cpp
@@ -115,6 +115,7 @@
         {
             uint64_t number = nextNumber_++;
             asio::any_io_executor executor = socket.get_executor();
+            // Names the peer in log lines only; it may have gone already.
             boost::system::error_code ignored;
             std::string peer = socket.remote_endpoint(ignored).address().to_string();
             auto connection = std::make_unique<Connection>(std::move(socket), std::move(peer), directory_);
