--- a/scheduler/src/Front.cpp
+++ b/scheduler/src/Front.cpp
@@ -46,8 +46,8 @@
         bool isUnknown = std::holds_alternative<workflow::OutcomeUnknown>(answer);
         mayHaveTakenEffect = mayHaveTakenEffect || isUnknown;
         if (!isUnknown && !std::holds_alternative<workflow::NotLeader>(answer)) {
-            // An earlier attempt of unknown outcome may have stored the job, so that NotAccepted could be wrong.
-            bool contradicts = mayHaveTakenEffect && std::holds_alternative<workflow::NotAccepted>(answer);
+            // An earlier attempt of unknown outcome may have stored the job or still arrive, so that a denial could be wrong.
+            bool contradicts = mayHaveTakenEffect && workflow::deniesEffect(call.verb_, answer);
             if (!contradicts)
                 co_return answer;
         }
--- a/scheduler/src/SchedulerActor.cpp
+++ b/scheduler/src/SchedulerActor.cpp
@@ -165,7 +165,11 @@
         else
             break;
     }
-    if (answer.ok() && !(mayHaveTakenEffect && std::holds_alternative<workflow::NotLeader>(*answer)))
+    // An attempt without an answer may reach the leader after the one that was refused.
+    bool isDenial = answer.ok() && workflow::deniesEffect(message.call_.verb_, *answer);
+    if (mayHaveTakenEffect && isDenial)
+        logInfo("call.denial_withheld", { { "owner", leader.text() }, { "path", message.call_.path_ }, { "answer", workflow::describe(*answer) }, { "reason", "an earlier attempt may still arrive" } });
+    if (answer.ok() && !(mayHaveTakenEffect && (isDenial || std::holds_alternative<workflow::NotLeader>(*answer))))
         message.reply_.send(*std::move(answer));
     else if (mayHaveTakenEffect)
         message.reply_.send(workflow::OutcomeUnknown { "the leader of the queues did not answer" });
--- a/workflow/include/persimmondoor/workflow/Client.h
+++ b/workflow/include/persimmondoor/workflow/Client.h
@@ -97,6 +97,10 @@
 
 using ClientAnswer = std::variant<Accepted, NotAccepted, Malformed, NoSuchQueue, NoSuchJob, JobStatus, WaitingCount, CancelAccepted, OutcomeUnknown, NotLeader, JobUnreadable>;
 
+/// True if the answer says that the call has had no effect and will have none. While an earlier attempt of the call may still
+/// arrive, that cannot be said. A status call has no effect, so that no answer to it is such a denial.
+bool deniesEffect(const ClientVerb&, const ClientAnswer&);
+
 /// Text of a phase for log lines.
 std::string_view describe(JobPhase);
 /// Text of an answer for log lines.
--- a/workflow/src/decisions/Messages.cpp
+++ b/workflow/src/decisions/Messages.cpp
@@ -70,6 +70,13 @@
 
 } // namespace
 
+bool deniesEffect(const ClientVerb& verb, const ClientAnswer& answer)
+{
+    if (std::holds_alternative<GetStatus>(verb))
+        return false;
+    return std::holds_alternative<NotAccepted>(answer) || std::holds_alternative<NotLeader>(answer) || std::holds_alternative<NoSuchQueue>(answer) || std::holds_alternative<Malformed>(answer);
+}
+
 std::string describe(const ClientAnswer& answer)
 {
     return std::visit(AnswerText(), answer);
