--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -112,6 +112,14 @@
     bool operator==(const Job&) const = default;
 };
 
+/// The filling tasks of one image that are assigned to a worker.
+struct FillingShare {
+    uint32_t tasks_ { 0 };
+    /// Cores that they ask for together, in thousandths; tasks may ask for none.
+    int64_t milliCores_ { 0 };
+    auto operator<=>(const FillingShare&) const = default;
+};
+
 /// A worker as the leader knows it.
 struct Worker {
     std::string agent_;
@@ -165,8 +173,8 @@
     Instant backoffUntil_;
     /// Until then the worker gets a run only if no other worker has room for it, for the same reason.
     Instant lastChoiceUntil_;
-    /// Cores of the assigned filling tasks, in thousandths, by image.
-    std::map<std::string, int64_t> fillingByImage_;
+    /// The assigned filling tasks, by image.
+    std::map<std::string, FillingShare> fillingByImage_;
     /// Number and contents of the newest reading of the worker's load, and the headroom of its long-running tasks
     /// according to that reading.
     uint64_t readingNumber_ { 0 };
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -318,7 +318,7 @@
             continue;
         Sensitivity& sensitivity = reply.interference_.sensitivities_[headroom.image_];
         sensitivity.unloadedMs_ = known->second.unloadedMs_;
-        for (const auto& [image, milliCores] : worker.fillingByImage_) {
+        for (const auto& [image, filling] : worker.fillingByImage_) {
             if (auto factor = known->second.factors_.find(image); factor != known->second.factors_.end())
                 sensitivity.factors_.insert(*factor);
         }
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -147,8 +147,8 @@
         return 1;
     auto capacity = static_cast<double>(std::max<int64_t>(worker.traits_.capacity_.milliCores(), 1));
     std::map<std::string, double> shares;
-    for (const auto& [image, milliCores] : worker.fillingByImage_)
-        shares[image] = static_cast<double>(milliCores) / capacity;
+    for (const auto& [image, filling] : worker.fillingByImage_)
+        shares[image] = static_cast<double>(filling.milliCores_) / capacity;
     shares[step.image_] += static_cast<double>(step.demand_.milliCores()) / capacity;
     return maximumPaces(state.interference_, headrooms, shares).at(step.image_);
 }
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -206,7 +206,9 @@
     worker.reserved_ = worker.reserved_ + step.demand_;
     if (step.isFilling_) {
         worker.fillingMilliCores_ += step.demand_.milliCores();
-        worker.fillingByImage_[step.image_] += step.demand_.milliCores();
+        FillingShare& share = worker.fillingByImage_[step.image_];
+        ++share.tasks_;
+        share.milliCores_ += step.demand_.milliCores();
     }
     if (!step.longRunning_)
         return;
@@ -239,6 +241,12 @@
     stopTasks(context, job, "job failed");
 }
 
+static void removeOneTask(std::map<std::string, uint32_t>& tasksByImage, const std::string& image)
+{
+    if (--tasksByImage.at(image) == 0)
+        tasksByImage.erase(image);
+}
+
 static void releaseResources(Worker& worker, const TaskKey& key, const Step& step, Task& task)
 {
     if (worker.assignedTasks_.erase(key) == 0)
@@ -252,18 +260,17 @@
         worker.probe_.reset();
     if (step.isFilling_) {
         worker.fillingMilliCores_ -= step.demand_.milliCores();
-        auto image = worker.fillingByImage_.find(step.image_);
-        image->second -= step.demand_.milliCores();
-        if (image->second <= 0)
-            worker.fillingByImage_.erase(image);
+        FillingShare& share = worker.fillingByImage_.at(step.image_);
+        share.milliCores_ -= step.demand_.milliCores();
+        if (--share.tasks_ == 0)
+            worker.fillingByImage_.erase(step.image_);
     }
     if (!step.longRunning_)
         return;
     --worker.longRunningCount_;
-    if (auto image = worker.longRunningByImage_.find(step.image_); --image->second == 0)
-        worker.longRunningByImage_.erase(image);
-    if (auto image = worker.targetedByImage_.find(step.image_); step.targetTailMs_ > 0 && --image->second == 0)
-        worker.targetedByImage_.erase(image);
+    removeOneTask(worker.longRunningByImage_, step.image_);
+    if (step.targetTailMs_ > 0)
+        removeOneTask(worker.targetedByImage_, step.image_);
     worker.longRunningReserved_ = worker.longRunningReserved_ - step.demand_;
 }
 
