A job that makes a leader hang or fail is left out by later leaders

Cause: nothing bounded a decision that does not end.

Change: the decisions note the job that they are concerned with (DecisionTrace). DecisionWatch, on a thread and loop of its own, finds a message that has taken 1 s of processor time; the job is written to the table "hung" and the process ends with exit code 70, as it now does on an error. Leaders leave such jobs out like unreadable ones, until an operator erases the row.

Ruled out: wall time as the measure, as processes are suspended and slow; the message in progress as the mark, as a report names many jobs; counting changes of leader, which have many causes. Not bounded: a loop before a job is noted, and a store that is down for the 10 s of the write.

No run with a hanging entry as a process was made.

--- a/scheduler/src/Leading.cpp
+++ b/scheduler/src/Leading.cpp
@@ -67,7 +67,7 @@
     leading.lastWriteSentAt_ = role->claimWonAt_;
     leading.storeClock_ = message.rows_->clock_;
     workflow::LeaseBounds bounds = restoreLeaseBounds(options_.tuning_, message.rows_->chain_, message.rows_->silentWorkers_, message.rows_->clock_, role->claimWonAt_);
-    leading.leaderState_ = workflow::restoreState(message.epoch_, options_.tuning_, std::move(message.rows_->jobs_), bounds, time());
+    leading.leaderState_ = workflow::restoreState(message.epoch_, options_.tuning_, std::move(message.rows_->jobs_), bounds, time(), &watch_.trace());
     leading.leaderState_.unreadableJobs_ = std::move(message.rows_->unreadableJobs_);
     leading.leaderState_.interference_ = std::move(message.rows_->interference_);
     leading.leaderState_.lastDurableWriteAt_ = role->claimWonAt_;
@@ -140,7 +140,7 @@
 
 void Scheduler::decide(Leading& role, const workflow::LeaderMessage& message)
 {
-    workflow::Decision decision = workflow::decide(std::move(role.leaderState_), message, time());
+    workflow::Decision decision = workflow::decide(std::move(role.leaderState_), message, time(), &watch_.trace());
     role.leaderState_ = std::move(decision.state_);
     std::set<std::string> agentsToAnswer;
     for (workflow::LeaderAction& action : decision.actions_)
--- a/scheduler/src/QueueRows.cpp
+++ b/scheduler/src/QueueRows.cpp
@@ -1,5 +1,6 @@
 #include "QueueRows.h"
 
+#include "HungJobs.h"
 #include "LeaderRow.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Text.h"
@@ -51,6 +52,10 @@
             leaveOut(row, recordTable, std::nullopt, concat("got a record of job ", record->id_.value()), loaded);
             continue;
         }
+        if (loaded.hungJobs_.count(record->id_) > 0) {
+            leaveOut(row, recordTable, std::move(record->spec_), "a leader has hung or failed in a decision about the job", loaded);
+            continue;
+        }
         auto decoded = workflow::decodeProgress(progressRow.value_);
         if (!decoded.ok()) {
             leaveOut(progressRow, progressTable, std::move(record->spec_), std::string(decoded.status().message()), loaded);
@@ -90,6 +95,10 @@
     if (!silentWorkers.ok())
         co_return silentWorkers.status();
     loaded.silentWorkers_ = std::move(silentWorkers->value_);
+    auto hung = co_await rows.readTable(std::string(hungTable), queueReadTimeout);
+    if (!hung.ok())
+        co_return hung.status();
+    loaded.hungJobs_ = hungJobsOf(hung->rows_);
     auto records = co_await rows.readTable(std::string(recordTable), queueReadTimeout);
     if (!records.ok())
         co_return records.status();
--- a/scheduler/src/QueueRows.h
+++ b/scheduler/src/QueueRows.h
@@ -7,6 +7,7 @@
 #include "persimmondoor/workflow/Leader.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace persimmondoor::scheduler {
@@ -16,7 +17,9 @@
 
 struct LoadedRows {
     std::vector<workflow::StoredJob> jobs_;
-    // Jobs with a row that cannot be read, so that they cannot be led.
+    // Jobs that have made a leader hang or fail.
+    std::set<JobId> hungJobs_;
+    // Jobs that cannot be led, as they are among those or a row of theirs cannot be read.
     std::map<JobId, workflow::UnreadableJob> unreadableJobs_;
     store::RowVersion chainVersion_;
     // Values of the rows that state the bounds on task leases; empty if a row is absent.
@@ -27,7 +30,7 @@
     workflow::Interference interference_;
 };
 
-// Adds the jobs of the rows to `loaded`. A job with an unreadable row costs only that job.
+// Adds the jobs of the rows to `loaded`, whose hung jobs are left out. A job with an unreadable row costs only that job.
 void joinRows(const std::vector<store::Row>& records, const std::vector<store::Row>& progress, LoadedRows& loaded);
 
 // Returns the rows, or an error if the store does not answer a read.
--- a/scheduler/src/Scheduler.h
+++ b/scheduler/src/Scheduler.h
@@ -1,6 +1,7 @@
 // The state of an entry's scheduler and the messages that its actor handles.
 #pragma once
 
+#include "DecisionWatch.h"
 #include "LeaderRow.h"
 #include "Operators.h"
 #include "QueueRows.h"
@@ -147,6 +148,9 @@
 private:
     friend struct MessageVisitor;
 
+    // Handles the message under the watch. If that fails, the job that it was about is left out of the queues and the process ends.
+    void handleWatched(SchedulerMessage&);
+
     // Messages handled in every role.
     void handle(CallMessage);
     void handle(ExchangeMessage);
@@ -207,6 +211,7 @@
     SchedulerOptions options_;
     Clock clock_ { SteadyClock() };
     Mailbox<SchedulerMessage> mailbox_;
+    DecisionWatch watch_;
     platform::RowStore rows_;
     LeadershipState leadership_;
     Role role_;
--- a/scheduler/src/SchedulerActor.cpp
+++ b/scheduler/src/SchedulerActor.cpp
@@ -1,5 +1,6 @@
 #include "persimmondoor/scheduler/SchedulerActor.h"
 
+#include "HungJobs.h"
 #include "Scheduler.h"
 #include "persimmondoor/core/Actor.h"
 #include "persimmondoor/core/Coroutine.h"
@@ -29,6 +30,7 @@
     : executor_(executor)
     , options_(std::move(options))
     , mailbox_(executor, mailboxCapacity)
+    , watch_({}, [store = options_.store_, name = options_.name_](const std::optional<JobId>& job, Duration took) { isolateJobAndExit(store, job, concat("a decision did not end within ", took.count() / 1000, " ms of processor time"), name); })
     , rows_(platform::RowStore::create(executor, options_.store_))
 {
     leadership_.self_ = options_.self_;
@@ -52,8 +54,20 @@
     auto self = shared_from_this();
     for (;;) {
         SchedulerMessage message = co_await mailbox_.receive();
+        handleWatched(message);
+    }
+}
+
+void Scheduler::handleWatched(SchedulerMessage& message)
+{
+    watch_.begin();
+    try {
         std::visit(MessageVisitor { *this }, message);
+    } catch (const std::exception& error) {
+        // A successor would decide about the same rows, and fail in the same way.
+        isolateJobAndExit(options_.store_, watch_.trace().job(), concat("a decision failed: ", error.what()), options_.name_);
     }
+    watch_.end();
 }
 
 asio::awaitable<void> Scheduler::tick()
--- a/scheduler/tests/UnreadableRowsTest.cpp
+++ b/scheduler/tests/UnreadableRowsTest.cpp
@@ -87,6 +87,14 @@
         world, [&] { world.store().put("jobs", "00000000000000bb", "x"); }, "jobs"));
 }
 
+// Guards against a job that makes one leader after another hang or fail: each would load it again.
+BOOST_AUTO_TEST_CASE(hung_job_is_left_out_by_the_successor)
+{
+    SchedulerWorld world(2);
+    world.run(checkTakeoverAfter(
+        world, [&] { world.store().put("hung", "00000000000000bb", R"({"reason":"a decision did not end","entry":"e"})"); }, "jobs"));
+}
+
 // Guards against rows that can be read one by one and don't fit together, such as too few tasks: the rest would run again.
 BOOST_AUTO_TEST_CASE(rows_that_contradict_each_other_are_left_out)
 {
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -16,6 +16,7 @@
 
 #include "persimmondoor/workflow/Catalog.h"
 #include "persimmondoor/workflow/Client.h"
+#include "persimmondoor/workflow/DecisionTrace.h"
 #include "persimmondoor/workflow/Delays.h"
 #include "persimmondoor/workflow/Exchange.h"
 #include "persimmondoor/workflow/Interference.h"
@@ -414,11 +415,13 @@
 
 /// Restores the state of a new leader from the rows of its predecessor. Each worker named in the rows may still run its
 /// assigned tasks until an agent reports the worker or its leases have expired.
-LeaderState restoreState(LeaderEpoch, Tuning, std::vector<StoredJob>, const LeaseBounds&, Instant now);
+/// \param trace is told of the jobs in turn; null for none.
+LeaderState restoreState(LeaderEpoch, Tuning, std::vector<StoredJob>, const LeaseBounds&, Instant now, DecisionTrace* trace = nullptr);
 
 /// Handles one message.
 /// \return the new state and the actions to carry out.
-Decision decide(LeaderState, const LeaderMessage&, Instant now);
+/// \param trace is told of the jobs that the decision is concerned with; null for none.
+Decision decide(LeaderState, const LeaderMessage&, Instant now, DecisionTrace* trace = nullptr);
 
 /// Largest number of jobs in one batch: a transaction holds at most 100 entries, of which a new job takes two.
 inline constexpr size_t maximumBatchJobs = 40;
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -207,6 +207,7 @@
     if (!isJobId(rest))
         return context.addAction(AnswerClient { message.token_, Malformed { "the id of a job is 16 hexadecimal digits" } });
     JobId id = JobId::of(rest);
+    context.noteJob(id);
     if (context.state_.unreadableJobs_.count(id) > 0)
         return context.addAction(AnswerClient { message.token_, JobUnreadable { context.state_.tuning_.retryUnreadableAfter_ } });
     Queue chosen = *queue;
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -52,13 +52,15 @@
     }
 }
 
-LeaderState restoreState(LeaderEpoch epoch, Tuning tuning, std::vector<StoredJob> rows, const LeaseBounds& bounds, Instant now)
+LeaderState restoreState(LeaderEpoch epoch, Tuning tuning, std::vector<StoredJob> rows, const LeaseBounds& bounds, Instant now, DecisionTrace* trace)
 {
     LeaderState state;
     state.epoch_ = epoch;
     state.tuning_ = tuning;
     state.awaitsWorkersUntil_ = now + tuning.maximumWorkerWait_;
     for (StoredJob& stored : rows) {
+        if (trace)
+            trace->note(stored.record_.id_);
         Job job = restoreJob(std::move(stored), now);
         restoreAssignments(state, job, bounds);
         if (isOpen(job)) {
@@ -95,6 +97,7 @@
 static void stopHungRuns(const DecisionContext& context)
 {
     for (const JobId& id : context.state_.openJobs_) {
+        context.noteJob(id);
         Job& job = context.state_.jobs_.at(id);
         for (uint32_t number = 0; number < job.tasks_.size(); ++number) {
             Task& task = job.tasks_[number];
@@ -129,6 +132,7 @@
     PlacementRound round(context.state_, context.now_);
     UnplaceableDemands unplaceable;
     for (const JobId& id : context.state_.openJobs_) {
+        context.noteJob(id);
         Job& job = context.state_.jobs_.at(id);
         for (uint32_t number = 0; number < job.tasks_.size() && moved < context.state_.tuning_.maximumMovesPerCheck_; ++number) {
             Task& task = job.tasks_[number];
@@ -230,10 +234,10 @@
 
 } // namespace
 
-Decision decide(LeaderState state, const LeaderMessage& message, Instant now)
+Decision decide(LeaderState state, const LeaderMessage& message, Instant now, DecisionTrace* trace)
 {
     Decision decision { std::move(state), {} };
-    DecisionContext context { decision.state_, decision.actions_, now };
+    DecisionContext context { decision.state_, decision.actions_, now, trace };
     std::visit(MessageVisitor { context }, message);
     return decision;
 }
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -12,7 +12,14 @@
     LeaderState& state_;
     std::vector<LeaderAction>& actions_;
     Instant now_;
+    DecisionTrace* trace_ { nullptr };
 
+    // Notes the job that the decision is concerned with from here on.
+    void noteJob(const JobId& job) const
+    {
+        if (trace_)
+            trace_->note(job);
+    }
     void addAction(LeaderAction action) const { actions_.push_back(std::move(action)); }
     void logEvent(std::string event, std::string subject, std::string detail) const
     {
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -128,6 +128,7 @@
 
 void handleEnd(const DecisionContext& context, const WorkerIncarnation& incarnation, const EndedRun& end)
 {
+    context.noteJob(end.run_.task_.job_);
     Worker& worker = context.state_.workers_.at(incarnation);
     worker.lastHandledEnd_ = end.number_;
     noteStoppedRun(worker, end.run_);
@@ -170,6 +171,7 @@
 // \return false if the run is not the assigned run of a task.
 static bool handleActiveRun(const DecisionContext& context, const WorkerIncarnation& incarnation, const ActiveRun& active, const Agent& agent, bool isNewReading)
 {
+    context.noteJob(active.run_.task_.job_);
     Task* task = findTask(context.state_, active.run_.task_);
     if (!task || task->progress_.phase_ != TaskPhase::Assigned || task->progress_.run_ != active.run_.run_ || task->progress_.worker_ != incarnation)
         return false;
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -183,6 +183,7 @@
 
 void orderStop(const DecisionContext& context, const TaskKey& key, Task& task, std::string_view why)
 {
+    context.noteJob(key.job_);
     if (task.isStopping_)
         return;
     const WorkerIncarnation incarnation = task.progress_.worker_;
@@ -329,6 +330,7 @@
 
 void unassign(const DecisionContext& context, Job& job, const TaskKey& key, Task& task)
 {
+    context.noteJob(key.job_);
     auto worker = context.state_.workers_.find(task.progress_.worker_);
     if (worker != context.state_.workers_.end())
         releaseResources(worker->second, key, stepOf(job, key), task);
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -28,6 +28,7 @@
 
 static void assign(const DecisionContext& context, Job& job, const TaskKey& key, const WorkerIncarnation& incarnation, uint32_t run)
 {
+    context.noteJob(key.job_);
     Task& task = job.tasks_[taskNumber(job, key)];
     task.progress_.phase_ = TaskPhase::Assigned;
     task.progress_.run_ = run;
@@ -255,6 +256,7 @@
     PlacementRound round(context.state_, context.now_);
     UnplaceableDemands unplaceable;
     for (const Urgency& urgency : ready) {
+        context.noteJob(urgency.job_);
         Job& job = context.state_.jobs_.at(urgency.job_);
         bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, round, unplaceable);
         updateIdleTime(context, job, waits);
@@ -375,6 +377,7 @@
     context.state_.leasesEndBy_ = std::max(context.state_.leasesEndBy_, message.writeSentAt_ + context.state_.tuning_.fullLeasePeriod_ + context.state_.tuning_.taskLease_);
     allowLeaseGrants(context, message.batch_);
     for (const Batch::Item& item : message.batch_.items_) {
+        context.noteJob(item.job_);
         auto job = context.state_.jobs_.find(item.job_);
         if (job != context.state_.jobs_.end())
             job->second.durablePhase_ = item.phase_;
