--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -93,6 +93,8 @@
     /// of the call.
     std::map<workflow::RunKey, Instant> recentStarts_;
     std::vector<workflow::EndedRun> ended_;
+    /// False if the worker may hold later ends than those in `ended_`.
+    bool hasAllEnds_ { true };
     /// Refused starts that no answered report has carried yet, with the first report that carried each; 0 before it was sent.
     std::vector<std::pair<workflow::RefusedStart, Sequence>> refused_;
     uint64_t durableEnd_ { 0 };
--- a/supervision/src/decisions/LocalWorkers.cpp
+++ b/supervision/src/decisions/LocalWorkers.cpp
@@ -161,9 +161,10 @@
         worker.confirmedRuns_.erase(end.run_);
     std::erase_if(worker.confirmedRuns_, [&](const auto& entry) { return entry.second < askedAt || active.count(entry.first) > 0; });
     bool sameRuns = std::equal(active.begin(), active.end(), worker.active_.begin(), worker.active_.end(), [](const auto& left, const auto& right) { return left.first == right.first; });
-    bool changed = !worker.isListed_ || !sameRuns || lastEnd(lists.ended_) > lastEnd(worker.ended_);
+    bool changed = !worker.isListed_ || !sameRuns || lastEnd(lists.ended_) > lastEnd(worker.ended_) || lists.hasAllEnds_ != worker.hasAllEnds_;
     worker.active_ = std::move(active);
     worker.ended_ = lists.ended_;
+    worker.hasAllEnds_ = lists.hasAllEnds_;
     worker.isListed_ = true;
     if (lastEnd(worker.ended_) > worker.durableEnd_)
         worker.nextListAt_ = context.now_ + context.state_.tuning_.listInterval_;
@@ -196,6 +197,8 @@
     worker.clockReadAt_ = context.now_;
     std::erase_if(worker.recentStarts_, [&](const auto& entry) { return context.now_ - entry.second >= context.state_.tuning_.crashWindow_; });
     if (message.fence_ == context.state_.fence_) {
+        if (worker.hasAllEnds_ && !lists.hasAllEnds_)
+            context.logEvent("worker.ends_cut", describe(message.worker_), concat("lists the first ", lists.ended_.size(), " ends after ", worker.durableEnd_, "; there may be more"));
         updateLists(context, lists, message.askedAt_, worker);
         if (context.now_ >= worker.nextReadingAt_)
             updateReading(context, message.worker_, worker);
--- a/supervision/src/decisions/Reporting.cpp
+++ b/supervision/src/decisions/Reporting.cpp
@@ -23,6 +23,7 @@
             report.active_.push_back({ run, "", 0, 0, fullPace });
     }
     report.ended_ = worker.ended_;
+    report.hasAllEnds_ = worker.hasAllEnds_;
     for (const auto& [refused, reportedIn] : worker.refused_)
         report.refused_.push_back(refused);
     return report;
--- a/supervision/tests/ProtocolModel.cpp
+++ b/supervision/tests/ProtocolModel.cpp
@@ -12,11 +12,15 @@
 using workflow::WorkerIncarnation;
 
 static constexpr int64_t tickMs = 50;
+// In every third history workers list one end at a time, as each has few.
+static constexpr uint64_t historiesPerCutList = 3;
 
 ProtocolModel::ProtocolModel(uint64_t seed, InjectedFault injected)
     : ProtocolModel(seed, injected, { std::chrono::seconds(25), std::chrono::seconds(45) })
 {
     addHosts(3);
+    if (seed % historiesPerCutList == 0)
+        maximumListedEnds_ = 1;
 }
 
 ProtocolModel::ProtocolModel(uint64_t seed, InjectedFault injected, Periods periods)
--- a/supervision/tests/ProtocolModel.h
+++ b/supervision/tests/ProtocolModel.h
@@ -32,6 +32,7 @@
     CoresNeverShared,
     UnreachedWorkersKept,
     StopsNeverConfirmed,
+    CutListsTakenForWhole,
 };
 
 class ProtocolModel {
@@ -162,6 +163,8 @@
     std::set<workflow::TaskKey> acknowledgedTasks_;
     std::vector<std::string> violations_;
     uint64_t starts_ { 0 };
+    // Bound on the ends in one list.
+    size_t maximumListedEnds_ { 500 };
 
 private:
     void tick();
--- a/supervision/tests/ProtocolModelCalls.cpp
+++ b/supervision/tests/ProtocolModelCalls.cpp
@@ -206,8 +206,11 @@
     workflow::WorkerLists lists { toMilliseconds(now_), worker.incarnation_.bornMs_, {}, {} };
     for (const auto& [run, state] : worker.active_)
         lists.active_.push_back(describeRun(worker, run, state));
-    for (const UnacknowledgedEnd& end : worker.ended_)
-        lists.ended_.push_back(end.ended_);
+    for (const UnacknowledgedEnd& end : worker.ended_) {
+        if (lists.ended_.size() < maximumListedEnds_)
+            lists.ended_.push_back(end.ended_);
+    }
+    lists.hasAllEnds_ = lists.ended_.size() < maximumListedEnds_ || injectedFault_ == InjectedFault::CutListsTakenForWhole;
     return lists;
 }
 
--- a/supervision/tests/ProtocolModelTest.cpp
+++ b/supervision/tests/ProtocolModelTest.cpp
@@ -42,7 +42,7 @@
 
 BOOST_AUTO_TEST_CASE(injected_faults_are_detected)
 {
-    for (InjectedFault injected : { InjectedFault::WorkersIgnoreFences, InjectedFault::WorkersIgnoreLeases, InjectedFault::EndsAcknowledgedEarly, InjectedFault::LeasesOutliveTheirBound, InjectedFault::SilentWorkersStayNamed, InjectedFault::LeaveNoticesTakenForPresentIncarnation, InjectedFault::OpenOrdersReportedAsCompleted })
+    for (InjectedFault injected : { InjectedFault::WorkersIgnoreFences, InjectedFault::WorkersIgnoreLeases, InjectedFault::EndsAcknowledgedEarly, InjectedFault::LeasesOutliveTheirBound, InjectedFault::SilentWorkersStayNamed, InjectedFault::LeaveNoticesTakenForPresentIncarnation, InjectedFault::OpenOrdersReportedAsCompleted, InjectedFault::CutListsTakenForWhole })
         BOOST_TEST(firstViolation(500, injected) != "", "fault " << static_cast<int>(injected));
 }
 
--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -336,6 +336,22 @@
     BOOST_TEST(agent.actionsOf<CallStart>().empty());
 }
 
+// Guards against a leader that takes runs for lost whose ends their worker has not listed yet.
+BOOST_AUTO_TEST_CASE(report_says_that_a_list_of_ends_may_be_cut)
+{
+    Agent agent;
+    agent.attach();
+    agent.sendReply(105);
+    for (bool hasAllEnds : { false, true }) {
+        workflow::WorkerLists lists { 110, incarnation.bornMs_, {}, { { 1, firstRun, workflow::RunEnd::Done, "" } }, hasAllEnds };
+        agent.handle(ListArrived { incarnation, Fence(5), at(100), lists }, 110);
+        auto reports = agent.actionsOf<SendReport>();
+        BOOST_REQUIRE(reports.size() == 1U);
+        BOOST_TEST(reports[0].report_.workers_.at(0).hasAllEnds_ == hasAllEnds);
+        agent.sendReply(120);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::supervision
--- a/workflow/include/persimmondoor/workflow/Exchange.h
+++ b/workflow/include/persimmondoor/workflow/Exchange.h
@@ -60,7 +60,8 @@
     bool draining_ { false };
     /// Lower bound on the time until a draining worker leaves, in milliseconds.
     int64_t remainingMs_ { 0 };
-    /// The agent has read the worker's lists under the session's fence, so that `active_` and `ended_` are complete.
+    /// The agent has read the worker's lists under the session's fence, so that `active_` is complete, and `ended_` too if
+    /// `hasAllEnds_`.
     bool isListed_ { false };
     /// The agent's last list request to the worker succeeded. While it has not, `active_` and `ended_` are the last known
     /// ones, and the agent starts nothing on the worker.
@@ -70,6 +71,9 @@
     std::vector<ActiveRun> active_;
     std::vector<EndedRun> ended_;
     std::vector<RefusedStart> refused_;
+    /// False if the worker may hold later ends than those in `ended_`. A run that is in neither list may then have ended, also as
+    /// done.
+    bool hasAllEnds_ { true };
     bool operator==(const WorkerReport&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/WorkerCalls.h
+++ b/workflow/include/persimmondoor/workflow/WorkerCalls.h
@@ -65,7 +65,10 @@
     /// Start of the incarnation that answered, in milliseconds since 1970 UTC; 0 if not stated.
     int64_t bornMs_ { 0 };
     std::vector<ActiveRun> active_;
+    /// Ends after the last durable one, oldest first.
     std::vector<EndedRun> ended_;
+    /// False if the worker may hold later ends than those that it has listed.
+    bool hasAllEnds_ { true };
     bool operator==(const WorkerLists&) const = default;
 };
 
--- a/workflow/schema/Workflow.capnp
+++ b/workflow/schema/Workflow.capnp
@@ -53,6 +53,8 @@
   readings @13 :UInt64;
   # The agent's last list request to the worker succeeded.
   reachable @14 :Bool = true;
+  # The worker may hold later ends than those in `ended`.
+  endsCut @15 :Bool;
 }
 
 struct Report {
--- a/workflow/src/ExchangeCodec.cpp
+++ b/workflow/src/ExchangeCodec.cpp
@@ -85,6 +85,7 @@
     builder.setListed(report.isListed_);
     builder.setReachable(report.isReachable_);
     builder.setReadings(report.readingNumber_);
+    builder.setEndsCut(!report.hasAllEnds_);
     encodeLists(report, builder);
 }
 
@@ -132,6 +133,7 @@
     report.isListed_ = reader.getListed();
     report.isReachable_ = reader.getReachable();
     report.readingNumber_ = reader.getReadings();
+    report.hasAllEnds_ = !reader.getEndsCut();
     if (absl::Status status = decodeLists(reader, report); !status.ok())
         return status;
     return report;
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -123,6 +123,8 @@
 void beginListWaits(const DecisionContext&, const std::string& agent);
 // Ends the wait for the worker's lists, as they have arrived or never will.
 void endListWait(const DecisionContext&, const WorkerIncarnation&);
+// Begins the wait again, as the worker has listed a part of its ends.
+void prolongListWait(const DecisionContext&, const WorkerIncarnation&);
 void endListWaitsOfEarlierIncarnations(const DecisionContext&, const WorkerIncarnation&);
 // Ends the waits for lists that have lasted for `Tuning::maximumListWait_` or concern no task any more.
 void endOverdueListWaits(const DecisionContext&);
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -255,10 +255,11 @@
         backOff(context, report, wasReachable, worker);
 }
 
-// True if the report says that the start of the run was refused.
+// True if the report says that the start of the run was refused. A stale run may be one that has ended there, which only all ends
+// tell.
 static bool isRefused(const WorkerReport& report, const RunKey& run)
 {
-    return std::any_of(report.refused_.begin(), report.refused_.end(), [&](const RefusedStart& refused) { return refused.run_ == run; });
+    return std::any_of(report.refused_.begin(), report.refused_.end(), [&](const RefusedStart& refused) { return refused.run_ == run && (report.hasAllEnds_ || refused.reason_ != StartRefusal::StaleRun); });
 }
 
 // True if the worker left the start of the absent run unanswered, so that its agent stopped the run. No order of this
@@ -269,14 +270,15 @@
 }
 
 // Marks assigned runs as lost that are neither active nor ended although their orders are completed: they never started
-// or left no trace on the worker. A refusal is final for its run, whether or not its order is reported as completed.
+// or left no trace on the worker. A refusal is final for its run, whether or not its order is reported as completed. Without
+// all ends only a refusal tells: the run may have ended, and its end is listed once earlier ends are acknowledged.
 static void markAbsentRunsLost(const DecisionContext& context, const WorkerReport& report, bool wasReachable, Worker& worker, const std::set<TaskKey>& seen, const Agent& agent)
 {
     std::vector<TaskKey> absent;
     for (const TaskKey& key : worker.assignedTasks_) {
         const Task* task = findTask(context.state_, key);
         const RunKey run { key, task->progress_.run_ };
-        bool isFinal = areOrdersCompleted(agent, run, task->lastOrder_) || isRefused(report, run);
+        bool isFinal = (report.hasAllEnds_ && areOrdersCompleted(agent, run, task->lastOrder_)) || isRefused(report, run);
         if (task->isStartReleased_ && isFinal && seen.count(key) == 0)
             absent.push_back(key);
     }
@@ -295,6 +297,15 @@
     }
 }
 
+// Runs whose ends are not listed yet make no progress, which does not mean that they hang.
+static void noteUnlistedEnds(const DecisionContext& context, const Worker& worker, const std::set<TaskKey>& seen)
+{
+    for (const TaskKey& key : worker.assignedTasks_) {
+        if (seen.count(key) == 0)
+            findTask(context.state_, key)->lastProgressAt_ = context.now_;
+    }
+}
+
 // Stops the runs on a draining worker that can continue on another worker, except those that will end before the worker
 // leaves.
 static void stopRunsOnDrainingWorker(const DecisionContext& context, Worker& worker)
@@ -391,7 +402,10 @@
     if (!report.isListed_)
         return;
     worker.isListed_ = true;
-    endListWait(context, report.incarnation_);
+    if (report.hasAllEnds_)
+        endListWait(context, report.incarnation_);
+    else
+        prolongListWait(context, report.incarnation_);
     const Agent& agent = context.state_.agents_.at(message.agent_);
     std::set<TaskKey> seen;
     bool isNewReading = report.readingNumber_ != worker.readingNumber_;
@@ -413,6 +427,8 @@
     releaseStoppedRuns(worker, report.active_, agent);
     observeLoad(context, report, worker);
     backOffAfterRefusals(context, report, wasReachable, worker);
+    if (!report.hasAllEnds_)
+        noteUnlistedEnds(context, worker, seen);
     markAbsentRunsLost(context, report, wasReachable, worker, seen, agent);
     if (worker.draining_)
         stopRunsOnDrainingWorker(context, worker);
--- a/workflow/src/decisions/SilentWorkers.cpp
+++ b/workflow/src/decisions/SilentWorkers.cpp
@@ -41,6 +41,13 @@
     }
 }
 
+void prolongListWait(const DecisionContext& context, const WorkerIncarnation& incarnation)
+{
+    auto silent = context.state_.silentWorkers_.find(incarnation);
+    if (silent != context.state_.silentWorkers_.end())
+        silent->second.awaitedSince_ = context.now_;
+}
+
 void endListWaitsOfEarlierIncarnations(const DecisionContext& context, const WorkerIncarnation& incarnation)
 {
     std::vector<WorkerIncarnation> ended;
--- a/workflow/tests/LeaderWorld.h
+++ b/workflow/tests/LeaderWorld.h
@@ -89,7 +89,7 @@
     // As `report`, with the agent's name and session.
     void reportBy(const std::string& agent, uint64_t session, const std::string& worker, int64_t milliseconds, std::vector<ActiveRun> active = {}, std::vector<EndedRun> ended = {})
     {
-        WorkerReport lists { { worker, bornMs_, host_ }, { "packs", domain_, { "a", "r1" }, capacity_ }, draining_, 0, true, reachable_, readingNumber_, std::move(active), std::move(ended), refused_ };
+        WorkerReport lists { { worker, bornMs_, host_ }, { "packs", domain_, { "a", "r1" }, capacity_ }, draining_, 0, true, reachable_, readingNumber_, std::move(active), std::move(ended), refused_, hasAllEnds_ };
         AgentReport report { agent, domain_, session, state_.epoch_, fenceOf(agent), Sequence(++sequence_), lastCompletedOrder_, { lists }, endedWorkers_, true, crashedRuns_, completedOrders_ };
         handle(ReportArrived { report }, milliseconds);
         if (report.fence_ == fenceOf(agent))
@@ -140,6 +140,8 @@
     Resources capacity_ { *Resources::create(4000, 1'000'000, 0) };
     bool draining_ { false };
     bool reachable_ { true };
+    // Whether the next reports list all ends.
+    bool hasAllEnds_ { true };
     // Refused starts in the next reports.
     std::vector<RefusedStart> refused_;
     // Number of the load reading in the next report.
--- a/workflow/tests/ReachabilityTest.cpp
+++ b/workflow/tests/ReachabilityTest.cpp
@@ -155,6 +155,23 @@
     }
 }
 
+// Guards against a leader that takes the ends in a report for all ends, as the report loses on the way that there may be more.
+BOOST_AUTO_TEST_CASE(cut_list_of_ends_survives_the_encoding_of_a_report)
+{
+    for (bool hasAllEnds : { false, true }) {
+        WorkerReport worker;
+        worker.hasAllEnds_ = hasAllEnds;
+        AgentReport report;
+        report.workers_ = { worker };
+        capnp::MallocMessageBuilder message;
+        auto builder = message.initRoot<wire::Report>();
+        encode(report, builder);
+        auto decoded = decode(builder.asReader());
+        BOOST_REQUIRE(decoded.ok());
+        BOOST_TEST(decoded->workers_.at(0).hasAllEnds_ == hasAllEnds);
+    }
+}
+
 // Guards against workers that get no starts because their agent is older than the field.
 BOOST_AUTO_TEST_CASE(report_that_does_not_state_reachability_means_reachable)
 {
@@ -164,6 +181,7 @@
     auto decoded = decode(builder.asReader());
     BOOST_REQUIRE(decoded.ok());
     BOOST_TEST(decoded->workers_.at(0).isReachable_);
+    BOOST_TEST(decoded->workers_.at(0).hasAllEnds_);
 }
 
 // A worker whose agent is silent for longer than its leases, beside no other worker.
