--- a/supervision/tests/LivenessFaults.cpp
+++ b/supervision/tests/LivenessFaults.cpp
@@ -162,7 +162,10 @@
 {
     Step step;
     step.count_ = 1 + static_cast<uint32_t>(random_() % 4);
-    step.demand_ = *Resources::create(500 + static_cast<int64_t>(random_() % 4) * 500, memoryScale_ * (20 + static_cast<int64_t>(random_() % 4) * 40), 0);
+    // One draw a statement: the order in which arguments are evaluated differs between compilers.
+    int64_t milliCores = 500 + static_cast<int64_t>(random_() % 4) * 500;
+    int64_t memory = memoryScale_ * (20 + static_cast<int64_t>(random_() % 4) * 40);
+    step.demand_ = *Resources::create(milliCores, memory, 0);
     step.estimate_ = std::chrono::milliseconds(1000);
     step.maxPerWorker_ = chance(0.2) ? 1 : 0;
     step.savesProgress_ = chance(0.3);
@@ -174,7 +177,9 @@
     static const char* images[] = { "heavy", "mixed", "light" };
     Step step = shortStep();
     step.count_ = 2 + static_cast<uint32_t>(random_() % 8);
-    step.demand_ = *Resources::create(1000 + static_cast<int64_t>(random_() % 3) * 500, memoryScale_ * (20 + static_cast<int64_t>(random_() % 4) * 40), 0);
+    int64_t milliCores = 1000 + static_cast<int64_t>(random_() % 3) * 500;
+    int64_t memory = memoryScale_ * (20 + static_cast<int64_t>(random_() % 4) * 40);
+    step.demand_ = *Resources::create(milliCores, memory, 0);
     step.isFilling_ = true;
     step.image_ = images[random_() % 3];
     return step;
