--- a/http/include/persimmondoor/http/Pool.h
+++ b/http/include/persimmondoor/http/Pool.h
@@ -19,7 +19,8 @@
 inline constexpr Duration poolConnectTimeout = std::chrono::milliseconds(500);
 
 /// Keeps at most `idleConnectionLimit` idle connections and reuses one only within 30 s of its last exchange, half the
-/// time after which servers close idle connections. A connection whose exchange failed or timed out is closed.
+/// time after which servers close idle connections. A connection whose exchange failed is closed. If the exchange on a reused
+/// connection timed out, all idle connections are closed with it.
 class Pool {
 public:
     static constexpr size_t idleConnectionLimit = 24;
--- a/http/src/Pool.cpp
+++ b/http/src/Pool.cpp
@@ -79,6 +79,13 @@
     return failure && absl::IsUnavailable(failure->status_);
 }
 
+// Returns whether the exchange timed out although its connection was open.
+static bool isTimeout(const ExchangeOutcome& outcome)
+{
+    const auto* failure = std::get_if<ExchangeFailure>(&outcome);
+    return failure && absl::IsDeadlineExceeded(failure->status_);
+}
+
 asio::awaitable<ExchangeOutcome> exchange(Pool pool, Request request, Duration limit, Repeat repeat, std::optional<Handshake> handshake)
 {
     const std::shared_ptr<Pool::Shared>& shared = pool.handle();
@@ -88,6 +95,10 @@
     ExchangeOutcome outcome = co_await connection->exchange(request, limit);
     if (repeat == Repeat::Allowed && isClosedConnection(outcome))
         co_return co_await exchangeOnNew(shared, std::move(request), limit, std::move(handshake));
+    // What silences one open connection, such as a middlebox that has lost its state, silences the others as well, and each would
+    // cost a time-out of its own.
+    if (isTimeout(outcome))
+        shared->idle_.clear();
     release(*shared, std::move(connection));
     co_return outcome;
 }
