--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -58,6 +58,23 @@
     bool operator==(const SupervisorTuning&) const = default;
 };
 
+/// A start that a worker was called for and has not outlived yet.
+struct RecentStart {
+    Instant calledAt_;
+    /// The worker has answered that it has started the run, or has listed it. Otherwise it may have crashed before the call
+    /// arrived.
+    bool isConfirmed_ { false };
+    auto operator<=>(const RecentStart&) const = default;
+};
+
+/// A run that had just been started, as far as the agent knows, when its worker crashed.
+struct CrashedRun {
+    /// When the crash became known.
+    Instant knownAt_;
+    bool isConfirmed_ { false };
+    auto operator<=>(const CrashedRun&) const = default;
+};
+
 /// A worker on this host.
 struct LocalWorker {
     workflow::WorkerTraits traits_;
@@ -89,9 +106,8 @@
     /// Runs whose start or stop the worker has confirmed, with the time of the confirmation; kept until a list shows the run
     /// or a list that was requested later arrives. Reports contain these runs as active.
     std::map<workflow::RunKey, Instant> confirmedRuns_;
-    /// Runs whose start was called and that the worker has not outlived by `SupervisorTuning::crashWindow_` yet, with the time
-    /// of the call.
-    std::map<workflow::RunKey, Instant> recentStarts_;
+    /// Runs whose start was called and that the worker has not outlived by `SupervisorTuning::crashWindow_` yet.
+    std::map<workflow::RunKey, RecentStart> recentStarts_;
     std::vector<workflow::EndedRun> ended_;
     /// False if the worker may hold later ends than those in `ended_`.
     bool hasAllEnds_ { true };
@@ -142,8 +158,7 @@
     std::map<workflow::WorkerIncarnation, Instant> endedWorkers_;
     /// The first incarnation that answered at each address since this process of the agent started.
     std::map<Address, workflow::WorkerIncarnation> firstAnswers_;
-    /// Runs that had just been started when their worker crashed, with the time at which the crash became known.
-    std::map<workflow::RunKey, Instant> crashedRuns_;
+    std::map<workflow::RunKey, CrashedRun> crashedRuns_;
     std::map<workflow::RunKey, workflow::RunTraits> traits_;
     /// The leader's interference estimates for the images on this host.
     workflow::Interference interference_;
--- a/supervision/src/decisions/LocalWorkers.cpp
+++ b/supervision/src/decisions/LocalWorkers.cpp
@@ -24,9 +24,9 @@
     if (removed.empty())
         return;
     bool hasCrashed = end == WorkerEnd::Replaced && !removed.mapped().draining_;
-    for (const auto& [run, calledAt] : removed.mapped().recentStarts_) {
+    for (const auto& [run, start] : removed.mapped().recentStarts_) {
         if (hasCrashed)
-            context.state_.crashedRuns_[run] = context.now_;
+            context.state_.crashedRuns_[run] = { context.now_, start.isConfirmed_ };
     }
     // Nothing runs on the worker any more, so its pending stops have completed.
     std::vector<OrderNumber> stopped;
@@ -144,12 +144,19 @@
     return ended.empty() ? 0 : ended.back().number_;
 }
 
+void confirmStart(LocalWorker& worker, const RunKey& run)
+{
+    if (auto start = worker.recentStarts_.find(run); start != worker.recentStarts_.end())
+        start->second.isConfirmed_ = true;
+}
+
 static void updateLists(const DecisionContext& context, const workflow::WorkerLists& lists, Instant askedAt, LocalWorker& worker)
 {
     std::map<RunKey, ActiveRun> active;
     bool isReadingDue = context.now_ >= worker.nextReadingAt_;
     for (const ActiveRun& run : lists.active_) {
         ActiveRun& current = active[run.run_] = run;
+        confirmStart(worker, run.run_);
         auto pace = worker.runPaces_.find(run.run_);
         auto previous = worker.active_.find(run.run_);
         if (isReadingDue)
@@ -195,7 +202,7 @@
     setReachable(context, worker, true);
     worker.workerTimeMs_ = lists.workerTimeMs_;
     worker.clockReadAt_ = context.now_;
-    std::erase_if(worker.recentStarts_, [&](const auto& entry) { return context.now_ - entry.second >= context.state_.tuning_.crashWindow_; });
+    std::erase_if(worker.recentStarts_, [&](const auto& entry) { return context.now_ - entry.second.calledAt_ >= context.state_.tuning_.crashWindow_; });
     if (message.fence_ == context.state_.fence_) {
         if (worker.hasAllEnds_ && !lists.hasAllEnds_)
             context.logEvent("worker.ends_cut", describe(message.worker_), concat("lists the first ", lists.ended_.size(), " ends after ", worker.durableEnd_, "; there may be more"));
--- a/supervision/src/decisions/Reporting.cpp
+++ b/supervision/src/decisions/Reporting.cpp
@@ -60,8 +60,11 @@
     }
     for (const auto& [incarnation, time] : state.endedWorkers_)
         report.endedWorkers_.push_back(incarnation);
-    for (const auto& [run, time] : state.crashedRuns_)
+    for (const auto& [run, crashed] : state.crashedRuns_) {
         report.crashedRuns_.push_back(run);
+        if (!crashed.isConfirmed_)
+            report.unconfirmedStarts_.insert(run);
+    }
     context.addAction(SendReport { std::move(report) });
 }
 
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -53,7 +53,7 @@
             int64_t leaseEnd = grantLease(context_, worker->second);
             if (leaseEnd == 0)
                 return refuse(context_, order, StartRefusal::OrderExpired);
-            worker->second.recentStarts_[order.run_] = context_.now_;
+            worker->second.recentStarts_[order.run_] = { context_.now_, false };
             context_.addAction(CallStart { order, context_.state_.fence_, leaseEnd });
         }
         void operator()(const StopRun& order) const
@@ -146,6 +146,7 @@
         void operator()(const workflow::Started&) const
         {
             worker_.confirmedRuns_[order_.run_] = context_.now_;
+            confirmStart(worker_, order_.run_);
             context_.logEvent("run.started", workflow::describe(order_.run_), concat("worker ", describe(order_.worker_)));
             paceFillingRuns(context_, order_.worker_, worker_);
             completeOrder(context_, order_.number_);
@@ -205,9 +206,9 @@
         stop.second = context.now_ + std::chrono::seconds(1);
         context.addAction(CallStop { stop.first, context.state_.fence_ });
     }
-    auto isOutdated = [&](const auto& entry) { return context.now_ - entry.second > context.state_.tuning_.endedWorkerRetention_; };
-    std::erase_if(context.state_.endedWorkers_, isOutdated);
-    std::erase_if(context.state_.crashedRuns_, isOutdated);
+    Instant oldest = context.now_ - context.state_.tuning_.endedWorkerRetention_;
+    std::erase_if(context.state_.endedWorkers_, [&](const auto& entry) { return entry.second < oldest; });
+    std::erase_if(context.state_.crashedRuns_, [&](const auto& entry) { return entry.second.knownAt_ < oldest; });
 }
 
 namespace {
--- a/supervision/src/decisions/SupervisorRules.h
+++ b/supervision/src/decisions/SupervisorRules.h
@@ -47,6 +47,9 @@
 // Returns the lease end for the next call, in milliseconds on the worker's clock, or 0 if no lease may be granted.
 int64_t grantLease(const DecisionContext&, LocalWorker&);
 
+// Notes that the worker has started the run.
+void confirmStart(LocalWorker&, const workflow::RunKey&);
+
 // Requests the worker's lists, unless a request is in flight or not due yet.
 void requestLists(const DecisionContext&, const workflow::WorkerIncarnation&, LocalWorker&);
 
--- a/supervision/tests/SupervisorTest.cpp
+++ b/supervision/tests/SupervisorTest.cpp
@@ -268,6 +268,34 @@
     BOOST_TEST(crashedRunsAfterList(250, false).empty());
 }
 
+// Guards against a task that is blamed for the crashes of workers which its start never reached.
+BOOST_AUTO_TEST_CASE(run_without_a_confirmed_start_is_reported_as_such_after_a_crash)
+{
+    enum class Confirmation { None,
+        ByAnswer,
+        ByList };
+    for (Confirmation confirmation : { Confirmation::None, Confirmation::ByAnswer, Confirmation::ByList }) {
+        Agent agent;
+        agent.attach();
+        agent.sendReply(110, { start(1) });
+        if (confirmation == Confirmation::ByList)
+            agent.deliverList(112, { { firstRun, "", 0, 0, 100 } });
+        workflow::StartOutcome outcome = workflow::NoAnswer { "timeout" };
+        if (confirmation == Confirmation::ByAnswer)
+            outcome = workflow::Started {};
+        agent.handle(StartCompleted { Fence(5), start(1), outcome }, 510);
+        agent.handle(ListFailed { incarnation, false }, 900);
+        agent.sendReply(950);
+        agent.sendHeartbeat(3000, false, { "w-1", 3900 });
+        for (int64_t time = 3010; time < 3050 && agent.actionsOf<SendReport>().empty(); time += 10)
+            agent.sendReply(time);
+        BOOST_REQUIRE(agent.actionsOf<SendReport>().size() == 1U);
+        const workflow::AgentReport report = agent.actionsOf<SendReport>()[0].report_;
+        BOOST_TEST((report.crashedRuns_ == std::vector<RunKey> { firstRun }));
+        BOOST_TEST(report.unconfirmedStarts_.count(firstRun) == (confirmation == Confirmation::None ? 1U : 0U));
+    }
+}
+
 // Guards against a planned shutdown that counts as a crash.
 BOOST_AUTO_TEST_CASE(no_runs_are_reported_after_a_drained_worker_was_replaced)
 {
--- a/workflow/include/persimmondoor/workflow/Exchange.h
+++ b/workflow/include/persimmondoor/workflow/Exchange.h
@@ -103,6 +103,9 @@
     /// Orders beyond `lastCompletedOrder_` whose outcome is final and contained in the lists, as an earlier one is still open: the
     /// lowest ones, up to `maximumCompletedOrders`. Agents of an earlier version report none.
     std::set<OrderNumber> completedOrders_ {};
+    /// Those of `crashedRuns_` whose start the worker had not confirmed: it may have crashed before the order arrived. Agents of an
+    /// earlier version report none.
+    std::set<RunKey> unconfirmedStarts_ {};
     bool operator==(const AgentReport&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/Record.h
+++ b/workflow/include/persimmondoor/workflow/Record.h
@@ -52,6 +52,8 @@
     /// has outlived its start.
     uint32_t crashes_ { 0 };
     CrashSeries crashSeries_ {};
+    /// Number of those crashes before which the worker had not confirmed the start, so that it may not have begun the run.
+    uint32_t unconfirmedCrashes_ { 0 };
     auto operator<=>(const TaskProgress&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -130,6 +130,9 @@
     /// after their start. The second number applies if no other run on the worker had started then.
     uint32_t crashesBeforeFailure_ { 3 };
     uint32_t soleCrashesBeforeFailure_ { 2 };
+    /// A crash before which the worker had not confirmed the start counts half of one: the worker may have crashed before the order
+    /// arrived, or the task may crash workers before they answer. With this many crashes in series the job is given up in any case.
+    uint32_t anyCrashesBeforeFailure_ { 4 };
     /// A task under which a worker has crashed is started where no other run is started until a reading shows it, this long
     /// after the worker listed it. A further crash then shows its fault, and no other suspect is lost with it.
     Duration observationTime_ { std::chrono::milliseconds(250) };
--- a/workflow/schema/Workflow.capnp
+++ b/workflow/schema/Workflow.capnp
@@ -71,6 +71,8 @@
   crashed @10 :List(Run);
   # Completed orders beyond the first open one.
   completed @11 :List(UInt64);
+  # Those of `crashed` whose start was not confirmed.
+  unconfirmed @12 :List(Run);
 }
 
 struct Order {
--- a/workflow/src/ExchangeCodec.cpp
+++ b/workflow/src/ExchangeCodec.cpp
@@ -158,6 +158,10 @@
     auto crashed = builder.initCrashed(static_cast<unsigned>(report.crashedRuns_.size()));
     for (unsigned index = 0; index < crashed.size(); ++index)
         encode(report.crashedRuns_[index], crashed[index]);
+    auto unconfirmed = builder.initUnconfirmed(static_cast<unsigned>(report.unconfirmedStarts_.size()));
+    unsigned position = 0;
+    for (const RunKey& run : report.unconfirmedStarts_)
+        encode(run, unconfirmed[position++]);
     auto completed = builder.initCompleted(static_cast<unsigned>(report.completedOrders_.size()));
     unsigned index = 0;
     for (OrderNumber order : report.completedOrders_)
@@ -182,6 +186,12 @@
             return run.status();
         report.crashedRuns_.push_back(*std::move(run));
     }
+    for (auto unconfirmed : reader.getUnconfirmed()) {
+        auto run = decode(unconfirmed);
+        if (!run.ok())
+            return run.status();
+        report.unconfirmedStarts_.insert(*std::move(run));
+    }
     for (uint64_t order : reader.getCompleted())
         report.completedOrders_.insert(OrderNumber(order));
     return report;
--- a/workflow/src/RecordCodec.cpp
+++ b/workflow/src/RecordCodec.cpp
@@ -133,8 +133,8 @@
 }
 
 // A task is encoded as [phase, run, failures, index of the worker, checkpoint]; empty fields at the end are left out. The
-// workers are in a separate list, as most tasks of a job share a few workers. The crashes are in a list of [task, crashes]
-// and the series of crashes in one of [task, crashes, evidence, age], as few tasks have any.
+// workers are in a separate list, as most tasks of a job share a few workers. The crashes are in a list of [task, crashes, those with
+// an unconfirmed start], whose last field earlier versions leave out, and the series of crashes in one of [task, crashes, evidence, age], as few tasks have any.
 std::string encodeProgress(const Progress& progress)
 {
     json::array workers;
@@ -154,7 +154,7 @@
         if (!task.checkpoint_.empty())
             fields.emplace_back(task.checkpoint_);
         if (task.crashes_ > 0)
-            crashes.emplace_back(json::array { tasks.size(), task.crashes_ });
+            crashes.emplace_back(json::array { tasks.size(), task.crashes_, task.unconfirmedCrashes_ });
         if (task.crashSeries_.count_ > 0)
             series.emplace_back(json::array { tasks.size(), task.crashSeries_.count_, task.crashSeries_.evidence_, task.crashSeries_.ageMs_ });
         tasks.emplace_back(std::move(fields));
@@ -190,7 +190,10 @@
     const json::value* crashes = object.if_contains("crashes");
     for (const json::value& item : (crashes ? *crashes : none).as_array()) {
         const json::array& fields = item.as_array();
-        progress.tasks_.at(fields.at(0).to_number<size_t>()).crashes_ = fields.at(1).to_number<uint32_t>();
+        TaskProgress& task = progress.tasks_.at(fields.at(0).to_number<size_t>());
+        task.crashes_ = fields.at(1).to_number<uint32_t>();
+        if (fields.size() > 2)
+            task.unconfirmedCrashes_ = fields.at(2).to_number<uint32_t>();
     }
     const json::value* series = object.if_contains("crash_series");
     for (const json::value& item : (series ? *series : none).as_array()) {
--- a/workflow/src/decisions/Crashes.cpp
+++ b/workflow/src/decisions/Crashes.cpp
@@ -7,7 +7,19 @@
 
 namespace persimmondoor::workflow {
 
-void countCrash(const DecisionContext& context, const WorkerIncarnation& incarnation, const std::vector<RunKey>& crashedRuns)
+void clearCrashes(TaskProgress& progress)
+{
+    progress.crashes_ = 0;
+    progress.unconfirmedCrashes_ = 0;
+}
+
+// \param limit number of crashes with a confirmed start that show the task's fault.
+static bool isGivenUp(const Tuning& tuning, const TaskProgress& progress, uint32_t limit)
+{
+    return 2 * progress.crashes_ - progress.unconfirmedCrashes_ >= 2 * limit || progress.crashes_ >= tuning.anyCrashesBeforeFailure_;
+}
+
+void countCrash(const DecisionContext& context, const WorkerIncarnation& incarnation, const std::vector<RunKey>& crashedRuns, const std::set<RunKey>& unconfirmedStarts)
 {
     const Tuning& tuning = context.state_.tuning_;
     std::vector<TaskKey> suspects;
@@ -22,12 +34,14 @@
         Job& job = context.state_.jobs_.at(key.job_);
         Task& task = job.tasks_[taskNumber(job, key)];
         task.avoidedWorker_ = incarnation.name_;
+        bool isConfirmed = unconfirmedStarts.count({ key, task.progress_.run_ }) == 0;
         // The run was there, though the worker may not have listed it.
-        task.withoutRunSince_ = context.now_;
+        if (isConfirmed)
+            task.withoutRunSince_ = context.now_;
         ++task.progress_.crashes_;
-        context.logEvent("run.crashed_worker", describe(RunKey { key, task.progress_.run_ }), concat("worker ", incarnation.name_, " crashed just after its start, crash ", task.progress_.crashes_, " in series; ", suspects.size() - 1, " other runs had just started there"));
-        bool isGivenUp = task.progress_.crashes_ >= limit && !job.isCancelled_ && !job.hasFailed_;
-        if (isGivenUp)
+        task.progress_.unconfirmedCrashes_ += isConfirmed ? 0 : 1;
+        context.logEvent("run.crashed_worker", describe(RunKey { key, task.progress_.run_ }), concat("worker ", incarnation.name_, " crashed just after its start, crash ", task.progress_.crashes_, " in series; ", suspects.size() - 1, " other runs had just started there; the start was ", isConfirmed ? "confirmed" : "not confirmed"));
+        if (isGivenUp(tuning, task.progress_, limit) && !job.isCancelled_ && !job.hasFailed_)
             failJob(context, job, concat("workers crashed just after ", task.progress_.crashes_, " starts in series of task ", describe(key)));
     }
 }
@@ -102,15 +116,17 @@
 }
 
 // The age of the task's run when its worker was lost; empty if it is unknown, or if it is not sure that the run was started.
-static std::optional<Duration> ageAtLoss(const TaskKey& key, const Task& task, Instant lostAt, const std::vector<RunKey>& startedRuns)
+static std::optional<Duration> ageAtLoss(const TaskKey& key, const Task& task, Instant lostAt, const std::vector<RunKey>& crashedRuns, const std::set<RunKey>& unconfirmedStarts)
 {
-    bool wasStarted = task.times_.listedAt_ || std::find(startedRuns.begin(), startedRuns.end(), RunKey { key, task.progress_.run_ }) != startedRuns.end();
+    const RunKey run { key, task.progress_.run_ };
+    bool isConfirmed = std::find(crashedRuns.begin(), crashedRuns.end(), run) != crashedRuns.end() && unconfirmedStarts.count(run) == 0;
+    bool wasStarted = task.times_.listedAt_ || isConfirmed;
     if (task.progress_.phase_ != TaskPhase::Assigned || !wasStarted || !task.times_.releasedAt_ || lostAt < *task.times_.releasedAt_)
         return std::nullopt;
     return lostAt - *task.times_.releasedAt_;
 }
 
-void countLoss(const DecisionContext& context, const WorkerIncarnation& incarnation, const std::vector<RunKey>& startedRuns)
+void countLoss(const DecisionContext& context, const WorkerIncarnation& incarnation, const std::vector<RunKey>& crashedRuns, const std::set<RunKey>& unconfirmedStarts)
 {
     const Tuning& tuning = context.state_.tuning_;
     auto found = context.state_.workers_.find(incarnation);
@@ -129,7 +145,7 @@
     for (const TaskKey& key : assigned) {
         Job& job = context.state_.jobs_.at(key.job_);
         Task& task = job.tasks_[taskNumber(job, key)];
-        std::optional<Duration> age = ageAtLoss(key, task, lostAt, startedRuns);
+        std::optional<Duration> age = ageAtLoss(key, task, lostAt, crashedRuns, unconfirmedStarts);
         if (!age)
             continue;
         bool isEvidence = common.withoutSuspect_ == 0 && suspects.size() == 1 && suspects.count(key) > 0;
@@ -139,8 +155,8 @@
             continue;
         task.avoidedWorker_ = incarnation.name_;
         context.logEvent("run.lost_in_series", describe(RunKey { key, task.progress_.run_ }), concat("worker ", incarnation.name_, " was lost ", series.ageMs_, " ms after the start, loss ", series.count_, " in series, ", series.evidence_, " of them evidence against the task; ", common.workers_ - 1, " other workers were lost with it, ", common.withoutSuspect_, " of them without a suspect"));
-        bool isGivenUp = series.evidence_ >= tuning.evidenceBeforeFailure_ || (series.count_ >= tuning.crashesInSeriesBeforeFailure_ && series.evidence_ > 0);
-        if (isGivenUp && !job.isCancelled_ && !job.hasFailed_)
+        bool isAtFault = series.evidence_ >= tuning.evidenceBeforeFailure_ || (series.count_ >= tuning.crashesInSeriesBeforeFailure_ && series.evidence_ > 0);
+        if (isAtFault && !job.isCancelled_ && !job.hasFailed_)
             failJob(context, job, concat("workers crashed at a similar age of ", series.count_, " runs in series of task ", describe(key)));
     }
 }
@@ -171,7 +187,7 @@
     if (worker.observedTask_ == key && isObservationOver)
         worker.observedTask_.reset();
     if (task.readings_ >= tuning.readingsToOutliveStart_)
-        task.progress_.crashes_ = 0;
+        clearCrashes(task.progress_);
 }
 
 // Every other start of a late suspect is delayed by more than the tolerance, so that crashes at regular times, which the task has
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -134,15 +134,19 @@
 // Fails the job and stops its tasks.
 void failJob(const DecisionContext&, Job&, std::string why);
 
+// Forgets the crashes of workers just after the task's starts, as a run has outlived its start.
+void clearCrashes(TaskProgress&);
 // Counts the crash of a worker against the tasks whose runs it had just started, and fails the jobs of those that have
 // crashed workers again and again. To be called before the worker is dropped.
-void countCrash(const DecisionContext&, const WorkerIncarnation&, const std::vector<RunKey>& crashedRuns);
+// \param unconfirmedStarts those of the runs whose start the worker had not confirmed.
+void countCrash(const DecisionContext&, const WorkerIncarnation&, const std::vector<RunKey>& crashedRuns, const std::set<RunKey>& unconfirmedStarts);
 // Notes whether the worker's agent reaches it, according to its last report.
 void noteReachability(const DecisionContext&, const WorkerIncarnation&, Worker&);
 // Counts the loss of a worker in the series of crashes of its tasks, and fails the jobs of those with enough evidence against
 // them. To be called before the worker is dropped.
-// \param startedRuns runs that the agent had just started when the worker crashed.
-void countLoss(const DecisionContext&, const WorkerIncarnation&, const std::vector<RunKey>& startedRuns);
+// \param crashedRuns runs that the agent had just started when the worker crashed.
+// \param unconfirmedStarts those of them whose start the worker had not confirmed.
+void countLoss(const DecisionContext&, const WorkerIncarnation&, const std::vector<RunKey>& crashedRuns, const std::set<RunKey>& unconfirmedStarts);
 // True if workers were lost under the task's runs in series, at a similar age, so that it is started apart from other suspects.
 bool isLateSuspect(const Tuning&, const TaskProgress&);
 // True if the task is a late suspect, another one is on the worker, and the task has not waited long for a better worker.
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -118,7 +118,7 @@
     const TaskKey& key = end.run_.task_;
     noteCheckpoint(task, end.checkpoint_);
     // The worker is alive to list the end.
-    task.progress_.crashes_ = 0;
+    clearCrashes(task.progress_);
     task.progress_.crashSeries_ = {};
     if (end.end_ == RunEnd::Failed)
         countFailure(context, job, key, task, worker);
@@ -331,7 +331,7 @@
             earlier.push_back(other);
     }
     for (const WorkerIncarnation& other : earlier) {
-        countLoss(context, other, {});
+        countLoss(context, other, {}, {});
         dropWorker(context, other, concat(incarnation.name_, "@", incarnation.bornMs_, " has replaced it"));
     }
 }
@@ -453,8 +453,8 @@
     agent.lastCompletedOrder_ = std::max(agent.lastCompletedOrder_, report.lastCompletedOrder_);
     std::erase_if(agent.pendingOrders_, [&](const Order& order) { return numberOf(order) <= agent.lastCompletedOrder_ || report.completedOrders_.count(numberOf(order)) > 0; });
     for (const WorkerIncarnation& incarnation : report.endedWorkers_) {
-        countCrash(context, incarnation, report.crashedRuns_);
-        countLoss(context, incarnation, report.crashedRuns_);
+        countCrash(context, incarnation, report.crashedRuns_, report.unconfirmedStarts_);
+        countLoss(context, incarnation, report.crashedRuns_, report.unconfirmedStarts_);
         dropWorker(context, incarnation, "its agent reports that it has ended");
         endListWait(context, incarnation);
     }
--- a/workflow/tests/CrashTest.cpp
+++ b/workflow/tests/CrashTest.cpp
@@ -58,11 +58,13 @@
         }
 
         // The worker restarts, and its agent reports the runs that had just been started there.
-        void crash(const std::string& worker)
+        void crash(const std::string& worker, bool areStartsConfirmed = true)
         {
             now_ += 3000;
             endedWorkers_ = { { worker, born_[worker], host_ } };
             crashedRuns_ = recent_[worker];
+            if (!areStartsConfirmed)
+                unconfirmedStarts_ = { crashedRuns_.begin(), crashedRuns_.end() };
             bornMs_ = born_[worker] = 1000 + now_;
             active_[worker].clear();
             recent_[worker].clear();
@@ -72,6 +74,7 @@
             report(worker, now_ + 1);
             endedWorkers_.clear();
             crashedRuns_.clear();
+            unconfirmedStarts_.clear();
             reportWorkers();
         }
 
@@ -85,14 +88,16 @@
         }
 
         // Starts the job and lets the worker that runs it crash, `times` times or until it is no longer started.
-        void crashUnder(const std::string& job, int times)
+        void crashUnder(const std::string& job, int times, bool areStartsConfirmed = true)
         {
             for (int count = 0; count < times; ++count) {
                 std::string worker = start(job);
                 if (worker.empty())
                     return;
-                reportWorkers();
-                crash(worker);
+                // Otherwise the agent has not reached the worker since, and its order is open.
+                if (areStartsConfirmed)
+                    reportWorkers();
+                crash(worker, areStartsConfirmed);
             }
         }
 
@@ -126,6 +131,46 @@
     BOOST_TEST(world.answer(world.call(GetStatus {}, world.now_ + 20, suspectJob)).find("failed") != std::string::npos);
 }
 
+// Guards against a job that is given up although no worker has begun its task: each had crashed just before the order arrived.
+BOOST_AUTO_TEST_CASE(task_whose_starts_may_not_have_arrived_is_not_given_up_after_two_crashes)
+{
+    CrashWorld world;
+    world.submit({ stepOfTasks(1) }, 110, suspectJob);
+    world.crashUnder(suspectJob, 2, false);
+    BOOST_TEST(world.startsByJob_[suspectJob] == 2U);
+    BOOST_TEST(world.crashesOf(suspectJob) == 2U);
+    BOOST_TEST(!world.hasFailed(suspectJob));
+    std::string worker = world.start(suspectJob);
+    BOOST_REQUIRE(!worker.empty());
+    world.reportWorkers();
+    for (int reading = 0; reading < 3; ++reading)
+        world.read();
+    BOOST_TEST(world.crashesOf(suspectJob) == 0U);
+}
+
+// Guards against a task that crashes each worker before it answers, and is started without end. At most two starts may follow the third
+// crash (stated by the platform).
+BOOST_AUTO_TEST_CASE(task_that_crashes_its_workers_before_they_answer_is_given_up)
+{
+    CrashWorld world;
+    world.submit({ stepOfTasks(1) }, 110, suspectJob);
+    world.crashUnder(suspectJob, 10, false);
+    BOOST_TEST(world.hasFailed(suspectJob));
+    BOOST_TEST(world.startsByJob_[suspectJob] <= 5U);
+}
+
+// Guards against unconfirmed starts that hide what a confirmed one shows.
+BOOST_AUTO_TEST_CASE(confirmed_crashes_count_beside_unconfirmed_ones)
+{
+    CrashWorld world;
+    world.submit({ stepOfTasks(1) }, 110, suspectJob);
+    world.crashUnder(suspectJob, 1, false);
+    world.crashUnder(suspectJob, 1);
+    BOOST_TEST(!world.hasFailed(suspectJob));
+    world.crashUnder(suspectJob, 1);
+    BOOST_TEST(world.hasFailed(suspectJob));
+}
+
 // Guards against a task that crashes workers and is never given up, as others always start beside it.
 BOOST_AUTO_TEST_CASE(task_that_crashes_its_workers_beside_others_is_given_up_after_three_crashes)
 {
--- a/workflow/tests/LeaderWorld.h
+++ b/workflow/tests/LeaderWorld.h
@@ -90,7 +90,7 @@
     void reportBy(const std::string& agent, uint64_t session, const std::string& worker, int64_t milliseconds, std::vector<ActiveRun> active = {}, std::vector<EndedRun> ended = {})
     {
         WorkerReport lists { { worker, bornMs_, host_ }, { "packs", domain_, { "a", "r1" }, capacity_ }, draining_, 0, true, reachable_, readingNumber_, std::move(active), std::move(ended), refused_, hasAllEnds_ };
-        AgentReport report { agent, domain_, session, state_.epoch_, fenceOf(agent), Sequence(++sequence_), lastCompletedOrder_, { lists }, endedWorkers_, true, crashedRuns_, completedOrders_ };
+        AgentReport report { agent, domain_, session, state_.epoch_, fenceOf(agent), Sequence(++sequence_), lastCompletedOrder_, { lists }, endedWorkers_, true, crashedRuns_, completedOrders_, unconfirmedStarts_ };
         handle(ReportArrived { report }, milliseconds);
         if (report.fence_ == fenceOf(agent))
             return;
@@ -150,6 +150,7 @@
     std::set<OrderNumber> completedOrders_;
     std::vector<WorkerIncarnation> endedWorkers_;
     std::vector<RunKey> crashedRuns_;
+    std::set<RunKey> unconfirmedStarts_;
 
 private:
     std::map<JobId, StoredJob> rows_;
--- a/workflow/tests/ReachabilityTest.cpp
+++ b/workflow/tests/ReachabilityTest.cpp
@@ -145,7 +145,7 @@
 {
     for (bool reachable : { false, true }) {
         WorkerReport worker { { "w-1", 1000, "host" }, { "packs", "north", { "a" }, *Resources::create(4000, 1'000'000, 0) }, true, 20, true, reachable, 3, {}, {}, { { runOf(0, 1), StartRefusal::Unavailable } } };
-        AgentReport report { "agent", "north", 7, LeaderEpoch(2), Fence(5), Sequence(9), OrderNumber(4), { worker }, {}, true, { runOf(1, 2) }, { OrderNumber(6), OrderNumber(9) } };
+        AgentReport report { "agent", "north", 7, LeaderEpoch(2), Fence(5), Sequence(9), OrderNumber(4), { worker }, {}, true, { runOf(1, 2), runOf(2, 1) }, { OrderNumber(6), OrderNumber(9) }, { runOf(2, 1) } };
         capnp::MallocMessageBuilder message;
         auto builder = message.initRoot<wire::Report>();
         encode(report, builder);
--- a/workflow/tests/RecordTest.cpp
+++ b/workflow/tests/RecordTest.cpp
@@ -27,10 +27,16 @@
     BOOST_REQUIRE(read.ok());
     BOOST_TEST((*read == progress));
     progress.tasks_[2].crashes_ = 2;
+    progress.tasks_[2].unconfirmedCrashes_ = 1;
     progress.tasks_[1].crashSeries_ = { 3, 1, 1500 };
     read = decodeProgress(encodeProgress(progress));
     BOOST_REQUIRE(read.ok());
     BOOST_TEST((*read == progress));
+    // As written by versions that count no unconfirmed starts.
+    read = decodeProgress(R"({"cancelled":false,"failed":false,"started":false,"workers":[],"tasks":[[0,0,0]],"crashes":[[0,1]]})");
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST(read->tasks_[0].crashes_ == 1U);
+    BOOST_TEST(read->tasks_[0].unconfirmedCrashes_ == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(unreadable_rows_are_errors)
