Submissions and cancellations expire at the leader once they are given up

Callers could see: 503 for a second request, although the first one, answered with 504 before, was still on its way and stored the job later.

Cause: nothing bounded how late a call could take effect.

Change: leaders send the reading of their host's steady clock with their views; an entry keeps the tightest lower bound on its lead and sends the time at which it gives the call up. The leader does not carry out later calls, nor those by the clock of another term. Status calls and those of earlier versions do not expire. Ruled out: the time of day, which steps; a life time counted from the arrival, which cannot tell how long the call was held up.

--- a/scheduler/include/persimmondoor/scheduler/Leadership.h
+++ b/scheduler/include/persimmondoor/scheduler/Leadership.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "persimmondoor/store/Table.h"
+#include "persimmondoor/workflow/Client.h"
 #include "persimmondoor/workflow/LeaderView.h"
 
 #include <cstddef>
@@ -53,6 +54,14 @@
     bool operator==(const FailoverTuning&) const = default;
 };
 
+/// How far the steady clock of a leader's host is ahead of this one's: a lower bound, too low by the time that a view of the leader
+/// took to arrive.
+struct LeaderClock {
+    workflow::LeaderEpoch epoch_;
+    Duration lead_ { 0 };
+    auto operator<=>(const LeaderClock&) const = default;
+};
+
 struct LeadershipState {
     FailoverTuning tuning_;
     Address self_;
@@ -77,6 +86,8 @@
     /// Target of the ping in flight, if any, and when the next ping is due.
     std::optional<Address> pingTarget_;
     Instant nextPingAt_;
+    /// The highest bound that any view of that leader has given.
+    std::optional<LeaderClock> leaderClock_;
     bool operator==(const LeadershipState&) const = default;
 };
 
@@ -102,6 +113,14 @@
 /// Updates the state from the view of the leadership that the process at `from` has sent.
 LeadershipState observeView(LeadershipState, const Address& from, const workflow::LeaderView&, Instant now);
 
+/// When a call that this entry gives up at `deadline` expires at the present leader, at the latest at that time.
+/// \return the expiry; nothing if the leader's clock is not known.
+std::optional<workflow::CallExpiry> expiryOf(const LeadershipState&, Instant deadline);
+
+/// True if the call must not take effect any more in the term of `epoch`, whose leader's clock reads `now`. A call with an expiry by
+/// the clock of another leader has expired, as its time cannot be compared.
+bool hasExpired(const workflow::ClientCall&, workflow::LeaderEpoch epoch, Instant now);
+
 /// Records that the leader's host refused a connection: the leader's process has ended, unless another entry reports a
 /// later contact.
 LeadershipState observeRefusal(LeadershipState, Instant now);
--- a/scheduler/src/SchedulerActor.cpp
+++ b/scheduler/src/SchedulerActor.cpp
@@ -107,8 +107,8 @@
 workflow::LeaderView Scheduler::view() const
 {
     return std::visit(Visitor { [&](const Following&) { return viewOf(leadership_, time()); },
-                          [&](const Loading& role) { return workflow::LeaderView { role.claim_.epoch_, options_.self_, true, time() - role.claimWonAt_, Duration(0) }; },
-                          [&](const Leading& role) { return workflow::LeaderView { role.claim_.epoch_, options_.self_, true, time() - role.lastWriteSentAt_, Duration(0) }; } },
+                          [&](const Loading& role) { return workflow::LeaderView { role.claim_.epoch_, options_.self_, true, time() - role.claimWonAt_, Duration(0), time() }; },
+                          [&](const Leading& role) { return workflow::LeaderView { role.claim_.epoch_, options_.self_, true, time() - role.lastWriteSentAt_, Duration(0), time() }; } },
         role_);
 }
 
@@ -132,6 +132,12 @@
 void Scheduler::handle(CallMessage message)
 {
     if (auto* role = std::get_if<Leading>(&role_)) {
+        if (hasExpired(message.call_, role->claim_.epoch_, time())) {
+            const workflow::CallExpiry& expiry = *message.call_.expiry_;
+            std::string lateness = expiry.epoch_ == role->claim_.epoch_ ? std::to_string((time() - expiry.at_).count() / 1000) : "unknown";
+            logInfo("call.expired", { { "path", message.call_.path_ }, { "call_epoch", std::to_string(expiry.epoch_.value()) }, { "epoch", std::to_string(role->claim_.epoch_.value()) }, { "late_ms", lateness } });
+            return message.reply_.send(workflow::NotLeader { "the call has expired on its way" });
+        }
         // If the store has not confirmed the operators' view lately, another entry may have taken over and the operators may
         // have changed the queues, so a queue or job that is unknown here may exist.
         bool mayBeOutdated = time() - role->operatorsConfirmedAt_ > maximumOperatorViewAge;
@@ -156,6 +162,9 @@
 {
     auto self = shared_from_this();
     Address leader = *leadership_.leader_;
+    // Once this entry has given its client's call up, no attempt of it may take effect.
+    if (message.viaPeers_)
+        message.call_.expiry_ = expiryOf(leadership_, time() + message.call_.timeLeft_);
     workflow::ClientCall direct = message.call_;
     direct.mayRelay_ = false;
     Duration limit = std::min(message.call_.timeLeft_, relayTimeout);
--- a/scheduler/src/decisions/Leadership.cpp
+++ b/scheduler/src/decisions/Leadership.cpp
@@ -74,8 +74,19 @@
     return state;
 }
 
+static void observeClock(LeadershipState& state, const workflow::LeaderView& view, Instant now)
+{
+    if (!view.isSelf_ || !view.clock_)
+        return;
+    LeaderClock clock { view.epoch_, *view.clock_ - now };
+    // Of one term the greater lead counts, of two terms the later one.
+    if (!state.leaderClock_ || clock > *state.leaderClock_)
+        state.leaderClock_ = clock;
+}
+
 LeadershipState observeView(LeadershipState state, const Address& from, const workflow::LeaderView& view, Instant now)
 {
+    observeClock(state, view, now);
     if (view.epoch_ < state.epoch_ || (view.epoch_ == state.epoch_ && !view.address_)) {
         // The process at the leader's address does not lead: it has been restarted since.
         if (from == state.leader_ && !view.isSelf_)
@@ -99,6 +110,19 @@
     return state;
 }
 
+std::optional<workflow::CallExpiry> expiryOf(const LeadershipState& state, Instant deadline)
+{
+    if (!state.leaderClock_ || state.leaderClock_->epoch_ != state.epoch_)
+        return std::nullopt;
+    return workflow::CallExpiry { state.epoch_, deadline + state.leaderClock_->lead_ };
+}
+
+bool hasExpired(const workflow::ClientCall& call, workflow::LeaderEpoch epoch, Instant now)
+{
+    bool hasEffect = !std::holds_alternative<workflow::GetStatus>(call.verb_);
+    return hasEffect && call.expiry_ && (call.expiry_->epoch_ != epoch || call.expiry_->at_ < now);
+}
+
 LeadershipState observeRefusal(LeadershipState state, Instant now)
 {
     state.lastContactAt_ = std::min(state.lastContactAt_, now - leaderTimeout(state, now) + state.tuning_.refusedLeaderTimeout_);
--- a/scheduler/tests/LeadershipTest.cpp
+++ b/scheduler/tests/LeadershipTest.cpp
@@ -43,8 +43,60 @@
     return { LeaderEpoch(3), leader, true, std::chrono::milliseconds(writeAgeMs), Duration(0) };
 }
 
+static LeaderView viewWithClock(LeaderEpoch epoch, int64_t clockMs)
+{
+    return { epoch, leader, true, Duration(0), Duration(0), at(clockMs) };
+}
+
+static workflow::ClientCall makeCancellation(std::optional<workflow::CallExpiry> expiry)
+{
+    return { "h.example", "/tests/00000000000000aa", workflow::Cancel {}, std::chrono::seconds(3), true, expiry };
+}
+
 BOOST_AUTO_TEST_SUITE(leadership)
 
+// Guards against a call that takes effect after its entry has given it up: of several views the one that arrived fastest tells most
+// about the leader's clock, and none may make the expiry later than the deadline.
+BOOST_AUTO_TEST_CASE(call_expires_at_its_deadline_by_the_clock_of_the_leader)
+{
+    LeadershipState state = followingState(0);
+    BOOST_TEST(!expiryOf(state, at(3000)).has_value());
+    // The leader's clock is 50,000 ms ahead; the views take 300, 20 and 400 ms.
+    state = observeView(std::move(state), leader, viewWithClock(LeaderEpoch(3), 50'100), at(400));
+    BOOST_TEST((expiryOf(state, at(3000)) == workflow::CallExpiry { LeaderEpoch(3), at(52'700) }));
+    state = observeView(std::move(state), leader, viewWithClock(LeaderEpoch(3), 50'500), at(520));
+    BOOST_TEST((expiryOf(state, at(3000)) == workflow::CallExpiry { LeaderEpoch(3), at(52'980) }));
+    state = observeView(std::move(state), leader, viewWithClock(LeaderEpoch(3), 50'700), at(1100));
+    BOOST_TEST((expiryOf(state, at(3000)) == workflow::CallExpiry { LeaderEpoch(3), at(52'980) }));
+}
+
+// Guards against a time by the clock of one leader that is compared with that of the next.
+BOOST_AUTO_TEST_CASE(clock_of_an_earlier_leader_gives_no_expiry)
+{
+    LeadershipState state = observeView(followingState(0), leader, viewWithClock(LeaderEpoch(3), 50'000), at(10));
+    LeaderView withoutClock { LeaderEpoch(4), peer, false, Duration(0), Duration(0) };
+    state = observeView(std::move(state), peer, withoutClock, at(20));
+    BOOST_TEST(!expiryOf(state, at(3000)).has_value());
+    state = observeView(std::move(state), leader, viewWithClock(LeaderEpoch(4), 100), at(200));
+    BOOST_TEST((expiryOf(state, at(3000)) == workflow::CallExpiry { LeaderEpoch(4), at(2900) }));
+    // A late view of the earlier leader changes nothing.
+    state = observeView(std::move(state), leader, viewWithClock(LeaderEpoch(3), 90'000), at(300));
+    BOOST_TEST((expiryOf(state, at(3000)) == workflow::CallExpiry { LeaderEpoch(4), at(2900) }));
+}
+
+BOOST_AUTO_TEST_CASE(late_calls_with_an_effect_have_expired)
+{
+    auto expiry = workflow::CallExpiry { LeaderEpoch(3), at(1000) };
+    BOOST_TEST(!hasExpired(makeCancellation(expiry), LeaderEpoch(3), at(1000)));
+    BOOST_TEST(hasExpired(makeCancellation(expiry), LeaderEpoch(3), at(1001)));
+    BOOST_TEST(hasExpired(makeCancellation(expiry), LeaderEpoch(4), at(10)));
+    BOOST_TEST(hasExpired(makeCancellation(expiry), LeaderEpoch(2), at(10)));
+    BOOST_TEST(!hasExpired(makeCancellation(std::nullopt), LeaderEpoch(3), at(5000)));
+    workflow::ClientCall status = makeCancellation(expiry);
+    status.verb_ = workflow::GetStatus {};
+    BOOST_TEST(!hasExpired(status, LeaderEpoch(3), at(5000)));
+}
+
 BOOST_AUTO_TEST_CASE(row_is_read_first)
 {
     BOOST_TEST(!keepsFollowing(LeadershipState(), 0));
--- a/workflow/include/persimmondoor/workflow/Client.h
+++ b/workflow/include/persimmondoor/workflow/Client.h
@@ -7,6 +7,7 @@
 
 #include "persimmondoor/workflow/Exchange.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -27,6 +28,14 @@
 
 using ClientVerb = std::variant<Submit, GetStatus, Cancel>;
 
+/// When a call becomes void: by the steady clock of the leader's host, in the term of that leader. The time bounds how late a
+/// submission or cancellation can take effect whose bytes are held up on the way.
+struct CallExpiry {
+    LeaderEpoch epoch_;
+    Instant at_;
+    auto operator<=>(const CallExpiry&) const = default;
+};
+
 struct ClientCall {
     std::string host_;
     std::string path_;
@@ -35,6 +44,8 @@
     Duration timeLeft_ { 0 };
     /// False once an entry has relayed the call; a call is relayed at most once.
     bool mayRelay_ { true };
+    /// Set by the entry that the client has called; empty if it does not know the leader's clock.
+    std::optional<CallExpiry> expiry_ {};
     bool operator==(const ClientCall&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/LeaderView.h
+++ b/workflow/include/persimmondoor/workflow/LeaderView.h
@@ -24,6 +24,8 @@
     Duration writeAge_ { 0 };
     /// Time since the leader last answered this process, or another process whose view it received.
     Duration contactAge_ { 0 };
+    /// The steady clock of the leader's host as the leader sent this view; empty in the views of others.
+    std::optional<Instant> clock_ {};
     auto operator<=>(const LeaderView&) const = default;
 };
 
--- a/workflow/schema/Workflow.capnp
+++ b/workflow/schema/Workflow.capnp
@@ -137,6 +137,9 @@
     look @5 :Void;
     cancel @6 :Void;
   }
+  # Term of the leader by whose clock the call expires, and the time, in microseconds; 0 if it does not expire.
+  expiryEpoch @7 :UInt64;
+  expiresAt @8 :Int64;
 }
 
 struct ClientAnswer {
@@ -171,6 +174,8 @@
   writeAge @3 :Int64;
   # Time since the leader last answered, in microseconds.
   contactAge @4 :Int64;
+  # Steady clock of the leader's host, in microseconds; 0 in the views of others.
+  clock @5 :Int64;
 }
 
 interface Scheduler {
--- a/workflow/src/ExchangeCodec.cpp
+++ b/workflow/src/ExchangeCodec.cpp
@@ -361,12 +361,18 @@
     builder.setPath(toWire(call.path_));
     builder.setTimeLeft(call.timeLeft_.count());
     builder.setMayRelay(call.mayRelay_);
+    if (call.expiry_) {
+        builder.setExpiryEpoch(call.expiry_->epoch_.value());
+        builder.setExpiresAt(call.expiry_->at_.microseconds());
+    }
     std::visit(VerbEncoder { builder }, call.verb_);
 }
 
 absl::StatusOr<ClientCall> decode(wire::ClientCall::Reader reader)
 {
     ClientCall call { fromWire(reader.getHost()), fromWire(reader.getPath()), GetStatus {}, Duration(reader.getTimeLeft()), reader.getMayRelay() };
+    if (reader.getExpiresAt() != 0)
+        call.expiry_ = CallExpiry { LeaderEpoch(reader.getExpiryEpoch()), Instant::fromMicroseconds(reader.getExpiresAt()) };
     if (reader.isSubmit()) {
         auto bytes = reader.getSubmit();
         auto spec = decodeSpec({ reinterpret_cast<const char*>(bytes.begin()), bytes.size() });
@@ -422,11 +428,14 @@
     builder.setIsSelf(leader.isSelf_);
     builder.setWriteAge(leader.writeAge_.count());
     builder.setContactAge(leader.contactAge_.count());
+    builder.setClock(leader.clock_ ? leader.clock_->microseconds() : 0);
 }
 
 absl::StatusOr<LeaderView> decode(wire::Leader::Reader reader)
 {
     LeaderView leader { LeaderEpoch(reader.getEpoch()), std::nullopt, reader.getIsSelf(), Duration(reader.getWriteAge()), Duration(reader.getContactAge()) };
+    if (reader.getClock() != 0)
+        leader.clock_ = Instant::fromMicroseconds(reader.getClock());
     std::string text = fromWire(reader.getAddress());
     if (text.empty())
         return leader;
