A write that the store rejects no longer stops all others

Callers could see: 503 for every job, under one leader after another, after one submission that is too large for a row, or many that are too large together.

Cause: an answer 400, 413 or 403 of the store counted as an outage. The same batch was sent again without end, and a successor built it again.

Change: Unavailable says whether the transaction itself is rejected. A rejected batch is sent in halves; a new job that is rejected alone is answered as invalid, a stored one is left out of the queues as a hung one. Entries answer a job larger than a row as invalid at once. Progress that is larger than a row is stored without its checkpoints.

--- a/scheduler/src/Front.cpp
+++ b/scheduler/src/Front.cpp
@@ -4,6 +4,7 @@
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Metrics.h"
 #include "persimmondoor/core/Visitor.h"
+#include "persimmondoor/workflow/Record.h"
 
 namespace persimmondoor::scheduler {
 
@@ -67,13 +68,24 @@
     return std::visit(Visitor { [](const workflow::Submit&) { return "submit"; }, [](const workflow::GetStatus&) { return "look"; }, [](const workflow::Cancel&) { return "cancel"; } }, verb);
 }
 
+// True if the job's rows would be larger than the store takes, so that it can never be accepted.
+static bool isTooLarge(const workflow::ClientCall& call)
+{
+    // The record holds the queue beside the specification.
+    constexpr size_t queueBytes = 1000;
+    const auto* submission = std::get_if<workflow::Submit>(&call.verb_);
+    return submission && workflow::encodeSpec(submission->spec_).size() + queueBytes > workflow::maximumRowBytes;
+}
+
 asio::awaitable<workflow::ClientAnswer> serveClient(SchedulerActor scheduler, workflow::ClientCall call)
 {
     Clock clock = SteadyClock();
     Instant start = now(clock);
     std::string name(nameOf(call.verb_));
     std::string path = call.path_;
-    workflow::ClientAnswer answer = co_await findAnswer(std::move(scheduler), std::move(call));
+    workflow::ClientAnswer answer = workflow::Malformed { "the job is larger than can be stored" };
+    if (!isTooLarge(call))
+        answer = co_await findAnswer(std::move(scheduler), std::move(call));
     Duration took = now(clock) - start;
     recordLatency(name, took);
     // Status calls are frequent; only their failures are logged.
--- a/scheduler/src/Leading.cpp
+++ b/scheduler/src/Leading.cpp
@@ -1,4 +1,5 @@
 // The scheduler while it leads the queues: loads them, writes decisions, and steps down when another entry leads.
+#include "HungJobs.h"
 #include "QueueRows.h"
 #include "Scheduler.h"
 
@@ -225,7 +226,7 @@
         }
         if (item.staged_.writesRecord_)
             transaction.writes_.emplace_back(store::Put { recordRow(item.job_), workflow::encodeRecord(role.leaderState_.jobs_.at(item.job_).record_) });
-        transaction.writes_.emplace_back(store::Put { progressRow(item.job_), workflow::encodeProgress(*progress) });
+        transaction.writes_.emplace_back(store::Put { progressRow(item.job_), workflow::encodeProgressWithin(workflow::maximumRowBytes, *progress) });
     }
     return transaction;
 }
@@ -250,7 +251,7 @@
     bool isDue = role.commitCount_ == 0 || !role.leaderState_.stagedOrder_.empty() || role.leaderState_.hasLeaseChanges_ || time() - role.lastWriteSentAt_ >= renewalInterval;
     if (!isDue)
         return;
-    PendingCommit pending { ++role.commitCount_, workflow::extractBatch(role.leaderState_), time(), "", "" };
+    PendingCommit pending { ++role.commitCount_, workflow::extractBatch(role.leaderState_, role.batchJobs_), time(), "", "" };
     int64_t leaseEndMs = latestReadingAt(role.storeClock_, workflow::leaseBoundAfterWrite(options_.tuning_, pending.sentAt_)).value_or(0);
     pending.chain_ = encodeChain({ role.claim_.epoch_, pending.number_, leaseEndMs });
     pending.silentWorkers_ = encodeSilentWorkersOf(role, pending.batch_);
@@ -297,6 +298,7 @@
     role.pendingCommit_.reset();
     role.chainVersion_ = version;
     role.lastWriteSentAt_ = pending.sentAt_;
+    role.batchJobs_ = std::min(role.batchJobs_ * 2, workflow::maximumBatchJobs);
     role.storedSilentWorkers_ = std::move(pending.silentWorkers_);
     decide(role, workflow::BatchDurable { std::move(pending.batch_), pending.sentAt_ });
 }
@@ -311,6 +313,21 @@
     commitIfDue(role);
 }
 
+void Scheduler::handleRejection(Leading& role, const std::string& detail)
+{
+    size_t jobs = role.pendingCommit_->batch_.items_.size();
+    JobId job = role.pendingCommit_->batch_.items_.front().job_;
+    role.batchJobs_ = std::max<size_t>(jobs / 2, 1);
+    logWarning("commit.rejected", { { "commit", std::to_string(role.pendingCommit_->number_) }, { "jobs", std::to_string(jobs) }, { "first_job", job.value() }, { "reason", detail } });
+    if (jobs > 1)
+        return retryCommit(role, Duration(0), false);
+    workflow::restage(role.leaderState_, std::move(role.pendingCommit_->batch_), false);
+    role.pendingCommit_.reset();
+    decide(role, workflow::RowsRejected { job });
+    if (role.leaderState_.jobs_.count(job) > 0)
+        isolateJobAndExit(options_.store_, job, concat("the store rejects its rows: ", detail), options_.name_);
+}
+
 void Scheduler::handle(CommitCompleted message)
 {
     Leading* role = findLeading(message.epoch_);
@@ -343,6 +360,8 @@
                    },
                    [&](const store::Unavailable& refusal) {
                        logWarning("store.refused", { { "reason", refusal.detail_ }, { "commit", std::to_string(role->pendingCommit_->number_) } });
+                       if (refusal.isRejected_ && !role->pendingCommit_->batch_.items_.empty())
+                           return handleRejection(*role, refusal.detail_);
                        decide(*role, workflow::StoreFailed {});
                        retryCommit(*role, refusedRetryInterval, false);
                    },
--- a/scheduler/src/Scheduler.h
+++ b/scheduler/src/Scheduler.h
@@ -127,6 +127,8 @@
     std::string writtenEstimates_;
     Instant nextCommitAt_;
     Instant lastWriteSentAt_;
+    // Bound on the jobs in the next batch; lower after the store has rejected one.
+    size_t batchJobs_ { workflow::maximumBatchJobs };
     // Moving average of the duration of commits, and the time-out of the next one.
     Duration averageCommitTime_ { std::chrono::milliseconds(20) };
     Duration commitTimeout_ { std::chrono::milliseconds(200) };
@@ -196,6 +198,9 @@
     boost::asio::awaitable<void> rereadOperators(workflow::LeaderEpoch);
     void finishCommit(Leading&, store::RowVersion);
     void retryCommit(Leading&, Duration after, bool mayBeStored);
+    // Sends a rejected batch in smaller parts. A job whose rows are rejected alone is answered as invalid if it is new, and else left
+    // out of the queues, as no later write would succeed with it.
+    void handleRejection(Leading&, const std::string& detail);
     void stepDown(std::string_view reason);
     // The role if this entry leads under that epoch, or null.
     Leading* findLeading(workflow::LeaderEpoch);
--- a/store/include/persimmondoor/store/Table.h
+++ b/store/include/persimmondoor/store/Table.h
@@ -69,6 +69,8 @@
 /// The service refused the call or could not be reached; nothing was written.
 struct Unavailable {
     std::string detail_;
+    /// The transaction itself is invalid, such as too large, so that it would be refused again.
+    bool isRejected_ { false };
     auto operator<=>(const Unavailable&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -368,6 +368,11 @@
 struct StoreFailed {
     auto operator<=>(const StoreFailed&) const = default;
 };
+/// The store rejects the rows of the job, which were sent alone, and would reject them again. Nothing was written.
+struct RowsRejected {
+    JobId job_;
+    auto operator<=>(const RowsRejected&) const = default;
+};
 /// Time has passed; sent periodically.
 struct Tick {
     /// Time of day, in milliseconds since 1970 UTC.
@@ -375,7 +380,7 @@
     auto operator<=>(const Tick&) const = default;
 };
 
-using LeaderMessage = std::variant<CallArrived, ReportArrived, CatalogChanged, EvacuationsChanged, BatchDurable, StoreFailed, Tick>;
+using LeaderMessage = std::variant<CallArrived, ReportArrived, CatalogChanged, EvacuationsChanged, BatchDurable, StoreFailed, RowsRejected, Tick>;
 
 /// The agent's waiting report is to be answered now.
 struct AnswerAgent {
@@ -426,10 +431,10 @@
 /// Largest number of jobs in one batch: a transaction holds at most 100 entries, of which a new job takes two.
 inline constexpr size_t maximumBatchJobs = 40;
 
-/// Removes up to `maximumBatchJobs` of the oldest staged jobs from the state, and adds the present bounds of silent workers.
+/// Removes up to `maximumJobs` of the oldest staged jobs from the state, and adds the present bounds of silent workers.
 /// Only one batch may be in flight at a time.
 /// \return the batch; without jobs if nothing is staged.
-Batch extractBatch(LeaderState&);
+Batch extractBatch(LeaderState&, size_t maximumJobs = maximumBatchJobs);
 
 /// Stages a batch again that did not become durable.
 /// \param mayBeStored true if the outcome of its transaction is unknown.
--- a/workflow/include/persimmondoor/workflow/Record.h
+++ b/workflow/include/persimmondoor/workflow/Record.h
@@ -19,6 +19,9 @@
 
 namespace persimmondoor::workflow {
 
+/// Largest row, before its encoding in base64, with which the store's limit of 64 KiB is kept.
+inline constexpr size_t maximumRowBytes = 48'000;
+
 enum class TaskPhase : uint8_t {
     /// Not assigned to a worker; may be started once the steps that its step depends on are done.
     Waiting,
@@ -88,6 +91,10 @@
 absl::StatusOr<JobRecord> decodeRecord(std::string_view);
 
 std::string encodeProgress(const Progress&);
+/// Encodes the progress without its checkpoints if the row would be larger than `maximumBytes`: the tasks then start from their
+/// beginning after a change of leader, whereas a row that the store rejects would stop all writes.
+/// \return the row, which may still be too large.
+std::string encodeProgressWithin(size_t maximumBytes, const Progress&);
 /// \return the progress, or InvalidArgument.
 absl::StatusOr<Progress> decodeProgress(std::string_view);
 
--- a/workflow/src/RecordCodec.cpp
+++ b/workflow/src/RecordCodec.cpp
@@ -167,6 +167,17 @@
     return json::serialize(object);
 }
 
+std::string encodeProgressWithin(size_t maximumBytes, const Progress& progress)
+{
+    std::string row = encodeProgress(progress);
+    if (row.size() <= maximumBytes)
+        return row;
+    Progress withoutCheckpoints = progress;
+    for (TaskProgress& task : withoutCheckpoints.tasks_)
+        task.checkpoint_.clear();
+    return encodeProgress(withoutCheckpoints);
+}
+
 static TaskProgress decodeTask(const json::array& fields, const std::vector<WorkerIncarnation>& workers)
 {
     TaskProgress task;
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -86,10 +86,11 @@
     return staged.writesRecord_ && !staged.mayBeStored_ && hasOnlySubmission;
 }
 
-static void refuseUnsentJob(const DecisionContext& context, const JobId& id)
+// Removes a job of which nothing is stored, and gives the answer to all calls that wait for it.
+static void removeUnstoredJob(const DecisionContext& context, const JobId& id, const ClientAnswer& answer, std::string why)
 {
     Job& job = context.state_.jobs_.at(id);
-    context.logEvent("job.refused", id.value(), concat("the store has failed for ", (context.now_ - *context.state_.storeFailedAt_).count() / 1000, " ms; the job was not sent to it"));
+    context.logEvent("job.refused", id.value(), std::move(why));
     // No order for the job has been released, so that its starts are only withdrawn.
     stopTasks(context, job, "job refused");
     StagedJob staged = std::move(context.state_.staged_.at(id));
@@ -99,8 +100,8 @@
     context.state_.readyJobs_.erase(id);
     context.state_.jobs_.erase(id);
     for (const Effect& effect : staged.effects_) {
-        if (const auto* answer = std::get_if<AnswerClient>(&effect))
-            context.addAction(AnswerClient { answer->token_, refuseUnstorable(context.state_, context.now_) });
+        if (const auto* waiting = std::get_if<AnswerClient>(&effect))
+            context.addAction(AnswerClient { waiting->token_, answer });
     }
 }
 
@@ -113,8 +114,18 @@
         if (isUnsentSubmission(staged))
             unsent.push_back(id);
     }
+    Duration failing = context.now_ - *context.state_.storeFailedAt_;
     for (const JobId& id : unsent)
-        refuseUnsentJob(context, id);
+        removeUnstoredJob(context, id, refuseUnstorable(context.state_, context.now_), concat("the store has failed for ", failing.count() / 1000, " ms; the job was not sent to it"));
+}
+
+void rejectSubmission(const DecisionContext& context, const JobId& id)
+{
+    context.noteJob(id);
+    auto staged = context.state_.staged_.find(id);
+    if (staged == context.state_.staged_.end() || !isUnsentSubmission(staged->second))
+        return;
+    removeUnstoredJob(context, id, Malformed { "the store rejects the job's rows, which may be too large" }, "the store rejects its rows");
 }
 
 static void cancelJob(const DecisionContext& context, Job& job)
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -224,6 +224,7 @@
             startReadyTasks(context_);
         }
         void operator()(const BatchDurable& message) const { handleBatchDurable(context_, message); }
+        void operator()(const RowsRejected& message) const { rejectSubmission(context_, message.job_); }
         void operator()(const StoreFailed&) const
         {
             if (!context_.state_.storeFailedAt_)
@@ -242,10 +243,10 @@
     return decision;
 }
 
-Batch extractBatch(LeaderState& state)
+Batch extractBatch(LeaderState& state, size_t maximumJobs)
 {
     Batch batch;
-    size_t count = std::min(state.stagedOrder_.size(), maximumBatchJobs);
+    size_t count = std::min(state.stagedOrder_.size(), maximumJobs);
     for (size_t index = 0; index < count; ++index) {
         auto staged = state.staged_.extract(state.stagedOrder_[index]);
         auto job = state.jobs_.find(staged.key());
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -186,6 +186,9 @@
 void handleTick(const DecisionContext&, const Tick&);
 // Refuses jobs for which no transaction has been sent, if the store is unavailable.
 void refuseUnsentJobs(const DecisionContext&);
+// Removes a job that was never stored and whose rows the store rejects, and answers its clients that it is invalid. Does nothing to
+// other jobs.
+void rejectSubmission(const DecisionContext&, const JobId&);
 
 // Assigns tasks of ready jobs to workers, in the order of urgency. Under a backlog, only once per
 // `Tuning::placementInterval_`.
--- a/workflow/tests/RecordTest.cpp
+++ b/workflow/tests/RecordTest.cpp
@@ -39,6 +39,21 @@
     BOOST_TEST(read->tasks_[0].unconfirmedCrashes_ == 0U);
 }
 
+// Guards against a job whose checkpoints grow beyond what a row takes, so that no later write of its leader succeeds.
+BOOST_AUTO_TEST_CASE(progress_beyond_the_limit_is_stored_without_checkpoints)
+{
+    Progress progress { false, false, true, { { TaskPhase::Assigned, 3, 1, { "w-1", 99 }, std::string(300, 'c') }, { TaskPhase::Waiting, 2, 0, {}, std::string(300, 'd') } } };
+    std::string whole = encodeProgress(progress);
+    BOOST_TEST(encodeProgressWithin(whole.size(), progress) == whole);
+    std::string cut = encodeProgressWithin(whole.size() - 1, progress);
+    BOOST_TEST(cut.size() < 300U);
+    for (TaskProgress& task : progress.tasks_)
+        task.checkpoint_.clear();
+    auto read = decodeProgress(cut);
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST((*read == progress));
+}
+
 BOOST_AUTO_TEST_CASE(unreadable_rows_are_errors)
 {
     BOOST_TEST(!decodeRecord("{").ok());
