--- a/http/tests/PoolTest.cpp
+++ b/http/tests/PoolTest.cpp
@@ -74,7 +74,7 @@
     int answered = 0;
     for (int call = 0; call < count; ++call)
         spawn(co_await asio::this_coro::executor, "call", callOnce(pool, answered));
-    while (answered < count)
+    for (int wait = 0; wait < 1000 && answered < count; ++wait)
         co_await sleepFor(std::chrono::milliseconds(5));
 }
 
--- a/scheduler/tests/LargeRowsTest.cpp
+++ b/scheduler/tests/LargeRowsTest.cpp
@@ -82,7 +82,7 @@
         size_t answered = 0;
         for (size_t job = 0; job < jobs; ++job)
             spawn(world.executor(), "submit", submitOnce(world.entry(0), concat("00000000000001", 10 + job), 44'000, accepted, answered));
-        while (answered < jobs)
+        for (int wait = 0; wait < 500 && answered < jobs; ++wait)
             co_await sleepFor(std::chrono::milliseconds(20));
         BOOST_TEST(accepted == jobs);
         BOOST_TEST(world.store().count("jobs") == jobs + 1);
