--- a/scheduler/tests/LeadershipTest.cpp
+++ b/scheduler/tests/LeadershipTest.cpp
@@ -43,9 +43,9 @@
     return { LeaderEpoch(3), leader, true, std::chrono::milliseconds(writeAgeMs), Duration(0) };
 }
 
-static LeaderView viewWithClock(LeaderEpoch epoch, int64_t clockMs)
+static LeaderView viewWithClock(LeaderEpoch epoch, int64_t leaderTimeMs)
 {
-    return { epoch, leader, true, Duration(0), Duration(0), at(clockMs) };
+    return { epoch, leader, true, Duration(0), Duration(0), at(leaderTimeMs) };
 }
 
 static workflow::ClientCall makeCancellation(std::optional<workflow::CallExpiry> expiry)
