The bound on the leader's clock is renewed every ten seconds

A later view now replaces a bound that is older than 10 s. leadership/bound_on_the_clock_of_the_leader_is_renewed covers it; it was not run without the change.

--- a/scheduler/include/persimmondoor/scheduler/Leadership.h
+++ b/scheduler/include/persimmondoor/scheduler/Leadership.h
@@ -50,6 +50,9 @@
     /// Entries with fewer processors than this claim later than the others, by `smallEntryDelay_`. The leader of about
     /// fifty workers uses a tenth of a processor under low load.
     double leaderProcessors_ { 0.2 };
+    /// A bound on the leader's clock is replaced by a lower one after this time, in which clocks drift apart by about a
+    /// millisecond.
+    Duration clockValidity_ { std::chrono::seconds(10) };
     Duration smallEntryDelay_ { std::chrono::milliseconds(1000) };
     bool operator==(const FailoverTuning&) const = default;
 };
@@ -59,6 +62,8 @@
 struct LeaderClock {
     workflow::LeaderEpoch epoch_;
     Duration lead_ { 0 };
+    /// When the view arrived; clocks drift apart.
+    Instant observedAt_;
     auto operator<=>(const LeaderClock&) const = default;
 };
 
@@ -86,7 +91,7 @@
     /// Target of the ping in flight, if any, and when the next ping is due.
     std::optional<Address> pingTarget_;
     Instant nextPingAt_;
-    /// The highest bound that any view of that leader has given.
+    /// The highest bound that a view of the leader has given within `FailoverTuning::clockValidity_`.
     std::optional<LeaderClock> leaderClock_;
     bool operator==(const LeadershipState&) const = default;
 };
--- a/scheduler/src/decisions/Leadership.cpp
+++ b/scheduler/src/decisions/Leadership.cpp
@@ -78,9 +78,11 @@
 {
     if (!view.isSelf_ || !view.clock_)
         return;
-    LeaderClock clock { view.epoch_, *view.clock_ - now };
-    // Of one term the greater lead counts, of two terms the later one.
-    if (!state.leaderClock_ || clock > *state.leaderClock_)
+    LeaderClock clock { view.epoch_, *view.clock_ - now, now };
+    const std::optional<LeaderClock>& known = state.leaderClock_;
+    bool isSameTerm = known && clock.epoch_ == known->epoch_;
+    bool isBetter = isSameTerm && (clock.lead_ >= known->lead_ || now - known->observedAt_ > state.tuning_.clockValidity_);
+    if (!known || clock.epoch_ > known->epoch_ || isBetter)
         state.leaderClock_ = clock;
 }
 
--- a/scheduler/tests/LeadershipTest.cpp
+++ b/scheduler/tests/LeadershipTest.cpp
@@ -70,6 +70,16 @@
     BOOST_TEST((expiryOf(state, at(3000)) == workflow::CallExpiry { LeaderEpoch(3), at(52'980) }));
 }
 
+// Guards against clocks that drift apart during a long term.
+BOOST_AUTO_TEST_CASE(bound_on_the_clock_of_the_leader_is_renewed)
+{
+    LeadershipState state = observeView(followingState(0), leader, viewWithClock(LeaderEpoch(3), 50'000), at(0));
+    state = observeView(std::move(state), leader, viewWithClock(LeaderEpoch(3), 59'990), at(10'000));
+    BOOST_TEST((expiryOf(state, at(20'000)) == workflow::CallExpiry { LeaderEpoch(3), at(70'000) }));
+    state = observeView(std::move(state), leader, viewWithClock(LeaderEpoch(3), 60'240), at(10'250));
+    BOOST_TEST((expiryOf(state, at(20'000)) == workflow::CallExpiry { LeaderEpoch(3), at(69'990) }));
+}
+
 // Guards against a time by the clock of one leader that is compared with that of the next.
 BOOST_AUTO_TEST_CASE(clock_of_an_earlier_leader_gives_no_expiry)
 {
--- a/workflow/src/RecordCodec.cpp
+++ b/workflow/src/RecordCodec.cpp
@@ -133,8 +133,9 @@
 }
 
 // A task is encoded as [phase, run, failures, index of the worker, checkpoint]; empty fields at the end are left out. The
-// workers are in a separate list, as most tasks of a job share a few workers. The crashes are in a list of [task, crashes, those with
-// an unconfirmed start], whose last field earlier versions leave out, and the series of crashes in one of [task, crashes, evidence, age], as few tasks have any.
+// workers are in a separate list, as most tasks of a job share a few workers. So are the crashes, as few tasks have any: one list
+// of [task, crashes, those with an unconfirmed start] and, for the series, one of [task, crashes, evidence, age]. Earlier versions
+// leave out the number of unconfirmed starts.
 std::string encodeProgress(const Progress& progress)
 {
     json::array workers;
