--- a/scheduler/src/DecisionWatch.h
+++ b/scheduler/src/DecisionWatch.h
@@ -15,8 +15,8 @@
 namespace persimmondoor::scheduler {
 
 struct WatchTuning {
-    // Interval of the checks.
-    Duration interval_ { std::chrono::milliseconds(500) };
+    // Interval of the checks, each of which wakes the process up.
+    Duration interval_ { std::chrono::milliseconds(2000) };
     // A message whose handling has taken this much processor time hangs; the longest takes some tens of milliseconds. Not wall time,
     // as a process may be suspended or get a small share of a slow processor.
     Duration hungAfter_ { std::chrono::milliseconds(1000) };
