--- a/scheduler/tests/DecisionWatchTest.cpp
+++ b/scheduler/tests/DecisionWatchTest.cpp
@@ -6,6 +6,7 @@
 #include "persimmondoor/core/Coroutine.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -88,8 +89,10 @@
 {
     Hangs hangs;
     DecisionWatch watch(shortWatch, hangs.handler());
+    asio::io_context context;
+    asio::steady_timer timer(context, std::chrono::milliseconds(300));
     watch.begin();
-    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    timer.wait();
     watch.end();
     BOOST_TEST(hangs.count() == 0);
 }
--- a/workflow/tests/CrashTest.cpp
+++ b/workflow/tests/CrashTest.cpp
@@ -148,6 +148,18 @@
     BOOST_TEST(world.crashesOf(suspectJob) == 0U);
 }
 
+// Guards against a series of late crashes that counts runs which may not have begun.
+BOOST_AUTO_TEST_CASE(loss_after_an_unconfirmed_start_is_in_no_series)
+{
+    for (bool isConfirmed : { false, true }) {
+        CrashWorld world;
+        world.submit({ stepOfTasks(1) }, 110, suspectJob);
+        world.crashUnder(suspectJob, 1, isConfirmed);
+        const TaskProgress& progress = world.state_.jobs_.at(JobId::of(suspectJob)).tasks_.front().progress_;
+        BOOST_TEST(progress.crashSeries_.count_ == (isConfirmed ? 1U : 0U));
+    }
+}
+
 // Guards against a task that crashes each worker before it answers, and is started without end. At most two starts may follow the third
 // crash (stated by the platform).
 BOOST_AUTO_TEST_CASE(task_that_crashes_its_workers_before_they_answer_is_given_up)
