ctl check: a configuration is checked before it is sent

Cause: operators learn of a route that no request matches, or of a service that does not exist, only from callers. Settings and check read their input by the same function.

--- a/app/src/ctl/Ctl.cpp
+++ b/app/src/ctl/Ctl.cpp
@@ -31,6 +31,7 @@
         makeJobVerb(),
         makeDomainVerb(),
         makeReportVerb(),
+        makeCheckVerb(),
         makeCompletionVerb(),
     };
     return table;
@@ -148,7 +149,7 @@
 
 static bool needsEntry(const Verb& verb)
 {
-    return verb.name_ != "completion";
+    return verb.name_ != "completion" && verb.name_ != "check";
 }
 
 static int parseAndRun(const Verb& verb, const std::vector<std::string>& arguments)
--- a/app/src/ctl/Ctl.h
+++ b/app/src/ctl/Ctl.h
@@ -8,6 +8,7 @@
 #include "Client.h"
 #include "persimmondoor/app/Main.h"
 
+#include <absl/status/statusor.h>
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
 #include <map>
@@ -65,6 +66,7 @@
 Verb makeJobVerb();
 Verb makeDomainVerb();
 Verb makeReportVerb();
+Verb makeCheckVerb();
 Verb makeCompletionVerb();
 
 // Reads the arguments after "ctl", runs the verb and returns the exit code.
@@ -77,6 +79,9 @@
 // Prints the error of an answer, or why no entry answered, and the recommended next step. Returns the exit code.
 int failAnswer(const Answer&);
 
+// The contents of a file, or of standard input for "-"; NotFound if it cannot be read.
+absl::StatusOr<std::string> readInput(const std::string& path);
+
 using Rows = std::vector<std::vector<std::string>>;
 // Prints aligned columns with a heading to standard output.
 void printTable(const std::vector<std::string>& heading, const Rows& rows);
--- a/app/src/ctl/Output.cpp
+++ b/app/src/ctl/Output.cpp
@@ -1,3 +1,4 @@
+#include "../Options.h"
 #include "Ctl.h"
 
 #include "persimmondoor/core/Text.h"
@@ -6,6 +7,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <iostream>
+#include <sstream>
 
 namespace persimmondoor::app::ctl {
 
@@ -70,6 +72,15 @@
     return fail(message, "check the addresses passed with --entry (the operators' API) and that an entry is running", Unreachable);
 }
 
+absl::StatusOr<std::string> readInput(const std::string& path)
+{
+    if (path != "-")
+        return readFile(path);
+    std::ostringstream text;
+    text << std::cin.rdbuf();
+    return text.str();
+}
+
 void printText(std::string_view text)
 {
     std::cout << text;
--- a/app/src/ctl/Settings.cpp
+++ b/app/src/ctl/Settings.cpp
@@ -7,9 +7,7 @@
 #include <absl/strings/numbers.h>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace persimmondoor::app::ctl {
 
@@ -66,19 +64,6 @@
     co_return co_await printAnswer(co_await call.client_.get(concat(pathOfTeam(*team), query)));
 }
 
-static absl::StatusOr<std::string> readFile(const std::string& path)
-{
-    std::ostringstream text;
-    if (path == "-") {
-        text << std::cin.rdbuf();
-        return text.str();
-    }
-    std::ifstream file(path, std::ios::binary);
-    if (!file || !(text << file.rdbuf()))
-        return absl::NotFoundError(concat("cannot read ", path));
-    return text.str();
-}
-
 namespace {
 
     // The contents to send and the revision that they replace.
@@ -114,7 +99,7 @@
     auto change = co_await readCurrent(call.client_, std::move(team));
     if (!change.ok())
         co_return change;
-    auto text = call.has("file") ? readFile(call.flag("file")) : applyAssignments(change->text_, assignments);
+    auto text = call.has("file") ? readInput(call.flag("file")) : applyAssignments(change->text_, assignments);
     if (!text.ok())
         co_return text.status();
     co_return Change { *std::move(text), call.flag("expect", change->expected_) };
@@ -234,7 +219,7 @@
     auto team = call.word(1);
     if (!team || !call.has("file"))
         co_return failUsage("settings", "validate needs a subtree and --file FILE");
-    auto text = readFile(call.flag("file"));
+    auto text = readInput(call.flag("file"));
     if (!text.ok())
         co_return failUsage("settings", std::string(text.status().message()));
     co_return co_await printAnswer(co_await call.client_.send("POST", concat("/v1/settings-validate/", *team), *text));
