--- a/soak/include/persimmondoor/soak/Promises.h
+++ b/soak/include/persimmondoor/soak/Promises.h
@@ -97,8 +97,11 @@
     /// The workers that run it.
     std::set<std::string> activeOn_;
     bool isDone_ { false };
-    /// Worker of the run that ended as done; meaningful if `isDone_`.
+    /// The run that ended as done, and its worker; meaningful if `isDone_`.
+    uint32_t doneRun_ { 0 };
     std::string doneOn_;
+    /// The task must not run again once that end is acknowledged; not so if the worker's lease lapsed before.
+    bool isDoneBinding_ { false };
     bool isDoneAcknowledged_ { false };
     bool hasBegunAfterDone_ { false };
     uint32_t acknowledgedFailures_ { 0 };
--- a/soak/main/main.cpp
+++ b/soak/main/main.cpp
@@ -7,6 +7,7 @@
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <iostream>
+#include <numeric>
 #include <unistd.h>
 
 using namespace persimmondoor;
@@ -22,6 +23,7 @@
     add("program", "path of the program", cxxopts::value<std::string>());
     add("first", "first seed", cxxopts::value<uint64_t>()->default_value("1"));
     add("count", "number of seeds", cxxopts::value<uint64_t>()->default_value("1"));
+    add("seeds", "seeds, separated by commas, in place of first and count", cxxopts::value<std::vector<uint64_t>>());
     add("trouble-s", "seconds within which faults begin", cxxopts::value<uint32_t>()->default_value("12"));
     add("entries", "number of entries", cxxopts::value<uint32_t>()->default_value("3"));
     add("agents", "number of agents, each with a worker", cxxopts::value<uint32_t>()->default_value("6"));
@@ -44,6 +46,15 @@
               << result.entryBytes_ / 1'000'000 << "\t" << result.agentBytes_ / 1'000'000 << "\t" << result.duration_.count() / 1'000'000 << "\t" << result.violations_.size() << "\n";
 }
 
+static std::vector<uint64_t> seedsOf(const cxxopts::ParseResult& arguments)
+{
+    if (arguments.count("seeds") > 0)
+        return arguments["seeds"].as<std::vector<uint64_t>>();
+    std::vector<uint64_t> seeds(arguments["count"].as<uint64_t>());
+    std::iota(seeds.begin(), seeds.end(), arguments["first"].as<uint64_t>());
+    return seeds;
+}
+
 static int runSeeds(const cxxopts::ParseResult& arguments)
 {
     SoakOptions options;
@@ -52,11 +63,9 @@
     options.fleet_ = { arguments["entries"].as<uint32_t>(), arguments["agents"].as<uint32_t>() };
     options.trouble_ = std::chrono::seconds(arguments["trouble-s"].as<uint32_t>());
     options.isVerbose_ = arguments.count("verbose") > 0;
-    auto first = arguments["first"].as<uint64_t>();
-    auto count = arguments["count"].as<uint64_t>();
     std::vector<SoakResult> results;
     int code = 0;
-    for (uint64_t seed = first; seed < first + count; ++seed) {
+    for (uint64_t seed : seedsOf(arguments)) {
         std::filesystem::path folder = std::filesystem::temp_directory_path() / concat("persimmondoor-soak-", getpid(), "-", seed);
         std::filesystem::create_directories(folder);
         options.folder_ = folder.string();
--- a/soak/src/decisions/Promises.cpp
+++ b/soak/src/decisions/Promises.cpp
@@ -127,7 +127,7 @@
                 report("once", concat("run ", describe(event.run_), " began after the task's end was acknowledged"));
             if (task.acknowledgedFailures_ >= maximumAttempts)
                 report("attempts", concat("run ", describe(event.run_), " began after ", task.acknowledgedFailures_, " failed attempts"));
-            task.hasBegunAfterDone_ = task.hasBegunAfterDone_ || task.isDone_;
+            task.hasBegunAfterDone_ = task.hasBegunAfterDone_ || task.isDoneBinding_;
             task.activeOn_.insert(event.worker_);
         }
         void checkBegin(const JobHistory& job, const RunBegan& event) const
@@ -145,9 +145,12 @@
         {
             TaskRecord& task = taskOf(event.run_.task_);
             task.activeOn_.erase(event.worker_);
-            if (event.how_ != RunEnd::Done || task.isDone_)
+            if (event.how_ != RunEnd::Done || task.isDoneBinding_)
                 return;
             task.isDone_ = true;
+            task.isDoneBinding_ = true;
+            task.hasBegunAfterDone_ = false;
+            task.doneRun_ = event.run_.run_;
             task.doneOn_ = event.worker_;
         }
         void operator()(const EndAcknowledged& event) const
@@ -155,7 +158,7 @@
             TaskRecord& task = taskOf(event.run_.task_);
             if (event.how_ == RunEnd::Failed)
                 ++task.acknowledgedFailures_;
-            if (event.how_ != RunEnd::Done)
+            if (event.how_ != RunEnd::Done || !task.isDoneBinding_ || event.run_.run_ != task.doneRun_)
                 return;
             task.isDoneAcknowledged_ = true;
             if (task.hasBegunAfterDone_)
@@ -167,7 +170,7 @@
                 for (auto& [key, task] : job.tasks_) {
                     // The task may have to run again, but counts as done for what depends on it.
                     if (task.isDone_ && !task.isDoneAcknowledged_ && task.doneOn_ == event.worker_)
-                        task.hasBegunAfterDone_ = false;
+                        task.isDoneBinding_ = false;
                 }
             }
         }
--- a/soak/tests/PromisesTest.cpp
+++ b/soak/tests/PromisesTest.cpp
@@ -97,6 +97,32 @@
     BOOST_TEST(acknowledgedAfter.broken_ == Names { "once" });
 }
 
+BOOST_AUTO_TEST_CASE(end_whose_lease_lapsed_before_it_was_acknowledged_binds_nobody)
+{
+    World world;
+    world.begin(runOf(0, 0, 1), "a");
+    world.end(runOf(0, 0, 1), "a", RunEnd::Done);
+    world.see(LeaseLapsed { "a" });
+    world.begin(runOf(0, 0, 2), "b");
+    world.see(EndAcknowledged { runOf(0, 0, 1), RunEnd::Done });
+    BOOST_TEST(world.broken_.empty());
+    world.end(runOf(0, 0, 2), "b", RunEnd::Done);
+    world.see(EndAcknowledged { runOf(0, 0, 2), RunEnd::Done });
+    world.begin(runOf(0, 0, 3), "a");
+    BOOST_TEST(world.broken_ == Names { "once" });
+}
+
+BOOST_AUTO_TEST_CASE(lapse_of_another_lease_leaves_the_end_binding)
+{
+    World world;
+    world.begin(runOf(0, 0, 1), "a");
+    world.end(runOf(0, 0, 1), "a", RunEnd::Done);
+    world.see(LeaseLapsed { "b" });
+    world.begin(runOf(0, 0, 2), "b");
+    world.see(EndAcknowledged { runOf(0, 0, 1), RunEnd::Done });
+    BOOST_TEST(world.broken_ == Names { "once" });
+}
+
 BOOST_AUTO_TEST_CASE(start_before_its_dependency_is_done_breaks_order)
 {
     World world;
