Tasks wait for a place near their data or gang as long as it pays

Cause: a fixed weight preferred the rack of a task's data, but no decision knew what distance costs: a task went far at once when the rack was full, and members of gangs that run slower on several racks went anywhere.

Change: the deployment's bounds state how many times as long a far run takes (`far_factor`, 1 if absent). With more than 1, a task without room on its rack waits as long as a near run saves, if the forecast of the rack says that a place opens by then; within the job's objective, and for at most 0.8 s while nothing of the job runs. The tasks that wait before it count, so that a hot rack is shared between waits and far runs. A gang that has to be on one rack is placed on one with room for all, or waits or is split by the same decision.

--- a/app/src/Deployed.cpp
+++ b/app/src/Deployed.cpp
@@ -131,6 +131,7 @@
     workflow::Tuning tuning;
     tuning.taskLease_ = std::min(tuning.taskLease_, deployment.bounds_.longestLease_ * 3 / 4);
     tuning.finishedJobRetention_ = deployment.bounds_.statusRetention_;
+    tuning.farFactor_ = deployment.bounds_.farFactor_;
     return tuning;
 }
 
--- a/bench/leader/Fleet.cpp
+++ b/bench/leader/Fleet.cpp
@@ -77,6 +77,16 @@
     submit(std::move(step));
 }
 
+void Fleet::submitData(uint32_t tasks, int64_t milliCores, const std::string& rack)
+{
+    Step step;
+    step.count_ = tasks;
+    step.demand_ = *Resources::create(milliCores, 1'000'000'000, 0);
+    step.estimate_ = std::chrono::seconds(5);
+    step.dataRack_ = rack;
+    submit(std::move(step));
+}
+
 uint64_t Fleet::commitAll()
 {
     uint64_t bytes = 0;
--- a/bench/leader/Fleet.h
+++ b/bench/leader/Fleet.h
@@ -12,6 +12,11 @@
 
     // Submits a job of one step.
     void submitFilling(uint32_t tasks, int64_t milliCores, int64_t memoryBytes = 13'000'000'000);
+    // Submits a job of short tasks with data on a rack.
+    void submitData(uint32_t tasks, int64_t milliCores, const std::string& rack);
+    // What distance costs; 1 lets no task wait for a near place.
+    void setFarFactor(double factor) { state_.tuning_.farFactor_ = factor; }
+    size_t nearWaits() const { return state_.nearPlaces_.waits_.size(); }
     // Every agent reports a new reading of its worker; runs that were ordered are listed as active.
     void reportAll();
     // One agent reports its worker.
--- a/bench/leader/main.cpp
+++ b/bench/leader/main.cpp
@@ -3,6 +3,8 @@
 //     bench_leader start 160     39 filling tasks are placed on 160 workers
 //     bench_leader reading 160   one agent reports a new reading of its worker
 //     bench_leader backlog 160   a report, and a round of placement, beside a backlog of jobs that wait for room
+//     bench_leader near 300      a round of placement beside 10,000 tasks that find no room, while as many tasks as may wait for a
+//                                near place; `near-free` is the same where distance costs nothing
 //     bench_leader line 160      the log lines of a tick beside many waiting jobs
 //     bench_leader waits 160     the same a second later, when the jobs have had nothing running for long enough to be logged
 //     bench_leader order 160     one task is accepted, placed, written and ordered to start
@@ -36,6 +38,12 @@
 // Jobs that find no room.
 constexpr uint32_t backlogJobs = 60;
 constexpr uint32_t longBacklogJobs = 600;
+constexpr uint32_t dataJobs = 12;
+constexpr uint32_t dataTasks = 100;
+constexpr uint32_t wideBacklogJobs = 100;
+constexpr int64_t dataMilliCores = 4000;
+constexpr uint32_t dataRacks = 5;
+constexpr double farFactor = 3;
 constexpr int64_t tooManyMilliCores = 60'000;
 // Demand of tasks of which hundreds fit a worker.
 constexpr int64_t smallMilliCores = 100;
@@ -46,7 +54,7 @@
 
 static int usage()
 {
-    std::cerr << "usage: bench_leader start|reading|backlog|line|waits|order|end WORKERS, list|encode|report-bytes|reply-bytes RUNS, row-bytes TASKS, or observe IMAGES\n";
+    std::cerr << "usage: bench_leader start|reading|backlog|line|waits|order|end|near|near-free WORKERS, list|encode|report-bytes|reply-bytes RUNS, row-bytes TASKS, or observe IMAGES\n";
     return 2;
 }
 
@@ -133,6 +141,31 @@
     return 0;
 }
 
+// Jobs whose data is on a few racks, which they fill, beside room on the others.
+static int measureNear(bool isCostly, uint32_t workers)
+{
+    Fleet fleet(workers);
+    fleet.setFarFactor(isCostly ? farFactor : 1);
+    for (uint32_t job = 0; job < dataJobs; ++job)
+        fleet.submitData(dataTasks, dataMilliCores, "r" + std::to_string(job % dataRacks));
+    for (uint32_t job = 0; job < wideBacklogJobs; ++job)
+        fleet.submitData(dataTasks, tooManyMilliCores, "r" + std::to_string(job % dataRacks));
+    fleet.commitAll();
+    for (uint32_t round = 0; round < 4; ++round) {
+        fleet.advance(std::chrono::milliseconds(500));
+        fleet.reportAll();
+        fleet.commitAll();
+    }
+    fleet.advance(std::chrono::milliseconds(50));
+    auto begun = std::chrono::steady_clock::now();
+    CALLGRIND_START_INSTRUMENTATION;
+    fleet.tick();
+    CALLGRIND_STOP_INSTRUMENTATION;
+    auto took = std::chrono::steady_clock::now() - begun;
+    std::cout << "near: " << std::chrono::duration_cast<std::chrono::microseconds>(took).count() << " us, " << fleet.assignedTasks() << " tasks assigned, " << fleet.nearWaits() << " wait for a near place\n";
+    return 0;
+}
+
 int main(int count, char** arguments)
 {
     if (count != 3)
@@ -144,6 +177,8 @@
         if (step == name)
             return measureWorker(step, static_cast<uint32_t>(std::stoul(arguments[2])));
     }
+    if (step == "near" || step == "near-free")
+        return measureNear(step == "near", static_cast<uint32_t>(std::stoul(arguments[2])));
     if (step == "row-bytes")
         return measureRow(static_cast<uint32_t>(std::stoul(arguments[2])));
     if (step != "order" && step != "end" && step != "start" && step != "reading" && step != "backlog" && step != "line" && step != "waits")
--- a/settings/include/persimmondoor/settings/Deployment.h
+++ b/settings/include/persimmondoor/settings/Deployment.h
@@ -18,7 +18,7 @@
 
 namespace persimmondoor::settings {
 
-/// Time bounds set by the deployment, from which the time-outs and lease lengths of the process are derived.
+/// Bounds set by the deployment, from which the time-outs, lease lengths and waits of the process are derived.
 struct DeploymentBounds {
     /// Time from SIGTERM until the platform kills the process.
     Duration shutdown_ { std::chrono::seconds(6) };
@@ -28,6 +28,8 @@
     Duration longestLease_ { std::chrono::seconds(10) };
     /// Time for which a tail latency must stay above its target to count as harm.
     Duration harm_ { std::chrono::seconds(4) };
+    /// How many times as long a task takes away from the rack of its data, or a gang on more than one rack; at least 1.
+    double farFactor_ { 1 };
     auto operator<=>(const DeploymentBounds&) const = default;
 };
 
--- a/settings/src/Deployment.cpp
+++ b/settings/src/Deployment.cpp
@@ -8,6 +8,7 @@
 static constexpr double minimumProcessors = 0.001;
 static constexpr double maximumProcessors = 1024;
 static constexpr int64_t maximumBoundMs = 3'600'000;
+static constexpr double maximumFarFactor = 100;
 
 static std::optional<Address> readOptionalAddress(const Reader& reader, std::string_view name)
 {
@@ -26,12 +27,14 @@
 static DeploymentBounds readBounds(const Reader& reader)
 {
     DeploymentBounds bounds;
-    if (!reader.expectObject({ "shutdown_ms", "status_retention_ms", "longest_lease_ms", "harm_ms" }))
+    if (!reader.expectObject({ "shutdown_ms", "status_retention_ms", "longest_lease_ms", "harm_ms", "far_factor" }))
         return bounds;
     bounds.shutdown_ = readMilliseconds(reader, "shutdown_ms", bounds.shutdown_);
     bounds.statusRetention_ = readMilliseconds(reader, "status_retention_ms", bounds.statusRetention_);
     bounds.longestLease_ = readMilliseconds(reader, "longest_lease_ms", bounds.longestLease_);
     bounds.harm_ = readMilliseconds(reader, "harm_ms", bounds.harm_);
+    if (reader.has("far_factor"))
+        bounds.farFactor_ = reader.field("far_factor").number(1, maximumFarFactor);
     return bounds;
 }
 
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -17,6 +17,7 @@
 #include "persimmondoor/workflow/DecisionTrace.h"
 #include "persimmondoor/workflow/JobState.h"
 #include "persimmondoor/workflow/LeaderMessages.h"
+#include "persimmondoor/workflow/NearPlace.h"
 #include "persimmondoor/workflow/SilentWorker.h"
 #include "persimmondoor/workflow/Staging.h"
 #include "persimmondoor/workflow/Tuning.h"
@@ -51,6 +52,8 @@
     /// The workers lost within `Tuning::lossRetention_`, oldest first.
     std::vector<WorkerLoss> losses_;
     Interference interference_;
+    /// The waits for places near data or gang, and what near and far runs took.
+    NearPlaces nearPlaces_;
     /// Time of the first failed write since the last durable one; empty if none has failed.
     std::optional<Instant> storeFailedAt_;
     /// When the newest durable write was sent.
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -173,6 +173,26 @@
     /// clients retry a few times only, and their last attempt should not fall into the same outage.
     Duration retryAfter_ { std::chrono::milliseconds(1000) };
     Duration maximumRetryAfter_ { std::chrono::milliseconds(2000) };
+
+    /// How many times as long a task takes away from the rack of its data, or a gang on more than one rack. With 1, no task
+    /// waits for a near place.
+    double farFactor_ { 1 };
+    /// A task whose near run would save less than this does not wait for it: the start of a run takes about as long.
+    Duration shortestNearGain_ { std::chrono::milliseconds(50) };
+    /// Longest wait for a near place, as a share of the time that a near run saves, in percent. A task then takes at most about
+    /// twice as long as with the better of the two places. Under a backlog, others use the room that the task leaves free.
+    int64_t nearWaitPercent_ { 100 };
+    int64_t contendedNearWaitPercent_ { 150 };
+    /// Bound on the waits for a near place of a job of which nothing runs, from the moment since which nothing does. Well below
+    /// the 3 s after which it counts as lost (stated by the platform), as the start and its report follow.
+    Duration maximumStandingWait_ { std::chrono::milliseconds(800) };
+    /// Bound on each wait for a near place, also where only a near run can meet the job's objective.
+    Duration maximumNearWait_ { std::chrono::seconds(10) };
+    /// Bounds on the tasks that wait for a near place at a time, and on the log lines about them in one `waitReportInterval_`.
+    size_t maximumNearWaits_ { 100 };
+    size_t maximumNearWaitLines_ { 20 };
+    /// Number of finished near and far runs from which their measured times correct `farFactor_` and the estimates.
+    uint32_t runsBeforeCorrection_ { 8 };
     bool operator==(const Tuning&) const = default;
 };
 
--- a/workflow/src/decisions/JobWaits.cpp
+++ b/workflow/src/decisions/JobWaits.cpp
@@ -31,8 +31,10 @@
         UnreachableWorker,
         Stopping,
         Ordered,
+        // A worker has room, but not on the rack of the task's data or of its gang.
+        NearPlace,
     };
-    constexpr size_t taskWaitCount = 15;
+    constexpr size_t taskWaitCount = 16;
 
     using TasksByWait = std::array<size_t, taskWaitCount>;
 
@@ -60,7 +62,7 @@
 {
     static constexpr std::array<std::string_view, taskWaitCount> texts { "not due by the leader's clock", "job not in the ready set", "another member of the gang still assigned", "known workers after a takeover",
         "lists of a silent worker", "observation of suspects", "no suitable worker", "no worker without interference", "room for the whole gang", "a round of placement", "start to be written",
-        "run on a silent worker", "run on an unreachable worker", "run being stopped", "start ordered" };
+        "run on a silent worker", "run on an unreachable worker", "run being stopped", "start ordered", "a near place" };
     return texts.at(static_cast<size_t>(wait));
 }
 
@@ -184,6 +186,14 @@
     return task.isStopping_ ? TaskWait::Stopping : TaskWait::Ordered;
 }
 
+// The wait for a near place of the task, or of its gang; null if there is none.
+static const NearWait* nearWaitOf(const LeaderState& state, const Step& step, TaskKey key, Instant now)
+{
+    key.index_ = step.gang_ ? 0 : key.index_;
+    auto wait = state.nearPlaces_.waits_.find(key);
+    return wait == state.nearPlaces_.waits_.end() || wait->second.until_ < now ? nullptr : &wait->second;
+}
+
 // The first reason for which `startReadyTasks` seeks no worker for the waiting task; empty if it does.
 static std::optional<TaskWait> waitBeforeSearch(const LeaderState& state, const Job& job, const TaskKey& key, bool hasAssignedSibling, Instant now)
 {
@@ -192,6 +202,8 @@
         return TaskWait::GangMember;
     if (state.readyJobs_.count(key.job_) == 0)
         return TaskWait::NotReady;
+    if (nearWaitOf(state, step, key, now))
+        return TaskWait::NearPlace;
     if (step.gang_)
         return std::nullopt;
     if ((step.longRunning_ || step.isFilling_) && isAwaitingWorkers(state, now))
@@ -296,6 +308,8 @@
         text += concat("; due in ", dueInMs(state, job, key.occurrence_), " ms");
     else if (waiting > 0)
         text += concat("; ", describe(surveys.of(job, key), step.demand_));
+    if (const NearWait* wait = nearWaitOf(state, step, key, now))
+        text += concat("; waits for a near place until ", milliseconds(wait->until_ - now), " ms from now");
     return text + describeUnlistedRuns(state, job, now);
 }
 
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -87,6 +87,8 @@
 
 // Adds the task's newest run, which has ended, to the task's delays.
 void recordRunEnd(Job&, const TaskKey&, Task&, bool isDone, Instant now);
+// Adds the task's run, which has ended as done, to what near and far runs take.
+void recordDistance(const DecisionContext&, const Job&, const TaskKey&, const Task&);
 // Records that the task was the last of its step to be done.
 void recordStepDone(const DecisionContext&, Job&, const TaskKey&, const Task& lastTask);
 // Since when the waiting task has had no run that a worker listed, as far as this leader has seen; empty if it is not waiting.
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -61,7 +61,7 @@
     return worker.probe_ == key && stateObstacle(state, worker, now) == WorkerObstacle::None;
 }
 
-static bool hasLabel(const Worker& worker, const std::string& label)
+bool hasLabel(const Worker& worker, const std::string& label)
 {
     return std::find(worker.traits_.labels_.begin(), worker.traits_.labels_.end(), label) != worker.traits_.labels_.end();
 }
--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -79,7 +79,7 @@
     return idle > state_.tuning_.ignoreInterferenceAfter_ ? Disturbance::Allowed : Disturbance::Avoided;
 }
 
-std::optional<WorkerIncarnation> PlacementRound::chooseWorker(const Job& job, const TaskKey& key, Disturbance disturbance)
+std::optional<WorkerIncarnation> PlacementRound::chooseWorker(const Job& job, const TaskKey& key, Disturbance disturbance, const std::string& rack)
 {
     const Candidate* best = nullptr;
     int64_t bestScore = 0;
@@ -90,6 +90,8 @@
     const std::vector<bool>* disturbed = step.isFilling_ ? &disturbedBy(step.image_) : nullptr;
     for (const Candidate& candidate : candidates_) {
         const Worker& worker = *candidate.worker_;
+        if (!rack.empty() && !hasLabel(worker, rack))
+            continue;
         bool isHarmlessHere = !disturbed || isHarmless(candidate, *disturbed);
         if (!isHarmlessHere && !mayCauseInterference)
             continue;
--- a/workflow/src/decisions/PlacementRound.h
+++ b/workflow/src/decisions/PlacementRound.h
@@ -16,7 +16,8 @@
     PlacementRound(const LeaderState&, Instant now);
 
     // The worker with the best score for the task, or nothing if the task has to wait.
-    std::optional<WorkerIncarnation> chooseWorker(const Job&, const TaskKey&, Disturbance);
+    // \param rack the only rack that may be chosen; empty for any.
+    std::optional<WorkerIncarnation> chooseWorker(const Job&, const TaskKey&, Disturbance, const std::string& rack = {});
     // `Disturbance::Avoided` unless nothing of the job has run for long and no run of it may be at work.
     Disturbance disturbanceOf(const Job&);
     // True if most of the capacity of the service is free, without regard to the cores of filling tasks.
--- /dev/null
+++ b/workflow/src/decisions/RackForecast.cpp
@@ -0,0 +1,137 @@
+#include "RackForecast.h"
+
+#include "PlacementScore.h"
+
+#include <algorithm>
+
+namespace persimmondoor::workflow {
+
+// Position of the rack among the labels of a worker, after its machine type.
+static constexpr size_t rackLabel = 1;
+// A run that has outlived its estimate goes on for as long as it is overdue, and for this time at least.
+static constexpr Duration shortestRest = std::chrono::milliseconds(50);
+// Room that is taken for as long as the forecast looks ahead.
+static constexpr Duration horizon = std::chrono::hours(1);
+
+std::string_view rackOf(const Worker& worker)
+{
+    return worker.traits_.labels_.size() > rackLabel ? std::string_view(worker.traits_.labels_[rackLabel]) : std::string_view();
+}
+
+// The demand that counts against the capacity.
+static Resources countedDemand(const Step& step)
+{
+    return step.isFilling_ ? step.demand_.withoutCores() : step.demand_;
+}
+
+static Instant expectedEnd(const LeaderState& state, const Task& task, const Step& step, const Worker& worker, Instant now)
+{
+    Duration runTime = nearRunTimeOf(state.nearPlaces_.cost_, state.tuning_, step.estimate_);
+    if (!step.dataRack_.empty() && !hasLabel(worker, step.dataRack_))
+        runTime = Duration(static_cast<int64_t>(static_cast<double>(runTime.count()) * farFactorOf(state.nearPlaces_.cost_, state.tuning_)));
+    Instant end = task.times_.listedAt_.value_or(task.times_.releasedAt_.value_or(task.times_.assignedAt_)) + runTime;
+    return end > now ? end : now + std::max(now - end, shortestRest);
+}
+
+void RackForecast::addRuns(Room& room, const LeaderState& state, Instant now)
+{
+    const Job* job = nullptr;
+    room.releases_.reserve(room.worker_->assignedTasks_.size());
+    for (const TaskKey& key : room.worker_->assignedTasks_) {
+        // The runs are in the order of their jobs.
+        if (!job || job->record_.id_ != key.job_)
+            job = &state.jobs_.at(key.job_);
+        const Step& step = stepOf(*job, key);
+        room.used_ = room.used_ + countedDemand(step);
+        if (!step.longRunning_)
+            room.releases_.push_back({ expectedEnd(state, job->tasks_[taskNumber(*job, key)], step, *room.worker_, now), countedDemand(step) });
+    }
+}
+
+RackForecast::RackForecast(const LeaderState& state, const std::string& service, const std::string& rack, Instant now)
+    : now_(now)
+{
+    for (const auto& [incarnation, worker] : state.workers_) {
+        if (worker.traits_.service_ != service || !hasLabel(worker, rack) || !acceptsRuns(state, worker, now))
+            continue;
+        Room room { &worker, {}, {} };
+        for (const auto& [run, stopping] : worker.stoppingRuns_)
+            room.used_ = room.used_ + stopping.demand_;
+        for (const auto& [key, hold] : worker.holds_)
+            room.used_ = room.used_ + hold.demand_;
+        addRuns(room, state, now);
+        std::sort(room.releases_.begin(), room.releases_.end(), [](const Release& left, const Release& right) { return left.at_ < right.at_; });
+        rooms_.push_back(std::move(room));
+    }
+}
+
+std::optional<Instant> RackForecast::opensAt(const Room& room, const Step& step, Instant now, const std::optional<Instant>& bound)
+{
+    const Resources& capacity = room.worker_->traits_.capacity_;
+    if (!step.demand_.fitsIn(capacity) || (!step.requiredLabel_.empty() && !hasLabel(*room.worker_, step.requiredLabel_)))
+        return std::nullopt;
+    Resources used = room.used_;
+    Instant opensAt = now;
+    for (const Release& release : room.releases_) {
+        if ((used + step.demand_).fitsIn(capacity))
+            return opensAt;
+        if (bound && release.at_ >= *bound)
+            return std::nullopt;
+        used = used - release.demand_;
+        opensAt = release.at_;
+    }
+    return (used + step.demand_).fitsIn(capacity) ? std::optional(opensAt) : std::nullopt;
+}
+
+// Takes the room that opens first.
+std::optional<Instant> RackForecast::take(std::vector<Room>& rooms, const Step& step, Duration runTime, Instant now)
+{
+    Room* first = nullptr;
+    std::optional<Instant> earliest;
+    for (Room& room : rooms) {
+        std::optional<Instant> at = opensAt(room, step, now, earliest);
+        if (!at || (earliest && *at >= *earliest))
+            continue;
+        earliest = at;
+        first = &room;
+        if (*at == now)
+            break;
+    }
+    if (!first)
+        return std::nullopt;
+    first->used_ = first->used_ + step.demand_;
+    Release release { *earliest + runTime, step.demand_ };
+    auto after = std::upper_bound(first->releases_.begin(), first->releases_.end(), release.at_, [](Instant at, const Release& other) { return at < other.at_; });
+    first->releases_.insert(after, release);
+    return earliest;
+}
+
+std::optional<Instant> RackForecast::opensAt(const Step& step, uint32_t count) const
+{
+    if (count == 1) {
+        std::optional<Instant> earliest;
+        for (const Room& room : rooms_) {
+            std::optional<Instant> at = opensAt(room, step, now_, earliest);
+            earliest = at && (!earliest || *at < *earliest) ? at : earliest;
+        }
+        return earliest;
+    }
+    // Members of a gang run at the same time: room that one of them has is not taken over by another.
+    std::vector<Room> rooms = rooms_;
+    std::optional<Instant> last;
+    for (uint32_t member = 0; member < count; ++member) {
+        std::optional<Instant> at = take(rooms, step, horizon, now_);
+        if (!at || *at - now_ >= horizon)
+            return std::nullopt;
+        last = std::max(last.value_or(*at), *at);
+    }
+    return last;
+}
+
+void RackForecast::reserve(const Step& step, uint32_t count, Duration runTime)
+{
+    for (uint32_t task = 0; task < count; ++task)
+        take(rooms_, step, runTime, now_);
+}
+
+} // namespace persimmondoor::workflow
--- /dev/null
+++ b/workflow/src/decisions/RackForecast.h
@@ -0,0 +1,45 @@
+// When room on a rack is expected to become free, from the expected ends of the runs there and from the tasks that wait for it.
+//
+//     RackForecast forecast(state, "service", "r1", now);
+//     std::optional<Instant> opensAt = forecast.opensAt(step, 1);
+#pragma once
+
+#include "LeaderRules.h"
+
+namespace persimmondoor::workflow {
+
+class RackForecast {
+public:
+    RackForecast(const LeaderState&, const std::string& service, const std::string& rack, Instant now);
+
+    // When the rack has room for so many tasks of the step, which may be now; empty if it never has.
+    std::optional<Instant> opensAt(const Step&, uint32_t count) const;
+    // Takes the room of so many tasks from when it becomes free. Does nothing if it never does.
+    // \param runTime expected time of their runs.
+    void reserve(const Step&, uint32_t count, Duration runTime);
+
+private:
+    struct Release {
+        Instant at_;
+        Resources demand_;
+    };
+    struct Room {
+        const Worker* worker_ { nullptr };
+        Resources used_;
+        // By time.
+        std::vector<Release> releases_;
+    };
+
+    static void addRuns(Room&, const LeaderState&, Instant now);
+    // When the room fits a task of the step; empty if it never does, or not before `bound`.
+    static std::optional<Instant> opensAt(const Room&, const Step&, Instant now, const std::optional<Instant>& bound);
+    static std::optional<Instant> take(std::vector<Room>&, const Step&, Duration runTime, Instant now);
+
+    Instant now_;
+    std::vector<Room> rooms_;
+};
+
+// Name of the worker's rack; empty if it has announced none.
+std::string_view rackOf(const Worker&);
+
+} // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -93,6 +93,7 @@
 {
     const TaskKey& key = end.run_.task_;
     if (isCurrent) {
+        recordDistance(context, job, key, task);
         completeTask(context, job, key, task);
         unassign(context, job, key, task);
     } else if (task.progress_.phase_ == TaskPhase::Assigned) {
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -1,4 +1,5 @@
 #include "LeaderRules.h"
+#include "NearPlaceRound.h"
 #include "PlacementRound.h"
 #include "UnplaceableDemands.h"
 
@@ -62,42 +63,62 @@
     return { job.record_.id_, occurrence, step, index };
 }
 
-// Places all members of the gang or none.
-// \return true if the gang still waits for free capacity, or for the lists of a silent worker.
-static bool startGang(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round)
+// Assigns all members of the gang or none.
+// \param rack the only rack that may be used; empty for any.
+// \return false if there is no room for all.
+static bool placeGang(const DecisionContext& context, Job& job, const TaskKey& first, uint32_t run, const std::string& rack, PlacementRound& round)
 {
-    const Step& step = job.record_.spec_.steps()[stepNumber];
-    uint32_t run = 0;
-    bool mustAwaitList = false;
-    for (uint32_t index = 0; index < step.count_; ++index) {
-        const Task& task = job.tasks_[taskNumber(job, makeTaskKey(job, occurrence, stepNumber, index))];
-        if (task.progress_.phase_ != TaskPhase::Waiting)
-            return false;
-        run = std::max(run, task.progress_.run_);
-        mustAwaitList = mustAwaitList || mayHaveEnded(context.state_, task, context.now_);
-    }
-    if (mustAwaitList)
-        return true;
+    const Step& step = stepOf(job, first);
     Disturbance disturbance = round.disturbanceOf(job);
     StagedJob before = stage(context.state_, job.record_.id_);
     for (uint32_t index = 0; index < step.count_; ++index) {
-        TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
-        auto incarnation = round.chooseWorker(job, key, disturbance);
+        TaskKey key = makeTaskKey(job, first.occurrence_, first.step_, index);
+        auto incarnation = round.chooseWorker(job, key, disturbance, rack);
         if (incarnation) {
-            assign(context, job, key, *incarnation, run + 1);
+            assign(context, job, key, *incarnation, run);
             if (step.longRunning_)
                 round.refreshImages();
             continue;
         }
         for (uint32_t placed = 0; placed < index; ++placed) {
-            TaskKey placedKey = makeTaskKey(job, occurrence, stepNumber, placed);
+            TaskKey placedKey = makeTaskKey(job, first.occurrence_, first.step_, placed);
             unassign(context, job, placedKey, job.tasks_[taskNumber(job, placedKey)]);
         }
         round.refreshImages();
         context.state_.staged_[job.record_.id_] = before;
+        return false;
+    }
+    levelGang(job, first);
+    return true;
+}
+
+// Starts all members of the gang or none.
+// \return true if the gang still waits for free capacity, for a rack, or for the lists of a silent worker.
+static bool startGang(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, NearPlaceRound& nearPlaces)
+{
+    const Step& step = job.record_.spec_.steps()[stepNumber];
+    uint32_t run = 0;
+    bool mustAwaitList = false;
+    for (uint32_t index = 0; index < step.count_; ++index) {
+        const Task& task = job.tasks_[taskNumber(job, makeTaskKey(job, occurrence, stepNumber, index))];
+        if (task.progress_.phase_ != TaskPhase::Waiting)
+            return false;
+        run = std::max(run, task.progress_.run_);
+        mustAwaitList = mustAwaitList || mayHaveEnded(context.state_, task, context.now_);
+    }
+    if (mustAwaitList)
+        return true;
+    TaskKey first = makeTaskKey(job, occurrence, stepNumber, 0);
+    GangPlace place = nearPlaces.placeOfGang(job, first);
+    if (place.mustWait_)
         return true;
+    if (!place.rack_.empty() && placeGang(context, job, first, run + 1, place.rack_, round)) {
+        nearPlaces.noteGangStart(first, true);
+        return false;
     }
-    levelGang(job, makeTaskKey(job, occurrence, stepNumber, 0));
+    if (!placeGang(context, job, first, run + 1, {}, round))
+        return true;
+    nearPlaces.noteGangStart(first, false);
     return false;
 }
 
@@ -129,11 +150,11 @@
 }
 
 // \return true if a task of the step still waits for free capacity.
-static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, UnplaceableDemands& unplaceable)
+static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, NearPlaceRound& nearPlaces, UnplaceableDemands& unplaceable)
 {
     const Step& step = job.record_.spec_.steps()[stepNumber];
     if (step.gang_)
-        return startGang(context, job, occurrence, stepNumber, round);
+        return startGang(context, job, occurrence, stepNumber, round, nearPlaces);
     if ((step.longRunning_ || step.isFilling_) && isAwaitingWorkers(context.state_, context.now_))
         return true;
     Disturbance disturbance = disturbanceOf(context, job, occurrence, stepNumber, round);
@@ -157,6 +178,10 @@
             mustWait = true;
             continue;
         }
+        if (nearPlaces.keepsWaiting(job, key)) {
+            mustWait = true;
+            continue;
+        }
         bool isBarred = isBarredFromProbes(job, key, disturbance);
         if (isBarred && isFullForBarred) {
             mustWait = true;
@@ -177,6 +202,10 @@
             mustWait = true;
             continue;
         }
+        if (nearPlaces.mustWait(job, key, *incarnation)) {
+            mustWait = true;
+            continue;
+        }
         assign(context, job, key, *incarnation, progress.run_ + 1);
         if (step.longRunning_)
             round.refreshImages();
@@ -209,7 +238,7 @@
 }
 
 // \return true if the job stays ready: a task waits for free capacity or an occurrence is not due yet.
-static bool startTasksOf(const DecisionContext& context, Job& job, PlacementRound& round, UnplaceableDemands& unplaceable)
+static bool startTasksOf(const DecisionContext& context, Job& job, PlacementRound& round, NearPlaceRound& nearPlaces, UnplaceableDemands& unplaceable)
 {
     bool waits = false;
     const JobSpec& spec = job.record_.spec_;
@@ -224,7 +253,7 @@
                 continue;
             if (!job.stepTimes_[number].startableSince_)
                 job.stepTimes_[number].startableSince_ = context.now_;
-            waits = startStep(context, job, occurrence, step, round, unplaceable) || waits;
+            waits = startStep(context, job, occurrence, step, round, nearPlaces, unplaceable) || waits;
         }
     }
     return waits;
@@ -242,7 +271,8 @@
 
 void startReadyTasks(const DecisionContext& context)
 {
-    if (context.state_.readyJobs_.empty() || context.now_ - context.state_.lastPlacementAt_ < placementIntervalOf(context.state_))
+    bool isIdle = context.state_.readyJobs_.empty() && context.state_.nearPlaces_.waits_.empty();
+    if (isIdle || context.now_ - context.state_.lastPlacementAt_ < placementIntervalOf(context.state_))
         return;
     context.state_.lastPlacementAt_ = context.now_;
     context.state_.hasNewlyReadyJobs_ = false;
@@ -254,15 +284,17 @@
     }
     std::sort(ready.begin(), ready.end());
     PlacementRound round(context.state_, context.now_);
+    NearPlaceRound nearPlaces(context);
     UnplaceableDemands unplaceable;
     for (const Urgency& urgency : ready) {
         context.noteJob(urgency.job_);
         Job& job = context.state_.jobs_.at(urgency.job_);
-        bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, round, unplaceable);
+        bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, round, nearPlaces, unplaceable);
         updateIdleTime(context, job, waits);
         if (!waits)
             context.state_.readyJobs_.erase(urgency.job_);
     }
+    nearPlaces.endObsoleteWaits();
 }
 
 // Why a start that was decided earlier must not be released now; empty if it may.
--- a/workflow/tests/LeaderWorld.h
+++ b/workflow/tests/LeaderWorld.h
@@ -89,7 +89,7 @@
     // As `report`, with the agent's name and session.
     void reportBy(const std::string& agent, uint64_t session, const std::string& worker, int64_t milliseconds, std::vector<ActiveRun> active = {}, std::vector<EndedRun> ended = {})
     {
-        WorkerReport lists { { worker, bornMs_, host_ }, { "packs", domain_, { "a", "r1" }, capacity_ }, draining_, 0, true, reachable_, readingNumber_, std::move(active), std::move(ended), refused_, hasAllEnds_ };
+        WorkerReport lists { { worker, bornMs_, host_ }, { "packs", domain_, { "a", rack_ }, capacity_ }, draining_, 0, true, reachable_, readingNumber_, std::move(active), std::move(ended), refused_, hasAllEnds_ };
         AgentReport report { agent, domain_, session, state_.epoch_, fenceOf(agent), Sequence(++sequence_), lastCompletedOrder_, { lists }, endedWorkers_, true, crashedRuns_, completedOrders_, unconfirmedStarts_ };
         handle(ReportArrived { report }, milliseconds);
         if (report.fence_ == fenceOf(agent))
@@ -134,6 +134,7 @@
     // Bounds on the leases that the last commit has stored.
     LeaseBounds storedBounds_;
     std::string domain_ { "north" };
+    std::string rack_ { "r1" };
     // Start time and host of the reported workers.
     int64_t bornMs_ { 1000 };
     std::string host_;
