--- a/workflow/src/decisions/NearPlaceRound.cpp
+++ b/workflow/src/decisions/NearPlaceRound.cpp
@@ -174,8 +174,21 @@
     return { true, {} };
 }
 
-void NearPlaceRound::noteGangStart(const TaskKey& first, bool isNear)
+void NearPlaceRound::noteStart(const Job& job, const TaskKey& key, const WorkerIncarnation& incarnation)
 {
+    if (forecasts_.empty())
+        return;
+    const Worker& worker = context_.state_.workers_.at(incarnation);
+    for (auto& [rack, forecast] : forecasts_)
+        forecast.addRun(worker, job, key);
+}
+
+void NearPlaceRound::noteGangStart(const Job& job, const TaskKey& first, bool isNear)
+{
+    for (uint32_t index = 0; index < stepOf(job, first).count_; ++index) {
+        TaskKey key { first.job_, first.occurrence_, first.step_, index };
+        noteStart(job, key, job.tasks_[taskNumber(job, key)].progress_.worker_);
+    }
     endWait(first, isNear, isNear ? "all members on one rack" : "members on several racks");
 }
 
--- a/workflow/src/decisions/NearPlaceRound.h
+++ b/workflow/src/decisions/NearPlaceRound.h
@@ -31,8 +31,10 @@
     // Chooses a rack for a gang that has to be on one.
     // \param first first member, which stands for the gang.
     GangPlace placeOfGang(const Job&, const TaskKey& first);
-    // Ends the gang's wait, as all members are assigned.
-    void noteGangStart(const TaskKey& first, bool isNear);
+    // Takes the room of a task that was assigned to the worker from the forecasts.
+    void noteStart(const Job&, const TaskKey&, const WorkerIncarnation&);
+    // The same for all members of a gang, whose wait ends.
+    void noteGangStart(const Job&, const TaskKey& first, bool isNear);
     // Ends the waits of tasks that no longer wait for a worker. To be called at the end of the round.
     void endObsoleteWaits();
 
--- a/workflow/src/decisions/RackForecast.cpp
+++ b/workflow/src/decisions/RackForecast.cpp
@@ -33,23 +33,22 @@
     return end > now ? end : now + std::max(now - end, shortestRest);
 }
 
-void RackForecast::addRuns(Room& room, const LeaderState& state, Instant now)
+void RackForecast::addRun(Room& room, const Job& job, const TaskKey& key) const
 {
-    const Job* job = nullptr;
-    room.releases_.reserve(room.worker_->assignedTasks_.size());
-    for (const TaskKey& key : room.worker_->assignedTasks_) {
-        // The runs are in the order of their jobs.
-        if (!job || job->record_.id_ != key.job_)
-            job = &state.jobs_.at(key.job_);
-        const Step& step = stepOf(*job, key);
-        room.used_ = room.used_ + countedDemand(step);
-        if (!step.longRunning_)
-            room.releases_.push_back({ expectedEnd(state, job->tasks_[taskNumber(*job, key)], step, *room.worker_, now), countedDemand(step) });
-    }
+    const Step& step = stepOf(job, key);
+    room.used_ = room.used_ + countedDemand(step);
+    if (!step.longRunning_)
+        room.releases_.push_back({ expectedEnd(state_, job.tasks_[taskNumber(job, key)], step, *room.worker_, now_), countedDemand(step) });
+}
+
+bool RackForecast::endsEarlier(const Release& left, const Release& right)
+{
+    return left.at_ < right.at_;
 }
 
 RackForecast::RackForecast(const LeaderState& state, const std::string& service, const std::string& rack, Instant now)
-    : now_(now)
+    : state_(state)
+    , now_(now)
 {
     for (const auto& [incarnation, worker] : state.workers_) {
         if (worker.traits_.service_ != service || !hasLabel(worker, rack) || !acceptsRuns(state, worker, now))
@@ -59,12 +58,28 @@
             room.used_ = room.used_ + stopping.demand_;
         for (const auto& [key, hold] : worker.holds_)
             room.used_ = room.used_ + hold.demand_;
-        addRuns(room, state, now);
-        std::sort(room.releases_.begin(), room.releases_.end(), [](const Release& left, const Release& right) { return left.at_ < right.at_; });
+        const Job* job = nullptr;
+        room.releases_.reserve(worker.assignedTasks_.size());
+        for (const TaskKey& key : worker.assignedTasks_) {
+            // The runs are in the order of their jobs.
+            if (!job || job->record_.id_ != key.job_)
+                job = &state.jobs_.at(key.job_);
+            addRun(room, *job, key);
+        }
+        std::sort(room.releases_.begin(), room.releases_.end(), endsEarlier);
         rooms_.push_back(std::move(room));
     }
 }
 
+void RackForecast::addRun(const Worker& worker, const Job& job, const TaskKey& key)
+{
+    auto room = std::find_if(rooms_.begin(), rooms_.end(), [&](const Room& other) { return other.worker_ == &worker; });
+    if (room == rooms_.end())
+        return;
+    addRun(*room, job, key);
+    std::sort(room->releases_.begin(), room->releases_.end(), endsEarlier);
+}
+
 std::optional<Instant> RackForecast::opensAt(const Room& room, const Step& step, Instant now, const std::optional<Instant>& bound)
 {
     const Resources& capacity = room.worker_->traits_.capacity_;
@@ -101,8 +116,7 @@
         return std::nullopt;
     first->used_ = first->used_ + step.demand_;
     Release release { *earliest + runTime, step.demand_ };
-    auto after = std::upper_bound(first->releases_.begin(), first->releases_.end(), release.at_, [](Instant at, const Release& other) { return at < other.at_; });
-    first->releases_.insert(after, release);
+    first->releases_.insert(std::upper_bound(first->releases_.begin(), first->releases_.end(), release, endsEarlier), release);
     return earliest;
 }
 
--- a/workflow/src/decisions/RackForecast.h
+++ b/workflow/src/decisions/RackForecast.h
@@ -14,6 +14,8 @@
 
     // When the rack has room for so many tasks of the step, which may be now; empty if it never has.
     std::optional<Instant> opensAt(const Step&, uint32_t count) const;
+    // Takes the room of a task that has been assigned to the worker since the forecast was made.
+    void addRun(const Worker&, const Job&, const TaskKey&);
     // Takes the room of so many tasks from when it becomes free. Does nothing if it never does.
     // \param runTime expected time of their runs.
     void reserve(const Step&, uint32_t count, Duration runTime);
@@ -30,11 +32,13 @@
         std::vector<Release> releases_;
     };
 
-    static void addRuns(Room&, const LeaderState&, Instant now);
+    void addRun(Room&, const Job&, const TaskKey&) const;
+    static bool endsEarlier(const Release&, const Release&);
     // When the room fits a task of the step; empty if it never does, or not before `bound`.
     static std::optional<Instant> opensAt(const Room&, const Step&, Instant now, const std::optional<Instant>& bound);
     static std::optional<Instant> take(std::vector<Room>&, const Step&, Duration runTime, Instant now);
 
+    const LeaderState& state_;
     Instant now_;
     std::vector<Room> rooms_;
 };
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -1,6 +1,5 @@
-#include "LeaderRules.h"
-#include "NearPlaceRound.h"
-#include "PlacementRound.h"
+#include "Starts.h"
+
 #include "UnplaceableDemands.h"
 
 #include "persimmondoor/core/Text.h"
@@ -27,7 +26,7 @@
     return isDue(state, job, occurrence) && areDependenciesDone(job, occurrence, step);
 }
 
-static void assign(const DecisionContext& context, Job& job, const TaskKey& key, const WorkerIncarnation& incarnation, uint32_t run)
+void assign(const DecisionContext& context, Job& job, const TaskKey& key, const WorkerIncarnation& incarnation, uint32_t run)
 {
     context.noteJob(key.job_);
     Task& task = job.tasks_[taskNumber(job, key)];
@@ -63,65 +62,6 @@
     return { job.record_.id_, occurrence, step, index };
 }
 
-// Assigns all members of the gang or none.
-// \param rack the only rack that may be used; empty for any.
-// \return false if there is no room for all.
-static bool placeGang(const DecisionContext& context, Job& job, const TaskKey& first, uint32_t run, const std::string& rack, PlacementRound& round)
-{
-    const Step& step = stepOf(job, first);
-    Disturbance disturbance = round.disturbanceOf(job);
-    StagedJob before = stage(context.state_, job.record_.id_);
-    for (uint32_t index = 0; index < step.count_; ++index) {
-        TaskKey key = makeTaskKey(job, first.occurrence_, first.step_, index);
-        auto incarnation = round.chooseWorker(job, key, disturbance, rack);
-        if (incarnation) {
-            assign(context, job, key, *incarnation, run);
-            if (step.longRunning_)
-                round.refreshImages();
-            continue;
-        }
-        for (uint32_t placed = 0; placed < index; ++placed) {
-            TaskKey placedKey = makeTaskKey(job, first.occurrence_, first.step_, placed);
-            unassign(context, job, placedKey, job.tasks_[taskNumber(job, placedKey)]);
-        }
-        round.refreshImages();
-        context.state_.staged_[job.record_.id_] = before;
-        return false;
-    }
-    levelGang(job, first);
-    return true;
-}
-
-// Starts all members of the gang or none.
-// \return true if the gang still waits for free capacity, for a rack, or for the lists of a silent worker.
-static bool startGang(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, NearPlaceRound& nearPlaces)
-{
-    const Step& step = job.record_.spec_.steps()[stepNumber];
-    uint32_t run = 0;
-    bool mustAwaitList = false;
-    for (uint32_t index = 0; index < step.count_; ++index) {
-        const Task& task = job.tasks_[taskNumber(job, makeTaskKey(job, occurrence, stepNumber, index))];
-        if (task.progress_.phase_ != TaskPhase::Waiting)
-            return false;
-        run = std::max(run, task.progress_.run_);
-        mustAwaitList = mustAwaitList || mayHaveEnded(context.state_, task, context.now_);
-    }
-    if (mustAwaitList)
-        return true;
-    TaskKey first = makeTaskKey(job, occurrence, stepNumber, 0);
-    GangPlace place = nearPlaces.placeOfGang(job, first);
-    if (place.mustWait_)
-        return true;
-    if (!place.rack_.empty() && placeGang(context, job, first, run + 1, place.rack_, round)) {
-        nearPlaces.noteGangStart(first, true);
-        return false;
-    }
-    if (!placeGang(context, job, first, run + 1, {}, round))
-        return true;
-    nearPlaces.noteGangStart(first, false);
-    return false;
-}
-
 bool isAwaitingWorkers(const LeaderState& state, Instant now)
 {
     return now < state.awaitsWorkersUntil_ && std::any_of(state.workers_.begin(), state.workers_.end(), [](const auto& entry) { return entry.second.agent_.empty(); });
@@ -207,6 +147,7 @@
             continue;
         }
         assign(context, job, key, *incarnation, progress.run_ + 1);
+        nearPlaces.noteStart(job, key, *incarnation);
         if (step.longRunning_)
             round.refreshImages();
         job.hasExceptionalPlace_ = isExceptional;
--- a/workflow/tests/NearWaitTest.cpp
+++ b/workflow/tests/NearWaitTest.cpp
@@ -46,7 +46,7 @@
             if (name == worker)
                 reportWorker(name, rack, { { ++lastEnd_[worker], run, RunEnd::Done, "" } });
         }
-        pass(0);
+        pass(50);
     }
 
     // The jobs of the runs on the worker.
@@ -152,6 +152,7 @@
     BOOST_TEST(world.logged("place.wait_began").size() == 1U);
     BOOST_REQUIRE(world.logged("place.wait_ended").size() == 1U);
     BOOST_TEST(world.logged("place.wait_ended").front().rfind("won", 0) == 0U);
+    BOOST_TEST(world.state_.nearPlaces_.cost_.near_.runs_ == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(cost_of_one_starts_at_once)
@@ -194,6 +195,19 @@
     BOOST_TEST(world.runsOf(secondJob) == 3U);
 }
 
+// Guards against a far start as the forecast still counts a near place that a task of the same round has just taken.
+BOOST_AUTO_TEST_CASE(place_taken_in_the_same_round_does_not_count)
+{
+    RackWorld world(Racks { { "near-1", "r1" }, { "near-2", "r1" }, { "far-1", "r2" }, { "far-2", "r2" } });
+    world.submitJob(firstJob, dataStep(2, 800));
+    world.pass(500);
+    world.submitJob(secondJob, dataStep(2, 800));
+    BOOST_REQUIRE(world.waits() == 2U);
+    world.end("near-1");
+    BOOST_TEST(world.runsOf(secondJob) == 1U);
+    BOOST_TEST(world.waits() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(evacuated_rack_ends_the_waits_for_it)
 {
     BusyNearWorld world;
