--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -1,5 +1,5 @@
-#include "LeaderRules.h"
-#include "PlacementRound.h"
+#include "Starts.h"
+
 #include "UnplaceableDemands.h"
 
 #include "persimmondoor/core/Text.h"
@@ -26,7 +26,7 @@
     return isDue(state, job, occurrence) && areDependenciesDone(job, occurrence, step);
 }
 
-static void assign(const DecisionContext& context, Job& job, const TaskKey& key, const WorkerIncarnation& incarnation, uint32_t run)
+void assign(const DecisionContext& context, Job& job, const TaskKey& key, const WorkerIncarnation& incarnation, uint32_t run)
 {
     context.noteJob(key.job_);
     Task& task = job.tasks_[taskNumber(job, key)];
@@ -62,45 +62,6 @@
     return { job.record_.id_, occurrence, step, index };
 }
 
-// Places all members of the gang or none.
-// \return true if the gang still waits for free capacity, or for the lists of a silent worker.
-static bool startGang(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round)
-{
-    const Step& step = job.record_.spec_.steps()[stepNumber];
-    uint32_t run = 0;
-    bool mustAwaitList = false;
-    for (uint32_t index = 0; index < step.count_; ++index) {
-        const Task& task = job.tasks_[taskNumber(job, makeTaskKey(job, occurrence, stepNumber, index))];
-        if (task.progress_.phase_ != TaskPhase::Waiting)
-            return false;
-        run = std::max(run, task.progress_.run_);
-        mustAwaitList = mustAwaitList || mayHaveEnded(context.state_, task, context.now_);
-    }
-    if (mustAwaitList)
-        return true;
-    Disturbance disturbance = round.disturbanceOf(job);
-    StagedJob before = stage(context.state_, job.record_.id_);
-    for (uint32_t index = 0; index < step.count_; ++index) {
-        TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
-        auto incarnation = round.chooseWorker(job, key, disturbance);
-        if (incarnation) {
-            assign(context, job, key, *incarnation, run + 1);
-            if (step.longRunning_)
-                round.refreshImages();
-            continue;
-        }
-        for (uint32_t placed = 0; placed < index; ++placed) {
-            TaskKey placedKey = makeTaskKey(job, occurrence, stepNumber, placed);
-            unassign(context, job, placedKey, job.tasks_[taskNumber(job, placedKey)]);
-        }
-        round.refreshImages();
-        context.state_.staged_[job.record_.id_] = before;
-        return true;
-    }
-    levelGang(job, makeTaskKey(job, occurrence, stepNumber, 0));
-    return false;
-}
-
 bool isAwaitingWorkers(const LeaderState& state, Instant now)
 {
     return now < state.awaitsWorkersUntil_ && std::any_of(state.workers_.begin(), state.workers_.end(), [](const auto& entry) { return entry.second.agent_.empty(); });
@@ -129,11 +90,11 @@
 }
 
 // \return true if a task of the step still waits for free capacity.
-static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, UnplaceableDemands& unplaceable)
+static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, NearPlaceRound& nearPlaces, UnplaceableDemands& unplaceable)
 {
     const Step& step = job.record_.spec_.steps()[stepNumber];
     if (step.gang_)
-        return startGang(context, job, occurrence, stepNumber, round);
+        return startGang(context, job, occurrence, stepNumber, round, nearPlaces);
     if ((step.longRunning_ || step.isFilling_) && isAwaitingWorkers(context.state_, context.now_))
         return true;
     Disturbance disturbance = disturbanceOf(context, job, occurrence, stepNumber, round);
@@ -157,6 +118,10 @@
             mustWait = true;
             continue;
         }
+        if (nearPlaces.keepsWaiting(job, key)) {
+            mustWait = true;
+            continue;
+        }
         bool isBarred = isBarredFromProbes(job, key, disturbance);
         if (isBarred && isFullForBarred) {
             mustWait = true;
@@ -177,7 +142,12 @@
             mustWait = true;
             continue;
         }
+        if (nearPlaces.mustWait(job, key, *incarnation)) {
+            mustWait = true;
+            continue;
+        }
         assign(context, job, key, *incarnation, progress.run_ + 1);
+        nearPlaces.noteStart(job, key, *incarnation);
         if (step.longRunning_)
             round.refreshImages();
         job.hasExceptionalPlace_ = isExceptional;
@@ -209,7 +179,7 @@
 }
 
 // \return true if the job stays ready: a task waits for free capacity or an occurrence is not due yet.
-static bool startTasksOf(const DecisionContext& context, Job& job, PlacementRound& round, UnplaceableDemands& unplaceable)
+static bool startTasksOf(const DecisionContext& context, Job& job, PlacementRound& round, NearPlaceRound& nearPlaces, UnplaceableDemands& unplaceable)
 {
     bool waits = false;
     const JobSpec& spec = job.record_.spec_;
@@ -224,7 +194,7 @@
                 continue;
             if (!job.stepTimes_[number].startableSince_)
                 job.stepTimes_[number].startableSince_ = context.now_;
-            waits = startStep(context, job, occurrence, step, round, unplaceable) || waits;
+            waits = startStep(context, job, occurrence, step, round, nearPlaces, unplaceable) || waits;
         }
     }
     return waits;
@@ -242,7 +212,8 @@
 
 void startReadyTasks(const DecisionContext& context)
 {
-    if (context.state_.readyJobs_.empty() || context.now_ - context.state_.lastPlacementAt_ < placementIntervalOf(context.state_))
+    bool isIdle = context.state_.readyJobs_.empty() && context.state_.nearPlaces_.waits_.empty();
+    if (isIdle || context.now_ - context.state_.lastPlacementAt_ < placementIntervalOf(context.state_))
         return;
     context.state_.lastPlacementAt_ = context.now_;
     context.state_.hasNewlyReadyJobs_ = false;
@@ -254,15 +225,17 @@
     }
     std::sort(ready.begin(), ready.end());
     PlacementRound round(context.state_, context.now_);
+    NearPlaceRound nearPlaces(context);
     UnplaceableDemands unplaceable;
     for (const Urgency& urgency : ready) {
         context.noteJob(urgency.job_);
         Job& job = context.state_.jobs_.at(urgency.job_);
-        bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, round, unplaceable);
+        bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, round, nearPlaces, unplaceable);
         updateIdleTime(context, job, waits);
         if (!waits)
             context.state_.readyJobs_.erase(urgency.job_);
     }
+    nearPlaces.endObsoleteWaits();
 }
 
 // Why a start that was decided earlier must not be released now; empty if it may.
