Workflow: long-running tasks yield to urgent work in a rush

Cause: long-running tasks that fill a service keep their cores as long as their job lasts, count as on time for ever and get room held. Change: workflow/UrgentRoom sees, by service, whether work with an objective waits for more room than becomes free in time (a rush, with hysteresis and a longest duration). In a rush long-running jobs of the same or a lower priority come after the jobs that can be of value, no room is held for them, and few are stopped, within mayMiss_ or a share of the steps that state none. Several waiting queues are served by dominant share. Log events rush.began, rush.ended and rush.short; run.stop names the queue; task.waits says behind whom.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -20,6 +20,7 @@
 #include "persimmondoor/workflow/SilentWorker.h"
 #include "persimmondoor/workflow/Staging.h"
 #include "persimmondoor/workflow/Tuning.h"
+#include "persimmondoor/workflow/UrgentRoom.h"
 #include "persimmondoor/workflow/WorkerLoss.h"
 #include "persimmondoor/workflow/WorkerState.h"
 
@@ -51,6 +52,8 @@
     /// The workers lost within `Tuning::lossRetention_`, oldest first.
     std::vector<WorkerLoss> losses_;
     Interference interference_;
+    /// Which services are short of room for urgent work.
+    UrgentRoom urgentRoom_;
     /// Time of the first failed write since the last durable one; empty if none has failed.
     std::optional<Instant> storeFailedAt_;
     /// When the newest durable write was sent.
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -173,6 +173,28 @@
     /// clients retry a few times only, and their last attempt should not fall into the same outage.
     Duration retryAfter_ { std::chrono::milliseconds(1000) };
     Duration maximumRetryAfter_ { std::chrono::milliseconds(2000) };
+
+    /// Room under shortage (`UrgentRoom`): a service is in a rush once work with an objective has been short of room for the first
+    /// time, and until it has not been for the second, or for the third in all; the next rush begins after the pause at the
+    /// earliest. Tasks count as short of room once they have waited for `rushDemandAge_`; what becomes free within `rushHorizon_`
+    /// counts as room.
+    Duration rushAfter_ { std::chrono::milliseconds(200) };
+    Duration rushOverAfter_ { std::chrono::milliseconds(1500) };
+    Duration maximumRush_ { std::chrono::seconds(20) };
+    Duration rushPause_ { std::chrono::seconds(5) };
+    Duration rushDemandAge_ { std::chrono::milliseconds(100) };
+    Duration rushHorizon_ { std::chrono::milliseconds(250) };
+    /// Bounds on the long-running tasks that are stopped for it: in one check, and in all, in percent of the service's; and how long
+    /// a task is at work before it is stopped and between two stops. A predecessor's stops have taken effect within that time at
+    /// work, so that a new leader counts them.
+    uint32_t maximumStopsPerCheck_ { 12 };
+    size_t maximumStoppedPercent_ { 25 };
+    /// Share of the tasks of a long-running step that may be away for urgent work if the step states no number, in percent, rounded
+    /// down; steps that state one come first. The platform's rule on availability binds stated numbers alone; 0 stops tasks of
+    /// those steps only.
+    uint32_t unstatedMissPercent_ { 20 };
+    Duration minimumTimeAtWork_ { std::chrono::milliseconds(3000) };
+    Duration minimumTimeBetweenStops_ { std::chrono::seconds(10) };
     bool operator==(const Tuning&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/Urgency.h
+++ b/workflow/include/persimmondoor/workflow/Urgency.h
@@ -4,7 +4,8 @@
 /// "Scheduling algorithms for multiprogramming in a hard-real-time environment", 1973), then jobs that have not
 /// started, by latest deadline: under overload, started jobs are then completed in time, instead of all jobs being
 /// late. Jobs without remaining value are served in the order of acceptance. Jobs with long-running tasks have no
-/// objective and always count as on time.
+/// objective and count as on time; while their service is in a rush (`UrgentRoom`), they come after the jobs that can be of
+/// value, and among several waiting queues the one with the smaller dominant share comes first.
 ///
 /// \code
 /// std::vector<Urgency> urgencies { urgencyOf(state, first), urgencyOf(state, second) };
@@ -22,6 +23,8 @@
 enum class Prospect : uint8_t {
     OnTime,
     Late,
+    /// Jobs with long-running tasks while urgent work of their service is short of room.
+    Yielding,
     Worthless,
 };
 
@@ -29,6 +32,8 @@
     /// Priority of the queue when the job was accepted.
     uint32_t priority_ { 0 };
     Prospect prospect_ { Prospect::OnTime };
+    /// In a rush for which several queues wait, the dominant share of the job's queue, in thousandths; 0 otherwise.
+    int64_t queueShare_ { 0 };
     bool hasNotStarted_ { false };
     /// Rank among jobs that are otherwise equal; lower ranks come first. In milliseconds since 1970 UTC: the deadline of a
     /// started job, the negated deadline of one that has not started, and for a worthless one the acceptance time, or the
@@ -47,6 +52,10 @@
 /// True if a step of the job is long-running; the job then has no objective.
 bool isLongRunning(const JobSpec&);
 
+/// True if long-running tasks of the queue, as it was when their job was accepted, come after the work that is short of room.
+/// \param rush the rush of their service; null for none.
+bool yieldsTo(const Rush* rush, const Queue& longRunning);
+
 /// Computes the urgency of a job from the time of day in the state.
 Urgency urgencyOf(const LeaderState&, const Job&);
 
--- a/workflow/src/decisions/Backlog.cpp
+++ b/workflow/src/decisions/Backlog.cpp
@@ -42,7 +42,7 @@
 
     // What the ready jobs wait for.
     struct Backlog {
-        std::array<size_t, 3> jobsByProspect_ {};
+        std::array<size_t, 4> jobsByProspect_ {};
         std::map<DemandClass, DemandBacklog> demands_;
     };
 
@@ -132,9 +132,10 @@
         (isCapacity ? withoutCapacity : withInterference) += demand.tasks_;
     }
     CoreUse cores = sumCores(state, context.now_);
-    const auto& jobs = backlog.jobsByProspect_;
-    context.logEvent("queues.backlog", concat(jobs[0] + jobs[1] + jobs[2], " jobs"),
-        concat("on time ", jobs[0], ", late ", jobs[1], ", worthless ", jobs[2], "; tasks waiting for capacity ", withoutCapacity, ", for a worker without interference ", withInterference, "; filling cores, in thousandths: ", cores.assigned_, " assigned, ", cores.atWork_, " at work, ", cores.spare_, " spare; held: ", cores.holds_, " rooms, ", cores.held_, " thousandths of a core; ", describeUnusedCores(surveys, backlog)));
+    auto jobsOf = [&](Prospect prospect) { return backlog.jobsByProspect_.at(static_cast<size_t>(prospect)); };
+    size_t onTime = jobsOf(Prospect::OnTime) + jobsOf(Prospect::Yielding);
+    context.logEvent("queues.backlog", concat(onTime + jobsOf(Prospect::Late) + jobsOf(Prospect::Worthless), " jobs"),
+        concat("on time ", onTime, ", late ", jobsOf(Prospect::Late), ", worthless ", jobsOf(Prospect::Worthless), "; tasks waiting for capacity ", withoutCapacity, ", for a worker without interference ", withInterference, "; filling cores, in thousandths: ", cores.assigned_, " assigned, ", cores.atWork_, " at work, ", cores.spare_, " spare; held: ", cores.holds_, " rooms, ", cores.held_, " thousandths of a core; ", describeUnusedCores(surveys, backlog)));
 }
 
 // The waiting tasks of a long-running step.
@@ -203,6 +204,15 @@
     context.logEvent("run.unseen", describe(RunKey { *longest, task.progress_.run_ }), concat(milliseconds(longestAbsence), " ms, with ", count - 1, " others of its step; worker ", task.progress_.worker_.name_, ", ", task.isStartReleased_ ? "ordered" : "to be written", task.isStopping_ ? ", being stopped" : "", "; the worker's last report is ", milliseconds(context.now_ - worker.lastReportAt_), " ms old, its leases end in ", milliseconds(worker.leaseEnd_ - context.now_), " ms"));
 }
 
+// Text of the work that the long-running job has to let pass; empty if there is none.
+static std::string describeYield(const LeaderState& state, const Job& job, Instant now)
+{
+    const Rush* rush = state.urgentRoom_.rushOf(job.queue_.service_);
+    if (!yieldsTo(rush, job.record_.queue_))
+        return {};
+    return concat("; behind queue ", rush->queue_, ", which has been short of room for ", milliseconds(now - rush->since_), " ms");
+}
+
 void reportWaitingLongRunningTasks(const DecisionContext& context)
 {
     LeaderState& state = context.state_;
@@ -228,7 +238,7 @@
             const std::string& service = job.queue_.service_;
             if (roomByService.count(service) == 0)
                 roomByService[service] = roomForLongRunningTasks(state, service, context.now_);
-            context.logEvent("task.waits", describe(*waiting.longest_), concat(milliseconds(waiting.longestWait_), " ms, with ", waiting.count_ - 1, " others of its step; job ", isReady ? "ready" : "not ready", ", priority ", job.record_.queue_.priority_, "; workers: ", describeWorkers(surveyWorkers(state, job, *waiting.longest_, context.now_), steps[step]), "; ", describe(roomByService[service])));
+            context.logEvent("task.waits", describe(*waiting.longest_), concat(milliseconds(waiting.longestWait_), " ms, with ", waiting.count_ - 1, " others of its step; job ", isReady ? "ready" : "not ready", ", priority ", job.record_.queue_.priority_, "; workers: ", describeWorkers(surveyWorkers(state, job, *waiting.longest_, context.now_), steps[step]), "; ", describe(roomByService[service]), describeYield(state, job, context.now_)));
         }
     }
 }
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -178,6 +178,7 @@
     stopHungRuns(context);
     moveSlowedRuns(context);
     removeExpiredJobs(context);
+    updateUrgentRoom(context);
     updateRoomHolds(context);
     startReadyTasks(context);
     reportLateJobs(context);
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -243,11 +243,15 @@
 int64_t freeMilliCores(const Worker&);
 // Cores in thousandths that further filling tasks can use, including the part that long-running tasks leave unused.
 int64_t spareMilliCores(const Worker&);
+// Notes which services are in a rush, and stops long-running tasks where urgent work needs their room.
+void updateUrgentRoom(const DecisionContext&);
+// Stops as many long-running tasks of the service as the demand needs and the steps allow.
+void makeUrgentRoom(const DecisionContext&, const std::string& service, const Rush&, const UrgentDemand&, const TaskKey& waiting);
 // Holds room for long-running tasks that have waited for `Tuning::holdRoomAfter_`, and releases the holds that are no longer
 // needed.
 void updateRoomHolds(const DecisionContext&);
-// Demand of the holds on the worker that the task must leave free: those of other steps, unless it has a higher priority, or they
-// are futile and the task may use such room.
+// Demand of the holds on the worker that the task must leave free: those of other steps, unless it has a higher priority, it has
+// an earlier hold there itself, or they are futile and the task may use such room.
 Resources heldForOthers(const Worker&, const Job&, const TaskKey&, Disturbance);
 // Removes the hold that a task of the step no longer needs, as the task was placed on the worker.
 void releaseHold(Worker&, const TaskKey&);
--- a/workflow/src/decisions/RoomHolds.cpp
+++ b/workflow/src/decisions/RoomHolds.cpp
@@ -1,9 +1,11 @@
 #include "LeaderRules.h"
 
 #include "persimmondoor/core/Text.h"
+#include "persimmondoor/workflow/Urgency.h"
 
 #include <algorithm>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 namespace persimmondoor::workflow {
@@ -13,12 +15,33 @@
     return left.job_ == right.job_ && left.occurrence_ == right.occurrence_ && left.step_ == right.step_;
 }
 
+// Holds that a task of the step comes after: all, unless it has a hold on the worker itself, and then the earlier ones. Otherwise
+// two holds on one worker would each keep the other's task from the room that is free for either.
+static bool comesFirst(const TaskKey& owner, const RoomHold& hold, const std::optional<std::pair<TaskKey, RoomHold>>& own)
+{
+    return !own || std::tie(hold.priority_, hold.since_, owner) < std::tie(own->second.priority_, own->second.since_, own->first);
+}
+
+// The first hold on the worker of a task of the step.
+static std::optional<std::pair<TaskKey, RoomHold>> ownHold(const Worker& worker, const TaskKey& key)
+{
+    std::optional<std::pair<TaskKey, RoomHold>> first;
+    for (const auto& [owner, hold] : worker.holds_) {
+        if (isSameStep(owner, key) && comesFirst(owner, hold, first))
+            first = std::pair(owner, hold);
+    }
+    return first;
+}
+
 Resources heldForOthers(const Worker& worker, const Job& job, const TaskKey& key, Disturbance disturbance)
 {
+    if (worker.holds_.empty())
+        return {};
+    std::optional<std::pair<TaskKey, RoomHold>> own = ownHold(worker, key);
     Resources held;
     for (const auto& [owner, hold] : worker.holds_) {
         bool isPassedOver = hold.isFutile_ && disturbance == Disturbance::AllowedOnSharedCores;
-        if (!isPassedOver && !isSameStep(owner, key) && hold.priority_ <= job.record_.queue_.priority_)
+        if (!isPassedOver && !isSameStep(owner, key) && hold.priority_ <= job.record_.queue_.priority_ && comesFirst(owner, hold, own))
             held = held + hold.demand_;
     }
     return held;
@@ -247,6 +270,13 @@
     return kept;
 }
 
+// True if room is not held for the long-running task, as urgent work that comes before it is short of room.
+static bool mustYield(const LeaderState& state, const TaskKey& key)
+{
+    const Job& job = state.jobs_.at(key.job_);
+    return yieldsTo(state.urgentRoom_.rushOf(job.queue_.service_), job.record_.queue_);
+}
+
 void updateRoomHolds(const DecisionContext& context)
 {
     LeaderState& state = context.state_;
@@ -258,6 +288,7 @@
     std::vector<WaitingTask> waitingTasks = collectWaitingTasks(context);
     for (const WaitingTask& waiting : waitingTasks)
         findTask(state, waiting.key_)->isRoomHeld_ = false;
+    std::erase_if(waitingTasks, [&](const WaitingTask& waiting) { return mustYield(state, waiting.key_); });
     std::optional<TaskKey> searchesFrom = std::exchange(state.holdSearchesFrom_, std::nullopt);
     bool isSearching = std::none_of(waitingTasks.begin(), waitingTasks.end(), [&](const WaitingTask& waiting) { return waiting.key_ == searchesFrom; });
     for (const WaitingTask& waiting : waitingTasks) {
--- a/workflow/tests/RoomHoldsTest.cpp
+++ b/workflow/tests/RoomHoldsTest.cpp
@@ -147,6 +147,33 @@
     BOOST_TEST(world.logged("queues.backlog").back().find("held: 1 rooms, 2000 thousandths of a core;") != std::string::npos);
 }
 
+// Guards against two holds on one worker that each keep the other's task from the room that is free for either.
+BOOST_AUTO_TEST_CASE(task_of_the_first_of_two_holds_starts_once_its_own_room_is_free)
+{
+    HoldingWorld world;
+    world.state_.tuning_.maximumHeldPercent_ = 200;
+    Step second = longRunningStep("ranking");
+    second.demand_ = *Resources::create(2000, 1000, 0);
+    world.submit({ second }, 810, "00000000000000cc");
+    world.handle(Tick { 1'001'400 }, 1400);
+    BOOST_REQUIRE(world.holds().size() == 2U);
+    world.reportShort(1500, { 0, 1 });
+    world.handle(Tick { 1'001'600 }, 1601);
+    world.commit(1602);
+    std::vector<RunKey> started = world.starts("w-1", 1603);
+    BOOST_REQUIRE(started.size() == 1U);
+    BOOST_TEST(started.front().task_.job_.value() == waitingJob);
+}
+
+// Guards against room that is kept for a long-running task while urgent work, which comes before it, is short of room.
+BOOST_AUTO_TEST_CASE(rush_releases_the_holds_of_tasks_that_come_after_it)
+{
+    HoldingWorld world;
+    world.state_.urgentRoom_.services_["packs"] = Rush { at(800), at(800), 0, "tests", {} };
+    world.handle(Tick { 1'001'000 }, 1000);
+    BOOST_TEST(world.holds().empty());
+}
+
 // Guards against holds that outlive their task and leave cores idle.
 BOOST_AUTO_TEST_CASE(hold_ends_with_the_job_that_needs_it)
 {
