--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -21,6 +21,7 @@
 #include "persimmondoor/workflow/SilentWorker.h"
 #include "persimmondoor/workflow/Staging.h"
 #include "persimmondoor/workflow/Tuning.h"
+#include "persimmondoor/workflow/UrgentRoom.h"
 #include "persimmondoor/workflow/WorkerLoss.h"
 #include "persimmondoor/workflow/WorkerState.h"
 
@@ -54,6 +55,8 @@
     Interference interference_;
     /// The waits for places near data or gang, and what near and far runs took.
     NearPlaces nearPlaces_;
+    /// Which services are short of room for urgent work.
+    UrgentRoom urgentRoom_;
     /// Time of the first failed write since the last durable one; empty if none has failed.
     std::optional<Instant> storeFailedAt_;
     /// When the newest durable write was sent.
