Bound the wait of suspects whose job stands still (LOST)

Cause: a task under which workers have crashed waits up to 2 s for the observation of other suspects, and up to 5 s for a worker without another late suspect. Both waits begin when the crash of its last worker is known, which takes up to 2 s by itself, so that its job stands still beside open workers for longer than the 3 s after which it counts as lost.

Change: once nothing of the job has run for 1.5 s both waits end for it, for one task at a time. The delay of every other start of a late suspect stays, as tasks that regular waves of crashes hit would be given up without it: with it left out late_crashes/tasks_that_waves_of_crashes_hit_are_not_given_up failed (1 job given up).

--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -173,6 +173,9 @@
     /// clients retry a few times only, and their last attempt should not fall into the same outage.
     Duration retryAfter_ { std::chrono::milliseconds(1000) };
     Duration maximumRetryAfter_ { std::chrono::milliseconds(2000) };
+    /// Once nothing of a job has run for this long, its suspects no longer wait for the observation of others, nor for a worker
+    /// without another one. Half of the time after which the job counts as lost (stated by the platform), as the start takes more.
+    Duration longestSuspectStandstill_ { std::chrono::milliseconds(1500) };
     bool operator==(const Tuning&) const = default;
 };
 
--- a/workflow/src/decisions/Crashes.cpp
+++ b/workflow/src/decisions/Crashes.cpp
@@ -71,12 +71,21 @@
     return isLate && disturbance == Disturbance::AllowedOnSharedCores && !stepOf(job, key).gang_ && job.tasks_[taskNumber(job, key)].progress_.crashes_ == 0;
 }
 
-bool mustBeIsolated(const Tuning& tuning, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+// The task's wait for a run does not tell this, as it begins when the crash of its last one is known.
+static bool hasStoodStillTooLong(const LeaderState& state, const Job& job, Instant now)
 {
+    return job.standstill_ && now - job.standstill_->since_ > state.tuning_.longestSuspectStandstill_ && !hasRunAtWork(state, job, now);
+}
+
+bool mustBeIsolated(const LeaderState& state, const Job& job, const TaskKey& key, const Worker& worker, Instant now)
+{
+    const Tuning& tuning = state.tuning_;
     if (worker.suspects_.empty() || !isLateSuspect(tuning, job.tasks_[taskNumber(job, key)].progress_))
         return false;
     std::optional<Instant> since = waitingSince(job, key);
-    return worker.observedTask_ || !since || now - *since <= tuning.longestIsolationWait_;
+    if (worker.observedTask_ || !since)
+        return true;
+    return now - *since <= tuning.longestIsolationWait_ && !hasStoodStillTooLong(state, job, now);
 }
 
 static Duration crashAgeTolerance(const Tuning& tuning, const CrashSeries& series)
@@ -206,7 +215,7 @@
     std::optional<Instant> since = waitingSince(job, key);
     if (since && now - *since < startDelay(state.tuning_, progress))
         return true;
-    if (since && now - *since > state.tuning_.maximumSuspectWait_)
+    if ((since && now - *since > state.tuning_.maximumSuspectWait_) || hasStoodStillTooLong(state, job, now))
         return false;
     size_t usable = 0;
     size_t observed = 0;
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -149,8 +149,9 @@
 void countLoss(const DecisionContext&, const WorkerIncarnation&, const std::vector<RunKey>& crashedRuns, const std::set<RunKey>& unconfirmedStarts);
 // True if workers were lost under the task's runs in series, at a similar age, so that it is started apart from other suspects.
 bool isLateSuspect(const Tuning&, const TaskProgress&);
-// True if the task is a late suspect, another one is on the worker, and the task has not waited long for a better worker.
-bool mustBeIsolated(const Tuning&, const Job&, const TaskKey&, const Worker&, Instant now);
+// True if the task is a late suspect, another one is on the worker, and neither has the task waited long for a better worker nor its
+// job stood still for long.
+bool mustBeIsolated(const LeaderState&, const Job&, const TaskKey&, const Worker&, Instant now);
 // Notes that a load reading contained the task's run. Once the reading shows that the run has outlived its first moments, the
 // worker is no longer kept free of other starts; two readings clear its task of earlier crashes.
 void noteReading(const DecisionContext&, const TaskKey&, Task&);
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -192,7 +192,7 @@
     WorkerObstacle obstacle = serviceObstacle(job, key, worker, Disturbance::Avoided, now);
     if (obstacle == WorkerObstacle::None)
         obstacle = stateObstacle(state, worker, now);
-    if (obstacle == WorkerObstacle::None && mustBeIsolated(state.tuning_, job, key, worker, now))
+    if (obstacle == WorkerObstacle::None && mustBeIsolated(state, job, key, worker, now))
         obstacle = WorkerObstacle::Observed;
     return obstacle == WorkerObstacle::None ? roomObstacle(job, key, worker, Disturbance::Avoided, now) : obstacle;
 }
--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -93,7 +93,7 @@
         bool isHarmlessHere = !disturbed || isHarmless(candidate, *disturbed);
         if (!isHarmlessHere && !mayCauseInterference)
             continue;
-        if (taskObstacle(job, key, worker, disturbance, now_) != WorkerObstacle::None || mustBeIsolated(state_.tuning_, job, key, worker, now_))
+        if (taskObstacle(job, key, worker, disturbance, now_) != WorkerObstacle::None || mustBeIsolated(state_, job, key, worker, now_))
             continue;
         if (!isHarmlessHere && !ignoresInterference && paceAt(state_, step, worker) < minimumPace)
             continue;
--- a/workflow/tests/ObservationTest.cpp
+++ b/workflow/tests/ObservationTest.cpp
@@ -10,6 +10,7 @@
     const std::string waitingJob = "00000000000000dd";
     // Waits in series, each below the 3 s after which a job counts as lost, must not add up to it.
     constexpr int64_t longestStandstillMs = 1000;
+    constexpr int64_t lostAfterMs = 3000;
     constexpr int64_t submittedAtMs = 1500;
     // Until then the suspect is observed.
     constexpr int64_t observedUntilMs = 3000;
@@ -40,11 +41,12 @@
 
         TaskProgress& progressOf(const std::string& job) { return state_.jobs_.at(JobId::of(job)).tasks_.front().progress_; }
 
-        // Reports the worker, without a new reading of its load, until it is ordered to start runs.
+        // Reports the worker until it is ordered to start runs.
         // \return when it was; `end` if it was not.
         int64_t reportUntilStarted(int64_t begin, int64_t end)
         {
             for (int64_t time = begin; time < end; time += 100) {
+                readingNumber_ = hasReadings_ ? static_cast<uint64_t>(time) : 0;
                 report("w-1", time, active_);
                 for (const std::string& worker : smallWorkers_)
                     reportSmall(worker, time);
@@ -59,6 +61,8 @@
 
         std::vector<ActiveRun> active_;
         std::vector<RunKey> started_;
+        // Each report has a new reading of the load.
+        bool hasReadings_ { false };
         // Workers without room for any task.
         std::vector<std::string> smallWorkers_;
 
@@ -116,6 +120,57 @@
     }
 }
 
+// Guards against a suspect's job that stands still until it counts as lost: the crash of its worker is noticed late, and the wait
+// for the observation of other suspects begins only then.
+BOOST_AUTO_TEST_CASE(suspect_whose_job_stands_still_does_not_await_other_observations)
+{
+    for (bool isLate : { false, true }) {
+        ObservationWorld world(true);
+        int64_t crashedAt = 3000;
+        int64_t noticedAt = crashedAt + 1900;
+        int64_t bornMs = world.bornMs_;
+        world.report("w-2", submittedAtMs);
+        world.submit({ stepOfTasks(1) }, submittedAtMs, waitingJob);
+        world.commit(submittedAtMs + 10);
+        std::vector<RunKey> runs = world.starts("w-2", submittedAtMs + 20);
+        BOOST_REQUIRE(runs.size() == 1U);
+        std::vector<ActiveRun> crashing { { runs.front(), "", 10, 0, 100 } };
+        world.report("w-2", crashedAt - 400, crashing);
+        world.progressOf(waitingJob).crashes_ = isLate ? 0 : 1;
+        world.progressOf(waitingJob).crashSeries_ = isLate ? CrashSeries { 3, 0, crashedAt - submittedAtMs } : CrashSeries();
+        for (int64_t time = crashedAt; time < crashedAt + lostAfterMs; time += 100) {
+            world.report("w-1", time, world.active_);
+            world.reachable_ = time >= noticedAt;
+            if (world.reachable_)
+                world.endedWorkers_ = { { "w-2", std::exchange(world.bornMs_, noticedAt), world.host_ } };
+            world.report("w-2", time, world.reachable_ ? std::vector<ActiveRun>() : crashing);
+            world.reachable_ = true;
+            world.endedWorkers_.clear();
+            world.bornMs_ = bornMs;
+            world.handle(Tick { 1'000'000 + time }, time + 1);
+            world.commit(time + 2);
+        }
+        const TaskProgress& progress = world.progressOf(waitingJob);
+        BOOST_TEST_CONTEXT("late " << isLate)
+        {
+            BOOST_TEST(progress.run_ == 2U);
+            BOOST_TEST((progress.phase_ == TaskPhase::Assigned));
+        }
+    }
+}
+
+// Guards against a late suspect's job that stands still as another one is on all workers with room.
+BOOST_AUTO_TEST_CASE(suspect_whose_job_stands_still_is_started_beside_one_that_is_no_longer_observed)
+{
+    ObservationWorld world(true);
+    world.hasReadings_ = true;
+    world.progressOf(suspectJob).crashSeries_.ageMs_ = 9000;
+    int64_t begin = 3500;
+    BOOST_REQUIRE(world.reportUntilStarted(submittedAtMs, begin) == begin);
+    world.submitWith(0, CrashSeries { 3, 0, 600 }, { stepOfTasks(1) }, begin, waitingJob);
+    BOOST_TEST(world.reportUntilStarted(begin + 100, begin + lostAfterMs) < begin + lostAfterMs);
+}
+
 // Guards against a suspect that keeps its siblings from workers which are closed to it alone.
 BOOST_AUTO_TEST_CASE(sibling_of_a_suspect_is_started_beside_another)
 {
