Start waiting tasks beside late suspects in a full service too (LOST)

Cause: a worker on which a late suspect is observed is closed to other runs, for up to 2 s after each start of a suspect. A job that stands still was let in only while most of its service is free, by memory too; a long-running task likewise.

Change: a job of which nothing has run for 1.5 s, and a long-running task that has waited for 2 s, is started beside a late suspect wherever there is room. The suspect's crash stays evidence against it alone, as before.

--- a/workflow/src/decisions/Crashes.cpp
+++ b/workflow/src/decisions/Crashes.cpp
@@ -68,7 +68,7 @@
 bool mayStartBesideObserved(const Job& job, const TaskKey& key, const Worker& worker, Disturbance disturbance)
 {
     bool isLate = worker.observedTask_ && worker.suspects_.count(*worker.observedTask_) > 0;
-    return isLate && disturbance == Disturbance::AllowedOnSharedCores && !stepOf(job, key).gang_ && job.tasks_[taskNumber(job, key)].progress_.crashes_ == 0;
+    return isLate && disturbance != Disturbance::Avoided && !stepOf(job, key).gang_ && job.tasks_[taskNumber(job, key)].progress_.crashes_ == 0;
 }
 
 // The task's wait for a run does not tell this, as it begins when the crash of its last one is known.
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -201,13 +201,14 @@
 enum class Disturbance : uint8_t {
     // Only if it disturbs some on every worker, and only where it can run at nearly its full speed.
     Avoided,
+    // On all workers. Tasks of any kind may also be placed beside late suspects.
     Allowed,
     // Also where other filling tasks have all the cores that long-running tasks leave unused, which they then share, and in room
-    // that is held in vain, as a trial on quarantined workers, and beside late suspects. The latter three hold for all tasks.
+    // that is held in vain and as a trial on quarantined workers. The latter two hold for all tasks.
     AllowedOnSharedCores,
 };
 // True if the task may be started on a worker that is otherwise kept free while a late suspect is observed there, as nothing of
-// its job runs.
+// its job runs or, for a long-running task, as it has waited for long.
 bool mayStartBesideObserved(const Job&, const TaskKey&, const Worker&, Disturbance);
 // For how long nothing of the job has run; 0 while a run of it may be at work.
 Duration idleTimeOf(const LeaderState&, const Job&, Instant now);
--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -60,6 +60,11 @@
     });
 }
 
+bool PlacementRound::hasObservedWorkers() const
+{
+    return std::any_of(candidates_.begin(), candidates_.end(), [](const Candidate& candidate) { return candidate.worker_->observedTask_.has_value(); });
+}
+
 bool PlacementRound::isMostlyFree(const std::string& service)
 {
     auto known = mostlyFreeByService_.find(service);
--- a/workflow/src/decisions/PlacementRound.h
+++ b/workflow/src/decisions/PlacementRound.h
@@ -21,6 +21,8 @@
     Disturbance disturbanceOf(const Job&);
     // True if most of the capacity of the service is free, without regard to the cores of filling tasks.
     bool isMostlyFree(const std::string& service);
+    // True if a worker is kept free of other starts as a suspect is observed there.
+    bool hasObservedWorkers() const;
     // True if filling tasks of the step would disturb no long-running task on at least one worker, whatever its free capacity.
     bool hasHarmlessWorker(const Job&, const Step&);
     // To be called after long-running tasks have been assigned to workers or removed from them.
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -112,8 +112,8 @@
     return std::any_of(first, first + job.record_.spec_.steps()[stepNumber].count_, [](const Task& task) { return task.isRoomHeld_; });
 }
 
-// As each long-running task has to run, whether others of its job do or not, one that has waited for long may use room that is
-// held in vain beside a sibling at work.
+// As each long-running task has to run, whether others of its job do or not, one that has waited for long may be placed beside a
+// late suspect, and use room that is held in vain, though a sibling is at work.
 static Disturbance disturbanceOf(const DecisionContext& context, const Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round)
 {
     Disturbance disturbance = round.disturbanceOf(job);
@@ -125,7 +125,9 @@
         std::optional<Instant> since = waitingSince(job, makeTaskKey(job, occurrence, stepNumber, index));
         hasWaitedLong = since && context.now_ - *since > context.state_.tuning_.passOverHoldAfter_;
     }
-    return hasWaitedLong && round.isMostlyFree(job.queue_.service_) ? Disturbance::AllowedOnSharedCores : disturbance;
+    if (!hasWaitedLong)
+        return disturbance;
+    return round.isMostlyFree(job.queue_.service_) ? Disturbance::AllowedOnSharedCores : Disturbance::Allowed;
 }
 
 // \return true if a task of the step still waits for free capacity.
@@ -140,7 +142,8 @@
     // Room that is held for a task of the step was of no use to the steps that found no worker.
     bool isHeld = isRoomHeld(job, occurrence, stepNumber);
     bool isUnplaceable = !isHeld && unplaceable.contains(job, step, Disturbance::Avoided);
-    bool hasException = disturbance == Disturbance::AllowedOnSharedCores || (step.isFilling_ && disturbance == Disturbance::Allowed);
+    bool isAllowed = disturbance == Disturbance::Allowed && (step.isFilling_ || round.hasObservedWorkers());
+    bool hasException = disturbance == Disturbance::AllowedOnSharedCores || isAllowed;
     bool mayBeExceptional = hasException && (isHeld || !unplaceable.contains(job, step, disturbance));
     // Whether a search has found no worker: for any task of the step, or for those that are barred from probes.
     bool isFull = false;
--- a/workflow/tests/ObservationTest.cpp
+++ b/workflow/tests/ObservationTest.cpp
@@ -89,6 +89,20 @@
     }
 }
 
+// Guards against a job that stands still, and a long-running task that waits without end, beside workers on which late suspects are
+// observed one after the other, as most of the service's memory or cores are taken.
+BOOST_AUTO_TEST_CASE(task_that_has_waited_for_long_is_started_beside_a_late_suspect_of_a_full_service)
+{
+    Step longRunning = stepOfTasks(1);
+    longRunning.longRunning_ = true;
+    for (const Step& step : { stepOfTasks(1), fillingStep(1, "light"), longRunning }) {
+        ObservationWorld world(true);
+        world.state_.tuning_.maximumTakenPercent_ = 0;
+        world.submit({ step }, submittedAtMs, waitingJob);
+        BOOST_TEST(world.reportUntilStarted(submittedAtMs + 100, submittedAtMs + lostAfterMs) < submittedAtMs + lostAfterMs);
+    }
+}
+
 // Guards against a crash that is held against tasks which were started beside a late suspect, or no longer against the suspect.
 BOOST_AUTO_TEST_CASE(run_beside_a_late_suspect_leaves_its_crash_as_evidence)
 {
