--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -214,6 +214,9 @@
     uint32_t unstatedMissPercent_ { 20 };
     Duration minimumTimeAtWork_ { std::chrono::milliseconds(3000) };
     Duration minimumTimeBetweenStops_ { std::chrono::seconds(10) };
+    /// Once nothing of a job has run for this long, its suspects no longer wait for the observation of others, nor for a worker
+    /// without another one. Half of the time after which the job counts as lost (stated by the platform), as the start takes more.
+    Duration longestSuspectStandstill_ { std::chrono::milliseconds(1500) };
     bool operator==(const Tuning&) const = default;
 };
 
--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -60,6 +60,11 @@
     });
 }
 
+bool PlacementRound::hasObservedWorkers() const
+{
+    return std::any_of(candidates_.begin(), candidates_.end(), [](const Candidate& candidate) { return candidate.worker_->observedTask_.has_value(); });
+}
+
 bool PlacementRound::isMostlyFree(const std::string& service)
 {
     auto known = mostlyFreeByService_.find(service);
@@ -95,7 +100,7 @@
         bool isHarmlessHere = !disturbed || isHarmless(candidate, *disturbed);
         if (!isHarmlessHere && !mayCauseInterference)
             continue;
-        if (taskObstacle(job, key, worker, disturbance, now_) != WorkerObstacle::None || mustBeIsolated(state_.tuning_, job, key, worker, now_))
+        if (taskObstacle(job, key, worker, disturbance, now_) != WorkerObstacle::None || mustBeIsolated(state_, job, key, worker, now_))
             continue;
         if (!isHarmlessHere && !ignoresInterference && paceAt(state_, step, worker) < minimumPace)
             continue;
