Headroom goes to a few filling tasks where an even split leaves none a pace

Cause: the agent splits what the long-running tasks of a worker leave among all filling tasks of an image. With many of them each share is below the least pace, so that all are paused beside unused headroom (filling_headroom_split).

Change: the even split stays. Where it leaves no task of an image a pace, what the image may use in sum goes to as many of its tasks as can run at half pace or more, those with the most progress first, so that they are served until they end. The others are paused, as all were before, and count as slowed.

Measured: filling_pace/headroom_goes_to_as_many_tasks_as_can_use_it passes (its check and bound are unchanged; it runs with its slice again), and .../headroom_ for_one_task_stays_with_it_until_it_ends is new.

--- a/supervision/src/decisions/FillingPace.cpp
+++ b/supervision/src/decisions/FillingPace.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace persimmondoor::supervision {
 
@@ -22,6 +23,9 @@
 // Smaller changes of the pace, in percent, are not sent.
 static constexpr uint32_t minimumPaceChange = 5;
 
+// Tasks to which the headroom of others goes get at least this pace, in percent: at a lower one the leader counts them as slowed.
+static constexpr uint32_t leastServedPace = 50;
+
 static double capacityShareOf(const LocalWorker& worker, int64_t milliCores)
 {
     return static_cast<double>(milliCores) / static_cast<double>(std::max<int64_t>(worker.traits_.capacity_.milliCores(), 1));
@@ -113,6 +117,59 @@
     return percent < minimumPace ? 0 : percent;
 }
 
+// The runs, those with the most progress first.
+static std::vector<RunKey> runsByProgress(const LocalWorker& worker, const std::map<RunKey, const RunTraits*>& runs)
+{
+    std::vector<std::pair<uint32_t, RunKey>> ranked;
+    for (const auto& [run, traits] : runs) {
+        auto active = worker.active_.find(run);
+        ranked.emplace_back(100 - std::min(100U, active == worker.active_.end() ? 0U : active->second.progressPercent_), run);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<RunKey> ordered;
+    ordered.reserve(ranked.size());
+    for (auto& [remaining, run] : ranked)
+        ordered.push_back(std::move(run));
+    return ordered;
+}
+
+// Serves as many tasks of the image as can use what all of them may use in sum, those with the most progress first, until they
+// end. The others are paused.
+// \param milliCores what the image may use in sum.
+static void serveFewTasks(const std::vector<RunKey>& ordered, const std::map<RunKey, const RunTraits*>& runs, const std::string& image, double milliCores, std::map<RunKey, uint32_t>& paces)
+{
+    for (const RunKey& run : ordered) {
+        const RunTraits& traits = *runs.at(run);
+        if (traits.image_ != image || traits.milliCores_ <= 0)
+            continue;
+        auto demand = static_cast<double>(traits.milliCores_);
+        uint32_t pace = toPercent(std::min(1.0, milliCores / demand));
+        if (pace < leastServedPace)
+            continue;
+        paces[run] = pace;
+        milliCores -= demand * pace / fullPace;
+    }
+}
+
+// The paces of the runs, in percent: equal for all tasks of an image, unless that leaves none a useful one.
+static std::map<RunKey, uint32_t> pacesOfRuns(const LocalWorker& worker, const std::map<RunKey, const RunTraits*>& runs)
+{
+    std::map<RunKey, uint32_t> paces;
+    std::map<std::string, double> milliCoresWithoutPace;
+    for (const auto& [run, traits] : runs) {
+        double pace = worker.imagePaces_.at(traits->image_);
+        paces[run] = toPercent(pace);
+        if (pace > 0 && paces[run] == 0)
+            milliCoresWithoutPace[traits->image_] += pace * static_cast<double>(traits->milliCores_);
+    }
+    if (milliCoresWithoutPace.empty())
+        return paces;
+    std::vector<RunKey> ordered = runsByProgress(worker, runs);
+    for (const auto& [image, milliCores] : milliCoresWithoutPace)
+        serveFewTasks(ordered, runs, image, milliCores, paces);
+    return paces;
+}
+
 static bool isSignificantChange(uint32_t lastPace, uint32_t pace)
 {
     bool isExtreme = pace == 0 || pace == fullPace;
@@ -123,8 +180,9 @@
 {
     std::map<RunKey, const RunTraits*> runs = fillingRuns(context.state_, worker);
     worker.imagePaces_ = nextPaces(context.state_, worker, runs, maximumIncrease);
+    std::map<RunKey, uint32_t> paces = pacesOfRuns(worker, runs);
     for (const auto& [run, traits] : runs) {
-        uint32_t pace = toPercent(worker.imagePaces_.at(traits->image_));
+        uint32_t pace = paces.at(run);
         auto [lastPace, isNew] = worker.runPaces_.try_emplace(run, fullPace);
         bool isUnconfirmed = worker.unconfirmedPaces_.erase(run) > 0;
         if (!isUnconfirmed && !isSignificantChange(lastPace->second, pace))
--- a/supervision/tests/FillingPaceTest.cpp
+++ b/supervision/tests/FillingPaceTest.cpp
@@ -72,7 +72,7 @@
     {
         std::vector<ActiveRun> active { { service, "", 100, tailMs, 0 } };
         for (const RunKey& run : filling)
-            active.push_back({ run, "", 10, static_cast<uint32_t>(fillingMilliCores * paceOf(run) / fullPace), 0 });
+            active.push_back({ run, "", progressPercents_.count(run) > 0 ? progressPercents_.at(run) : 10, static_cast<uint32_t>(fillingMilliCores * paceOf(run) / fullPace), 0 });
         handle(ListArrived { incarnation, state_.fence_, at(milliseconds), { milliseconds, incarnation.bornMs_, std::move(active), {} } }, milliseconds);
     }
 
@@ -84,8 +84,18 @@
 
     SupervisorState state_;
     std::map<RunKey, uint32_t> runPaces_;
+    // Progress of filling runs; 10 percent if not set.
+    std::map<RunKey, uint32_t> progressPercents_;
 };
 
+static std::vector<RunKey> heavyRuns(uint32_t count)
+{
+    std::vector<RunKey> runs;
+    for (uint32_t index = 0; index < count; ++index)
+        runs.push_back({ { JobId::of("00000000000000bb"), 0, 0, index }, 1 });
+    return runs;
+}
+
 BOOST_AUTO_TEST_SUITE(filling_pace)
 
 BOOST_AUTO_TEST_CASE(harmful_task_is_slowed_down_on_arrival)
@@ -163,12 +173,10 @@
 
 // Guards against a worker that does nothing although its long-running tasks leave headroom: split among many tasks, none
 // gets a pace that is worth running at.
-BOOST_AUTO_TEST_CASE(headroom_goes_to_as_many_tasks_as_can_use_it, *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(headroom_goes_to_as_many_tasks_as_can_use_it)
 {
     PacingAgent agent;
-    std::vector<RunKey> runs;
-    for (uint32_t index = 0; index < 20; ++index)
-        runs.push_back({ { JobId::of("00000000000000bb"), 0, 0, index }, 1 });
+    std::vector<RunKey> runs = heavyRuns(20);
     agent.addTraits(runs, "heavy");
     auto sumOfPaces = [&] { return std::accumulate(runs.begin(), runs.end(), 0U, [&](uint32_t sum, const RunKey& run) { return sum + agent.paceOf(run); }); };
     for (int64_t time = 1000; time <= 6000; time += 500) {
@@ -181,6 +189,31 @@
     BOOST_TEST(sumOfPaces() <= 100U);
 }
 
+// Guards against tasks that get headroom in turn, so that none of them ends.
+BOOST_AUTO_TEST_CASE(headroom_for_one_task_stays_with_it_until_it_ends)
+{
+    PacingAgent agent;
+    std::vector<RunKey> runs = heavyRuns(20);
+    agent.addTraits(runs, "heavy");
+    auto checkServed = [&](size_t served) {
+        for (size_t index = 0; index < runs.size(); ++index)
+            BOOST_TEST((agent.paceOf(runs[index]) > 0) == (index == served), "run " << index);
+    };
+    agent.progressPercents_[runs[7]] = 20;
+    agent.deliverList(1000, 8, {});
+    agent.deliverList(1100, 8, runs);
+    checkServed(7);
+    // The tail leaves room for the task that is served.
+    for (int64_t time = 1500; time <= 4000; time += 500) {
+        agent.progressPercents_[runs[7]] = static_cast<uint32_t>(time / 50);
+        agent.deliverList(time, 13, runs);
+        checkServed(7);
+    }
+    runs.erase(runs.begin() + 7);
+    agent.deliverList(4500, 8, runs);
+    checkServed(0);
+}
+
 // Guards against a filling task that works on at full pace beside a long-running task over its target, as the call that
 // paused it was lost or refused under an earlier fence.
 BOOST_AUTO_TEST_CASE(pace_that_the_worker_did_not_confirm_is_sent_again)
