Every server bounds what its clients can make it hold

Cause: chunk extensions, chunk sizes and trailers had no limit and were kept in an unbounded read buffer, by servers and by clients alike; connections, the memory of all of them and the time of a request had no limit either. Change: one function reads every HTTP message in bounded pieces into one decoder that counts all bytes. A ledger of each server's connections closes the one whose client has been awaited longest when connections or memory run out. RPC servers bound messages, calls in flight, messages being received and connections. Oversized headers get 431 instead of 413; trailers are dropped.

--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -49,7 +49,7 @@
         announcer.report(co_await digests.receive());
 }
 
-absl::StatusOr<std::unique_ptr<Agent>> Agent::start(const asio::any_io_executor& executor, const settings::Site& site, const settings::WorkerSite& self)
+absl::StatusOr<std::unique_ptr<Agent>> Agent::start(const asio::any_io_executor& executor, const settings::Site& site, const settings::WorkerSite& self, const DoorLimits& limits)
 {
     auto gate = admission::GateActor::create(executor, SteadyClock(), localEndpoints(self));
     if (!gate.ok())
@@ -68,7 +68,7 @@
         digests.tryPost(digest);
     });
     settings::offerSettings(interfaces, executor, tree);
-    auto server = rpc::Server::listen(executor, self.rpc_, std::move(interfaces));
+    auto server = rpc::Server::listen(executor, self.rpc_, std::move(interfaces), limits.peers_);
     if (!server.ok())
         return server.status();
     std::vector<Address> entries;
--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -29,14 +29,13 @@
     co_await router.update(std::move(message));
 }
 
-static http::Limits callersLimits()
+static http::Limits callersLimits(http::Limits limits)
 {
-    http::Limits limits;
     limits.cancelsOnDisconnect_ = true;
     return limits;
 }
 
-absl::StatusOr<std::unique_ptr<Entry>> Entry::start(const asio::any_io_executor& executor, const settings::Site& site, const settings::EntrySite& self)
+absl::StatusOr<std::unique_ptr<Entry>> Entry::start(const asio::any_io_executor& executor, const settings::Site& site, const settings::EntrySite& self, const DoorLimits& limits)
 {
     Clock clock = SteadyClock();
     routing::RouterActor router(executor, clock, routing::RouterOptions { static_cast<uint32_t>(wallMilliseconds()), routing::LeastExpectedTime {} });
@@ -53,13 +52,13 @@
     http::Routes routes = operators.routes();
     entry->jobs_->offer(routes);
     http::Handler front = burn::observe(routing::makeHTTPFront(self.name_, router, claims), operators.burn());
-    auto callers = http::Server::listen(executor, self.http_, callersLimits(), std::move(front));
-    auto api = http::Server::listen(executor, self.operators_, {}, routes.handler());
+    auto callers = http::Server::listen(executor, self.http_, callersLimits(limits.requests_), std::move(front));
+    auto api = http::Server::listen(executor, self.operators_, limits.operators_, routes.handler());
     rpc::Interfaces interfaces;
     membership::offerMembership(interfaces, view, operators.hints());
     settings::offerSettings(interfaces, executor, operators.settings());
     entry->jobs_->offer(interfaces);
-    auto peers = rpc::Server::listen(executor, self.rpc_, std::move(interfaces));
+    auto peers = rpc::Server::listen(executor, self.rpc_, std::move(interfaces), limits.peers_);
     for (const absl::Status& status : { callers.status(), api.status(), peers.status() }) {
         if (!status.ok())
             return status;
--- a/app/src/Main.cpp
+++ b/app/src/Main.cpp
@@ -60,10 +60,10 @@
     return ready;
 }
 
-static absl::Status startEntries(Daemon& daemon, const asio::any_io_executor& executor, settings::Site& site)
+static absl::Status startEntries(Daemon& daemon, const asio::any_io_executor& executor, settings::Site& site, const DoorLimits& limits)
 {
     for (settings::EntrySite& self : site.entries_) {
-        auto entry = Entry::start(executor, site, self);
+        auto entry = Entry::start(executor, site, self, limits);
         if (!entry.ok())
             return entry.status();
         self = (*entry)->site();
@@ -72,10 +72,10 @@
     return absl::OkStatus();
 }
 
-static absl::Status startAgents(Daemon& daemon, const asio::any_io_executor& executor, const settings::Site& site)
+static absl::Status startAgents(Daemon& daemon, const asio::any_io_executor& executor, const settings::Site& site, const DoorLimits& limits)
 {
     for (const settings::WorkerSite& self : site.workers_) {
-        auto agent = Agent::start(executor, site, self);
+        auto agent = Agent::start(executor, site, self, limits);
         if (!agent.ok())
             return agent.status();
         daemon.agents_.push_back(*std::move(agent));
@@ -90,9 +90,9 @@
         return standins.status();
     daemon.standins_ = *std::move(standins);
     settings::Site site = daemon.standins_->site();
-    if (absl::Status status = startEntries(daemon, executor, site); !status.ok())
+    if (absl::Status status = startEntries(daemon, executor, site, options.limits_); !status.ok())
         return status;
-    if (absl::Status status = startAgents(daemon, executor, site); !status.ok())
+    if (absl::Status status = startAgents(daemon, executor, site, options.limits_); !status.ok())
         return status;
     for (size_t index = 0; index < site.workers_.size(); ++index)
         site.workers_[index].rpc_ = daemon.agents_[index]->address();
@@ -115,7 +115,7 @@
     auto self = findByName(site.entries_, options.name_);
     if (self == site.entries_.end())
         return absl::InvalidArgumentError(concat("no entry named '", options.name_, "' in the site file"));
-    auto entry = Entry::start(executor, site, *self);
+    auto entry = Entry::start(executor, site, *self, options.limits_);
     if (!entry.ok())
         return entry.status();
     daemon.entries_.push_back(*std::move(entry));
@@ -128,7 +128,7 @@
     auto self = findByName(site.workers_, options.name_);
     if (self == site.workers_.end())
         return absl::InvalidArgumentError(concat("no worker named '", options.name_, "' in the site file"));
-    auto agent = Agent::start(executor, site, *self);
+    auto agent = Agent::start(executor, site, *self, options.limits_);
     if (!agent.ok())
         return agent.status();
     daemon.agents_.push_back(*std::move(agent));
--- a/app/src/Options.cpp
+++ b/app/src/Options.cpp
@@ -6,9 +6,14 @@
 #include <cxxopts.hpp>
 #include <fstream>
 #include <sstream>
+#include <sys/resource.h>
 
 namespace persimmondoor::app {
 
+static constexpr uint64_t bytesPerMegabyte = 1'000'000;
+// More descriptors than this are not used, also if the system allows them.
+static constexpr size_t maximumDescriptors = 4096;
+
 absl::StatusOr<std::string> readFile(const std::string& path)
 {
     std::ifstream file(path, std::ios::binary);
@@ -26,9 +31,20 @@
     add("name", "name of this process in the site file", cxxopts::value<std::string>()->default_value(""));
     add("log-level", "debug, info, warning or error", cxxopts::value<std::string>()->default_value("warning"));
     add("shutdown-limit-ms", "longest wait for requests in flight at a shutdown, in milliseconds", cxxopts::value<int64_t>()->default_value("10000"));
+    add("memory-mb", "memory that this process may use, in megabytes", cxxopts::value<uint64_t>()->default_value("256"));
+    add("descriptors", "file descriptors that this process may use; 0: as many as the system allows", cxxopts::value<size_t>()->default_value("0"));
     return flags;
 }
 
+// The number of file descriptors that the system allows to this process, at most `maximumDescriptors`.
+static size_t allowedDescriptors()
+{
+    rlimit allowed {};
+    if (getrlimit(RLIMIT_NOFILE, &allowed) != 0)
+        return maximumDescriptors;
+    return std::min<rlim_t>(allowed.rlim_cur, maximumDescriptors);
+}
+
 static absl::StatusOr<DaemonOptions> toOptions(const cxxopts::ParseResult& result)
 {
     if (result.count("settings") == 0)
@@ -37,6 +53,8 @@
     options.settingsPath_ = result["settings"].as<std::string>();
     options.name_ = result["name"].as<std::string>();
     options.shutdownLimit_ = std::chrono::milliseconds(result["shutdown-limit-ms"].as<int64_t>());
+    auto descriptors = result["descriptors"].as<size_t>();
+    options.limits_ = DoorLimits::create(result["memory-mb"].as<uint64_t>() * bytesPerMegabyte, descriptors > 0 ? descriptors : allowedDescriptors());
     if (absl::Status status = parseLogLevel(result["log-level"].as<std::string>(), options.logLevel_); !status.ok())
         return status;
     auto text = readFile(options.settingsPath_);
--- a/app/tests/hostile_clients.py
+++ b/app/tests/hostile_clients.py
@@ -31,6 +31,8 @@
 # The bounds. A process that keeps what it is sent grows by TOTAL_BYTES.
 GROWTH_LIMIT_KB = 12_000
 DESCRIPTOR_LIMIT = 256
+# What the processes are told that they may use.
+MEMORY_MB = 24
 # Descriptors that may be open in addition to those of before, once the crowd has left.
 DESCRIPTORS_LEFT = 32
 
@@ -57,7 +59,8 @@
 
 def deployment(host, name):
     settings = {"name": name, "domain": "a", "domains": ["a"], "host": host, "internal_port": 7200, "seeds": [f"{ENTRY}:7100"],
-                "store": f"{STORE[0]}:{STORE[1]}", "processors": 1, "bounds": {"shutdown_ms": 2000}}
+                "store": f"{STORE[0]}:{STORE[1]}", "processors": 1, "bounds": {"shutdown_ms": 2000},
+                "limits": {"memory_mb": MEMORY_MB, "descriptors": DESCRIPTOR_LIMIT}}
     settings |= {"clients": f"{host}:7100", "readiness": f"{host}:7110"} if host == ENTRY else {"workers": f"{host}:7120"}
     return settings
 
@@ -305,7 +308,7 @@
     """One process of the system, which is stopped and whose files are removed at the end."""
     work = tempfile.mkdtemp()
     arguments, settings = {
-        "local": (["local", "--settings"], SITE),
+        "local": (["local", "--memory-mb", str(MEMORY_MB), "--descriptors", str(DESCRIPTOR_LIMIT), "--settings"], SITE),
         "entry": (["entry", "--deployment"], deployment(ENTRY, "entry-1")),
         "agent": (["agent", "--deployment"], deployment(AGENT, "agent-1")),
     }[name]
--- a/http/src/Client.cpp
+++ b/http/src/Client.cpp
@@ -1,17 +1,17 @@
 #include "persimmondoor/http/Client.h"
 
 #include "Convert.h"
+#include "Decoder.h"
+#include "ReadMessage.h"
 #include "persimmondoor/core/Coroutine.h"
-
 #include "persimmondoor/core/Text.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace persimmondoor::http {
@@ -19,8 +19,8 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
-// Maximum size of the body of a response.
-static constexpr uint64_t responseBodyLimitBytes = 64 * 1024 * 1024;
+// Bounds on a response.
+static constexpr MessageLimits responseLimits { 16 * 1024, 100, 64 * 1024 * 1024 };
 
 struct Connection::State {
     explicit State(const asio::any_io_executor& executor)
@@ -83,24 +83,22 @@
         close();
         co_return ExchangeFailure { written > 0, describe("write", error) };
     }
-    beast::http::response_parser<beast::http::string_body> parser;
-    parser.body_limit(responseBodyLimitBytes);
-    parser.skip(isHead);
-    co_await beast::http::async_read_header(state_->stream_, state_->buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (!error && parser.need_eof() && !parser.is_done())
-        error = beast::http::error::need_more;
-    if (!error)
-        co_await beast::http::async_read(state_->stream_, state_->buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    ResponseDecoder decoder(responseLimits);
+    decoder.skip(isHead);
+    // The time-out of the exchange holds, and its caller has room for one response.
+    std::optional<ReadTimes> times;
+    Admission admission;
+    error = co_await readMessage(&state_->stream_, &state_->buffer_, &decoder, times, admission);
     if (error) {
         close();
-        co_return ExchangeFailure { true, error == beast::http::error::need_more ? absl::DataLossError("the response states no length") : describe("read", error) };
+        co_return ExchangeFailure { true, decoder.isWithoutLength() ? absl::DataLossError("the response states no length") : describe("read", error) };
     }
     // Bytes beyond the response belong to no request, so the connection is not reused.
-    state_->isReusable_ = parser.get().keep_alive() && state_->buffer_.size() == 0;
+    state_->isReusable_ = decoder.keep_alive() && state_->buffer_.size() == 0;
     state_->stream_.expires_never();
     if (!state_->isReusable_)
         close();
-    co_return fromBeast(parser.release());
+    co_return decoder.release();
 }
 
 // Returns whether the peer has closed the connection or sent bytes that belong to no request.
--- a/http/src/Convert.cpp
+++ b/http/src/Convert.cpp
@@ -8,24 +8,12 @@
 
 namespace beast = boost::beast;
 
-// Returns whether a field belongs to one connection. Such fields are not forwarded but set for each connection.
-static bool isConnectionField(std::string_view name)
+bool isConnectionField(std::string_view name)
 {
     return absl::EqualsIgnoreCase(toAbseil(name), "Connection") || absl::EqualsIgnoreCase(toAbseil(name), "Content-Length")
         || absl::EqualsIgnoreCase(toAbseil(name), "Transfer-Encoding") || absl::EqualsIgnoreCase(toAbseil(name), "Keep-Alive");
 }
 
-static std::vector<HeaderField> copyFields(const beast::http::fields& fields)
-{
-    std::vector<HeaderField> headers;
-    for (const auto& field : fields) {
-        std::string name(field.name_string());
-        if (!isConnectionField(name))
-            headers.push_back({ std::move(name), std::string(field.value()) });
-    }
-    return headers;
-}
-
 static void setFields(beast::http::fields& fields, const std::vector<HeaderField>& headers)
 {
     for (const HeaderField& field : headers) {
@@ -34,16 +22,6 @@
     }
 }
 
-Request fromBeast(BeastRequest&& message)
-{
-    return { std::string(message.method_string()), std::string(message.target()), copyFields(message), std::move(message.body()) };
-}
-
-Response fromBeast(BeastResponse&& message)
-{
-    return { static_cast<int>(message.result_int()), copyFields(message), std::move(message.body()) };
-}
-
 BeastRequest toBeast(Request&& request)
 {
     BeastRequest message;
--- a/http/src/Convert.h
+++ b/http/src/Convert.h
@@ -1,4 +1,4 @@
-// Converts between the HTTP values of this slice and those of Beast.
+// Converts the HTTP values of this slice to those of Beast.
 #pragma once
 
 #include "persimmondoor/http/Message.h"
@@ -12,8 +12,8 @@
 using BeastRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using BeastResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-Request fromBeast(BeastRequest&&);
-Response fromBeast(BeastResponse&&);
+// Returns whether a field belongs to one connection. Such fields are not forwarded but set for each connection.
+bool isConnectionField(std::string_view name);
 BeastRequest toBeast(Request&&);
 // `keepAlive` states to the client whether the connection stays open.
 BeastResponse toBeast(Response&&, bool keepAlive);
--- a/http/src/Server.cpp
+++ b/http/src/Server.cpp
@@ -1,10 +1,14 @@
 #include "persimmondoor/http/Server.h"
 
 #include "Convert.h"
+#include "Decoder.h"
+#include "ReadMessage.h"
+#include "decisions/ConnectionLedger.h"
 #include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/EventSummary.h"
 #include "persimmondoor/core/Log.h"
-
 #include "persimmondoor/core/Text.h"
+
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -14,11 +18,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <map>
 #include <optional>
-#include <set>
 
 namespace persimmondoor::http {
 
@@ -27,14 +29,18 @@
 
 // Pause after a connection that could not be accepted, so that the server does not spin while it lacks file descriptors.
 static constexpr Duration acceptRetryInterval = std::chrono::milliseconds(50);
+// An idle connection keeps no larger buffer.
+static constexpr size_t idleBufferBytes = 4096;
 
 // One accepted connection.
 struct Session {
-    explicit Session(asio::ip::tcp::socket socket)
-        : stream_(std::move(socket))
+    Session(ConnectionNumber number, asio::ip::tcp::socket socket)
+        : number_(number)
+        , stream_(std::move(socket))
     {
     }
 
+    ConnectionNumber number_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
     bool isIdle_ { true };
@@ -46,6 +52,7 @@
         , local_(acceptor_.local_endpoint())
         , limits_(limits)
         , handler_(std::move(handler))
+        , ledger_(limits.connections_, limits.memoryBytes_)
     {
     }
 
@@ -53,37 +60,98 @@
     asio::ip::tcp::endpoint local_;
     Limits limits_;
     Handler handler_;
-    std::set<std::shared_ptr<Session>> sessions_;
+    std::map<ConnectionNumber, std::shared_ptr<Session>> sessions_;
+    ConnectionLedger ledger_;
+    ConnectionNumber lastNumber_ { 0 };
+    EventSummary overLimit_;
     size_t inFlight_ { 0 };
     bool isStopping_ { false };
 };
 
-namespace {
+template <typename State>
+static std::string addressText(const State& state)
+{
+    return concat(state.local_.address().to_string(), ":", state.local_.port());
+}
 
-    asio::awaitable<bool> writeResponse(std::shared_ptr<Session> session, Response response, bool keepAlive)
-    {
-        BeastResponse message = toBeast(std::move(response), keepAlive);
-        boost::system::error_code error;
-        co_await beast::http::async_write(session->stream_, message, asio::redirect_error(asio::use_awaitable, error));
-        co_return !error;
-    }
+// Counts an event over the limits, and logs a summary now and then.
+template <typename State>
+static void reportOverLimit(State& state, std::string_view event, std::string detail)
+{
+    logDebug(event, { { "address", addressText(state) }, { "reason", detail } });
+    if (auto events = state.overLimit_.add(now(SteadyClock())))
+        logWarning("connections.over_limit", { { "address", addressText(state) }, { "events", std::to_string(*events) }, { "last", std::string(event) }, { "reason", std::move(detail) }, { "connections", std::to_string(state.sessions_.size()) }, { "held_bytes", std::to_string(state.ledger_.heldBytes()) } });
+}
 
-    Response responseToReadError(const boost::system::error_code& error, const Limits& limits)
-    {
-        if (error == beast::http::error::body_limit)
-            return errorResponse(413, "too-large", concat("the body exceeds ", limits.bodyBytes_, " bytes"));
-        if (error == beast::http::error::header_limit)
-            return errorResponse(413, "too-large", concat("the header exceeds ", limits.headerBytes_, " bytes"));
-        return errorResponse(400, "malformed-request", error.message());
-    }
+template <typename State>
+static void closeSession(State& state, ConnectionNumber number)
+{
+    state.ledger_.close(number);
+    auto found = state.sessions_.find(number);
+    if (found == state.sessions_.end())
+        return;
+    found->second->stream_.close();
+    state.sessions_.erase(found);
+}
 
-    bool isProtocolError(const boost::system::error_code& error)
-    {
-        return error && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message
-            && error.category() == make_error_code(beast::http::error::bad_target).category();
+// Closes connections until `ask` finds room. Returns whether there is room now.
+template <typename State, typename Ask>
+static bool makeRoom(State& state, Ask ask)
+{
+    for (;;) {
+        Room room = ask(state.ledger_);
+        const auto* full = std::get_if<RoomAfterClosing>(&room);
+        if (!full)
+            return std::holds_alternative<RoomAvailable>(room);
+        reportOverLimit(state, "connection.displaced", "its client was awaited longest");
+        closeSession(state, full->connection_);
     }
+}
+
+template <typename State>
+static bool holdBytes(State& state, ConnectionNumber number, size_t bytes)
+{
+    bool hasRoom = makeRoom(state, [&](const ConnectionLedger& ledger) { return ledger.roomToHold(number, bytes); });
+    if (hasRoom)
+        state.ledger_.hold(number, bytes);
+    return hasRoom;
+}
 
-} // namespace
+// Sends a response. The client has `responseTimeout_` to take it.
+template <typename State>
+static asio::awaitable<bool> writeResponse(std::shared_ptr<State> state, std::shared_ptr<Session> session, Response response, bool keepAlive)
+{
+    // A response that is ready is sent even if there is no room for it.
+    state->ledger_.awaitClient(session->number_);
+    if (!holdBytes(*state, session->number_, response.body_.size()))
+        state->ledger_.hold(session->number_, response.body_.size());
+    BeastResponse message = toBeast(std::move(response), keepAlive);
+    boost::system::error_code error;
+    session->stream_.expires_after(state->limits_.responseTimeout_);
+    co_await beast::http::async_write(session->stream_, message, asio::redirect_error(asio::use_awaitable, error));
+    session->stream_.expires_never();
+    state->ledger_.hold(session->number_, 0);
+    if (error == beast::error::timeout)
+        reportOverLimit(*state, "response.not_taken", "the client did not read its response in time");
+    co_return !error;
+}
+
+static Response responseToReadError(const boost::system::error_code& error, const Limits& limits, bool isHeaderComplete)
+{
+    if (error == beast::http::error::body_limit)
+        return errorResponse(413, "too-large", concat("the body exceeds ", limits.bodyBytes_, " bytes"));
+    if (error == beast::http::error::header_limit || (error == beast::http::error::buffer_overflow && !isHeaderComplete))
+        return errorResponse(431, "too-large", concat("the header exceeds ", limits.headerBytes_, " bytes or ", limits.headerLines_, " lines"));
+    if (error == beast::http::error::buffer_overflow)
+        return errorResponse(413, "too-large", concat("the framing of the body, with extensions and trailers, exceeds ", limits.headerBytes_, " bytes and the size of the body"));
+    return errorResponse(400, "malformed-request", error.message());
+}
+
+static bool isProtocolError(const boost::system::error_code& error)
+{
+    return error && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message
+        && error.category() == make_error_code(beast::http::error::bad_target).category();
+}
 
 // Calls the handler. An exception becomes a response with status 500.
 static asio::awaitable<Response> callHandler(Handler handler, Request request)
@@ -128,31 +196,50 @@
     co_return std::nullopt;
 }
 
+// Answers a request that could not be read, if the client can be answered. Nothing of the request was run.
+template <typename State>
+static asio::awaitable<void> refuse(std::shared_ptr<State> state, std::shared_ptr<Session> session, boost::system::error_code error, bool isHeaderComplete)
+{
+    if (isProtocolError(error)) {
+        Response response = responseToReadError(error, state->limits_, isHeaderComplete);
+        if (response.status_ != 400)
+            reportOverLimit(*state, "request.too_large", response.body_);
+        co_await writeResponse(state, session, std::move(response), false);
+    } else if (error == asio::error::no_buffer_space) {
+        // Without an answer, which would promise something about earlier attempts of the same request.
+        reportOverLimit(*state, "request.no_memory", "no memory is left for the request");
+    } else if (error == beast::error::timeout) {
+        logDebug("connection.timed_out", { { "address", addressText(*state) } });
+    }
+}
+
 // Reads one request, calls the handler and sends its response. Returns whether another request may follow.
 template <typename State>
 static asio::awaitable<bool> serveOne(std::shared_ptr<State> state, std::shared_ptr<Session> session)
 {
-    beast::http::request_parser<beast::http::string_body> parser;
-    parser.body_limit(state->limits_.bodyBytes_);
-    parser.header_limit(static_cast<std::uint32_t>(state->limits_.headerBytes_));
-    session->stream_.expires_after(state->limits_.idleTimeout_);
-    boost::system::error_code error;
-    co_await beast::http::async_read(session->stream_, session->buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+    const Limits& limits = state->limits_;
+    RequestDecoder decoder({ limits.headerBytes_, limits.headerLines_, limits.bodyBytes_ });
+    state->ledger_.awaitClient(session->number_);
+    // Named, as the compiler destroys converted temporaries of a co_await expression twice.
+    std::optional<ReadTimes> times = ReadTimes { limits.idleTimeout_, limits.requestTimeout_ };
+    Admission admission = [state, number = session->number_](size_t bytes) { return holdBytes(*state, number, bytes); };
+    boost::system::error_code error = co_await readMessage(&session->stream_, &session->buffer_, &decoder, times, admission);
     session->stream_.expires_never();
-    if (isProtocolError(error)) {
-        co_await writeResponse(session, responseToReadError(error, state->limits_), false);
+    if (error) {
+        co_await refuse(state, session, error, decoder.is_header_done());
         co_return false;
     }
-    if (error)
-        co_return false;
-    bool keepAlive = parser.get().keep_alive();
+    bool keepAlive = decoder.keep_alive();
     session->isIdle_ = false;
     ++state->inFlight_;
-    std::optional<Response> response = co_await handle(state, session, fromBeast(parser.release()));
+    state->ledger_.serve(session->number_);
+    std::optional<Response> response = co_await handle(state, session, decoder.release());
     keepAlive = keepAlive && !state->isStopping_ && response;
-    bool written = response && response->status_ != noAnswerStatus && co_await writeResponse(session, *std::move(response), keepAlive);
+    bool written = response && response->status_ != noAnswerStatus && co_await writeResponse(state, session, *std::move(response), keepAlive);
     --state->inFlight_;
     session->isIdle_ = true;
+    if (session->buffer_.size() == 0 && session->buffer_.capacity() > idleBufferBytes)
+        session->buffer_.shrink_to_fit();
     co_return written&& keepAlive;
 }
 
@@ -163,7 +250,7 @@
     }
     boost::system::error_code ignored;
     session->stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored); // NOLINT(bugprone-unused-return-value)
-    state->sessions_.erase(session);
+    closeSession(*state, session->number_);
 }
 
 template <typename State>
@@ -182,8 +269,13 @@
         }
         boost::system::error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored); // NOLINT(bugprone-unused-return-value)
-        auto session = std::make_shared<Session>(std::move(socket));
-        state->sessions_.insert(session);
+        if (!makeRoom(*state, [](const ConnectionLedger& ledger) { return ledger.roomForConnection(); })) {
+            reportOverLimit(*state, "connection.refused", "all connections are serving requests");
+            continue;
+        }
+        auto session = std::make_shared<Session>(++state->lastNumber_, std::move(socket));
+        state->ledger_.open(session->number_);
+        state->sessions_.emplace(session->number_, session);
         spawn(state->acceptor_.get_executor(), "http session", serveSession(state, session));
     }
 }
@@ -217,7 +309,7 @@
 
 Address Server::address() const
 {
-    return *Address::parse(concat(state_->local_.address().to_string(), ":", state_->local_.port()));
+    return *Address::parse(addressText(*state_));
 }
 
 void Server::stopAccepting()
@@ -225,7 +317,7 @@
     state_->isStopping_ = true;
     boost::system::error_code ignored;
     state_->acceptor_.close(ignored); // NOLINT(bugprone-unused-return-value)
-    for (const std::shared_ptr<Session>& session : state_->sessions_) {
+    for (const auto& [number, session] : state_->sessions_) {
         if (session->isIdle_)
             session->stream_.cancel();
     }
@@ -239,7 +331,7 @@
 void Server::close()
 {
     stopAccepting();
-    for (const std::shared_ptr<Session>& session : state_->sessions_)
+    for (const auto& [number, session] : state_->sessions_)
         session->stream_.close();
 }
 
--- a/rpc/include/persimmondoor/rpc/Server.h
+++ b/rpc/include/persimmondoor/rpc/Server.h
@@ -29,11 +29,24 @@
     mutable std::map<std::string, capnp::Capability::Client> clients_;
 };
 
+/// Bounds on what the peers of one server may send and hold.
+struct Limits {
+    /// Size of one message. Also bounds the calls of one connection that have no answer yet.
+    size_t messageBytes_ { 16 * 1024 * 1024 };
+    /// Number of open connections, at least 1. One more closes the one whose last message is the oldest, one without any
+    /// message first.
+    size_t connections_ { 1024 };
+    /// Bytes of all larger messages that are being received.
+    size_t memoryBytes_ { 32 * 1024 * 1024 };
+    bool operator==(const Limits&) const = default;
+};
+
 class Server {
 public:
-    /// Listens on `address`; port 0 picks a free one.
+    /// Listens on `address`; port 0 picks a free one. A connection whose peer exceeds the limits is closed; the calls in
+    /// flight on it fail with an unknown outcome.
     /// \return the server, or Unavailable with the system's error.
-    static absl::StatusOr<std::unique_ptr<Server>> listen(const boost::asio::any_io_executor&, const Address&, Interfaces);
+    static absl::StatusOr<std::unique_ptr<Server>> listen(const boost::asio::any_io_executor&, const Address&, Interfaces, Limits = {});
 
     virtual ~Server() noexcept(false) = default;
     /// Where the server listens.
--- a/rpc/src/LimitedMessageStream.cpp
+++ b/rpc/src/LimitedMessageStream.cpp
@@ -47,8 +47,9 @@
 
 kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> LimitedMessageStream::tryReadMessage(kj::ArrayPtr<kj::AutoCloseFd> files, capnp::ReaderOptions options, kj::ArrayPtr<capnp::word> scratch)
 {
-    return inner_.tryReadMessage(files, options, scratch).then([peer = peer_](kj::Maybe<capnp::MessageReaderAndFds>&& received) {
+    return inner_.tryReadMessage(files, options, scratch).then([peer = peer_, lastMessage = lastMessage_](kj::Maybe<capnp::MessageReaderAndFds>&& received) {
         KJ_IF_MAYBE (message, received) {
+            *lastMessage = now(SteadyClock());
             size_t words = sizeInWords(*message->reader);
             SegmentView view(*message->reader, words);
             // The call that reads beyond the limit fails, and the connection goes on.
--- a/rpc/src/LimitedMessageStream.h
+++ b/rpc/src/LimitedMessageStream.h
@@ -1,8 +1,12 @@
 // A stream of messages whose readers are limited by the size of each message.
 #pragma once
 
+#include "persimmondoor/core/Time.h"
+
 #include <capnp/serialize-async.h>
 #include <kj/async-io.h>
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace persimmondoor::rpc {
@@ -21,9 +25,14 @@
     kj::Maybe<int> getSendBufferSize() override;
     kj::Promise<void> end() override;
 
+    // When the last whole message arrived; nothing before the first.
+    std::optional<Instant> lastMessage() const { return *lastMessage_; }
+
 private:
     capnp::AsyncIoMessageStream inner_;
     std::string peer_;
+    // Shared with reads in flight.
+    std::shared_ptr<std::optional<Instant>> lastMessage_ { std::make_shared<std::optional<Instant>>() };
 };
 
 } // namespace persimmondoor::rpc
--- a/rpc/src/Server.cpp
+++ b/rpc/src/Server.cpp
@@ -4,9 +4,11 @@
 #include "LimitedMessageStream.h"
 #include "SocketStream.h"
 #include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/EventSummary.h"
 #include "persimmondoor/core/Log.h"
 
 #include "persimmondoor/core/Text.h"
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -49,12 +51,21 @@
 
     // One accepted connection.
     struct Connection {
-        Connection(asio::ip::tcp::socket socket, std::string peer, capnp::Capability::Client directory)
-            : stream_(std::move(socket))
+        Connection(asio::ip::tcp::socket socket, std::string peer, capnp::Capability::Client directory, std::shared_ptr<ReceiveBudget> budget, const Limits& limits)
+            : stream_(std::move(socket), std::move(budget))
             , messages_(stream_, std::move(peer))
-            , network_(messages_, capnp::rpc::twoparty::Side::SERVER)
+            , network_(messages_, capnp::rpc::twoparty::Side::SERVER, optionsFor(limits))
             , system_(capnp::makeRpcServer(network_, kj::mv(directory)))
         {
+            system_.setFlowLimit(limits.messageBytes_ / sizeof(capnp::word));
+        }
+
+        // Cap'n Proto applies the traversal limit to the size of a message before it allocates memory for it.
+        static capnp::ReaderOptions optionsFor(const Limits& limits)
+        {
+            capnp::ReaderOptions options;
+            options.traversalLimitInWords = limits.messageBytes_ / sizeof(capnp::word);
+            return options;
         }
 
         SocketStream stream_;
@@ -65,8 +76,10 @@
 
     class TCPServer final : public Server, public std::enable_shared_from_this<TCPServer> {
     public:
-        TCPServer(asio::ip::tcp::acceptor acceptor, Interfaces interfaces)
+        TCPServer(asio::ip::tcp::acceptor acceptor, Interfaces interfaces, Limits limits)
             : acceptor_(std::move(acceptor))
+            , limits_(limits)
+            , budget_(std::make_shared<ReceiveBudget>(limits.memoryBytes_))
             , directory_(kj::heap<DirectoryServer>(std::make_shared<const Interfaces>(std::move(interfaces))))
             , connections_(std::make_shared<ConnectionMap>())
         {
@@ -98,6 +111,7 @@
                     co_await sleepFor(acceptRetryInterval);
                     continue;
                 }
+                makeRoom();
                 boost::system::error_code ignored;
                 socket.set_option(asio::ip::tcp::no_delay(true), ignored); // NOLINT(bugprone-unused-return-value)
                 adopt(std::move(socket));
@@ -111,6 +125,19 @@
         };
         using ConnectionMap = std::map<uint64_t, Entry>;
 
+        // If the limit is reached, closes the connection whose last message is the oldest, one without any message first.
+        void makeRoom()
+        {
+            if (connections_->size() < limits_.connections_)
+                return;
+            auto oldest = std::min_element(connections_->begin(), connections_->end(),
+                [](const auto& left, const auto& right) { return left.second.connection_->messages_.lastMessage() < right.second.connection_->messages_.lastMessage(); });
+            logDebug("connection.displaced", { { "port", std::to_string(endpoint_.port()) } });
+            if (auto events = report_.add(now(SteadyClock())))
+                logWarning("connections.over_limit", { { "address", address().text() }, { "events", std::to_string(*events) }, { "connections", std::to_string(connections_->size()) } });
+            connections_->erase(oldest);
+        }
+
         void adopt(asio::ip::tcp::socket socket)
         {
             uint64_t number = nextNumber_++;
@@ -118,7 +145,7 @@
             // Names the peer in log lines only; it may have gone already.
             boost::system::error_code ignored;
             std::string peer = socket.remote_endpoint(ignored).address().to_string();
-            auto connection = std::make_unique<Connection>(std::move(socket), std::move(peer), directory_);
+            auto connection = std::make_unique<Connection>(std::move(socket), std::move(peer), directory_, budget_, limits_);
             // The entry cannot be erased inside its own promise, so the erasure is posted.
             kj::Promise<void> end = connection->network_.onDisconnect().then([executor, number, weak = std::weak_ptr(connections_)] {
                 spawn(executor, "rpc connection end", erase(weak, number));
@@ -135,6 +162,9 @@
 
         asio::ip::tcp::acceptor acceptor_;
         asio::ip::tcp::endpoint endpoint_;
+        Limits limits_;
+        std::shared_ptr<ReceiveBudget> budget_;
+        EventSummary report_;
         wire::Directory::Client directory_;
         std::shared_ptr<ConnectionMap> connections_;
         uint64_t nextNumber_ { 0 };
@@ -159,7 +189,7 @@
 
 } // namespace
 
-absl::StatusOr<std::unique_ptr<Server>> Server::listen(const asio::any_io_executor& executor, const Address& address, Interfaces interfaces)
+absl::StatusOr<std::unique_ptr<Server>> Server::listen(const asio::any_io_executor& executor, const Address& address, Interfaces interfaces, Limits limits)
 {
     asio::ip::tcp::acceptor acceptor(executor);
     asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip()), address.port());
@@ -171,7 +201,7 @@
     } catch (const boost::system::system_error& error) {
         return absl::UnavailableError(concat("cannot listen on ", address.text(), ": ", error.what()));
     }
-    auto server = std::make_shared<TCPServer>(std::move(acceptor), std::move(interfaces));
+    auto server = std::make_shared<TCPServer>(std::move(acceptor), std::move(interfaces), limits);
     spawn(executor, "rpc server", server->run(server));
     return std::make_unique<ServerHandle>(server);
 }
--- a/rpc/src/SocketStream.cpp
+++ b/rpc/src/SocketStream.cpp
@@ -1,8 +1,11 @@
 #include "SocketStream.h"
 
+#include "persimmondoor/core/Log.h"
+
 #include <boost/asio/completion_condition.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <vector>
 
@@ -21,8 +24,9 @@
     return { kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::str(error.message().c_str()) };
 }
 
-SocketStream::SocketStream(asio::ip::tcp::socket socket)
+SocketStream::SocketStream(asio::ip::tcp::socket socket, std::shared_ptr<ReceiveBudget> budget)
     : socket_(std::make_shared<asio::ip::tcp::socket>(std::move(socket)))
+    , budget_(std::move(budget))
 {
 }
 
@@ -41,11 +45,50 @@
     });
 }
 
+namespace {
+
+    // Bytes of the budget that a large read takes while it lasts. Closes the socket if the read lasts too long.
+    class LargeRead {
+    public:
+        LargeRead(const std::shared_ptr<asio::ip::tcp::socket>& socket, std::shared_ptr<ReceiveBudget> budget, size_t bytes)
+            : budget_(std::move(budget))
+            , bytes_(bytes)
+            , timer_(socket->get_executor(), messageArrivalTimeout)
+        {
+            timer_.async_wait([weak = std::weak_ptr(socket)](const boost::system::error_code& error) {
+                auto open = weak.lock();
+                if (error || !open)
+                    return;
+                logWarning("message.not_received", { { "reason", "a message did not arrive in time" } });
+                boost::system::error_code ignored;
+                open->close(ignored); // NOLINT(bugprone-unused-return-value)
+            });
+        }
+        ~LargeRead() { budget_->giveBack(bytes_); }
+        LargeRead(const LargeRead&) = delete;
+        LargeRead& operator=(const LargeRead&) = delete;
+
+    private:
+        std::shared_ptr<ReceiveBudget> budget_;
+        size_t bytes_;
+        asio::steady_timer timer_;
+    };
+
+} // namespace
+
 kj::Promise<size_t> SocketStream::tryRead(void* buffer, size_t minimumBytes, size_t maximumBytes)
 {
+    std::shared_ptr<LargeRead> large;
+    if (budget_ && minimumBytes > smallReadBytes) {
+        if (!budget_->take(minimumBytes)) {
+            logWarning("message.no_memory", { { "bytes", std::to_string(minimumBytes) }, { "reason", "other messages are being received" } });
+            return disconnected(asio::error::no_buffer_space);
+        }
+        large = std::make_shared<LargeRead>(socket_, budget_, minimumBytes);
+    }
     auto pair = kj::newPromiseAndFulfiller<size_t>();
     asio::async_read(*socket_, asio::buffer(buffer, maximumBytes), asio::transfer_at_least(minimumBytes),
-        [socket = socket_, fulfiller = kj::mv(pair.fulfiller)](const boost::system::error_code& error, size_t size) mutable {
+        [socket = socket_, large = std::move(large), fulfiller = kj::mv(pair.fulfiller)](const boost::system::error_code& error, size_t size) mutable {
             threadStreamBytes().received_ += size;
             if (!error || error == asio::error::eof)
                 fulfiller->fulfill(kj::mv(size));
--- a/rpc/src/SocketStream.h
+++ b/rpc/src/SocketStream.h
@@ -1,6 +1,8 @@
 // Adapts an Asio TCP socket to a stream of Cap'n Proto.
 #pragma once
 
+#include "ReceiveBudget.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <kj/async-io.h>
@@ -17,7 +19,8 @@
 
 class SocketStream final : public kj::AsyncIoStream {
 public:
-    explicit SocketStream(boost::asio::ip::tcp::socket);
+    // `budget` bounds what is read; nothing does if it is null.
+    explicit SocketStream(boost::asio::ip::tcp::socket, std::shared_ptr<ReceiveBudget> budget = nullptr);
     ~SocketStream() noexcept(false);
 
     kj::Promise<size_t> read(void* buffer, size_t minimumBytes, size_t maximumBytes) override;
@@ -31,6 +34,7 @@
 private:
     // Shared with the handlers of operations in flight.
     std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
+    std::shared_ptr<ReceiveBudget> budget_;
 };
 
 // The bytes of all streams of this thread, for measurements.
--- a/settings/include/persimmondoor/settings/Deployment.h
+++ b/settings/include/persimmondoor/settings/Deployment.h
@@ -31,6 +31,14 @@
     auto operator<=>(const DeploymentBounds&) const = default;
 };
 
+/// What the process may use of its machine.
+struct DeploymentLimits {
+    uint64_t memoryBytes_ { 256'000'000 };
+    /// File descriptors, sockets included.
+    size_t descriptors_ { 4096 };
+    auto operator<=>(const DeploymentLimits&) const = default;
+};
+
 struct Deployment {
     ProcessName name_;
     FailureDomainName domain_;
@@ -51,6 +59,7 @@
     /// Number of processors that the process may use; may be a fraction.
     double processors_ { 1 };
     DeploymentBounds bounds_;
+    DeploymentLimits limits_;
     bool operator==(const Deployment&) const = default;
 };
 
--- a/settings/src/Deployment.cpp
+++ b/settings/src/Deployment.cpp
@@ -7,6 +7,11 @@
 static constexpr int64_t highestPort = 65'535;
 static constexpr double minimumProcessors = 0.001;
 static constexpr double maximumProcessors = 1024;
+static constexpr int64_t bytesPerMegabyte = 1'000'000;
+static constexpr int64_t minimumMegabytes = 16;
+static constexpr int64_t maximumMegabytes = 1'000'000;
+static constexpr int64_t minimumDescriptors = 64;
+static constexpr int64_t maximumDescriptors = 1'000'000;
 static constexpr int64_t maximumBoundMs = 3'600'000;
 
 static std::optional<Address> readOptionalAddress(const Reader& reader, std::string_view name)
@@ -35,10 +40,22 @@
     return bounds;
 }
 
+static DeploymentLimits readLimits(const Reader& reader)
+{
+    DeploymentLimits limits;
+    if (!reader.expectObject({ "memory_mb", "descriptors" }))
+        return limits;
+    if (reader.has("memory_mb"))
+        limits.memoryBytes_ = static_cast<uint64_t>(reader.field("memory_mb").integer(minimumMegabytes, maximumMegabytes) * bytesPerMegabyte);
+    if (reader.has("descriptors"))
+        limits.descriptors_ = static_cast<size_t>(reader.field("descriptors").integer(minimumDescriptors, maximumDescriptors));
+    return limits;
+}
+
 static Deployment readDeployment(const Reader& reader)
 {
     Deployment deployment;
-    if (!reader.expectObject({ "name", "domain", "domains", "host", "internal_port", "clients", "readiness", "workers", "seeds", "store", "processors", "bounds" }))
+    if (!reader.expectObject({ "name", "domain", "domains", "host", "internal_port", "clients", "readiness", "workers", "seeds", "store", "processors", "bounds", "limits" }))
         return deployment;
     deployment.name_ = reader.field("name").name<ProcessName>();
     deployment.domain_ = reader.field("domain").name<FailureDomainName>();
@@ -53,6 +70,8 @@
     if (reader.has("processors"))
         deployment.processors_ = reader.field("processors").number(minimumProcessors, maximumProcessors);
     deployment.bounds_ = readBounds(reader.field("bounds"));
+    if (reader.has("limits"))
+        deployment.limits_ = readLimits(reader.field("limits"));
     return deployment;
 }
 
--- a/settings/tests/DeploymentTest.cpp
+++ b/settings/tests/DeploymentTest.cpp
@@ -4,7 +4,7 @@
 
 namespace persimmondoor::settings {
 
-static const std::string good = R"({"name":"front-1","domain":"north","domains":["north","south"],"host":"10.1.0.1","internal_port":7720,"clients":"10.1.0.1:80","seeds":["10.1.0.2:81"],"store":"10.2.0.1:82","bounds":{"shutdown_ms":6000,"longest_lease_ms":10000}})";
+static const std::string good = R"({"name":"front-1","domain":"north","domains":["north","south"],"host":"10.1.0.1","internal_port":7720,"clients":"10.1.0.1:80","seeds":["10.1.0.2:81"],"store":"10.2.0.1:82","bounds":{"shutdown_ms":6000,"longest_lease_ms":10000},"limits":{"memory_mb":160,"descriptors":4100}})";
 
 BOOST_AUTO_TEST_SUITE(deployment)
 
@@ -16,6 +16,8 @@
     BOOST_TEST(deployment->clients_->text() == "10.1.0.1:80");
     BOOST_TEST(!deployment->workers_.has_value());
     BOOST_TEST(deployment->bounds_.shutdown_.count() == 6'000'000);
+    BOOST_TEST(deployment->limits_.memoryBytes_ == 160'000'000U);
+    BOOST_TEST(deployment->limits_.descriptors_ == 4100U);
 }
 
 BOOST_AUTO_TEST_CASE(every_fault_is_named)
