RPC servers may hold a quarter of the memory for messages being received

Cause: with an eighth, a few hundred peers that report at once after a change of leader could be disconnected. Change: a quarter. Measured: hostile_rpc_messages_that_stop, hostile_rpc_connections_left_open, hostile_endless_answers and hostile_endless_trailers pass.

--- a/app/src/DoorLimits.cpp
+++ b/app/src/DoorLimits.cpp
@@ -17,7 +17,7 @@
 static constexpr size_t operatorDescriptorPart = 16;
 static constexpr size_t probeDescriptorPart = 32;
 static constexpr uint64_t requestMemoryPart = 8;
-static constexpr uint64_t peerMemoryPart = 8;
+static constexpr uint64_t peerMemoryPart = 4;
 static constexpr uint64_t operatorMemoryPart = 32;
 static constexpr uint64_t probeMemoryPart = 256;
 
