Workflow: jobs that cannot be finished in time are refused at once

Cause: under a shortage all jobs were accepted; on a burst of short jobs of six times the usual rate for 10 s, 449 of 863 ended after they had lost their value, up to 30 s late, and none was refused.

Change: the leader learns per queue for how long tasks hold their room (RunTimeEstimates), sums up the waiting work that is due before a new job and the cores that do it (AdmissionSurvey), and refuses a job that would end 25% beyond three objectives (JobAdmission), with a time to come back that is spread over the refused. What is uncertain is accepted: filling, long-running and scheduled jobs, few observed runs, a wait under 1 s, workers awaited after a takeover.

--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "persimmondoor/workflow/DecisionTrace.h"
+#include "persimmondoor/workflow/JobAdmission.h"
 #include "persimmondoor/workflow/JobState.h"
 #include "persimmondoor/workflow/LeaderMessages.h"
 #include "persimmondoor/workflow/SilentWorker.h"
@@ -51,6 +52,7 @@
     /// The workers lost within `Tuning::lossRetention_`, oldest first.
     std::vector<WorkerLoss> losses_;
     Interference interference_;
+    JobAdmission admission_;
     /// Time of the first failed write since the last durable one; empty if none has failed.
     std::optional<Instant> storeFailedAt_;
     /// When the newest durable write was sent.
--- a/workflow/include/persimmondoor/workflow/Record.h
+++ b/workflow/include/persimmondoor/workflow/Record.h
@@ -76,7 +76,8 @@
     /// The queue as configured when the job was accepted; applies if the queue is removed from the configuration. Its
     /// priority applies in any case.
     Queue queue_;
-    /// Time of acceptance, in milliseconds since 1970 UTC.
+    /// Time of acceptance, or of the first submission of a job that was refused and came back earlier than it was told to; in
+    /// milliseconds since 1970 UTC.
     int64_t acceptedMs_ { 0 };
     JobSpec spec_;
     bool operator==(const JobRecord&) const = default;
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -173,6 +173,22 @@
     /// clients retry a few times only, and their last attempt should not fall into the same outage.
     Duration retryAfter_ { std::chrono::milliseconds(1000) };
     Duration maximumRetryAfter_ { std::chrono::milliseconds(2000) };
+
+    /// Admission of jobs. A job is refused if it is expected to end later than it has value by this margin, in percent of that
+    /// time, as declared times are rough.
+    int64_t admissionMarginPercent_ { 25 };
+    /// No job is refused with a shorter wait ahead of it.
+    Duration smallestRefusedWait_ { std::chrono::milliseconds(1000) };
+    /// Time constant of the observed rate of finished work; outlasts the loss of a few workers for a moment.
+    Duration drainWindow_ { std::chrono::milliseconds(4000) };
+    /// The waiting work is summed up anew after this time: it visits all unfinished tasks.
+    Duration surveyInterval_ { std::chrono::milliseconds(20) };
+    /// Share of the room that is promised to refused jobs that come back, in percent; new jobs need the rest.
+    int64_t returningPercent_ { 50 };
+    /// Bound on the time after which a refused job should come back.
+    Duration maximumReturnAfter_ { std::chrono::seconds(30) };
+    /// Bound on the refused jobs that are remembered; those beyond it count as new when they come back.
+    size_t maximumRefusedJobs_ { 1024 };
     bool operator==(const Tuning&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/Urgency.h
+++ b/workflow/include/persimmondoor/workflow/Urgency.h
@@ -44,6 +44,9 @@
 /// Time from the acceptance of a job, or from the due time of an occurrence, within which it is on time.
 Duration objectiveOf(const Job&);
 
+/// Declared run time of the longest chain of dependent steps of one occurrence.
+Duration longestChainOf(const Job&);
+
 /// True if a step of the job is long-running; the job then has no objective.
 bool isLongRunning(const JobSpec&);
 
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -1,3 +1,4 @@
+#include "AdmissionSurvey.h"
 #include "LeaderRules.h"
 
 #include "persimmondoor/core/Text.h"
@@ -55,6 +56,8 @@
         return context.addAction(AnswerClient { message.token_, refuseUnstorable(context.state_, context.now_) });
     }
     Job job = newJob({ id, queue, message.wallMs_, request.spec_ });
+    if (std::optional<NotAccepted> refusal = refuseHopelessJob(context, job))
+        return context.addAction(AnswerClient { message.token_, *std::move(refusal) });
     context.logEvent("job.taken", id.value(), concat("queue ", queue.name_, ", ", job.tasks_.size(), " tasks, configuration ", context.state_.catalog_.version_));
     context.state_.openJobs_.insert(id);
     StagedJob& staged = stage(context.state_, id);
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -1,3 +1,4 @@
+#include "AdmissionSurvey.h"
 #include "LeaderRules.h"
 
 #include "persimmondoor/core/Text.h"
@@ -148,6 +149,8 @@
         return;
     job.idleSince_.reset();
     context.logEvent("run.ended", describe(end.run_), concat(describe(end.end_), "; worker ", incarnation.name_));
+    if (end.end_ == RunEnd::Done && isCurrent)
+        observeCompletedRun(context, job, end.run_.task_, *task, worker);
     if (end.end_ == RunEnd::Done)
         worker.consecutiveFailures_ = 0;
     if (end.end_ == RunEnd::Done && isCurrent)
--- a/workflow/src/decisions/Urgency.cpp
+++ b/workflow/src/decisions/Urgency.cpp
@@ -24,6 +24,11 @@
     return longest;
 }
 
+Duration longestChainOf(const Job& job)
+{
+    return longestChain(job, false);
+}
+
 Duration objectiveOf(const Job& job)
 {
     auto stretched = static_cast<int64_t>(job.queue_.stretch_ * static_cast<double>(milliseconds(longestChain(job, false))));
