--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "persimmondoor/workflow/DecisionTrace.h"
+#include "persimmondoor/workflow/JobAdmission.h"
 #include "persimmondoor/workflow/JobState.h"
 #include "persimmondoor/workflow/LeaderMessages.h"
 #include "persimmondoor/workflow/NearPlace.h"
@@ -57,6 +58,7 @@
     NearPlaces nearPlaces_;
     /// Which services are short of room for urgent work.
     UrgentRoom urgentRoom_;
+    JobAdmission admission_;
     /// Time of the first failed write since the last durable one; empty if none has failed.
     std::optional<Instant> storeFailedAt_;
     /// When the newest durable write was sent.
