Workflow: stops for urgent work no longer count on the ends of short runs

Change: the shortfall that is stopped for leaves out the ends of short runs; they still count for whether there is a rush. The suites urgent_room and room_holds pass, 27 cases.

--- a/workflow/include/persimmondoor/workflow/UrgentRoom.h
+++ b/workflow/include/persimmondoor/workflow/UrgentRoom.h
@@ -30,7 +30,9 @@
     Resources onTimeDemand_;
     /// Free now, where a waiting task could use it.
     Resources free_;
-    /// Becomes free within `Tuning::rushHorizon_`, by the ends of short runs and by stops that are ordered.
+    /// Becomes free by stops that are ordered.
+    Resources stopping_;
+    /// Becomes free within `Tuning::rushHorizon_` by the ends of short runs.
     Resources expected_;
     /// The highest priority (lowest number) of the waiting tasks.
     uint32_t priority_ { 0 };
@@ -43,7 +45,8 @@
 
     /// True if the waiting tasks need more than is free or expected.
     bool isShort() const;
-    /// What the tasks that can be on time need beyond that.
+    /// What the tasks that can be on time need beyond what is free and being freed by stops: the work that arrives meanwhile takes
+    /// what short runs leave.
     Resources shortfall() const;
 };
 
