--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -188,7 +188,7 @@
     /// a task is at work before it is stopped and between two stops. A predecessor's stops have taken effect within that time at
     /// work, so that a new leader counts them.
     uint32_t maximumStopsPerCheck_ { 12 };
-    size_t maximumStoppedPercent_ { 15 };
+    size_t maximumStoppedPercent_ { 25 };
     /// Share of the tasks of a long-running step that may be away for urgent work if the step states no number, in percent, rounded
     /// down; steps that state one come first. The platform's rule on availability binds stated numbers alone; 0 stops tasks of
     /// those steps only.
--- a/workflow/include/persimmondoor/workflow/UrgentRoom.h
+++ b/workflow/include/persimmondoor/workflow/UrgentRoom.h
@@ -30,9 +30,7 @@
     Resources onTimeDemand_;
     /// Free now, where a waiting task could use it.
     Resources free_;
-    /// Becomes free by stops that are ordered.
-    Resources stopping_;
-    /// Becomes free within `Tuning::rushHorizon_` by the ends of short runs.
+    /// Becomes free within `Tuning::rushHorizon_`, by the ends of short runs and by stops that are ordered.
     Resources expected_;
     /// The highest priority (lowest number) of the waiting tasks.
     uint32_t priority_ { 0 };
@@ -45,8 +43,7 @@
 
     /// True if the waiting tasks need more than is free or expected.
     bool isShort() const;
-    /// What the tasks that can be on time need beyond what is free and being freed by stops: the work that arrives meanwhile takes
-    /// what short runs leave.
+    /// What the tasks that can be on time need beyond that.
     Resources shortfall() const;
 };
 
--- a/workflow/src/decisions/UrgentDemand.cpp
+++ b/workflow/src/decisions/UrgentDemand.cpp
@@ -77,9 +77,11 @@
     }
 }
 
-// True if the estimate of the short run says that it ends within the horizon.
+// True if the run is taken to end within the horizon, as it is being stopped or its estimate says so.
 static bool endsSoon(const LeaderState& state, const Task& task, const Step& step, Instant now)
 {
+    if (step.longRunning_ || task.isStopping_)
+        return task.isStopping_;
     Duration age = now - task.times_.listedAt_.value_or(task.times_.assignedAt_);
     return step.estimate_ - age <= state.tuning_.rushHorizon_;
 }
@@ -96,7 +98,7 @@
     if (freeCores >= work.smallestMilliCores_)
         work.demand_.free_ = work.demand_.free_ + *Resources::create(freeCores, free.memoryBytes(), free.accelerators());
     for (const auto& [run, stopping] : worker.stoppingRuns_)
-        work.demand_.stopping_ = work.demand_.stopping_ + stopping.demand_;
+        work.demand_.expected_ = work.demand_.expected_ + stopping.demand_;
     for (const TaskKey& key : worker.assignedTasks_) {
         const Job& job = state.jobs_.at(key.job_);
         const Step& step = stepOf(job, key);
@@ -104,10 +106,7 @@
             continue;
         if (!step.longRunning_)
             used[job.queue_.name_] = used[job.queue_.name_] + step.demand_;
-        const Task& task = job.tasks_[taskNumber(job, key)];
-        if (task.isStopping_)
-            work.demand_.stopping_ = work.demand_.stopping_ + step.demand_;
-        else if (!step.longRunning_ && endsSoon(state, task, step, now))
+        if (endsSoon(state, job.tasks_[taskNumber(job, key)], step, now))
             work.demand_.expected_ = work.demand_.expected_ + step.demand_;
     }
 }
--- a/workflow/src/decisions/UrgentRoom.cpp
+++ b/workflow/src/decisions/UrgentRoom.cpp
@@ -9,12 +9,12 @@
 
 bool UrgentDemand::isShort() const
 {
-    return !demand_.fitsIn(free_ + stopping_ + expected_);
+    return !demand_.fitsIn(free_ + expected_);
 }
 
 Resources UrgentDemand::shortfall() const
 {
-    return onTimeDemand_ - free_ - stopping_;
+    return onTimeDemand_ - free_ - expected_;
 }
 
 const Rush* UrgentRoom::rushOf(const std::string& service) const
@@ -79,7 +79,7 @@
         return;
     const Rush& rush = later ? *later : *earlier;
     std::string lasted = later ? "" : concat(milliseconds(context.now_ - rush.since_), " ms; ");
-    context.logEvent(later ? "rush.began" : "rush.ended", service, concat(lasted, "queue ", rush.queue_, ", priority ", rush.priority_, "; waiting ", demand.tasks_, " tasks, ", describe(demand.demand_), ", of them on time ", describe(demand.onTimeDemand_), "; free ", describe(demand.free_), "; expected by stops ", describe(demand.stopping_), ", by short runs ", describe(demand.expected_), "; long-running tasks of this priority or a lower one come ", later ? "after it" : "in their turn again"));
+    context.logEvent(later ? "rush.began" : "rush.ended", service, concat(lasted, "queue ", rush.queue_, ", priority ", rush.priority_, "; waiting ", demand.tasks_, " tasks, ", describe(demand.demand_), ", of them on time ", describe(demand.onTimeDemand_), "; free ", describe(demand.free_), "; expected ", describe(demand.expected_), "; long-running tasks of this priority or a lower one come ", later ? "after it" : "in their turn again"));
 }
 
 static void forgetOldStops(LeaderState& state, Instant now)
