Starts that are not carried out hold no job back beside near places

Cause: a run that was assigned but never listed counted as at work for as long as its worker reported.

Change: such a start counts as work for the 0.8 s that a standing job may wait.

Measured: near_waits/start_that_is_not_carried_out_does_not_count_as_work_for_long fails without the change (one task waits, one is assigned after 900 ms) and passes with it.

--- a/workflow/src/decisions/NearPlaceRound.cpp
+++ b/workflow/src/decisions/NearPlaceRound.cpp
@@ -78,7 +78,10 @@
 {
     if (jobAtWork_ == job.record_.id_)
         return std::nullopt;
-    if (hasRunAtWork(context_.state_, job, context_.now_)) {
+    // A start that is not carried out counts as work for as long as a standing job may wait.
+    const Duration idle = context_.now_ - job.idleSince_.value_or(context_.now_);
+    bool isStarting = idle < context_.state_.tuning_.maximumStandingWait_ && hasRunAtWork(context_.state_, job, context_.now_);
+    if (isStarting || hasListedRunAtWork(context_.state_, job, context_.now_)) {
         jobAtWork_ = job.record_.id_;
         return std::nullopt;
     }
--- a/workflow/tests/NearWaitTest.cpp
+++ b/workflow/tests/NearWaitTest.cpp
@@ -67,9 +67,17 @@
             count += runs(worker, job) ? 1 : 0;
         return count;
     }
+    // Tasks that are assigned to a worker, whether it has listed their runs or not.
+    int64_t assignedTasksOf(const std::string& job) const
+    {
+        const std::vector<Task>& tasks = state_.jobs_.at(JobId::of(job)).tasks_;
+        return std::count_if(tasks.begin(), tasks.end(), [](const Task& task) { return task.progress_.phase_ == TaskPhase::Assigned; });
+    }
     size_t waits() const { return state_.nearPlaces_.waits_.size(); }
 
     std::set<std::string> draining_;
+    // Workers that do not carry out the starts that they are ordered.
+    std::set<std::string> ignoring_;
 
 private:
     RackWorld(Racks rackByWorker, std::map<std::string, std::set<RunKey>> active, std::vector<StoredJob> rows, uint64_t epoch, int64_t begin)
@@ -94,7 +102,7 @@
         report(worker, now_, std::move(active), std::move(ended));
         commit(now_);
         for (const auto& [other, otherRack] : rackByWorker_) {
-            if (state_.agents_.count(other) == 0)
+            if (state_.agents_.count(other) == 0 || ignoring_.count(other) > 0)
                 continue;
             for (const RunKey& run : starts(other, now_)) {
                 if (state_.jobs_.at(run.task_.job_).tasks_[run.task_.index_].progress_.phase_ == TaskPhase::Assigned)
@@ -252,6 +260,21 @@
     BOOST_TEST(world.waits() == 0U);
 }
 
+// Guards against a job that stands still beside free room, as its only run has been ordered and is never carried out.
+BOOST_AUTO_TEST_CASE(start_that_is_not_carried_out_does_not_count_as_work_for_long)
+{
+    RackWorld world(Racks { { "near", "r1" }, { "far-1", "r2" }, { "far-2", "r2" } });
+    world.submitJob(firstJob, dataStep(1, 3000));
+    world.pass(100);
+    BOOST_REQUIRE(world.runs("near", firstJob));
+    world.ignoring_ = { "far-1", "far-2" };
+    world.submitJob(secondJob, dataStep(2, 4000));
+    BOOST_REQUIRE(world.waits() == 1U);
+    world.pass(900);
+    BOOST_TEST(world.waits() == 0U);
+    BOOST_TEST(world.assignedTasksOf(secondJob) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(job_at_work_waits_for_longer_than_a_standing_one)
 {
     RackWorld world(Racks { { "near-1", "r1" }, { "near-2", "r1" }, { "far", "r2" } });
