Gangs try each rack with room before they are split

Cause: a gang that has to be on one rack was offered only the first rack on which the forecast saw room. Where workers of it were closed to the gang for a reason that the forecast does not know, such as a refused start, the gang was placed on several racks beside another rack that could take it.

Change: all racks with room are tried, the one of the data first.

Measured: near_waits/gang_is_placed_on_the_next_rack_where_the_first_is_closed_to_it fails without the change and passes with it.

--- a/workflow/src/decisions/GangStarts.cpp
+++ b/workflow/src/decisions/GangStarts.cpp
@@ -51,7 +51,9 @@
     GangPlace place = nearPlaces.placeOfGang(job, first);
     if (place.mustWait_)
         return true;
-    if (!place.rack_.empty() && placeGang(context, job, first, run + 1, place.rack_, round)) {
+    for (const std::string& rack : place.racks_) {
+        if (!placeGang(context, job, first, run + 1, rack, round))
+            continue;
         nearPlaces.noteGangStart(job, first, true);
         return false;
     }
--- a/workflow/src/decisions/NearPlaceRound.cpp
+++ b/workflow/src/decisions/NearPlaceRound.cpp
@@ -158,18 +158,20 @@
     if (!seeksCommonRack(context_.state_.tuning_, step))
         return {};
     PlaceOptions options = optionsOf(job, first);
+    std::vector<std::string> open;
     std::string best;
     for (const std::string& rack : racksOf(job.queue_.service_)) {
         std::optional<Instant> opensAt = forecastOf(job.queue_.service_, rack).opensAt(step, step.count_);
+        if (opensAt && *opensAt <= context_.now_)
+            open.insert(rack == step.dataRack_ ? open.begin() : open.end(), rack);
         bool isPreferred = opensAt == options.nearOpensAt_ && rack == step.dataRack_;
         if (!opensAt || (options.nearOpensAt_ && *opensAt >= *options.nearOpensAt_ && !isPreferred))
             continue;
         options.nearOpensAt_ = opensAt;
         best = rack;
     }
-    options.isNearOpen_ = options.nearOpensAt_ && *options.nearOpensAt_ <= context_.now_;
-    if (options.isNearOpen_)
-        return { false, best };
+    if (!open.empty())
+        return { false, std::move(open) };
     PlaceDecision decision = choosePlace(options, context_.state_.tuning_);
     if (!applyDecision(decision, options, first, best, concat("gang of ", step.count_)))
         return {};
--- a/workflow/src/decisions/NearPlaceRound.h
+++ b/workflow/src/decisions/NearPlaceRound.h
@@ -14,8 +14,8 @@
 struct GangPlace {
     // The gang waits for a rack with room for all members.
     bool mustWait_ { false };
-    // A rack that is expected to have room for all members; empty to place them anywhere.
-    std::string rack_;
+    // The racks that are expected to have room for all members, the one of their data first.
+    std::vector<std::string> racks_;
     auto operator<=>(const GangPlace&) const = default;
 };
 
--- a/workflow/tests/NearWaitTest.cpp
+++ b/workflow/tests/NearWaitTest.cpp
@@ -336,6 +336,19 @@
     BOOST_TEST(world.waits() == 0U);
 }
 
+// Guards against a gang on several racks as the first rack with room is closed to it for a reason that no forecast knows.
+BOOST_AUTO_TEST_CASE(gang_is_placed_on_the_next_rack_where_the_first_is_closed_to_it)
+{
+    RackWorld world(Racks { { "a-1", "r1" }, { "a-2", "r1" }, { "b-1", "r2" }, { "b-2", "r2" } });
+    for (auto& [incarnation, worker] : world.state_.workers_) {
+        if (incarnation.name_ == "a-1")
+            worker.backoffUntil_ = at(60'000);
+    }
+    world.submitJob(firstJob, rackGang(2, 800));
+    BOOST_TEST(world.runs("b-1", firstJob));
+    BOOST_TEST(world.runs("b-2", firstJob));
+}
+
 BOOST_AUTO_TEST_CASE(gang_without_a_rack_for_all_members_is_split)
 {
     RackWorld world(Racks { { "a-1", "r1" }, { "b-1", "r2" }, { "b-2", "r2" } });
