Forecasts of racks keep to the bound of a gang's members per worker

Cause: the forecast put any number of members on one worker, so that a rack with too few workers counted as open to a gang with a bound per worker. The gang neither was placed there nor waited for the rack that could take it, but was split at once.

Change: the forecast for a gang counts its members on each worker.

Measured: near_waits/gang_with_a_bound_per_worker_waits_for_a_rack_with_enough_workers fails without the change; test_workflow passes with it.

--- a/workflow/src/decisions/RackForecast.cpp
+++ b/workflow/src/decisions/RackForecast.cpp
@@ -53,7 +53,7 @@
     for (const auto& [incarnation, worker] : state.workers_) {
         if (worker.traits_.service_ != service || !hasLabel(worker, rack) || !acceptsRuns(state, worker, now))
             continue;
-        Room room { &worker, {}, {} };
+        Room room { &worker, {}, {}, 0 };
         for (const auto& [run, stopping] : worker.stoppingRuns_)
             room.used_ = room.used_ + stopping.demand_;
         for (const auto& [key, hold] : worker.holds_)
@@ -104,6 +104,8 @@
     Room* first = nullptr;
     std::optional<Instant> earliest;
     for (Room& room : rooms) {
+        if (step.maxPerWorker_ > 0 && room.members_ >= step.maxPerWorker_)
+            continue;
         std::optional<Instant> at = opensAt(room, step, now, earliest);
         if (!at || (earliest && *at >= *earliest))
             continue;
@@ -114,6 +116,7 @@
     }
     if (!first)
         return std::nullopt;
+    ++first->members_;
     first->used_ = first->used_ + step.demand_;
     Release release { *earliest + runTime, step.demand_ };
     first->releases_.insert(std::upper_bound(first->releases_.begin(), first->releases_.end(), release, endsEarlier), release);
@@ -146,6 +149,8 @@
 {
     for (uint32_t task = 0; task < count; ++task)
         take(rooms_, step, runTime, now_);
+    for (Room& room : rooms_)
+        room.members_ = 0;
 }
 
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/RackForecast.h
+++ b/workflow/src/decisions/RackForecast.h
@@ -30,6 +30,8 @@
         Resources used_;
         // By time.
         std::vector<Release> releases_;
+        // Members of the gang that is being fitted in.
+        uint32_t members_ { 0 };
     };
 
     void addRun(Room&, const Job&, const TaskKey&) const;
--- a/workflow/tests/NearWaitTest.cpp
+++ b/workflow/tests/NearWaitTest.cpp
@@ -349,6 +349,20 @@
     BOOST_TEST(world.runs("b-2", firstJob));
 }
 
+// Guards against a gang on several racks as a rack counts as open whose workers may not take that many members.
+BOOST_AUTO_TEST_CASE(gang_with_a_bound_per_worker_waits_for_a_rack_with_enough_workers)
+{
+    RackWorld world(Racks { { "a-1", "r1" }, { "b-1", "r2" }, { "b-2", "r2" } });
+    world.submitJob(firstJob, dataStep(1, 800, "r2"));
+    world.pass(500);
+    Step gang = rackGang(2, 800);
+    gang.demand_ = *Resources::create(500, 1000, 0);
+    gang.maxPerWorker_ = 1;
+    world.submitJob(secondJob, gang);
+    BOOST_TEST(world.runsOf(secondJob) == 0U);
+    BOOST_TEST(world.waits() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(gang_without_a_rack_for_all_members_is_split)
 {
     RackWorld world(Racks { { "a-1", "r1" }, { "b-1", "r2" }, { "b-2", "r2" } });
