Waits for near places are no shortage of room

Cause: tasks that wait for a near place counted as waiting for want of room, so that a rush could begin for them: long-running tasks were stopped or held back for room that the waiting tasks would leave unused.

Change: the survey of urgent work leaves them out while they wait.

--- a/workflow/src/decisions/JobWaits.cpp
+++ b/workflow/src/decisions/JobWaits.cpp
@@ -186,14 +186,6 @@
     return task.isStopping_ ? TaskWait::Stopping : TaskWait::Ordered;
 }
 
-// The wait for a near place of the task, or of its gang; null if there is none.
-static const NearWait* nearWaitOf(const LeaderState& state, const Step& step, TaskKey key, Instant now)
-{
-    key.index_ = step.gang_ ? 0 : key.index_;
-    auto wait = state.nearPlaces_.waits_.find(key);
-    return wait == state.nearPlaces_.waits_.end() || wait->second.until_ < now ? nullptr : &wait->second;
-}
-
 // The first reason for which `startReadyTasks` seeks no worker for the waiting task; empty if it does.
 static std::optional<TaskWait> waitBeforeSearch(const LeaderState& state, const Job& job, const TaskKey& key, bool hasAssignedSibling, Instant now)
 {
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -89,6 +89,8 @@
 void recordRunEnd(Job&, const TaskKey&, Task&, bool isDone, Instant now);
 // Adds the task's run, which has ended as done, to what near and far runs take.
 void recordDistance(const DecisionContext&, const Job&, const TaskKey&, const Task&);
+// The wait for a near place of the task, or of its gang, until now or later; null if there is none.
+const NearWait* nearWaitOf(const LeaderState&, const Step&, TaskKey, Instant now);
 // Records that the task was the last of its step to be done.
 void recordStepDone(const DecisionContext&, Job&, const TaskKey&, const Task& lastTask);
 // Since when the waiting task has had no run that a worker listed, as far as this leader has seen; empty if it is not waiting.
--- a/workflow/src/decisions/NearPlaceRound.cpp
+++ b/workflow/src/decisions/NearPlaceRound.cpp
@@ -283,4 +283,11 @@
     cost = addRun(cost, hasLabel(worker->second, step.dataRack_), context.now_ - *task.times_.listedAt_, step.estimate_);
 }
 
+const NearWait* nearWaitOf(const LeaderState& state, const Step& step, TaskKey key, Instant now)
+{
+    key.index_ = step.gang_ ? 0 : key.index_;
+    auto wait = state.nearPlaces_.waits_.find(key);
+    return wait == state.nearPlaces_.waits_.end() || wait->second.until_ < now ? nullptr : &wait->second;
+}
+
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/UrgentDemand.cpp
+++ b/workflow/src/decisions/UrgentDemand.cpp
@@ -38,6 +38,9 @@
 {
     const Task& task = job.tasks_[taskNumber(job, key)];
     std::optional<Instant> since = waitingSince(job, key);
+    // A task that waits for a near place leaves room unused that it could have.
+    if (nearWaitOf(state, stepOf(job, key), key, now))
+        return false;
     return since && now - *since >= state.tuning_.rushDemandAge_ && task.progress_.crashes_ == 0 && !task.silentWorker_;
 }
 
--- a/workflow/tests/NearWaitTest.cpp
+++ b/workflow/tests/NearWaitTest.cpp
@@ -314,6 +314,23 @@
     BOOST_TEST(world.waits() == 1U);
 }
 
+// Guards against long-running tasks that are stopped for tasks that leave free room unused.
+BOOST_AUTO_TEST_CASE(waits_for_near_places_are_no_shortage_of_room)
+{
+    RackWorld world(Racks { { "near", "r1" }, { "far-1", "r2" }, { "far-2", "r2" }, { "watch", "r3" } });
+    Step watch = dataStep(1, 800, "r3");
+    watch.longRunning_ = true;
+    watch.requiredLabel_ = "r3";
+    world.submitJob("00000000000000a0", watch);
+    world.submitJob(firstJob, dataStep(1, 3000));
+    world.pass(100);
+    BOOST_REQUIRE(world.runs("near", firstJob));
+    world.submitJob(secondJob, dataStep(3, 4000));
+    world.pass(800);
+    BOOST_TEST(world.waits() == 2U);
+    BOOST_TEST(world.logged("rush.began").empty());
+}
+
 BOOST_AUTO_TEST_CASE(gang_is_placed_on_one_rack)
 {
     RackWorld world(Racks { { "a-1", "r1" }, { "a-2", "r1" }, { "b-1", "r2" }, { "b-2", "r2" }, { "b-3", "r2" } });
