Forecasts of racks keep the last answer of each worker

Cause: each task that waits for a rack walked through the expected ends of all its workers twice in each round. The bench reported every 500 ms, so that no start was listed within the time for which it counts as work.

Change: a worker's answer is kept within the round for the last demand, until its room changes. The bench reports every 100 ms.

--- a/bench/leader/main.cpp
+++ b/bench/leader/main.cpp
@@ -151,8 +151,8 @@
     for (uint32_t job = 0; job < wideBacklogJobs; ++job)
         fleet.submitData(dataTasks, tooManyMilliCores, "r" + std::to_string(job % dataRacks));
     fleet.commitAll();
-    for (uint32_t round = 0; round < 4; ++round) {
-        fleet.advance(std::chrono::milliseconds(500));
+    for (uint32_t round = 0; round < 20; ++round) {
+        fleet.advance(std::chrono::milliseconds(100));
         fleet.reportAll();
         fleet.commitAll();
     }
--- a/workflow/src/decisions/RackForecast.cpp
+++ b/workflow/src/decisions/RackForecast.cpp
@@ -36,6 +36,7 @@
 void RackForecast::addRun(Room& room, const Job& job, const TaskKey& key) const
 {
     const Step& step = stepOf(job, key);
+    room.opening_.reset();
     room.used_ = room.used_ + countedDemand(step);
     if (!step.longRunning_)
         room.releases_.push_back({ expectedEnd(state_, job.tasks_[taskNumber(job, key)], step, *room.worker_, now_), countedDemand(step) });
@@ -51,9 +52,9 @@
     , now_(now)
 {
     for (const auto& [incarnation, worker] : state.workers_) {
-        if (worker.traits_.service_ != service || !hasLabel(worker, rack) || !acceptsRuns(state, worker, now))
+        if (!hasLabel(worker, rack) || worker.traits_.service_ != service || !acceptsRuns(state, worker, now))
             continue;
-        Room room { &worker, {}, {}, 0 };
+        Room room { &worker, {}, {}, 0, {} };
         for (const auto& [run, stopping] : worker.stoppingRuns_)
             room.used_ = room.used_ + stopping.demand_;
         for (const auto& [key, hold] : worker.holds_)
@@ -80,7 +81,7 @@
     std::sort(room->releases_.begin(), room->releases_.end(), endsEarlier);
 }
 
-std::optional<Instant> RackForecast::opensAt(const Room& room, const Step& step, Instant now, const std::optional<Instant>& bound)
+std::optional<Instant> RackForecast::findOpening(const Room& room, const Step& step, Instant now)
 {
     const Resources& capacity = room.worker_->traits_.capacity_;
     if (!step.demand_.fitsIn(capacity) || (!step.requiredLabel_.empty() && !hasLabel(*room.worker_, step.requiredLabel_)))
@@ -90,14 +91,19 @@
     for (const Release& release : room.releases_) {
         if ((used + step.demand_).fitsIn(capacity))
             return opensAt;
-        if (bound && release.at_ >= *bound)
-            return std::nullopt;
         used = used - release.demand_;
         opensAt = release.at_;
     }
     return (used + step.demand_).fitsIn(capacity) ? std::optional(opensAt) : std::nullopt;
 }
 
+std::optional<Instant> RackForecast::opensAt(Room& room, const Step& step, Instant now)
+{
+    if (!room.opening_ || room.opening_->demand_ != step.demand_ || room.opening_->requiredLabel_ != step.requiredLabel_)
+        room.opening_ = { step.demand_, step.requiredLabel_, findOpening(room, step, now) };
+    return room.opening_->at_;
+}
+
 // Takes the room that opens first.
 std::optional<Instant> RackForecast::take(std::vector<Room>& rooms, const Step& step, Duration runTime, Instant now)
 {
@@ -106,7 +112,7 @@
     for (Room& room : rooms) {
         if (step.maxPerWorker_ > 0 && room.members_ >= step.maxPerWorker_)
             continue;
-        std::optional<Instant> at = opensAt(room, step, now, earliest);
+        std::optional<Instant> at = opensAt(room, step, now);
         if (!at || (earliest && *at >= *earliest))
             continue;
         earliest = at;
@@ -116,6 +122,7 @@
     }
     if (!first)
         return std::nullopt;
+    first->opening_.reset();
     ++first->members_;
     first->used_ = first->used_ + step.demand_;
     Release release { *earliest + runTime, step.demand_ };
@@ -123,12 +130,12 @@
     return earliest;
 }
 
-std::optional<Instant> RackForecast::opensAt(const Step& step, uint32_t count) const
+std::optional<Instant> RackForecast::opensAt(const Step& step, uint32_t count)
 {
     if (count == 1) {
         std::optional<Instant> earliest;
-        for (const Room& room : rooms_) {
-            std::optional<Instant> at = opensAt(room, step, now_, earliest);
+        for (Room& room : rooms_) {
+            std::optional<Instant> at = opensAt(room, step, now_);
             earliest = at && (!earliest || *at < *earliest) ? at : earliest;
         }
         return earliest;
--- a/workflow/src/decisions/RackForecast.h
+++ b/workflow/src/decisions/RackForecast.h
@@ -13,7 +13,7 @@
     RackForecast(const LeaderState&, const std::string& service, const std::string& rack, Instant now);
 
     // When the rack has room for so many tasks of the step, which may be now; empty if it never has.
-    std::optional<Instant> opensAt(const Step&, uint32_t count) const;
+    std::optional<Instant> opensAt(const Step&, uint32_t count);
     // Takes the room of a task that has been assigned to the worker since the forecast was made.
     void addRun(const Worker&, const Job&, const TaskKey&);
     // Takes the room of so many tasks from when it becomes free. Does nothing if it never does.
@@ -25,6 +25,12 @@
         Instant at_;
         Resources demand_;
     };
+    // When a room fits a task with these demands; empty if it never does.
+    struct Opening {
+        Resources demand_;
+        std::string requiredLabel_;
+        std::optional<Instant> at_;
+    };
     struct Room {
         const Worker* worker_ { nullptr };
         Resources used_;
@@ -32,12 +38,14 @@
         std::vector<Release> releases_;
         // Members of the gang that is being fitted in.
         uint32_t members_ { 0 };
+        // The last answer, as most tasks that wait for a rack have the same demand. To be reset when the room changes.
+        std::optional<Opening> opening_;
     };
 
     void addRun(Room&, const Job&, const TaskKey&) const;
     static bool endsEarlier(const Release&, const Release&);
-    // When the room fits a task of the step; empty if it never does, or not before `bound`.
-    static std::optional<Instant> opensAt(const Room&, const Step&, Instant now, const std::optional<Instant>& bound);
+    static std::optional<Instant> findOpening(const Room&, const Step&, Instant now);
+    static std::optional<Instant> opensAt(Room&, const Step&, Instant now);
     static std::optional<Instant> take(std::vector<Room>&, const Step&, Duration runTime, Instant now);
 
     const LeaderState& state_;
