Gangs without room anywhere ask for no forecast

Cause: each gang that has to be on one rack was fitted into the forecasts of all racks in each round, also while the service had no room for it on any racks.

Change: such a gang begins no wait for a near place, as single tasks without room do not. A bound on the members that the workers can take now tells.

--- a/workflow/src/decisions/NearPlaceRound.cpp
+++ b/workflow/src/decisions/NearPlaceRound.cpp
@@ -5,6 +5,7 @@
 #include "persimmondoor/workflow/Urgency.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace persimmondoor::workflow {
 
@@ -74,6 +75,41 @@
     return racks->second;
 }
 
+static int64_t countThatFit(int64_t free, int64_t demand)
+{
+    return demand > 0 ? std::max<int64_t>(free, 0) / demand : std::numeric_limits<int64_t>::max();
+}
+
+// Bound on the members of the gang that the worker can take.
+static int64_t membersThatFit(const Worker& worker, const Step& step)
+{
+    if (!step.requiredLabel_.empty() && !hasLabel(worker, step.requiredLabel_))
+        return 0;
+    const Resources free = worker.traits_.capacity_ - worker.reserved_;
+    int64_t members = step.maxPerWorker_ > 0 ? step.maxPerWorker_ : step.count_;
+    members = std::min(members, countThatFit(freeMilliCores(worker), step.demand_.milliCores()));
+    members = std::min(members, countThatFit(free.memoryBytes(), step.demand_.memoryBytes()));
+    return std::min(members, countThatFit(free.accelerators(), step.demand_.accelerators()));
+}
+
+bool NearPlaceRound::mayFitNow(const std::string& service, const Step& step)
+{
+    auto [workers, isNew] = workersByService_.try_emplace(service);
+    if (isNew) {
+        for (const auto& [incarnation, worker] : context_.state_.workers_) {
+            if (worker.traits_.service_ == service && stateObstacle(context_.state_, worker, context_.now_) == WorkerObstacle::None)
+                workers->second.push_back(&worker);
+        }
+    }
+    int64_t members = 0;
+    for (const Worker* worker : workers->second) {
+        members += membersThatFit(*worker, step);
+        if (members >= step.count_)
+            return true;
+    }
+    return false;
+}
+
 std::optional<Instant> NearPlaceRound::standsStillSince(const Job& job)
 {
     if (jobAtWork_ == job.record_.id_)
@@ -155,7 +191,8 @@
 GangPlace NearPlaceRound::placeOfGang(const Job& job, const TaskKey& first)
 {
     const Step& step = stepOf(job, first);
-    if (!seeksCommonRack(context_.state_.tuning_, step))
+    // A gang without room on any racks waits in any case.
+    if (!seeksCommonRack(context_.state_.tuning_, step) || !mayFitNow(job.queue_.service_, step))
         return {};
     PlaceOptions options = optionsOf(job, first);
     std::vector<std::string> open;
--- a/workflow/src/decisions/NearPlaceRound.h
+++ b/workflow/src/decisions/NearPlaceRound.h
@@ -42,6 +42,8 @@
     RackForecast& forecastOf(const std::string& service, const std::string& rack);
     // Racks of the workers of the service that accept runs.
     const std::set<std::string>& racksOf(const std::string& service);
+    // False if the workers have no room for all members of the gang now, on however many racks.
+    bool mayFitNow(const std::string& service, const Step&);
     // Since when nothing of the job has run; empty while a run of it may be at work or is about to start.
     std::optional<Instant> standsStillSince(const Job&);
     PlaceOptions optionsOf(const Job&, const TaskKey&);
@@ -56,6 +58,7 @@
     NearPlaces& places_;
     std::map<std::pair<std::string, std::string>, RackForecast> forecasts_;
     std::map<std::string, std::set<std::string>> racksByService_;
+    std::map<std::string, std::vector<const Worker*>> workersByService_;
     // The last job with a run at work, as the tasks of a job are visited in series.
     std::optional<JobId> jobAtWork_;
     // What the tasks of the last step have in common, by the step's first task.
--- a/workflow/tests/NearWaitTest.cpp
+++ b/workflow/tests/NearWaitTest.cpp
@@ -380,6 +380,21 @@
     BOOST_TEST(world.waits() == 1U);
 }
 
+// Guards against forecasts of all racks in each round for gangs that have no room on any.
+BOOST_AUTO_TEST_CASE(gang_without_room_on_several_racks_begins_no_wait)
+{
+    RackWorld world(Racks { { "a-1", "r1" }, { "b-1", "r2" }, { "b-2", "r2" } });
+    world.submitJob(firstJob, dataStep(2, 800, "r2"));
+    world.pass(500);
+    world.submitJob(secondJob, rackGang(2, 800));
+    BOOST_TEST(world.waits() == 0U);
+    world.end("b-1");
+    BOOST_TEST(world.waits() == 1U);
+    world.end("b-2");
+    BOOST_TEST(world.runs("b-1", secondJob));
+    BOOST_TEST(world.runs("b-2", secondJob));
+}
+
 BOOST_AUTO_TEST_CASE(gang_without_a_rack_for_all_members_is_split)
 {
     RackWorld world(Racks { { "a-1", "r1" }, { "b-1", "r2" }, { "b-2", "r2" } });
