--- a/workflow/src/decisions/NearPlaceRound.cpp
+++ b/workflow/src/decisions/NearPlaceRound.cpp
@@ -5,6 +5,7 @@
 #include "persimmondoor/workflow/Urgency.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace persimmondoor::workflow {
 
@@ -74,11 +75,49 @@
     return racks->second;
 }
 
+static int64_t countThatFit(int64_t free, int64_t demand)
+{
+    return demand > 0 ? std::max<int64_t>(free, 0) / demand : std::numeric_limits<int64_t>::max();
+}
+
+// Bound on the members of the gang that the worker can take.
+static int64_t membersThatFit(const Worker& worker, const Step& step)
+{
+    if (!step.requiredLabel_.empty() && !hasLabel(worker, step.requiredLabel_))
+        return 0;
+    const Resources free = worker.traits_.capacity_ - worker.reserved_;
+    int64_t members = step.maxPerWorker_ > 0 ? step.maxPerWorker_ : step.count_;
+    members = std::min(members, countThatFit(freeMilliCores(worker), step.demand_.milliCores()));
+    members = std::min(members, countThatFit(free.memoryBytes(), step.demand_.memoryBytes()));
+    return std::min(members, countThatFit(free.accelerators(), step.demand_.accelerators()));
+}
+
+bool NearPlaceRound::mayFitNow(const std::string& service, const Step& step)
+{
+    auto [workers, isNew] = workersByService_.try_emplace(service);
+    if (isNew) {
+        for (const auto& [incarnation, worker] : context_.state_.workers_) {
+            if (worker.traits_.service_ == service && stateObstacle(context_.state_, worker, context_.now_) == WorkerObstacle::None)
+                workers->second.push_back(&worker);
+        }
+    }
+    int64_t members = 0;
+    for (const Worker* worker : workers->second) {
+        members += membersThatFit(*worker, step);
+        if (members >= step.count_)
+            return true;
+    }
+    return false;
+}
+
 std::optional<Instant> NearPlaceRound::standsStillSince(const Job& job)
 {
     if (jobAtWork_ == job.record_.id_)
         return std::nullopt;
-    if (hasRunAtWork(context_.state_, job, context_.now_)) {
+    // A start that is not carried out counts as work for as long as a standing job may wait.
+    const Duration idle = context_.now_ - job.idleSince_.value_or(context_.now_);
+    bool isStarting = idle < context_.state_.tuning_.maximumStandingWait_ && hasRunAtWork(context_.state_, job, context_.now_);
+    if (isStarting || hasListedRunAtWork(context_.state_, job, context_.now_)) {
         jobAtWork_ = job.record_.id_;
         return std::nullopt;
     }
@@ -152,21 +191,24 @@
 GangPlace NearPlaceRound::placeOfGang(const Job& job, const TaskKey& first)
 {
     const Step& step = stepOf(job, first);
-    if (!seeksCommonRack(context_.state_.tuning_, step))
+    // A gang without room on any racks waits in any case.
+    if (!seeksCommonRack(context_.state_.tuning_, step) || !mayFitNow(job.queue_.service_, step))
         return {};
     PlaceOptions options = optionsOf(job, first);
+    std::vector<std::string> open;
     std::string best;
     for (const std::string& rack : racksOf(job.queue_.service_)) {
         std::optional<Instant> opensAt = forecastOf(job.queue_.service_, rack).opensAt(step, step.count_);
+        if (opensAt && *opensAt <= context_.now_)
+            open.insert(rack == step.dataRack_ ? open.begin() : open.end(), rack);
         bool isPreferred = opensAt == options.nearOpensAt_ && rack == step.dataRack_;
         if (!opensAt || (options.nearOpensAt_ && *opensAt >= *options.nearOpensAt_ && !isPreferred))
             continue;
         options.nearOpensAt_ = opensAt;
         best = rack;
     }
-    options.isNearOpen_ = options.nearOpensAt_ && *options.nearOpensAt_ <= context_.now_;
-    if (options.isNearOpen_)
-        return { false, best };
+    if (!open.empty())
+        return { false, std::move(open) };
     PlaceDecision decision = choosePlace(options, context_.state_.tuning_);
     if (!applyDecision(decision, options, first, best, concat("gang of ", step.count_)))
         return {};
@@ -278,4 +320,11 @@
     cost = addRun(cost, hasLabel(worker->second, step.dataRack_), context.now_ - *task.times_.listedAt_, step.estimate_);
 }
 
+const NearWait* nearWaitOf(const LeaderState& state, const Step& step, TaskKey key, Instant now)
+{
+    key.index_ = step.gang_ ? 0 : key.index_;
+    auto wait = state.nearPlaces_.waits_.find(key);
+    return wait == state.nearPlaces_.waits_.end() || wait->second.until_ < now ? nullptr : &wait->second;
+}
+
 } // namespace persimmondoor::workflow
