No connection is closed for bytes that find no room anyway

Cause: a request or response that exceeds what all awaited connections could free closed them one after another before it was refused or sent. Change: the ledger names a connection to close only if those that may be closed hold enough. Measured: the new test of connection_ledger failed before the change; test_http passes.

--- a/http/src/decisions/ConnectionLedger.cpp
+++ b/http/src/decisions/ConnectionLedger.cpp
@@ -1,5 +1,7 @@
 #include "ConnectionLedger.h"
 
+#include <optional>
+
 namespace persimmondoor::http {
 
 ConnectionLedger::ConnectionLedger(size_t connections, size_t bytes)
@@ -67,9 +69,16 @@
     size_t held = asking == connections_.end() ? 0 : asking->second.bytes_;
     if (heldBytes_ - held + bytes <= byteLimit_)
         return RoomAvailable {};
+    size_t needed = heldBytes_ - held + bytes - byteLimit_;
+    size_t closable = 0;
+    std::optional<ConnectionNumber> first;
     for (const auto& [turn, other] : awaited_) {
-        if (other != connection && connections_.at(other).bytes_ > 0)
-            return RoomAfterClosing { other };
+        size_t otherBytes = other == connection ? 0 : connections_.at(other).bytes_;
+        if (otherBytes > 0 && !first)
+            first = other;
+        closable += otherBytes;
+        if (closable >= needed)
+            return RoomAfterClosing { *first };
     }
     return NoRoom {};
 }
--- a/http/src/decisions/ConnectionLedger.h
+++ b/http/src/decisions/ConnectionLedger.h
@@ -44,7 +44,7 @@
 
     // Whether there is room for one more connection.
     Room roomForConnection() const;
-    // Whether there is room for the connection to hold `bytes`.
+    // Whether there is room for the connection to hold `bytes`. None is closed if closing all would not make room.
     Room roomToHold(ConnectionNumber, size_t bytes) const;
 
     size_t heldBytes() const { return heldBytes_; }
--- a/http/tests/ConnectionLedgerTest.cpp
+++ b/http/tests/ConnectionLedgerTest.cpp
@@ -56,6 +56,20 @@
     BOOST_TEST(std::holds_alternative<NoRoom>(ledger.roomToHold(3, 101)));
 }
 
+// Load: clients whose small requests are arriving, beside one whose request exceeds all of the memory.
+BOOST_AUTO_TEST_CASE(nothing_is_closed_for_bytes_that_find_no_room_anyway)
+{
+    ConnectionLedger ledger(10, 100);
+    for (ConnectionNumber number : { 1, 2, 3 })
+        ledger.open(number);
+    ledger.hold(1, 60);
+    ledger.serve(1);
+    ledger.hold(2, 30);
+    BOOST_TEST(std::holds_alternative<NoRoom>(ledger.roomToHold(3, 101)));
+    BOOST_TEST(std::holds_alternative<NoRoom>(ledger.roomToHold(3, 41)));
+    BOOST_TEST(toClose(ledger.roomToHold(3, 40)) == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::http
