RPC messages that do not arrive keep no smaller ones out

Cause: the memory for messages being received was given first come, first served; three peers that announced 16 MiB each and sent nothing had every other message above 16 KiB refused and its connection closed, for up to 20 s at a time. Change: a message without room closes the largest one that is at least as large, the oldest among equals, or is refused. Measured: the new test of receive_budget failed with the rule disabled; test_rpc passes.

--- a/rpc/include/persimmondoor/rpc/Server.h
+++ b/rpc/include/persimmondoor/rpc/Server.h
@@ -36,7 +36,8 @@
     /// Number of open connections, at least 1. One more closes the one whose last message is the oldest, one without any
     /// message first.
     size_t connections_ { 1024 };
-    /// Bytes of all larger messages that are being received.
+    /// Bytes of all larger messages that are being received. One that finds no room closes the connection of one that is at
+    /// least as large, or else its own.
     size_t memoryBytes_ { 32 * 1024 * 1024 };
     bool operator==(const Limits&) const = default;
 };
--- a/rpc/src/SocketStream.cpp
+++ b/rpc/src/SocketStream.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <string_view>
 #include <vector>
 
 namespace persimmondoor::rpc {
@@ -47,30 +48,37 @@
 
 namespace {
 
-    // Bytes of the budget that a large read takes while it lasts. Closes the socket if the read lasts too long.
+    // Closes the socket if it is still there, so that its read fails.
+    void abandon(const std::weak_ptr<asio::ip::tcp::socket>& socket, std::string_view reason)
+    {
+        auto open = socket.lock();
+        if (!open)
+            return;
+        logWarning("message.not_received", { { "reason", std::string(reason) } });
+        boost::system::error_code ignored;
+        open->close(ignored); // NOLINT(bugprone-unused-return-value)
+    }
+
+    // A large read that the budget has room for, while it lasts. Closes the socket if it lasts too long.
     class LargeRead {
     public:
-        LargeRead(const std::shared_ptr<asio::ip::tcp::socket>& socket, std::shared_ptr<ReceiveBudget> budget, size_t bytes)
+        LargeRead(const std::shared_ptr<asio::ip::tcp::socket>& socket, std::shared_ptr<ReceiveBudget> budget, ReadNumber number)
             : budget_(std::move(budget))
-            , bytes_(bytes)
+            , number_(number)
             , timer_(socket->get_executor(), messageArrivalTimeout)
         {
             timer_.async_wait([weak = std::weak_ptr(socket)](const boost::system::error_code& error) {
-                auto open = weak.lock();
-                if (error || !open)
-                    return;
-                logWarning("message.not_received", { { "reason", "a message did not arrive in time" } });
-                boost::system::error_code ignored;
-                open->close(ignored); // NOLINT(bugprone-unused-return-value)
+                if (!error)
+                    abandon(weak, "the message did not arrive in time");
             });
         }
-        ~LargeRead() { budget_->giveBack(bytes_); }
+        ~LargeRead() { budget_->giveBack(number_); }
         LargeRead(const LargeRead&) = delete;
         LargeRead& operator=(const LargeRead&) = delete;
 
     private:
         std::shared_ptr<ReceiveBudget> budget_;
-        size_t bytes_;
+        ReadNumber number_;
         asio::steady_timer timer_;
     };
 
@@ -80,11 +88,12 @@
 {
     std::shared_ptr<LargeRead> large;
     if (budget_ && minimumBytes > smallReadBytes) {
-        if (!budget_->take(minimumBytes)) {
+        auto number = budget_->take(minimumBytes, [weak = std::weak_ptr(socket_)] { abandon(weak, "another message needs the memory"); });
+        if (!number) {
             logWarning("message.no_memory", { { "bytes", std::to_string(minimumBytes) }, { "reason", "other messages are being received" } });
             return disconnected(asio::error::no_buffer_space);
         }
-        large = std::make_shared<LargeRead>(socket_, budget_, minimumBytes);
+        large = std::make_shared<LargeRead>(socket_, budget_, *number);
     }
     auto pair = kj::newPromiseAndFulfiller<size_t>();
     asio::async_read(*socket_, asio::buffer(buffer, maximumBytes), asio::transfer_at_least(minimumBytes),
