Stop no tasks on workers too small for the urgent work

Cause: obstacleAt reports missing cores or memory also of workers whose whole capacity is below the demand, or that have none of the accelerators, so that long-running tasks there were stopped without use. Change: only workers that could hold the waiting task when empty are candidates.

--- a/workflow/src/decisions/RoomStops.cpp
+++ b/workflow/src/decisions/RoomStops.cpp
@@ -1,4 +1,5 @@
 #include "LeaderRules.h"
+#include "UrgentDemand.h"
 
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/workflow/Urgency.h"
@@ -104,8 +105,9 @@
 // True if the waiting task could run on the worker once room is made.
 static bool lacksOnlyRoom(const LeaderState& state, const TaskKey& waiting, const Worker& worker, Instant now)
 {
-    WorkerObstacle obstacle = obstacleAt(state, state.jobs_.at(waiting.job_), waiting, worker, now);
-    return (obstacle == WorkerObstacle::Cores || obstacle == WorkerObstacle::Memory) && !isOvercommitted(worker);
+    const Job& job = state.jobs_.at(waiting.job_);
+    WorkerObstacle obstacle = obstacleAt(state, job, waiting, worker, now);
+    return canEverHold(worker, stepOf(job, waiting)) && (obstacle == WorkerObstacle::Cores || obstacle == WorkerObstacle::Memory) && !isOvercommitted(worker);
 }
 
 namespace {
--- a/workflow/src/decisions/UrgentDemand.cpp
+++ b/workflow/src/decisions/UrgentDemand.cpp
@@ -26,7 +26,7 @@
     return workers;
 }
 
-static bool canEverHold(const Worker& worker, const Step& step)
+bool canEverHold(const Worker& worker, const Step& step)
 {
     const std::vector<std::string>& labels = worker.traits_.labels_;
     bool hasLabel = step.requiredLabel_.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel_) != labels.end();
--- a/workflow/src/decisions/UrgentDemand.h
+++ b/workflow/src/decisions/UrgentDemand.h
@@ -26,5 +26,7 @@
 // Services without such work, or without long-running tasks on their workers, are left out. Demand that no worker can hold does
 // not count.
 std::map<std::string, WaitingWork> surveyUrgentWork(const LeaderState&, Instant now);
+// True if an empty worker has the room and the label that a task of the step needs.
+bool canEverHold(const Worker&, const Step&);
 
 } // namespace persimmondoor::workflow
--- a/workflow/tests/UrgentRoomTest.cpp
+++ b/workflow/tests/UrgentRoomTest.cpp
@@ -162,6 +162,33 @@
     BOOST_TEST(world.stopping().empty());
 }
 
+// Guards against stops on workers that could not run the waiting work even if they were empty.
+BOOST_AUTO_TEST_CASE(tasks_on_workers_too_small_for_the_waiting_work_stay)
+{
+    WatchedWorld world(2);
+    world.pass(200, 4000, { 0, 1, 2, 3 });
+    world.capacity_ = *Resources::create(6000, 64000, 0);
+    world.report("w-2", 4010);
+    Step other = stepOfTasks(1);
+    other.demand_ = *Resources::create(4000, 1000, 0);
+    world.submit({ other }, 4020, "00000000000000bb");
+    world.commit(4021);
+    std::vector<RunKey> started = world.starts("w-2", 4022);
+    BOOST_REQUIRE(started.size() == 1U);
+    Step large = stepOfTasks(1);
+    large.demand_ = *Resources::create(5000, 1000, 0);
+    world.submit({ large }, 4050, "00000000000000cc");
+    world.commit(4051);
+    for (int64_t time = 4100; time <= 4900; time += 100) {
+        world.capacity_ = *Resources::create(6000, 64000, 0);
+        world.report("w-2", time, { { started.front(), "", 1, 0, 100 } });
+        world.capacity_ = *Resources::create(4000, 64000, 0);
+        world.pass(time, time, { 0, 1, 2, 3 });
+    }
+    BOOST_TEST(world.logged("rush.began").size() == 1U);
+    BOOST_TEST(world.stopping().empty());
+}
+
 // Guards against freed room that the stopped task takes again, ahead of the work that it was freed for.
 BOOST_AUTO_TEST_CASE(freed_room_goes_to_the_urgent_work)
 {
