Count no urgent tasks beyond the bound of their step

Cause: tasks that wait since their step has reached maxPerWorker on every worker counted as short of room; they began rushes, and long-running tasks were stopped for them, whose room none of them could take. Change: the demand of a step counts up to what its bound still admits to workers that could hold it.

--- a/workflow/src/decisions/UrgentDemand.cpp
+++ b/workflow/src/decisions/UrgentDemand.cpp
@@ -61,6 +61,20 @@
     work.milliCoresByQueue_[job.queue_.name_] += demand.milliCores();
 }
 
+// How many more tasks of the step its bound admits to the workers that could hold one; 0 if none of them could.
+static uint32_t admissibleTasks(const std::vector<const Worker*>& workers, const TaskKey& first, const Step& step)
+{
+    int64_t tasks = 0;
+    for (const Worker* worker : workers) {
+        if (!canEverHold(*worker, step))
+            continue;
+        if (step.maxPerWorker_ == 0)
+            return step.count_;
+        tasks += std::max<int64_t>(0, int64_t(step.maxPerWorker_) - countSiblings(*worker, first));
+    }
+    return static_cast<uint32_t>(std::min<int64_t>(tasks, step.count_));
+}
+
 static void addWaitingTasks(const LeaderState& state, const Job& job, const std::vector<const Worker*>& workers, bool isOnTime, WaitingWork& work, Instant now)
 {
     const std::vector<Step>& steps = job.record_.spec_.steps();
@@ -70,12 +84,13 @@
         const Step& step = steps[stepNumber];
         if (step.isFilling_ || job.unfinishedTasks_[number] == 0 || !isStartable(state, job, occurrence, step))
             continue;
-        if (std::none_of(workers.begin(), workers.end(), [&](const Worker* worker) { return canEverHold(*worker, step); }))
-            continue;
-        for (uint32_t index = 0; index < step.count_; ++index) {
+        uint32_t admissible = admissibleTasks(workers, { job.record_.id_, occurrence, stepNumber, 0 }, step);
+        for (uint32_t index = 0; index < step.count_ && admissible > 0; ++index) {
             TaskKey key { job.record_.id_, occurrence, stepNumber, index };
-            if (waitsForRoom(state, job, key, now))
-                addWaitingTask(work, job, key, isOnTime);
+            if (!waitsForRoom(state, job, key, now))
+                continue;
+            addWaitingTask(work, job, key, isOnTime);
+            --admissible;
         }
     }
 }
--- a/workflow/tests/UrgentRoomTest.cpp
+++ b/workflow/tests/UrgentRoomTest.cpp
@@ -189,6 +189,31 @@
     BOOST_TEST(world.stopping().empty());
 }
 
+// Guards against stops for tasks that wait for the bound of their step and not for room.
+BOOST_AUTO_TEST_CASE(tasks_beyond_the_bound_of_their_step_are_no_demand)
+{
+    WatchedWorld world(2);
+    world.pass(200, 4000, { 0, 1, 2, 3 });
+    world.capacity_ = *Resources::create(1000, 64000, 0);
+    world.report("w-2", 4010);
+    Step bounded = stepOfTasks(6);
+    bounded.maxPerWorker_ = 1;
+    bounded.requiredLabel_ = "a";
+    world.submit({ bounded }, 4020, "00000000000000bb");
+    world.commit(4021);
+    std::vector<RunKey> started = world.starts("w-2", 4022);
+    BOOST_REQUIRE(started.size() == 1U);
+    for (int64_t time = 4100; time <= 5100; time += 100) {
+        world.capacity_ = *Resources::create(1000, 64000, 0);
+        world.report("w-2", time, { { started.front(), "", 1, 0, 100 } });
+        world.capacity_ = *Resources::create(4000, 64000, 0);
+        world.pass(time, time, { 0, 1, 2, 3 });
+    }
+    BOOST_TEST(world.stopping().size() == 1U);
+    BOOST_REQUIRE(!world.logged("rush.began").empty());
+    BOOST_TEST(world.logged("rush.began").front().find("waiting 1 tasks") != std::string::npos);
+}
+
 // Guards against freed room that the stopped task takes again, ahead of the work that it was freed for.
 BOOST_AUTO_TEST_CASE(freed_room_goes_to_the_urgent_work)
 {
