Count tasks that are no longer listed as away

Cause: while a worker's ends are cut, a long-running run that is gone stays assigned with its last progress, and counted as at work; a stop for urgent work could then exceed the number that may be missed. Change: runs that the newest list does not contain are marked; they count as away and are not stopped.

--- a/workflow/include/persimmondoor/workflow/JobState.h
+++ b/workflow/include/persimmondoor/workflow/JobState.h
@@ -36,6 +36,8 @@
     OrderNumber lastOrder_;
     /// The worker's list of active runs contains the newest run.
     bool isOnWorker_ { false };
+    /// The worker's newest list no longer contains the newest run, whose end is not known yet.
+    bool isUnlisted_ { false };
     bool isStopping_ { false };
     Instant stopOrderedAt_;
     uint32_t progressPercent_ { 0 };
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -188,6 +188,7 @@
         job.idleSince_.reset();
     }
     task->isOnWorker_ = true;
+    task->isUnlisted_ = false;
     if (isNewReading)
         noteReading(context, active.run_.task_, *task);
     if (isNewReading && stepOf(job, active.run_.task_).isFilling_) {
@@ -301,6 +302,14 @@
     }
 }
 
+static void noteUnlistedRuns(const DecisionContext& context, const Worker& worker, const std::set<TaskKey>& seen)
+{
+    for (const TaskKey& key : worker.assignedTasks_) {
+        if (seen.count(key) == 0)
+            findTask(context.state_, key)->isUnlisted_ = true;
+    }
+}
+
 // Runs whose ends are not listed yet make no progress, which does not mean that they hang.
 static void noteUnlistedEnds(const DecisionContext& context, const Worker& worker, const std::set<TaskKey>& seen)
 {
@@ -431,6 +440,7 @@
     releaseStoppedRuns(worker, report.active_, agent);
     observeLoad(context, report, worker);
     backOffAfterRefusals(context, report, wasReachable, worker);
+    noteUnlistedRuns(context, worker, seen);
     if (!report.hasAllEnds_)
         noteUnlistedEnds(context, worker, seen);
     markAbsentRunsLost(context, report, wasReachable, worker, seen, agent);
--- a/workflow/src/decisions/RoomStops.cpp
+++ b/workflow/src/decisions/RoomStops.cpp
@@ -53,7 +53,7 @@
         }
         bool isAtWork(const Task& task) const
         {
-            bool isListed = task.progress_.phase_ == TaskPhase::Assigned && task.isOnWorker_ && !task.isStopping_ && task.progressPercent_ >= 100;
+            bool isListed = task.progress_.phase_ == TaskPhase::Assigned && task.isOnWorker_ && !task.isUnlisted_ && !task.isStopping_ && task.progressPercent_ >= 100;
             auto worker = isListed ? context_.state_.workers_.find(task.progress_.worker_) : context_.state_.workers_.end();
             return worker != context_.state_.workers_.end() && isUp(context_.state_, worker->second, context_.now_);
         }
@@ -94,7 +94,7 @@
         return StopObstacle::Priority;
     if (step.isFilling_ || step.gang_ || mayMissOf(state.tuning_, step) == 0)
         return StopObstacle::Unmissable;
-    if (!task.isOnWorker_ || task.isStopping_ || task.progressPercent_ < 100 || !task.times_.listedAt_)
+    if (!task.isOnWorker_ || task.isUnlisted_ || task.isStopping_ || task.progressPercent_ < 100 || !task.times_.listedAt_)
         return StopObstacle::NotAtWork;
     auto stopped = state.urgentRoom_.stoppedAt_.find(key);
     bool isRested = stopped == state.urgentRoom_.stoppedAt_.end() || context.now_ - stopped->second >= state.tuning_.minimumTimeBetweenStops_;
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -35,6 +35,7 @@
     task.progress_.worker_ = incarnation;
     task.isStartReleased_ = false;
     task.isOnWorker_ = false;
+    task.isUnlisted_ = false;
     task.isStopping_ = false;
     task.silentWorker_.reset();
     task.progressPercent_ = 0;
--- a/workflow/tests/UrgentRoomTest.cpp
+++ b/workflow/tests/UrgentRoomTest.cpp
@@ -123,6 +123,18 @@
     BOOST_TEST(world.stopping().empty());
 }
 
+// Guards against stops beyond the stated number, as a task counts as at work that is gone and whose end is not listed yet.
+BOOST_AUTO_TEST_CASE(task_that_is_no_longer_listed_counts_against_the_stated_number)
+{
+    WatchedWorld world(1);
+    world.pass(200, 4000, { 0, 1, 2, 3 });
+    world.hasAllEnds_ = false;
+    world.submitUrgent(4, 4050);
+    world.pass(4100, 4900, { 0, 1, 2 });
+    BOOST_TEST(world.logged("rush.began").size() == 1U);
+    BOOST_TEST(world.stopping().empty());
+}
+
 // Guards against stops of tasks whose submitter has stated no number, where the deployment allows none.
 BOOST_AUTO_TEST_CASE(step_without_a_number_keeps_its_tasks_unless_a_share_is_allowed)
 {
