--- a/workflow/tests/UrgentRoomTest.cpp
+++ b/workflow/tests/UrgentRoomTest.cpp
@@ -123,6 +123,18 @@
     BOOST_TEST(world.stopping().empty());
 }
 
+// Guards against stops beyond the stated number, as a task counts as at work that is gone and whose end is not listed yet.
+BOOST_AUTO_TEST_CASE(task_that_is_no_longer_listed_counts_against_the_stated_number)
+{
+    WatchedWorld world(1);
+    world.pass(200, 4000, { 0, 1, 2, 3 });
+    world.hasAllEnds_ = false;
+    world.submitUrgent(4, 4050);
+    world.pass(4100, 4900, { 0, 1, 2 });
+    BOOST_TEST(world.logged("rush.began").size() == 1U);
+    BOOST_TEST(world.stopping().empty());
+}
+
 // Guards against stops of tasks whose submitter has stated no number, where the deployment allows none.
 BOOST_AUTO_TEST_CASE(step_without_a_number_keeps_its_tasks_unless_a_share_is_allowed)
 {
@@ -162,6 +174,58 @@
     BOOST_TEST(world.stopping().empty());
 }
 
+// Guards against stops on workers that could not run the waiting work even if they were empty.
+BOOST_AUTO_TEST_CASE(tasks_on_workers_too_small_for_the_waiting_work_stay)
+{
+    WatchedWorld world(2);
+    world.pass(200, 4000, { 0, 1, 2, 3 });
+    world.capacity_ = *Resources::create(6000, 64000, 0);
+    world.report("w-2", 4010);
+    Step other = stepOfTasks(1);
+    other.demand_ = *Resources::create(4000, 1000, 0);
+    world.submit({ other }, 4020, "00000000000000bb");
+    world.commit(4021);
+    std::vector<RunKey> started = world.starts("w-2", 4022);
+    BOOST_REQUIRE(started.size() == 1U);
+    Step large = stepOfTasks(1);
+    large.demand_ = *Resources::create(5000, 1000, 0);
+    world.submit({ large }, 4050, "00000000000000cc");
+    world.commit(4051);
+    for (int64_t time = 4100; time <= 4900; time += 100) {
+        world.capacity_ = *Resources::create(6000, 64000, 0);
+        world.report("w-2", time, { { started.front(), "", 1, 0, 100 } });
+        world.capacity_ = *Resources::create(4000, 64000, 0);
+        world.pass(time, time, { 0, 1, 2, 3 });
+    }
+    BOOST_TEST(world.logged("rush.began").size() == 1U);
+    BOOST_TEST(world.stopping().empty());
+}
+
+// Guards against stops for tasks that wait for the bound of their step and not for room.
+BOOST_AUTO_TEST_CASE(tasks_beyond_the_bound_of_their_step_are_no_demand)
+{
+    WatchedWorld world(2);
+    world.pass(200, 4000, { 0, 1, 2, 3 });
+    world.capacity_ = *Resources::create(1000, 64000, 0);
+    world.report("w-2", 4010);
+    Step bounded = stepOfTasks(6);
+    bounded.maxPerWorker_ = 1;
+    bounded.requiredLabel_ = "a";
+    world.submit({ bounded }, 4020, "00000000000000bb");
+    world.commit(4021);
+    std::vector<RunKey> started = world.starts("w-2", 4022);
+    BOOST_REQUIRE(started.size() == 1U);
+    for (int64_t time = 4100; time <= 5100; time += 100) {
+        world.capacity_ = *Resources::create(1000, 64000, 0);
+        world.report("w-2", time, { { started.front(), "", 1, 0, 100 } });
+        world.capacity_ = *Resources::create(4000, 64000, 0);
+        world.pass(time, time, { 0, 1, 2, 3 });
+    }
+    BOOST_TEST(world.stopping().size() == 1U);
+    BOOST_REQUIRE(!world.logged("rush.began").empty());
+    BOOST_TEST(world.logged("rush.began").front().find("waiting 1 tasks") != std::string::npos);
+}
+
 // Guards against freed room that the stopped task takes again, ahead of the work that it was freed for.
 BOOST_AUTO_TEST_CASE(freed_room_goes_to_the_urgent_work)
 {
