Admission: huge declared times and counts do not overflow

Cause: the wait was cast from a floating-point number to a 64-bit time without a bound; with counts and declared times as large as submissions may state, the result was undefined (on x86 negative, so that the job was admitted). Change: expected times are cut at a year. Measured: job_admission/work_beyond_what_a_time_holds_is_cut fails without the change and passes with it.

--- a/workflow/src/decisions/JobAdmission.cpp
+++ b/workflow/src/decisions/JobAdmission.cpp
@@ -15,9 +15,13 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+// Declared times and counts may be arbitrarily large; longer times are cut, so that no sum or product overflows.
+static constexpr Duration longestTime = std::chrono::hours(24 * 365);
+
 static Duration durationOf(double seconds)
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    auto bounded = std::min<std::chrono::duration<double>>(std::chrono::duration<double>(seconds), longestTime);
+    return std::chrono::duration_cast<Duration>(bounded);
 }
 
 DrainMeter addDrained(DrainMeter meter, double coreSeconds, Duration window, Instant now)
@@ -45,8 +49,8 @@
     if (forecast.cores_ < minimumCores || forecast.objective_ <= Duration(0))
         return Admitted {};
     Duration wait = durationOf(forecast.workAhead_ / forecast.cores_);
-    Duration alone = std::max(forecast.chain_, durationOf(forecast.ownWork_ / forecast.cores_));
-    Duration valueEnd = forecast.objective_ * lateFactor;
+    Duration alone = std::max(std::min(forecast.chain_, longestTime), durationOf(forecast.ownWork_ / forecast.cores_));
+    Duration valueEnd = std::min(forecast.objective_, longestTime) * lateFactor;
     Duration expectedEnd = wait + alone;
     bool isCertain = (forecast.age_ + expectedEnd) * 100 > valueEnd * (100 + tuning.admissionMarginPercent_);
     if (wait < tuning.smallestRefusedWait_ || alone > valueEnd || !isCertain)
--- a/workflow/tests/JobAdmissionTest.cpp
+++ b/workflow/tests/JobAdmissionTest.cpp
@@ -74,6 +74,15 @@
     BOOST_TEST(isAdmitted({ 9, 1, 10, chain, objective, seconds(20) }));
 }
 
+BOOST_AUTO_TEST_CASE(work_beyond_what_a_time_holds_is_cut)
+{
+    AdmissionVerdict verdict = assessAdmission(forecastWith(1e17), {});
+    const auto* hopeless = std::get_if<Hopeless>(&verdict);
+    BOOST_REQUIRE(hopeless);
+    BOOST_TEST((hopeless->expectedEnd_ > std::chrono::hours(24) && hopeless->onTimeAfter_ > std::chrono::hours(24)));
+    BOOST_TEST((bookReturn({}, forecastWith(1e17), *hopeless, {}, at(0)).second == Tuning().maximumReturnAfter_));
+}
+
 BOOST_AUTO_TEST_CASE(only_work_that_is_due_earlier_or_has_priority_is_ahead)
 {
     ServiceLoad load { { { { 0, 9000 }, 1 }, { { 1, 2000 }, 10 }, { { 1, 3000 }, 100 }, { { 2, 1000 }, 1000 } }, 0, 0 };
