Admission: jobs that find room now are not refused

Cause: the work ahead is summed up over the whole service and divided by all its cores. Work that may run on a few workers only (a label, accelerators) counted as a wait for jobs that could begin on others at once, and these were refused. Change: a job is admitted if a task of each step it begins with finds room on a worker; looked up only before a refusal.

--- a/workflow/src/decisions/AdmissionSurvey.cpp
+++ b/workflow/src/decisions/AdmissionSurvey.cpp
@@ -158,6 +158,20 @@
     return isAssessed(job) && !state.readyJobs_.empty() && state.admission_.runTimes_.isKnown(job.queue_.name_) && !isAwaitingWorkers(state, now);
 }
 
+// True if the tasks that the job begins with find room now, so that the work ahead, which may be bound to other workers, does
+// not delay them.
+static bool canBeginNow(const LeaderState& state, const Job& job, Instant now)
+{
+    const std::vector<Step>& steps = job.record_.spec_.steps();
+    for (uint32_t number = 0; number < steps.size(); ++number) {
+        const TaskKey first { job.record_.id_, 0, number, 0 };
+        auto hasRoom = [&](const auto& entry) { return obstacleAt(state, job, first, entry.second, now) == WorkerObstacle::None; };
+        if (steps[number].dependencies_.empty() && std::none_of(state.workers_.begin(), state.workers_.end(), hasRoom))
+            return false;
+    }
+    return true;
+}
+
 static std::optional<NotAccepted> assess(const DecisionContext& context, const Job& job, Duration age)
 {
     LeaderState& state = context.state_;
@@ -166,7 +180,8 @@
     AdmissionForecast forecast = forecastOf(state, job, service, context.now_);
     forecast.age_ = age;
     AdmissionVerdict verdict = assessAdmission(forecast, state.tuning_);
-    if (const auto* hopeless = std::get_if<Hopeless>(&verdict))
+    const auto* hopeless = std::get_if<Hopeless>(&verdict);
+    if (hopeless && !canBeginNow(state, job, context.now_))
         return refuse(context, job, forecast, *hopeless, service);
     service.load_->waiting_[placeOf(job)] += forecast.ownWork_;
     return std::nullopt;
--- a/workflow/tests/JobAdmissionTest.cpp
+++ b/workflow/tests/JobAdmissionTest.cpp
@@ -151,6 +151,22 @@
     BOOST_TEST(!filled.isRefused(filled.submit({ stepOfTasks(4) }, 150, "00000000000000ee")));
 }
 
+// Load: much work that only one of two workers may run.
+BOOST_AUTO_TEST_CASE(job_that_finds_room_beside_bound_work_is_admitted)
+{
+    BurstWorld world;
+    world.learnRunTimes();
+    world.rack_ = "r2";
+    world.report("w-2", 6);
+    Step bound = stepOfTasks(80);
+    bound.requiredLabel_ = "r1";
+    BOOST_TEST(world.submitBurst(1, 100, bound) == 0U);
+    bound.count_ = 4;
+    BOOST_TEST(world.isRefused(world.submit({ bound }, 110, "00000000000000ed")));
+    BOOST_TEST(!world.isRefused(world.submit({ stepOfTasks(4) }, 120, "00000000000000ee")));
+    BOOST_TEST(world.isRefused(world.submit({ stepOfTasks(4) }, 130, "00000000000000ef")));
+}
+
 BOOST_AUTO_TEST_CASE(new_leader_refuses_nothing_before_it_knows_run_times)
 {
     BurstWorld world;
