Admission: room freed since the last round of placement admits no job

Cause: with many ready jobs, rounds of placement are up to 20 ms apart. Room that was freed meanwhile is for those that wait, but would have let any new job pass the check for room.

--- a/workflow/include/persimmondoor/workflow/WorkerState.h
+++ b/workflow/include/persimmondoor/workflow/WorkerState.h
@@ -82,6 +82,8 @@
     Instant backoffUntil_;
     /// Until then the worker gets a run only if no other worker has room for it, for the same reason.
     Instant lastChoiceUntil_;
+    /// When room on the worker was last given back. The next round of placement offers it to the tasks that wait.
+    Instant freedAt_;
     /// The assigned filling tasks, by image.
     std::map<std::string, FillingShare> fillingByImage_;
     /// Number and contents of the newest reading of the worker's load, and the headroom of its long-running tasks
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -248,10 +248,11 @@
         tasksByImage.erase(image);
 }
 
-static void releaseResources(Worker& worker, const TaskKey& key, const Step& step, Task& task)
+static void releaseResources(Worker& worker, const TaskKey& key, const Step& step, Task& task, Instant now)
 {
     if (worker.assignedTasks_.erase(key) == 0)
         return;
+    worker.freedAt_ = now;
     if (worker.observedTask_ == key)
         worker.observedTask_.reset();
     worker.suspects_.erase(key);
@@ -333,7 +334,7 @@
     context.noteJob(key.job_);
     auto worker = context.state_.workers_.find(task.progress_.worker_);
     if (worker != context.state_.workers_.end())
-        releaseResources(worker->second, key, stepOf(job, key), task);
+        releaseResources(worker->second, key, stepOf(job, key), task, context.now_);
     if (task.progress_.phase_ == TaskPhase::Assigned) {
         recordRunEnd(job, key, task, false, context.now_);
         task.progress_.phase_ = TaskPhase::Waiting;
--- a/workflow/tests/JobAdmissionTest.cpp
+++ b/workflow/tests/JobAdmissionTest.cpp
@@ -167,6 +167,25 @@
     BOOST_TEST(world.isRefused(world.submit({ stepOfTasks(4) }, 130, "00000000000000ef")));
 }
 
+// Load: more ready jobs than are placed at once; the next round of placement is due 20 ms after the last.
+BOOST_AUTO_TEST_CASE(room_that_is_freed_for_waiting_tasks_admits_no_other_job)
+{
+    BurstWorld world;
+    world.learnRunTimes();
+    BOOST_TEST(world.submitBurst(50, 100, stepOfTasks(1)) > 10U);
+    world.commit(150);
+    std::vector<RunKey> runs = world.starts("w-1", 151);
+    BOOST_REQUIRE(runs.size() == 4U);
+    world.lastCompletedOrder_ = OrderNumber(4);
+    world.report("w-1", 200, { { runs[0] }, { runs[1] }, { runs[2] }, { runs[3] } });
+    world.report("w-1", 205, { { runs[1] }, { runs[2] }, { runs[3] } }, { { 1, runs[0], RunEnd::Done, "" } });
+    BOOST_REQUIRE(world.state_.workers_.begin()->second.assignedTasks_.size() == 3U);
+    // The short run must not change what is expected of the others.
+    world.state_.admission_.runTimes_ = {};
+    world.learnRunTimes();
+    BOOST_TEST(world.isRefused(world.submit({ stepOfTasks(1) }, 206, "00000000000000ee")));
+}
+
 BOOST_AUTO_TEST_CASE(new_leader_refuses_nothing_before_it_knows_run_times)
 {
     BurstWorld world;
