--- a/workflow/tests/JobAdmissionTest.cpp
+++ b/workflow/tests/JobAdmissionTest.cpp
@@ -74,6 +74,15 @@
     BOOST_TEST(isAdmitted({ 9, 1, 10, chain, objective, seconds(20) }));
 }
 
+BOOST_AUTO_TEST_CASE(work_beyond_what_a_time_holds_is_cut)
+{
+    AdmissionVerdict verdict = assessAdmission(forecastWith(1e17), {});
+    const auto* hopeless = std::get_if<Hopeless>(&verdict);
+    BOOST_REQUIRE(hopeless);
+    BOOST_TEST((hopeless->expectedEnd_ > std::chrono::hours(24) && hopeless->onTimeAfter_ > std::chrono::hours(24)));
+    BOOST_TEST((bookReturn({}, forecastWith(1e17), *hopeless, {}, at(0)).second == Tuning().maximumReturnAfter_));
+}
+
 BOOST_AUTO_TEST_CASE(only_work_that_is_due_earlier_or_has_priority_is_ahead)
 {
     ServiceLoad load { { { { 0, 9000 }, 1 }, { { 1, 2000 }, 10 }, { { 1, 3000 }, 100 }, { { 2, 1000 }, 1000 } }, 0, 0 };
@@ -142,6 +151,41 @@
     BOOST_TEST(!filled.isRefused(filled.submit({ stepOfTasks(4) }, 150, "00000000000000ee")));
 }
 
+// Load: much work that only one of two workers may run.
+BOOST_AUTO_TEST_CASE(job_that_finds_room_beside_bound_work_is_admitted)
+{
+    BurstWorld world;
+    world.learnRunTimes();
+    world.rack_ = "r2";
+    world.report("w-2", 6);
+    Step bound = stepOfTasks(80);
+    bound.requiredLabel_ = "r1";
+    BOOST_TEST(world.submitBurst(1, 100, bound) == 0U);
+    bound.count_ = 4;
+    BOOST_TEST(world.isRefused(world.submit({ bound }, 110, "00000000000000ed")));
+    BOOST_TEST(!world.isRefused(world.submit({ stepOfTasks(4) }, 120, "00000000000000ee")));
+    BOOST_TEST(world.isRefused(world.submit({ stepOfTasks(4) }, 130, "00000000000000ef")));
+}
+
+// Load: more ready jobs than are placed at once; the next round of placement is due 20 ms after the last.
+BOOST_AUTO_TEST_CASE(room_that_is_freed_for_waiting_tasks_admits_no_other_job)
+{
+    BurstWorld world;
+    world.learnRunTimes();
+    BOOST_TEST(world.submitBurst(50, 100, stepOfTasks(1)) > 10U);
+    world.commit(150);
+    std::vector<RunKey> runs = world.starts("w-1", 151);
+    BOOST_REQUIRE(runs.size() == 4U);
+    world.lastCompletedOrder_ = OrderNumber(4);
+    world.report("w-1", 200, { { runs[0] }, { runs[1] }, { runs[2] }, { runs[3] } });
+    world.report("w-1", 205, { { runs[1] }, { runs[2] }, { runs[3] } }, { { 1, runs[0], RunEnd::Done, "" } });
+    BOOST_REQUIRE(world.state_.workers_.begin()->second.assignedTasks_.size() == 3U);
+    // The short run must not change what is expected of the others.
+    world.state_.admission_.runTimes_ = {};
+    world.learnRunTimes();
+    BOOST_TEST(world.isRefused(world.submit({ stepOfTasks(1) }, 206, "00000000000000ee")));
+}
+
 BOOST_AUTO_TEST_CASE(new_leader_refuses_nothing_before_it_knows_run_times)
 {
     BurstWorld world;
