The limits of servers are called so

Cause: the code called servers doors, a word of the users' issue. Change: DoorLimits is ServerLimits; the tests of hostile clients speak of servers. Crowd, bounds and behaviour are the same.

--- a/app/include/persimmondoor/app/Agent.h
+++ b/app/include/persimmondoor/app/Agent.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "persimmondoor/admission/GateActor.h"
-#include "persimmondoor/app/DoorLimits.h"
+#include "persimmondoor/app/ServerLimits.h"
 #include "persimmondoor/hosting/HostActor.h"
 #include "persimmondoor/membership/Announcer.h"
 #include "persimmondoor/rpc/Server.h"
@@ -26,7 +26,7 @@
     /// Starts the agent's actors and server.
     /// \return the agent, Unavailable if its address cannot be listened on, or InvalidArgument if its endpoints are
     /// invalid.
-    static absl::StatusOr<std::unique_ptr<Agent>> start(const boost::asio::any_io_executor&, const settings::Site&, const settings::WorkerSite&, const DoorLimits& = {});
+    static absl::StatusOr<std::unique_ptr<Agent>> start(const boost::asio::any_io_executor&, const settings::Site&, const settings::WorkerSite&, const ServerLimits& = {});
 
     /// The address that the agent listens on, after port 0 was resolved.
     Address address() const { return server_->address(); }
--- a/app/include/persimmondoor/app/Entry.h
+++ b/app/include/persimmondoor/app/Entry.h
@@ -6,7 +6,7 @@
 /// \endcode
 #pragma once
 
-#include "persimmondoor/app/DoorLimits.h"
+#include "persimmondoor/app/ServerLimits.h"
 #include "persimmondoor/burn/BurnActor.h"
 #include "persimmondoor/http/Server.h"
 #include "persimmondoor/membership/ViewActor.h"
@@ -25,7 +25,7 @@
 public:
     /// Starts the entry's actors and servers.
     /// \return the entry, or Unavailable if an address cannot be listened on.
-    static absl::StatusOr<std::unique_ptr<Entry>> start(const boost::asio::any_io_executor&, const settings::Site&, const settings::EntrySite&, const DoorLimits& = {});
+    static absl::StatusOr<std::unique_ptr<Entry>> start(const boost::asio::any_io_executor&, const settings::Site&, const settings::EntrySite&, const ServerLimits& = {});
 
     /// The entry's site with the addresses that it listens on, after ports 0 were resolved.
     settings::EntrySite site() const { return site_; }
--- a/app/include/persimmondoor/app/DoorLimits.h
+++ b/app/include/persimmondoor/app/ServerLimits.h
@@ -2,7 +2,7 @@
 /// all servers of a process add up to less than the process has.
 ///
 /// \code
-/// DoorLimits limits = DoorLimits::create(256 * bytesPerMegabyte, 4096);
+/// ServerLimits limits = ServerLimits::create(256 * bytesPerMegabyte, 4096);
 /// auto server = http::Server::listen(executor, address, limits.requests_, handler);
 /// \endcode
 #pragma once
@@ -12,7 +12,7 @@
 
 namespace persimmondoor::app {
 
-struct DoorLimits {
+struct ServerLimits {
     /// Requests of callers, clients and workers.
     http::Limits requests_;
     /// The operators' API.
@@ -21,11 +21,11 @@
     http::Limits probes_;
     /// Connections between the processes of the system.
     rpc::Limits peers_;
-    bool operator==(const DoorLimits&) const = default;
+    bool operator==(const ServerLimits&) const = default;
 
     /// \param memoryBytes memory that the process may use.
     /// \param descriptors file descriptors that the process may use.
-    static DoorLimits create(uint64_t memoryBytes, size_t descriptors);
+    static ServerLimits create(uint64_t memoryBytes, size_t descriptors);
 };
 
 } // namespace persimmondoor::app
--- a/app/src/Agent.cpp
+++ b/app/src/Agent.cpp
@@ -49,7 +49,7 @@
         announcer.report(co_await digests.receive());
 }
 
-absl::StatusOr<std::unique_ptr<Agent>> Agent::start(const asio::any_io_executor& executor, const settings::Site& site, const settings::WorkerSite& self, const DoorLimits& limits)
+absl::StatusOr<std::unique_ptr<Agent>> Agent::start(const asio::any_io_executor& executor, const settings::Site& site, const settings::WorkerSite& self, const ServerLimits& limits)
 {
     auto gate = admission::GateActor::create(executor, SteadyClock(), localEndpoints(self));
     if (!gate.ok())
--- a/app/src/Deployed.cpp
+++ b/app/src/Deployed.cpp
@@ -1,8 +1,8 @@
 #include "Deployed.h"
 
 #include "Options.h"
-#include "persimmondoor/app/DoorLimits.h"
 #include "persimmondoor/app/Main.h"
+#include "persimmondoor/app/ServerLimits.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Metrics.h"
@@ -64,9 +64,9 @@
     return Address::parse(concat(deployment.host_, ":", port));
 }
 
-static DoorLimits doorLimits(const settings::Deployment& deployment)
+static ServerLimits serverLimits(const settings::Deployment& deployment)
 {
-    return DoorLimits::create(deployment.limits_.memoryBytes_, deployment.limits_.descriptors_);
+    return ServerLimits::create(deployment.limits_.memoryBytes_, deployment.limits_.descriptors_);
 }
 
 static asio::awaitable<http::Response> serveMetrics(http::Request)
@@ -82,7 +82,7 @@
         return address.status();
     http::Routes routes;
     routes.add("GET", "/metrics", serveMetrics);
-    return http::Server::listen(executor, *address, doorLimits(deployment).probes_, routes.handler());
+    return http::Server::listen(executor, *address, serverLimits(deployment).probes_, routes.handler());
 }
 
 // Writes the collected log lines at a short interval, so that the log can be followed.
@@ -162,7 +162,7 @@
         return absl::InvalidArgumentError("clients, readiness: an entry needs both addresses");
     rpc::Interfaces interfaces;
     workflow::offerScheduler(interfaces, executor, handlersOf(scheduler));
-    DoorLimits limits = doorLimits(deployment);
+    ServerLimits limits = serverLimits(deployment);
     auto peers = rpc::Server::listen(executor, self, std::move(interfaces), limits.peers_);
     auto clients = http::Server::listen(executor, *deployment.clients_, limits.requests_, platform::clientHandler([scheduler](workflow::ClientCall call) { return scheduler::serveClient(scheduler, std::move(call)); }));
     auto readiness = http::Server::listen(executor, *deployment.readiness_, limits.probes_, platform::readinessHandler([scheduler] { return scheduler.isReady(); }));
@@ -235,7 +235,7 @@
     rpc::Loop loop;
     asio::io_context& context = loop.context();
     auto supervisor = supervision::SupervisorActor::start(context.get_executor(), supervisorOptions(context.get_executor(), *deployment));
-    auto workers = http::Server::listen(context.get_executor(), *deployment->workers_, doorLimits(*deployment).requests_, platform::heartbeatHandler([supervisor](platform::RegistryMessage message) { supervisor.handle(std::move(message)); }));
+    auto workers = http::Server::listen(context.get_executor(), *deployment->workers_, serverLimits(*deployment).requests_, platform::heartbeatHandler([supervisor](platform::RegistryMessage message) { supervisor.handle(std::move(message)); }));
     auto metrics = startMetrics(context.get_executor(), *deployment);
     for (const absl::Status& status : { workers.status(), metrics.status() }) {
         if (!status.ok())
--- a/app/src/Entry.cpp
+++ b/app/src/Entry.cpp
@@ -35,7 +35,7 @@
     return limits;
 }
 
-absl::StatusOr<std::unique_ptr<Entry>> Entry::start(const asio::any_io_executor& executor, const settings::Site& site, const settings::EntrySite& self, const DoorLimits& limits)
+absl::StatusOr<std::unique_ptr<Entry>> Entry::start(const asio::any_io_executor& executor, const settings::Site& site, const settings::EntrySite& self, const ServerLimits& limits)
 {
     Clock clock = SteadyClock();
     routing::RouterActor router(executor, clock, routing::RouterOptions { static_cast<uint32_t>(wallMilliseconds()), routing::LeastExpectedTime {} });
--- a/app/src/Main.cpp
+++ b/app/src/Main.cpp
@@ -60,7 +60,7 @@
     return ready;
 }
 
-static absl::Status startEntries(Daemon& daemon, const asio::any_io_executor& executor, settings::Site& site, const DoorLimits& limits)
+static absl::Status startEntries(Daemon& daemon, const asio::any_io_executor& executor, settings::Site& site, const ServerLimits& limits)
 {
     for (settings::EntrySite& self : site.entries_) {
         auto entry = Entry::start(executor, site, self, limits);
@@ -72,7 +72,7 @@
     return absl::OkStatus();
 }
 
-static absl::Status startAgents(Daemon& daemon, const asio::any_io_executor& executor, const settings::Site& site, const DoorLimits& limits)
+static absl::Status startAgents(Daemon& daemon, const asio::any_io_executor& executor, const settings::Site& site, const ServerLimits& limits)
 {
     for (const settings::WorkerSite& self : site.workers_) {
         auto agent = Agent::start(executor, site, self, limits);
--- a/app/src/Options.cpp
+++ b/app/src/Options.cpp
@@ -54,7 +54,7 @@
     options.name_ = result["name"].as<std::string>();
     options.shutdownLimit_ = std::chrono::milliseconds(result["shutdown-limit-ms"].as<int64_t>());
     auto descriptors = result["descriptors"].as<size_t>();
-    options.limits_ = DoorLimits::create(result["memory-mb"].as<uint64_t>() * bytesPerMegabyte, descriptors > 0 ? descriptors : allowedDescriptors());
+    options.limits_ = ServerLimits::create(result["memory-mb"].as<uint64_t>() * bytesPerMegabyte, descriptors > 0 ? descriptors : allowedDescriptors());
     if (absl::Status status = parseLogLevel(result["log-level"].as<std::string>(), options.logLevel_); !status.ok())
         return status;
     auto text = readFile(options.settingsPath_);
--- a/app/src/Options.h
+++ b/app/src/Options.h
@@ -1,7 +1,7 @@
 // The flags of the program's subcommands.
 #pragma once
 
-#include "persimmondoor/app/DoorLimits.h"
+#include "persimmondoor/app/ServerLimits.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/core/Time.h"
 #include "persimmondoor/settings/Site.h"
@@ -19,7 +19,7 @@
     std::string name_;
     LogLevel logLevel_ { LogLevel::Warning };
     Duration shutdownLimit_ { 0 };
-    DoorLimits limits_;
+    ServerLimits limits_;
 };
 
 // Flags of a daemon that is configured by a deployment file.
--- a/app/src/DoorLimits.cpp
+++ b/app/src/ServerLimits.cpp
@@ -1,4 +1,4 @@
-#include "persimmondoor/app/DoorLimits.h"
+#include "persimmondoor/app/ServerLimits.h"
 
 #include <algorithm>
 
@@ -31,9 +31,9 @@
     return std::max(memoryBytes / part, minimumBytes);
 }
 
-DoorLimits DoorLimits::create(uint64_t memoryBytes, size_t descriptors)
+ServerLimits ServerLimits::create(uint64_t memoryBytes, size_t descriptors)
 {
-    DoorLimits limits;
+    ServerLimits limits;
     limits.requests_.connections_ = connectionsOf(descriptors, requestDescriptorPart);
     limits.requests_.memoryBytes_ = bytesOf(memoryBytes, requestMemoryPart);
     limits.operators_.connections_ = connectionsOf(descriptors, operatorDescriptorPart);
--- a/app/tests/hostile_clients.py
+++ b/app/tests/hostile_clients.py
@@ -21,7 +21,7 @@
 import threading
 import time
 
-# The crowd: what all connections of a shape send together to one door, and how many connections send it.
+# The crowd: what all connections of a shape send together to one server, and how many connections send it.
 TOTAL_BYTES = 24_000_000
 SENDERS = 3
 HOLDERS = 150
@@ -65,8 +65,8 @@
     return settings
 
 
-# Each door: its process, its address, and the head of an ordinary request.
-HTTP_DOORS = {
+# Each server: its process, its address, and the head of an ordinary request.
+HTTP_SERVERS = {
     "callers": ("local", (LOCAL, 7101), "GET /services/packs/a"),
     "operators": ("local", (LOCAL, 7151), "GET /v1/health"),
     "clients": ("entry", (ENTRY, 7100), "GET /jobs/0000000000000001"),
@@ -75,7 +75,7 @@
     "heartbeats": ("agent", (AGENT, 7120), "DELETE /instances/w-1"),
     "agent metrics": ("agent", (AGENT, METRICS_PORT), "GET /metrics"),
 }
-RPC_DOORS = {
+RPC_SERVERS = {
     "entry RPC of the whole system": ("local", (LOCAL, 7201)),
     "agent RPC of the whole system": ("local", (LOCAL, 7301)),
     "entry RPC": ("entry", (ENTRY, 7200)),
@@ -317,54 +317,54 @@
         json.dump(settings, file)
     process = Process(work, name, [os.path.join(programs, "persimmondoor"), *arguments, path])
     try:
-        for door, (owner, address, request) in HTTP_DOORS.items():
+        for server, (owner, address, request) in HTTP_SERVERS.items():
             if owner == name and not wait_until(lambda: answer_to(address, request)):
-                raise RuntimeError(f"{door}: not ready\n{process.last_lines()}")
+                raise RuntimeError(f"{server}: not ready\n{process.last_lines()}")
         yield process
     finally:
         process.stop()
         shutil.rmtree(work)
 
 
-def play(shape, door, process, address, request):
-    """Plays `shape` at one door. Returns the faults seen."""
-    ordinary = address if request else HTTP_DOORS["callers" if process.name == "local" else "clients"][1]
+def play(shape, server, process, address, request):
+    """Plays `shape` at one server. Returns the faults seen."""
+    ordinary = address if request else HTTP_SERVERS["callers" if process.name == "local" else "clients"][1]
     question = request or "GET /services/packs/a"
     process.reset_peak()
     before_kb, before_descriptors = process.memory_kb("VmRSS"), process.descriptors()
     crowd = shape(address, request)
     faults = []
     if not process.lives():
-        return [f"{door}: the process has ended"]
+        return [f"{server}: the process has ended"]
     wait_until_settled(process)
     # The crowd is still connected.
     if not wait_until(lambda: answer_to(ordinary, question)):
-        faults.append(f"{door}: no answer to an ordinary request")
+        faults.append(f"{server}: no answer to an ordinary request")
     if not process.lives():
-        return faults + [f"{door}: the process has ended"]
+        return faults + [f"{server}: the process has ended"]
     growth = process.memory_kb("VmHWM") - before_kb
     if growth > GROWTH_LIMIT_KB:
-        faults.append(f"{door}: grew by {growth} kB, bound {GROWTH_LIMIT_KB} kB")
+        faults.append(f"{server}: grew by {growth} kB, bound {GROWTH_LIMIT_KB} kB")
     if process.descriptors() > DESCRIPTOR_LIMIT:
-        faults.append(f"{door}: {process.descriptors()} descriptors, bound {DESCRIPTOR_LIMIT}")
+        faults.append(f"{server}: {process.descriptors()} descriptors, bound {DESCRIPTOR_LIMIT}")
     for connection in crowd:
         connection.close()
     if not wait_until(lambda: process.lives() and process.descriptors() <= before_descriptors + DESCRIPTORS_LEFT):
-        faults.append(f"{door}: descriptors left open after the crowd has left")
+        faults.append(f"{server}: descriptors left open after the crowd has left")
     return faults
 
 
-def play_endless_answers(process, door):
+def play_endless_answers(process, server):
     """The store's answers do not end. Returns the faults seen."""
     process.reset_peak()
     before_kb = process.memory_kb("VmRSS")
     store = EndlessStore()
-    faults = [] if wait_until(lambda: store.answers >= ENDLESS_ANSWERS) else [f"{door}: the store was not asked"]
+    faults = [] if wait_until(lambda: store.answers >= ENDLESS_ANSWERS) else [f"{server}: the store was not asked"]
     growth = process.memory_kb("VmHWM") - before_kb
     if growth > GROWTH_LIMIT_KB:
-        faults.append(f"{door}: grew by {growth} kB on answers of the store, bound {GROWTH_LIMIT_KB} kB")
-    if not process.lives() or not wait_until(lambda: answer_to(*HTTP_DOORS[door][1:])):
-        faults.append(f"{door}: no answer to an ordinary request")
+        faults.append(f"{server}: grew by {growth} kB on answers of the store, bound {GROWTH_LIMIT_KB} kB")
+    if not process.lives() or not wait_until(lambda: answer_to(*HTTP_SERVERS[server][1:])):
+        faults.append(f"{server}: no answer to an ordinary request")
     store.close()
     return faults
 
@@ -373,19 +373,19 @@
     programs, name = sys.argv[1:]
     faults = []
     for shape in HTTP_SHAPES:
-        for door, (owner, address, request) in HTTP_DOORS.items():
+        for server, (owner, address, request) in HTTP_SERVERS.items():
             if shape.__name__ == name:
                 with started(programs, owner) as process:
-                    faults += play(shape, door, process, address, request)
+                    faults += play(shape, server, process, address, request)
     for shape in RPC_SHAPES:
-        for door, (owner, address) in RPC_DOORS.items():
+        for server, (owner, address) in RPC_SERVERS.items():
             if shape.__name__ == name:
                 with started(programs, owner) as process:
-                    faults += play(shape, door, process, address, None)
+                    faults += play(shape, server, process, address, None)
     if name == "endless_answers":
-        for door in ("readiness", "heartbeats"):
-            with started(programs, HTTP_DOORS[door][0]) as process:
-                faults += play_endless_answers(process, door)
+        for server in ("readiness", "heartbeats"):
+            with started(programs, HTTP_SERVERS[server][0]) as process:
+                faults += play_endless_answers(process, server)
     print("\n".join(faults) or f"{name}: each process lives, stays within its bounds and answers")
     return 1 if faults else 0
 
