--- a/workflow/tests/UrgentRoomTest.cpp
+++ b/workflow/tests/UrgentRoomTest.cpp
@@ -47,6 +47,7 @@
         void reportWatch(int64_t milliseconds, const std::vector<uint32_t>& active)
         {
             std::vector<ActiveRun> runs;
+            runs.reserve(active.size());
             for (uint32_t index : active)
                 runs.push_back({ { { JobId::of(watchJob), 0, 0, index }, 1 }, "", 100, 0, 100 });
             report("w-1", milliseconds, runs, ends_);
