The gate keeps fingerprints of finished ids

The gate keeps the ids of up to 65,536 finished requests twice, as strings, in about 13 MB.

Change: it keeps a 64-bit fingerprint of each. A request with the fingerprint of another is answered as unknown, which is true of it as well.

--- a/admission/include/persimmondoor/admission/Gate.h
+++ b/admission/include/persimmondoor/admission/Gate.h
@@ -18,7 +18,9 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <string>
 #include <tuple>
+#include <unordered_set>
 #include <variant>
 
 namespace persimmondoor::admission {
@@ -122,7 +124,7 @@
     /// \return the load of the endpoint; all zero if the endpoint does not exist.
     EndpointLoad load(const EndpointName&) const;
     /// True if the request is in flight or has finished within the retention.
-    bool isKnown(const RequestId& id) const { return inFlight_.contains(id) || finished_.contains(id); }
+    bool isKnown(const RequestId& id) const { return inFlight_.contains(id) || finished_.contains(fingerprint(id)); }
     /// Number of requests that were handed over and have not finished.
     size_t running() const { return running_; }
     /// Number of requests that are queued or running.
@@ -151,15 +153,19 @@
         Instant handedOverAt_;
         auto operator<=>(const InFlightRequest&) const = default;
     };
+    // Stands for the id of a finished request, as strings would take several times the memory. Requests with the same
+    // fingerprint are taken for duplicates; their answer, `Unknown`, is true in any case.
+    using Fingerprint = uint64_t;
+    static Fingerprint fingerprint(const RequestId& id) { return std::hash<std::string>()(id.value()); }
     struct FinishedId {
         Instant finishedAt_;
-        RequestId id_;
+        Fingerprint fingerprint_ { 0 };
         auto operator<=>(const FinishedId&) const = default;
     };
 
     std::map<EndpointName, Endpoint> endpoints_;
     std::map<RequestId, InFlightRequest> inFlight_;
-    std::set<RequestId> finished_;
+    std::unordered_set<Fingerprint> finished_;
     std::deque<FinishedId> finishedInOrder_;
     size_t running_ { 0 };
     uint64_t nextArrivalNumber_ { 0 };
--- a/admission/src/decisions/Gate.cpp
+++ b/admission/src/decisions/Gate.cpp
@@ -124,8 +124,9 @@
 
     static void retainFinishedId(Gate& gate, const RequestId& id, Instant now)
     {
-        if (gate.finished_.insert(id).second)
-            gate.finishedInOrder_.push_back({ now, id });
+        Gate::Fingerprint fingerprint = Gate::fingerprint(id);
+        if (gate.finished_.insert(fingerprint).second)
+            gate.finishedInOrder_.push_back({ now, fingerprint });
         expireFinishedIds(gate, now);
     }
 
@@ -133,7 +134,7 @@
     {
         std::deque<Gate::FinishedId>& finishedIds = gate.finishedInOrder_;
         while (!finishedIds.empty() && (finishedIds.size() > maximumFinishedIds || now - finishedIds.front().finishedAt_ > finishedRetention)) {
-            gate.finished_.erase(finishedIds.front().id_);
+            gate.finished_.erase(finishedIds.front().fingerprint_);
             finishedIds.pop_front();
         }
     }
