Slow workers are found by the progress of their runs

Cause: a worker on which runs take several times as long as elsewhere fails nothing, so that it was chosen like any other. Urgent tasks started there, and those that ran there as it turned slow held up their jobs.

Change: each new reading compares the progress of a worker's runs with that of the other runs of their steps, and with the estimates as far as few of these were read (WorkerSpeeds, decisions without a network). A slow worker is the last choice for tasks that end; a task waits for another one, at most for as long as its run would be longer, and a standing job 0.8 s while its service is mostly free; a run is moved if another worker has room and the rest would take twice as long as the move and the run there. Runs on slow workers no longer correct the queue's run times. All of it is in the leader's memory; a new leader begins anew.

Log events worker.slow and worker.steady, histograms slow_wait_won and slow_wait_lost.

--- a/workflow/include/persimmondoor/workflow/Delays.h
+++ b/workflow/include/persimmondoor/workflow/Delays.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "persimmondoor/core/Time.h"
+#include "persimmondoor/workflow/WorkerSpeeds.h"
 
 #include <compare>
 #include <optional>
@@ -71,6 +72,8 @@
     Delays delays_;
     /// Failure domain in which it ran; empty if its worker is not known.
     std::string domain_;
+    /// Progress of all its runs, as far as it was read.
+    ProgressSum progress_;
     auto operator<=>(const StepTimes&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/JobState.h
+++ b/workflow/include/persimmondoor/workflow/JobState.h
@@ -11,6 +11,7 @@
 #include "persimmondoor/workflow/Client.h"
 #include "persimmondoor/workflow/Delays.h"
 #include "persimmondoor/workflow/Record.h"
+#include "persimmondoor/workflow/WorkerSpeeds.h"
 
 #include <optional>
 #include <string>
@@ -50,6 +51,10 @@
     std::optional<Instant> waitingSince_;
     /// Since when the task has had no run that a worker listed; empty before the first run has ended under this leader.
     std::optional<Instant> withoutRunSince_;
+    /// Progress of the newest run from one reading to the next.
+    RunProgress runProgress_;
+    /// Since when only slow workers have had room for the waiting task; empty if others had, or none.
+    std::optional<Instant> onlySlowSince_;
     /// Delays due to all runs that have ended under this leader.
     Delays delays_;
     /// When the run's progress last changed.
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -193,6 +193,20 @@
     size_t maximumNearWaitLines_ { 20 };
     /// Number of finished near and far runs from which their measured times correct `farFactor_` and the estimates.
     uint32_t runsBeforeCorrection_ { 8 };
+    /// A worker is slow from the moment at which runs take this share of their time elsewhere, in percent, and until they take less
+    /// than the second share.
+    int64_t slowWorkerPercent_ { 250 };
+    int64_t steadyWorkerPercent_ { 160 };
+    /// What is known of a worker's speed fades with this half-life while no run there is read.
+    Duration workerSpeedHalfLife_ { std::chrono::milliseconds(4000) };
+    /// With more slow workers than this in a service, in percent, no task waits for another one.
+    size_t maximumSlowWorkersPercent_ { 40 };
+    /// Bound on the wait of a task for which only slow workers have room.
+    Duration maximumSlowWait_ { std::chrono::seconds(10) };
+    /// A run on a slow worker is moved if it would go on there for this share of the time that it takes elsewhere, in percent; that
+    /// time includes the stop and the start.
+    int64_t movePaysPercent_ { 200 };
+    Duration moveTime_ { std::chrono::milliseconds(1000) };
     /// Room under shortage (`UrgentRoom`): a service is in a rush once work with an objective has been short of room for the first
     /// time, and until it has not been for the second, or for the third in all; the next rush begins after the pause at the
     /// earliest. Tasks count as short of room once they have waited for `rushDemandAge_`; what becomes free within `rushHorizon_`
--- a/workflow/include/persimmondoor/workflow/WorkerState.h
+++ b/workflow/include/persimmondoor/workflow/WorkerState.h
@@ -12,6 +12,7 @@
 #include "persimmondoor/workflow/Interference.h"
 #include "persimmondoor/workflow/LeaseBounds.h"
 #include "persimmondoor/workflow/ReservedRoom.h"
+#include "persimmondoor/workflow/WorkerSpeeds.h"
 
 #include <map>
 #include <optional>
@@ -108,6 +109,8 @@
     /// The earliest time for the next probe by a long-running task that has failed, whatever else probes the worker meanwhile;
     /// empty if there is none.
     std::optional<Instant> nextProbeOfFailedAt_;
+    /// How much longer runs take here than elsewhere.
+    WorkerSpeed speed_;
     /// Runs that belong to no assigned task and were ordered to stop, with the time of the order.
     std::map<RunKey, Instant> unassignedRuns_;
     bool operator==(const Worker&) const = default;
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -2,6 +2,7 @@
 
 #include "DemandSurvey.h"
 #include "PlacementRound.h"
+#include "SlowWorkers.h"
 #include "UnplaceableDemands.h"
 #include "persimmondoor/core/Text.h"
 
@@ -177,6 +178,7 @@
     endOverdueListWaits(context);
     stopHungRuns(context);
     moveSlowedRuns(context);
+    moveRunsFromSlowWorkers(context);
     removeExpiredJobs(context);
     updateUrgentRoom(context);
     updateRoomHolds(context);
--- a/workflow/src/decisions/Placement.cpp
+++ b/workflow/src/decisions/Placement.cpp
@@ -27,6 +27,8 @@
 static constexpr int64_t longRunningLossWeight = 10;
 // A filling task that would be slowed down everywhere is placed where it is slowed down least.
 static constexpr double slowdownWeight = 200;
+// A slow worker is chosen only if no other has enough free capacity.
+static constexpr int64_t slowWorkerWeight = 10'000;
 // Share of their demand that long-running tasks leave unused most of the time, in percent.
 static constexpr int64_t longRunningIdlePercent = 45;
 
@@ -221,6 +223,11 @@
     return sparePercent - besideLongRunningWeight - static_cast<int64_t>((1 - paceAt(state, step, worker)) * slowdownWeight);
 }
 
+int64_t speedScoreOf(const Worker& worker)
+{
+    return worker.speed_.isSlow_ ? -slowWorkerWeight - static_cast<int64_t>(worker.speed_.slowdown() * slowdownWeight) : 0;
+}
+
 // Score of a worker for a task that may crash it: prefers the worker with the fewest runs to lose.
 static int64_t suspectScore(const Worker& worker)
 {
--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -14,7 +14,7 @@
     candidates_.reserve(state.workers_.size());
     for (const auto& [incarnation, worker] : state.workers_) {
         if (stateObstacle(state, worker, now) == WorkerObstacle::None)
-            candidates_.push_back({ &incarnation, &worker, now < worker.lastChoiceUntil_, isQuarantined(worker, now), {} });
+            candidates_.push_back({ &incarnation, &worker, now < worker.lastChoiceUntil_, isQuarantined(worker, now), speedScoreOf(worker), {} });
     }
     refreshImages();
 }
@@ -105,6 +105,8 @@
         if (!isHarmlessHere && !ignoresInterference && paceAt(state_, step, worker) < minimumPace)
             continue;
         int64_t score = scoreOf(state_, job, key, *candidate.incarnation_, worker, isHarmlessHere) - (candidate.isQuarantined_ ? quarantineWeight : 0) - (candidate.isLastChoice_ ? lastChoiceWeight : 0);
+        if (!step.longRunning_)
+            score += candidate.speedScore_;
         if (!best || score > bestScore) {
             best = &candidate;
             bestScore = score;
--- a/workflow/src/decisions/PlacementRound.h
+++ b/workflow/src/decisions/PlacementRound.h
@@ -36,6 +36,8 @@
         // The worker is chosen only if no other has room.
         bool isLastChoice_ { false };
         bool isQuarantined_ { false };
+        // Added to the score for tasks that end.
+        int64_t speedScore_ { 0 };
         // Positions in `longRunningImages_`.
         std::vector<size_t> images_;
     };
--- a/workflow/src/decisions/PlacementScore.h
+++ b/workflow/src/decisions/PlacementScore.h
@@ -13,6 +13,8 @@
 // So is a worker that has refused a run lately, but before a quarantined one.
 inline constexpr int64_t lastChoiceWeight = 50'000;
 
+// Score of a slow worker, before one that has refused a run lately; the less slow first.
+int64_t speedScoreOf(const Worker&);
 // True if the worker has announced the label: its machine type or its rack.
 bool hasLabel(const Worker&, const std::string& label);
 // Why the worker may not be given new runs, whatever the task; without regard to a quarantine.
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -1,5 +1,6 @@
 #include "AbsentRuns.h"
 #include "LeaderRules.h"
+#include "SlowWorkers.h"
 
 #include "persimmondoor/core/Text.h"
 
@@ -229,6 +230,8 @@
             reserveStoppingRun(worker, active.run_, stepOf(context.state_.jobs_.at(active.run_.task_.job_), active.run_.task_), OrderNumber());
     }
     releaseStoppedRuns(worker, report.active_, agent);
+    if (isNewReading)
+        observeSpeed(context, report, worker);
     observeLoad(context, report, worker);
     backOffAfterRefusals(context, report, wasReachable, worker);
     noteUnlistedRuns(context, worker, seen);
--- a/workflow/src/decisions/RunEnds.cpp
+++ b/workflow/src/decisions/RunEnds.cpp
@@ -1,5 +1,6 @@
 #include "AdmissionSurvey.h"
 #include "LeaderRules.h"
+#include "SlowWorkers.h"
 
 #include "persimmondoor/core/Text.h"
 
@@ -110,6 +111,8 @@
     context.logEvent("run.ended", describe(end.run_), concat(describe(end.end_), "; worker ", incarnation.name_));
     if (end.end_ == RunEnd::Done && isCurrent)
         observeCompletedRun(context, job, end.run_.task_, *task, worker);
+    if (end.end_ == RunEnd::Done && isCurrent)
+        observeEndedPace(context, job, end.run_.task_, *task, worker);
     if (end.end_ == RunEnd::Done)
         worker.consecutiveFailures_ = 0;
     if (end.end_ == RunEnd::Done && isCurrent)
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -1,5 +1,6 @@
 #include "Starts.h"
 
+#include "SlowWorkers.h"
 #include "UnplaceableDemands.h"
 
 #include "persimmondoor/core/Text.h"
@@ -42,6 +43,7 @@
     task.readings_ = 0;
     task.throttledMilliCores_ = 0;
     task.slowedSince_.reset();
+    task.runProgress_ = {};
     task.times_ = RunTimes { context.now_, std::nullopt, std::nullopt, std::nullopt, Duration(0) };
     task.lastProgressAt_ = context.now_;
     Worker& worker = context.state_.workers_.at(incarnation);
@@ -93,7 +95,7 @@
 }
 
 // \return true if a task of the step still waits for free capacity.
-static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, NearPlaceRound& nearPlaces, UnplaceableDemands& unplaceable)
+static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, NearPlaceRound& nearPlaces, SlowStarts& slowStarts, UnplaceableDemands& unplaceable)
 {
     const Step& step = job.record_.spec_.steps()[stepNumber];
     if (step.gang_)
@@ -122,7 +124,8 @@
             mustWait = true;
             continue;
         }
-        if (nearPlaces.keepsWaiting(job, key)) {
+        Task& task = job.tasks_[taskNumber(job, key)];
+        if (nearPlaces.keepsWaiting(job, key) || (!isUnplaceable && slowStarts.keepsWaiting(job, key, task))) {
             mustWait = true;
             continue;
         }
@@ -146,12 +149,13 @@
             mustWait = true;
             continue;
         }
-        if (nearPlaces.mustWait(job, key, *incarnation)) {
+        if (slowStarts.mustWait(job, key, task, *incarnation) || nearPlaces.mustWait(job, key, *incarnation)) {
             mustWait = true;
             continue;
         }
         assign(context, job, key, *incarnation, progress.run_ + 1);
         nearPlaces.noteStart(job, key, *incarnation);
+        slowStarts.noteStart(task, *incarnation);
         if (step.longRunning_)
             round.refreshImages();
         job.hasExceptionalPlace_ = isExceptional;
@@ -183,7 +187,7 @@
 }
 
 // \return true if the job stays ready: a task waits for free capacity or an occurrence is not due yet.
-static bool startTasksOf(const DecisionContext& context, Job& job, PlacementRound& round, NearPlaceRound& nearPlaces, UnplaceableDemands& unplaceable)
+static bool startTasksOf(const DecisionContext& context, Job& job, PlacementRound& round, NearPlaceRound& nearPlaces, SlowStarts& slowStarts, UnplaceableDemands& unplaceable)
 {
     bool waits = false;
     const JobSpec& spec = job.record_.spec_;
@@ -198,7 +202,7 @@
                 continue;
             if (!job.stepTimes_[number].startableSince_)
                 job.stepTimes_[number].startableSince_ = context.now_;
-            waits = startStep(context, job, occurrence, step, round, nearPlaces, unplaceable) || waits;
+            waits = startStep(context, job, occurrence, step, round, nearPlaces, slowStarts, unplaceable) || waits;
         }
     }
     return waits;
@@ -230,11 +234,12 @@
     std::sort(ready.begin(), ready.end());
     PlacementRound round(context.state_, context.now_);
     NearPlaceRound nearPlaces(context);
+    SlowStarts slowStarts(context, round);
     UnplaceableDemands unplaceable;
     for (const Urgency& urgency : ready) {
         context.noteJob(urgency.job_);
         Job& job = context.state_.jobs_.at(urgency.job_);
-        bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, round, nearPlaces, unplaceable);
+        bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, round, nearPlaces, slowStarts, unplaceable);
         updateIdleTime(context, job, waits);
         if (!waits)
             context.state_.readyJobs_.erase(urgency.job_);
