A standing job says since when only slow workers have had room

Cause: job.waits named a round of placement as the reason while a task waited for a worker that is not slow. Change: the line tells it, and no workers are counted while none is slow. All of test_workflow passes.

--- a/workflow/src/decisions/JobWaits.cpp
+++ b/workflow/src/decisions/JobWaits.cpp
@@ -302,6 +302,8 @@
         text += concat("; ", describe(surveys.of(job, key), step.demand_));
     if (const NearWait* wait = nearWaitOf(state, step, key, now))
         text += concat("; waits for a near place until ", milliseconds(wait->until_ - now), " ms from now");
+    if (const std::optional<Instant>& since = job.tasks_[taskNumber(job, key)].onlySlowSince_)
+        text += concat("; for ", milliseconds(now - *since), " ms only slow workers have had room, if any");
     return text + describeUnlistedRuns(state, job, now);
 }
 
--- a/workflow/src/decisions/SlowWorkers.cpp
+++ b/workflow/src/decisions/SlowWorkers.cpp
@@ -92,6 +92,9 @@
 std::map<std::string, SlowTally> tallySlowWorkers(const LeaderState& state, Instant now)
 {
     std::map<std::string, SlowTally> tally;
+    bool hasSlow = std::any_of(state.workers_.begin(), state.workers_.end(), [](const auto& entry) { return entry.second.speed_.isSlow_; });
+    if (!hasSlow)
+        return tally;
     for (const auto& [incarnation, worker] : state.workers_) {
         if (!acceptsRuns(state, worker, now))
             continue;
