One run, however odd, makes no worker slow

Cause: a run that takes over eight times its declared time, such as one of a job declared far too short whose other tasks have not been read, made its worker slow by itself. Change: one run counts with eight times at most. Test: worker_on_which_every_other_run_is_declared_far_too_short_is_steady.

--- a/workflow/src/decisions/WorkerSpeeds.cpp
+++ b/workflow/src/decisions/WorkerSpeeds.cpp
@@ -11,9 +11,9 @@
 static constexpr double priorWeight = 1.5;
 // Weight of a reading that shows nothing but the one run that the last such reading showed.
 static constexpr double sameRunWeight = 0.2;
-// Bounds on the logarithm of one run.
+// Bounds on the logarithm of one run. With the larger one a single run, however odd, makes no worker slow.
 static constexpr double smallestLog = -1;
-static constexpr double largestLog = 4;
+static constexpr double largestLog = 3;
 // Progress from which on whole percents tell a pace, in percent, and the shortest time between two readings of a run.
 static constexpr int64_t tellingPercent = 4;
 static constexpr Duration shortestInterval = std::chrono::milliseconds(300);
--- a/workflow/tests/WorkerSpeedsTest.cpp
+++ b/workflow/tests/WorkerSpeedsTest.cpp
@@ -59,6 +59,15 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(worker_on_which_every_other_run_is_declared_far_too_short_is_steady)
+{
+    ReadWorker worker;
+    for (uint32_t count = 0; count < 40; ++count) {
+        worker.read({ count % 2 == 0 ? 20.0 : 1.0 }, count);
+        BOOST_TEST(!worker.isSlow());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(worker_with_one_slow_run_after_another_is_found)
 {
     ReadWorker worker;
