Forecasts of racks keep the room that opens first

Each wait asked each worker of the rack twice when it opens (once for the decision, once to take the room), the workers of each rack were found among all workers, and each task of a step copied the job's id.

Change: a forecast keeps, for the last demand, when each worker opens and which opens first, until room there is taken; the run time of the tasks of a step is found once for each worker; the workers of a service are listed once; the end of obsolete waits looks up each job once. The decisions are the same: each wait is still decided anew in each round.

--- a/workflow/src/decisions/NearPlaceRound.cpp
+++ b/workflow/src/decisions/NearPlaceRound.cpp
@@ -55,12 +55,30 @@
 {
 }
 
+const std::vector<const Worker*>& NearPlaceRound::workersOf(const std::string& service)
+{
+    auto [workers, isNew] = workersByService_.try_emplace(service);
+    if (!isNew)
+        return workers->second;
+    for (const auto& [incarnation, worker] : context_.state_.workers_) {
+        if (worker.traits_.service_ == service)
+            workers->second.push_back(&worker);
+    }
+    return workers->second;
+}
+
 RackForecast& NearPlaceRound::forecastOf(const std::string& service, const std::string& rack)
 {
-    auto known = forecasts_.find({ service, rack });
-    if (known == forecasts_.end())
-        known = forecasts_.emplace(std::pair(service, rack), RackForecast(context_.state_, service, rack, context_.now_)).first;
-    return known->second;
+    std::map<std::string, RackForecast>& forecasts = forecasts_[service];
+    auto known = forecasts.find(rack);
+    if (known != forecasts.end())
+        return known->second;
+    std::vector<const Worker*> workers;
+    for (const Worker* worker : workersOf(service)) {
+        if (hasLabel(*worker, rack) && acceptsRuns(context_.state_, *worker, context_.now_))
+            workers.push_back(worker);
+    }
+    return forecasts.try_emplace(rack, context_.state_, workers, context_.now_).first->second;
 }
 
 const std::set<std::string>& NearPlaceRound::racksOf(const std::string& service)
@@ -68,9 +86,9 @@
     auto [racks, isNew] = racksByService_.try_emplace(service);
     if (!isNew)
         return racks->second;
-    for (const auto& [incarnation, worker] : context_.state_.workers_) {
-        if (worker.traits_.service_ == service && !rackOf(worker).empty() && acceptsRuns(context_.state_, worker, context_.now_))
-            racks->second.emplace(rackOf(worker));
+    for (const Worker* worker : workersOf(service)) {
+        if (!rackOf(*worker).empty() && acceptsRuns(context_.state_, *worker, context_.now_))
+            racks->second.emplace(rackOf(*worker));
     }
     return racks->second;
 }
@@ -94,16 +112,10 @@
 
 bool NearPlaceRound::mayFitNow(const std::string& service, const Step& step)
 {
-    auto [workers, isNew] = workersByService_.try_emplace(service);
-    if (isNew) {
-        for (const auto& [incarnation, worker] : context_.state_.workers_) {
-            if (worker.traits_.service_ == service && stateObstacle(context_.state_, worker, context_.now_) == WorkerObstacle::None)
-                workers->second.push_back(&worker);
-        }
-    }
     int64_t members = 0;
-    for (const Worker* worker : workers->second) {
-        members += membersThatFit(*worker, step);
+    for (const Worker* worker : workersOf(service)) {
+        int64_t fitting = membersThatFit(*worker, step);
+        members += fitting > 0 && stateObstacle(context_.state_, *worker, context_.now_) == WorkerObstacle::None ? fitting : 0;
         if (members >= step.count_)
             return true;
     }
@@ -126,11 +138,21 @@
     return isNewLeader ? context_.now_ - context_.state_.tuning_.maximumStandingWait_ : job.idleSince_.value_or(context_.now_);
 }
 
-PlaceOptions NearPlaceRound::optionsOf(const Job& job, const TaskKey& key)
+NearWait* NearPlaceRound::findWait(const TaskKey& key)
+{
+    auto known = places_.waits_.find(key);
+    return known == places_.waits_.end() ? nullptr : &known->second;
+}
+
+static bool isOfStep(const TaskKey& task, const TaskKey& other)
+{
+    return task.step_ == other.step_ && task.occurrence_ == other.occurrence_ && task.job_ == other.job_;
+}
+
+PlaceOptions NearPlaceRound::optionsOf(const Job& job, const TaskKey& key, const NearWait* wait)
 {
     const LeaderState& state = context_.state_;
-    const TaskKey first { key.job_, key.occurrence_, key.step_, 0 };
-    if (!stepOptions_ || stepOptions_->first != first) {
+    if (!stepOptions_ || !isOfStep(stepOptions_->first, key)) {
         PlaceOptions options;
         options.now_ = context_.now_;
         options.runTime_ = nearRunTimeOf(places_.cost_, state.tuning_, stepOf(job, key).estimate_);
@@ -138,29 +160,28 @@
         options.farFactor_ = stepOf(job, key).gang_ ? state.tuning_.farFactor_ : farFactorOf(places_.cost_, state.tuning_);
         options.onTimeBy_ = onTimeBy(state, job, key, context_.now_);
         options.isRoomContended_ = state.readyJobs_.size() > state.tuning_.backlogThreshold_;
-        stepOptions_ = { first, options };
+        stepOptions_ = { key, options };
     }
     PlaceOptions options = stepOptions_->second;
-    auto known = places_.waits_.find(key);
-    options.waitingSince_ = known == places_.waits_.end() ? context_.now_ : known->second.since_;
+    options.waitingSince_ = wait ? wait->since_ : context_.now_;
     options.standsStillSince_ = standsStillSince(job);
     return options;
 }
 
 bool NearPlaceRound::keepsWaiting(const Job& job, const TaskKey& key)
 {
-    auto known = places_.waits_.find(key);
-    if (known == places_.waits_.end())
+    NearWait* known = findWait(key);
+    if (!known)
         return false;
     const Step& step = stepOf(job, key);
     RackForecast& forecast = forecastOf(job.queue_.service_, step.dataRack_);
-    PlaceOptions options = optionsOf(job, key);
+    PlaceOptions options = optionsOf(job, key, known);
     options.nearOpensAt_ = forecast.opensAt(step, 1);
     PlaceDecision decision = choosePlace(options, context_.state_.tuning_);
     const auto* wait = std::get_if<WaitUntil>(&decision);
     if (!wait)
         return false;
-    known->second.until_ = wait->moment_;
+    known->until_ = wait->moment_;
     forecast.reserve(step, 1, options.runTime_);
     return true;
 }
@@ -175,7 +196,7 @@
     // Where such a task runs matters more than for how long.
     if (progress.crashes_ > 0 || isLateSuspect(state.tuning_, progress))
         return false;
-    PlaceOptions options = optionsOf(job, key);
+    PlaceOptions options = optionsOf(job, key, findWait(key));
     options.isNearOpen_ = hasLabel(state.workers_.at(chosen), step.dataRack_);
     if (options.isNearOpen_)
         return applyDecision(StartNear {}, options, key, step.dataRack_, {});
@@ -194,7 +215,7 @@
     // A gang without room on any racks waits in any case.
     if (!seeksCommonRack(context_.state_.tuning_, step) || !mayFitNow(job.queue_.service_, step))
         return {};
-    PlaceOptions options = optionsOf(job, first);
+    PlaceOptions options = optionsOf(job, first, findWait(first));
     std::vector<std::string> open;
     std::string best;
     for (const std::string& rack : racksOf(job.queue_.service_)) {
@@ -221,8 +242,10 @@
     if (forecasts_.empty())
         return;
     const Worker& worker = context_.state_.workers_.at(incarnation);
-    for (auto& [rack, forecast] : forecasts_)
-        forecast.addRun(worker, job, key);
+    for (auto& [service, forecasts] : forecasts_) {
+        for (auto& [rack, forecast] : forecasts)
+            forecast.addRun(worker, job, key);
+    }
 }
 
 void NearPlaceRound::noteGangStart(const Job& job, const TaskKey& first, bool isNear)
@@ -245,15 +268,15 @@
         endWait(key, true, "a near worker has room");
         return false;
     }
-    auto known = places_.waits_.find(key);
-    if (known == places_.waits_.end() && places_.waits_.size() >= context_.state_.tuning_.maximumNearWaits_)
+    NearWait* known = findWait(key);
+    if (!known && places_.waits_.size() >= context_.state_.tuning_.maximumNearWaits_)
         return false;
-    if (known == places_.waits_.end()) {
+    if (!known) {
         beginWait(options, key, rack, wait->moment_, detail);
         return true;
     }
-    known->second.rack_ = rack;
-    known->second.until_ = wait->moment_;
+    known->rack_ = rack;
+    known->until_ = wait->moment_;
     return true;
 }
 
@@ -283,9 +306,16 @@
 void NearPlaceRound::endObsoleteWaits()
 {
     std::vector<TaskKey> obsolete;
+    // The waits are in the order of their jobs. Null if the job does not wait.
+    const Job* job = nullptr;
+    const JobId* id = nullptr;
     for (const auto& [key, wait] : places_.waits_) {
-        const Task* task = findTask(context_.state_, key);
-        if (!task || task->progress_.phase_ != TaskPhase::Waiting || context_.state_.readyJobs_.count(key.job_) == 0)
+        if (!id || *id != key.job_) {
+            id = &key.job_;
+            auto known = context_.state_.jobs_.find(key.job_);
+            job = known != context_.state_.jobs_.end() && context_.state_.readyJobs_.count(key.job_) > 0 ? &known->second : nullptr;
+        }
+        if (!job || job->tasks_[taskNumber(*job, key)].progress_.phase_ != TaskPhase::Waiting)
             obsolete.push_back(key);
     }
     for (const TaskKey& key : obsolete)
--- a/workflow/src/decisions/NearPlaceRound.h
+++ b/workflow/src/decisions/NearPlaceRound.h
@@ -40,13 +40,18 @@
 
 private:
     RackForecast& forecastOf(const std::string& service, const std::string& rack);
+    // All workers of the service, whether they accept runs or not.
+    const std::vector<const Worker*>& workersOf(const std::string& service);
     // Racks of the workers of the service that accept runs.
     const std::set<std::string>& racksOf(const std::string& service);
     // False if the workers have no room for all members of the gang now, on however many racks.
     bool mayFitNow(const std::string& service, const Step&);
     // Since when nothing of the job has run; empty while a run of it may be at work or is about to start.
     std::optional<Instant> standsStillSince(const Job&);
-    PlaceOptions optionsOf(const Job&, const TaskKey&);
+    // \param wait of the task; null if it does not wait.
+    PlaceOptions optionsOf(const Job&, const TaskKey&, const NearWait* wait);
+    // The task's wait; null if it does not wait.
+    NearWait* findWait(const TaskKey&);
     // Begins or continues the wait, if the decision is to wait.
     // \return true if the task waits.
     bool applyDecision(const PlaceDecision&, const PlaceOptions&, const TaskKey&, const std::string& rack, const std::string& detail);
@@ -56,7 +61,8 @@
 
     const DecisionContext& context_;
     NearPlaces& places_;
-    std::map<std::pair<std::string, std::string>, RackForecast> forecasts_;
+    // By service and rack.
+    std::map<std::string, std::map<std::string, RackForecast>> forecasts_;
     std::map<std::string, std::set<std::string>> racksByService_;
     std::map<std::string, std::vector<const Worker*>> workersByService_;
     // The last job with a run at work, as the tasks of a job are visited in series.
--- a/workflow/src/decisions/RackForecast.cpp
+++ b/workflow/src/decisions/RackForecast.cpp
@@ -24,22 +24,25 @@
     return step.isFilling_ ? step.demand_.withoutCores() : step.demand_;
 }
 
-static Instant expectedEnd(const LeaderState& state, const Task& task, const Step& step, const Worker& worker, Instant now)
+static Instant expectedEnd(const Task& task, Duration runTime, Instant now)
 {
-    Duration runTime = nearRunTimeOf(state.nearPlaces_.cost_, state.tuning_, step.estimate_);
-    if (!step.dataRack_.empty() && !hasLabel(worker, step.dataRack_))
-        runTime = Duration(static_cast<int64_t>(static_cast<double>(runTime.count()) * farFactorOf(state.nearPlaces_.cost_, state.tuning_)));
     Instant end = task.times_.listedAt_.value_or(task.times_.releasedAt_.value_or(task.times_.assignedAt_)) + runTime;
     return end > now ? end : now + std::max(now - end, shortestRest);
 }
 
-void RackForecast::addRun(Room& room, const Job& job, const TaskKey& key) const
+Duration RackForecast::runTimeAt(const Worker& worker, const Step& step) const
+{
+    Duration runTime = nearRunTimeOf(state_.nearPlaces_.cost_, state_.tuning_, step.estimate_);
+    if (step.dataRack_.empty() || hasLabel(worker, step.dataRack_))
+        return runTime;
+    return Duration(static_cast<int64_t>(static_cast<double>(runTime.count()) * farFactorOf(state_.nearPlaces_.cost_, state_.tuning_)));
+}
+
+void RackForecast::addRun(Room& room, const Step& step, const Task& task, Duration runTime) const
 {
-    const Step& step = stepOf(job, key);
-    room.opening_.reset();
     room.used_ = room.used_ + countedDemand(step);
     if (!step.longRunning_)
-        room.releases_.push_back({ expectedEnd(state_, job.tasks_[taskNumber(job, key)], step, *room.worker_, now_), countedDemand(step) });
+        room.releases_.push_back({ expectedEnd(task, runTime, now_), countedDemand(step) });
 }
 
 bool RackForecast::endsEarlier(const Release& left, const Release& right)
@@ -47,25 +50,30 @@
     return left.at_ < right.at_;
 }
 
-RackForecast::RackForecast(const LeaderState& state, const std::string& service, const std::string& rack, Instant now)
+RackForecast::RackForecast(const LeaderState& state, const std::vector<const Worker*>& workers, Instant now)
     : state_(state)
     , now_(now)
 {
-    for (const auto& [incarnation, worker] : state.workers_) {
-        if (!hasLabel(worker, rack) || worker.traits_.service_ != service || !acceptsRuns(state, worker, now))
-            continue;
-        Room room { &worker, {}, {}, 0, {} };
-        for (const auto& [run, stopping] : worker.stoppingRuns_)
+    rooms_.reserve(workers.size());
+    const Job* job = nullptr;
+    for (const Worker* worker : workers) {
+        Room room { worker, {}, {}, 0, {} };
+        for (const auto& [run, stopping] : worker->stoppingRuns_)
             room.used_ = room.used_ + stopping.demand_;
-        for (const auto& [key, hold] : worker.holds_)
+        for (const auto& [key, hold] : worker->holds_)
             room.used_ = room.used_ + hold.demand_;
-        const Job* job = nullptr;
-        room.releases_.reserve(worker.assignedTasks_.size());
-        for (const TaskKey& key : worker.assignedTasks_) {
-            // The runs are in the order of their jobs.
+        const Step* step = nullptr;
+        Duration runTime(0);
+        room.releases_.reserve(worker->assignedTasks_.size());
+        for (const TaskKey& key : worker->assignedTasks_) {
+            // The runs are in the order of their jobs and steps.
             if (!job || job->record_.id_ != key.job_)
                 job = &state.jobs_.at(key.job_);
-            addRun(room, *job, key);
+            if (const Step& next = stepOf(*job, key); step != &next) {
+                step = &next;
+                runTime = runTimeAt(*worker, next);
+            }
+            addRun(room, *step, job->tasks_[taskNumber(*job, key)], runTime);
         }
         std::sort(room.releases_.begin(), room.releases_.end(), endsEarlier);
         rooms_.push_back(std::move(room));
@@ -77,8 +85,10 @@
     auto room = std::find_if(rooms_.begin(), rooms_.end(), [&](const Room& other) { return other.worker_ == &worker; });
     if (room == rooms_.end())
         return;
-    addRun(*room, job, key);
+    const Step& step = stepOf(job, key);
+    addRun(*room, step, job.tasks_[taskNumber(job, key)], runTimeAt(worker, step));
     std::sort(room->releases_.begin(), room->releases_.end(), endsEarlier);
+    forgetAnswer(*room);
 }
 
 std::optional<Instant> RackForecast::findOpening(const Room& room, const Step& step, Instant now)
@@ -97,54 +107,78 @@
     return (used + step.demand_).fitsIn(capacity) ? std::optional(opensAt) : std::nullopt;
 }
 
-std::optional<Instant> RackForecast::opensAt(Room& room, const Step& step, Instant now)
+void RackForecast::turnTo(const Step& step)
+{
+    if (demand_ == step.demand_ && requiredLabel_ == step.requiredLabel_)
+        return;
+    demand_ = step.demand_;
+    requiredLabel_ = step.requiredLabel_;
+    first_.reset();
+    for (Room& room : rooms_)
+        room.opensAt_.reset();
+}
+
+void RackForecast::forgetAnswer(Room& room)
+{
+    room.opensAt_.reset();
+    first_.reset();
+}
+
+std::optional<Instant> RackForecast::openingOf(Room& room, const Step& step) const
 {
-    if (!room.opening_ || room.opening_->demand_ != step.demand_ || room.opening_->requiredLabel_ != step.requiredLabel_)
-        room.opening_ = { step.demand_, step.requiredLabel_, findOpening(room, step, now) };
-    return room.opening_->at_;
+    if (!room.opensAt_)
+        room.opensAt_ = findOpening(room, step, now_);
+    return *room.opensAt_;
 }
 
-// Takes the room that opens first.
-std::optional<Instant> RackForecast::take(std::vector<Room>& rooms, const Step& step, Duration runTime, Instant now)
+size_t RackForecast::findFirst(const Step& step)
 {
-    Room* first = nullptr;
+    turnTo(step);
+    if (first_)
+        return *first_;
+    first_ = rooms_.size();
     std::optional<Instant> earliest;
-    for (Room& room : rooms) {
+    for (size_t number = 0; number < rooms_.size(); ++number) {
+        Room& room = rooms_[number];
         if (step.maxPerWorker_ > 0 && room.members_ >= step.maxPerWorker_)
             continue;
-        std::optional<Instant> at = opensAt(room, step, now);
+        std::optional<Instant> at = openingOf(room, step);
         if (!at || (earliest && *at >= *earliest))
             continue;
         earliest = at;
-        first = &room;
-        if (*at == now)
+        first_ = number;
+        if (*at == now_)
             break;
     }
-    if (!first)
+    return *first_;
+}
+
+std::optional<Instant> RackForecast::take(const Step& step, Duration runTime)
+{
+    size_t first = findFirst(step);
+    if (first == rooms_.size())
         return std::nullopt;
-    first->opening_.reset();
-    ++first->members_;
-    first->used_ = first->used_ + step.demand_;
-    Release release { *earliest + runTime, step.demand_ };
-    first->releases_.insert(std::upper_bound(first->releases_.begin(), first->releases_.end(), release, endsEarlier), release);
-    return earliest;
+    Room& room = rooms_[first];
+    Instant at = **room.opensAt_;
+    forgetAnswer(room);
+    ++room.members_;
+    room.used_ = room.used_ + step.demand_;
+    Release release { at + runTime, step.demand_ };
+    room.releases_.insert(std::upper_bound(room.releases_.begin(), room.releases_.end(), release, endsEarlier), release);
+    return at;
 }
 
 std::optional<Instant> RackForecast::opensAt(const Step& step, uint32_t count)
 {
     if (count == 1) {
-        std::optional<Instant> earliest;
-        for (Room& room : rooms_) {
-            std::optional<Instant> at = opensAt(room, step, now_);
-            earliest = at && (!earliest || *at < *earliest) ? at : earliest;
-        }
-        return earliest;
+        size_t first = findFirst(step);
+        return first < rooms_.size() ? *rooms_[first].opensAt_ : std::nullopt;
     }
     // Members of a gang run at the same time: room that one of them has is not taken over by another.
-    std::vector<Room> rooms = rooms_;
+    RackForecast trial = *this;
     std::optional<Instant> last;
     for (uint32_t member = 0; member < count; ++member) {
-        std::optional<Instant> at = take(rooms, step, horizon, now_);
+        std::optional<Instant> at = trial.take(step, horizon);
         if (!at || *at - now_ >= horizon)
             return std::nullopt;
         last = std::max(last.value_or(*at), *at);
@@ -155,7 +189,9 @@
 void RackForecast::reserve(const Step& step, uint32_t count, Duration runTime)
 {
     for (uint32_t task = 0; task < count; ++task)
-        take(rooms_, step, runTime, now_);
+        take(step, runTime);
+    // The bound on members per worker holds within a gang.
+    first_.reset();
     for (Room& room : rooms_)
         room.members_ = 0;
 }
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -112,8 +112,8 @@
     bool isFullForBarred = isUnplaceable && !isHeld && unplaceable.contains(job, step, disturbance, true);
     bool mustWait = false;
     uint32_t placedDespiteInterference = 0;
-    for (uint32_t index = 0; index < step.count_ && !isFull; ++index) {
-        TaskKey key = makeTaskKey(job, occurrence, stepNumber, index);
+    TaskKey key = makeTaskKey(job, occurrence, stepNumber, 0);
+    for (; key.index_ < step.count_ && !isFull; ++key.index_) {
         const TaskProgress& progress = job.tasks_[taskNumber(job, key)].progress_;
         if (progress.phase_ != TaskPhase::Waiting)
             continue;
