Admission: the survey visits jobs instead of tasks

Cause: the sum of the work ahead visited each task of each unfinished job, 25 ms at 7,000 jobs of 100 tasks, and was repeated each 20 ms while jobs were submitted.

Change: the leader knows the number of unfinished tasks of each step; what waits is that number less the assigned tasks, which are counted from the workers. The sum is repeated after 20 ms, or after 20 microseconds for each unfinished job if that is longer (more than 1,000 jobs). A benchmark of one submission, and tests of the sum and of the interval.

Not changed: work that is bound by a label is still counted for all jobs.

--- a/bench/leader/Fleet.cpp
+++ b/bench/leader/Fleet.cpp
@@ -87,6 +87,17 @@
     submit(std::move(step));
 }
 
+void Fleet::submitShort(uint32_t tasks, int64_t milliCores)
+{
+    submitData(tasks, milliCores, "");
+}
+
+void Fleet::learnRunTimes()
+{
+    for (int run = 0; run < 20; ++run)
+        state_.admission_.runTimes_ = observeRun(std::move(state_.admission_.runTimes_), "queue", std::chrono::seconds(5), std::chrono::seconds(5));
+}
+
 uint64_t Fleet::commitAll()
 {
     uint64_t bytes = 0;
--- a/bench/leader/Fleet.h
+++ b/bench/leader/Fleet.h
@@ -17,6 +17,10 @@
     // What distance costs; 1 lets no task wait for a near place.
     void setFarFactor(double factor) { state_.tuning_.farFactor_ = factor; }
     size_t nearWaits() const { return state_.nearPlaces_.waits_.size(); }
+    // Submits a job of short tasks without data, which admission assesses.
+    void submitShort(uint32_t tasks, int64_t milliCores);
+    // Lets the run times of the queue be known, as admission asks for.
+    void learnRunTimes();
     // Every agent reports a new reading of its worker; runs that were ordered are listed as active.
     void reportAll();
     // One agent reports its worker.
@@ -37,6 +41,7 @@
     void tick();
     void advance(Duration duration) { now_ = now_ + duration; }
     uint64_t assignedTasks() const;
+    uint64_t openJobs() const { return state_.openJobs_.size(); }
 
 private:
     void handle(LeaderMessage);
--- a/bench/leader/main.cpp
+++ b/bench/leader/main.cpp
@@ -5,6 +5,7 @@
 //     bench_leader backlog 160   a report, and a round of placement, beside a backlog of jobs that wait for room
 //     bench_leader near 300      a round of placement beside 10,000 tasks that find no room, while as many tasks as may wait for a
 //                                near place; `near-free` is the same where distance costs nothing
+//     bench_leader admission 7000  a job is submitted beside so many unfinished jobs of 100 tasks, whose work is summed up
 //     bench_leader line 160      the log lines of a tick beside many waiting jobs
 //     bench_leader waits 160     the same a second later, when the jobs have had nothing running for long enough to be logged
 //     bench_leader order 160     one task is accepted, placed, written and ordered to start
@@ -43,6 +44,7 @@
 constexpr uint32_t wideBacklogJobs = 100;
 constexpr int64_t dataMilliCores = 4000;
 constexpr uint32_t dataRacks = 5;
+constexpr uint32_t admissionWorkers = 300;
 constexpr double farFactor = 3;
 constexpr int64_t tooManyMilliCores = 60'000;
 // Demand of tasks of which hundreds fit a worker.
@@ -54,7 +56,7 @@
 
 static int usage()
 {
-    std::cerr << "usage: bench_leader start|reading|backlog|line|waits|order|end|near|near-free WORKERS, list|encode|report-bytes|reply-bytes RUNS, row-bytes TASKS, or observe IMAGES\n";
+    std::cerr << "usage: bench_leader start|reading|backlog|line|waits|order|end|near|near-free WORKERS, admission JOBS, list|encode|report-bytes|reply-bytes RUNS, row-bytes TASKS, or observe IMAGES\n";
     return 2;
 }
 
@@ -166,6 +168,33 @@
     return 0;
 }
 
+static int64_t submitOne(Fleet& fleet)
+{
+    auto begun = std::chrono::steady_clock::now();
+    fleet.submitShort(1, dataMilliCores);
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - begun).count();
+}
+
+// The second submission finds the sum of the first one.
+static int measureAdmission(uint32_t jobs)
+{
+    Fleet fleet(admissionWorkers);
+    for (uint32_t job = 0; job < jobs; ++job)
+        fleet.submitShort(dataTasks, dataMilliCores);
+    fleet.commitAll();
+    fleet.learnRunTimes();
+    fleet.advance(std::chrono::milliseconds(500));
+    fleet.reportAll();
+    // A round of placement, which would otherwise follow the first submission.
+    fleet.tick();
+    CALLGRIND_START_INSTRUMENTATION;
+    int64_t first = submitOne(fleet);
+    CALLGRIND_STOP_INSTRUMENTATION;
+    int64_t second = submitOne(fleet);
+    std::cout << "admission: " << first << " us with the sum, " << second << " us without; " << fleet.assignedTasks() << " tasks assigned, " << fleet.openJobs() << " unfinished jobs\n";
+    return 0;
+}
+
 int main(int count, char** arguments)
 {
     if (count != 3)
@@ -179,6 +208,8 @@
     }
     if (step == "near" || step == "near-free")
         return measureNear(step == "near", static_cast<uint32_t>(std::stoul(arguments[2])));
+    if (step == "admission")
+        return measureAdmission(static_cast<uint32_t>(std::stoul(arguments[2])));
     if (step == "row-bytes")
         return measureRow(static_cast<uint32_t>(std::stoul(arguments[2])));
     if (step != "order" && step != "end" && step != "start" && step != "reading" && step != "backlog" && step != "line" && step != "waits")
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -224,8 +224,10 @@
     Duration smallestRefusedWait_ { std::chrono::milliseconds(1000) };
     /// Time constant of the observed rate of finished work; outlasts the loss of a few workers for a moment.
     Duration drainWindow_ { std::chrono::milliseconds(4000) };
-    /// The waiting work is summed up anew after this time: it visits all unfinished tasks.
+    /// The waiting work is summed up anew after this time, or after the time per unfinished job, whichever is longer: the sum
+    /// visits them all.
     Duration surveyInterval_ { std::chrono::milliseconds(20) };
+    Duration surveyIntervalPerJob_ { std::chrono::microseconds(20) };
     /// Share of the room that is promised to refused jobs that come back, in percent; new jobs need the rest.
     int64_t returningPercent_ { 50 };
     /// Bound on the time after which a refused job should come back.
--- a/workflow/src/decisions/AdmissionSurvey.cpp
+++ b/workflow/src/decisions/AdmissionSurvey.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <unordered_map>
 
 namespace persimmondoor::workflow {
 
@@ -62,22 +63,54 @@
     return work;
 }
 
-// Adds the unfinished short tasks of the job. Later occurrences count once they are due.
-static void addJob(const LeaderState& state, const Job& job, ServiceLoad& load)
+// Numbers of assigned tasks of each step, over all occurrences.
+using AssignedTasks = std::unordered_map<const Job*, std::vector<uint32_t>>;
+
+static AssignedTasks countAssignedTasks(const LeaderState& state)
+{
+    AssignedTasks assigned;
+    for (const auto& [incarnation, worker] : state.workers_) {
+        const Job* job = nullptr;
+        std::vector<uint32_t>* counts = nullptr;
+        for (const TaskKey& key : worker.assignedTasks_) {
+            // The tasks are in the order of their jobs.
+            if (!job || job->record_.id_ != key.job_) {
+                job = &state.jobs_.at(key.job_);
+                counts = &assigned[job];
+                counts->resize(job->record_.spec_.steps().size());
+            }
+            if (job->tasks_[taskNumber(*job, key)].progress_.phase_ == TaskPhase::Assigned)
+                ++(*counts)[key.step_];
+        }
+    }
+    return assigned;
+}
+
+// Unfinished tasks of the step. Later occurrences count once they are due.
+static uint32_t countUnfinished(const LeaderState& state, const Job& job, size_t step)
+{
+    const size_t steps = job.record_.spec_.steps().size();
+    uint32_t unfinished = 0;
+    for (uint32_t occurrence = 0; occurrence < job.record_.spec_.occurrences() && isDue(state, job, occurrence); ++occurrence)
+        unfinished += job.unfinishedTasks_[occurrence * steps + step];
+    return unfinished;
+}
+
+// Adds the short tasks of the job without visiting each.
+static void addJob(const LeaderState& state, const Job& job, const AssignedTasks& assignedTasks, ServiceLoad& load)
 {
     const std::vector<Step>& steps = job.record_.spec_.steps();
     const std::vector<double> work = workOfTasks(state, job);
+    auto counted = assignedTasks.find(&job);
     bool hasValue = !job.isCancelled_ && !job.hasFailed_ && urgencyOf(state, job).prospect_ != Prospect::Worthless;
     double waiting = 0;
-    for (uint32_t number = 0; number < job.tasks_.size(); ++number) {
-        TaskKey key = keyOf(job, number);
-        if (!holdsRoomForAWhile(steps[key.step_]))
+    for (size_t step = 0; step < steps.size(); ++step) {
+        if (!holdsRoomForAWhile(steps[step]))
             continue;
-        TaskPhase phase = job.tasks_[number].progress_.phase_;
-        if (phase == TaskPhase::Assigned)
-            load.heldCores_ += cores(steps[key.step_].demand_.milliCores());
-        else if (phase == TaskPhase::Waiting && hasValue && isDue(state, job, key.occurrence_))
-            waiting += work[key.step_];
+        uint32_t assigned = counted == assignedTasks.end() ? 0 : counted->second[step];
+        load.heldCores_ += assigned * cores(steps[step].demand_.milliCores());
+        uint32_t unfinished = hasValue ? countUnfinished(state, job, step) : 0;
+        waiting += (unfinished - std::min(unfinished, assigned)) * work[step];
     }
     if (waiting > 0)
         load.waiting_[placeOf(job)] += waiting;
@@ -86,10 +119,11 @@
 static ServiceLoad surveyLoad(const LeaderState& state, const std::string& service, Instant now)
 {
     ServiceLoad load;
+    const AssignedTasks assigned = countAssignedTasks(state);
     for (const JobId& id : state.openJobs_) {
         const Job& job = state.jobs_.at(id);
         if (job.queue_.service_ == service)
-            addJob(state, job, load);
+            addJob(state, job, assigned, load);
     }
     for (const auto& [incarnation, worker] : state.workers_) {
         if (worker.traits_.service_ == service && acceptsRuns(state, worker, now))
@@ -115,7 +149,9 @@
 
 static void updateLoad(const DecisionContext& context, const std::string& name, ServiceAdmission& service)
 {
-    if (service.load_ && context.now_ - service.surveyedAt_ < context.state_.tuning_.surveyInterval_)
+    const Tuning& tuning = context.state_.tuning_;
+    const Duration interval = std::max(tuning.surveyInterval_, tuning.surveyIntervalPerJob_ * static_cast<int64_t>(context.state_.openJobs_.size()));
+    if (service.load_ && context.now_ - service.surveyedAt_ < interval)
         return;
     service.load_ = surveyLoad(context.state_, name, context.now_);
     service.surveyedAt_ = context.now_;
--- a/workflow/tests/JobAdmissionTest.cpp
+++ b/workflow/tests/JobAdmissionTest.cpp
@@ -186,6 +186,44 @@
     BOOST_TEST(world.isRefused(world.submit({ stepOfTasks(1) }, 206, "00000000000000ee")));
 }
 
+// Load: wide jobs, some of whose tasks have room. Each task counts once, and those of later steps as well.
+BOOST_AUTO_TEST_CASE(work_ahead_is_that_of_the_tasks_without_room)
+{
+    BurstWorld world;
+    world.learnRunTimes();
+    world.submit({ stepOfTasks(10), stepOfTasks(5, { 0 }) }, 100, BurstWorld::idOf(1));
+    world.commit(110);
+    Step longRunning = stepOfTasks(3);
+    longRunning.longRunning_ = true;
+    world.submit({ longRunning }, 120, BurstWorld::idOf(2));
+    BOOST_REQUIRE(world.state_.workers_.begin()->second.assignedTasks_.size() == 4U);
+    const auto& services = world.state_.admission_.services_;
+    world.submit({ stepOfTasks(1) }, 200, BurstWorld::idOf(3));
+    ServiceLoad load = *services.at("packs").load_;
+    BOOST_TEST(load.heldCores_ == 4);
+    BOOST_TEST(load.workAhead({ 100, 0 }) == (6 + 5) * 0.8 + 0.8, boost::test_tools::tolerance(0.001));
+    // A cancelled job holds its cores until its runs have ended, and is no work ahead.
+    world.call(Cancel {}, 210, BurstWorld::idOf(1));
+    world.submit({ stepOfTasks(1) }, 300, BurstWorld::idOf(4));
+    load = *services.at("packs").load_;
+    BOOST_TEST(load.workAhead({ 100, 0 }) == 2 * 0.8, boost::test_tools::tolerance(0.001));
+}
+
+// Load: so many unfinished jobs that their work is summed up less often.
+BOOST_AUTO_TEST_CASE(survey_takes_a_bounded_share_of_the_time)
+{
+    BurstWorld world;
+    world.learnRunTimes();
+    world.state_.tuning_.surveyIntervalPerJob_ = milliseconds(10);
+    BOOST_TEST(world.submitBurst(5, 100) == 0U);
+    const ServiceAdmission& service = world.state_.admission_.services_.at("packs");
+    const Instant surveyedAt = service.surveyedAt_;
+    world.submit({ stepOfTasks(1) }, 145, BurstWorld::idOf(6));
+    BOOST_TEST((service.surveyedAt_ == surveyedAt));
+    world.submit({ stepOfTasks(1) }, 170, BurstWorld::idOf(7));
+    BOOST_TEST((service.surveyedAt_ == at(170)));
+}
+
 BOOST_AUTO_TEST_CASE(new_leader_refuses_nothing_before_it_knows_run_times)
 {
     BurstWorld world;
