Check: queues of one name, and queues without an objective

Cause (review of `ctl check`): two routes of one name passed without a word, though run times, shares of room and metrics are kept by the name; a queue whose stretch and target latency are both 0 was reported as one whose objective no job can meet, while it has none.

Change: a warning for each. The routes of the test have names of their own now, as those of a sound configuration do.

Measured: both new tests failed on the code as it was; test_workflow passes.

--- a/workflow/src/decisions/CatalogCheck.cpp
+++ b/workflow/src/decisions/CatalogCheck.cpp
@@ -86,11 +86,13 @@
                 add(FindingSeverity::Error, place, concat("no request matches the prefix ", queue.prefix_, ": expected a path that begins with / and has no ?, # or space"));
             for (size_t other = 0; other < catalog_.queues_.size(); ++other) {
                 const Queue& second = catalog_.queues_[other];
-                if (other == index || second.host_ != queue.host_)
-                    continue;
-                if (second.prefix_ == queue.prefix_ && other < index)
+                bool isEarlier = other < index;
+                bool isSameHost = second.host_ == queue.host_;
+                if (isEarlier && isSameHost && second.prefix_ == queue.prefix_)
                     add(FindingSeverity::Error, place, concat("no request matches it: routes[", other, "] has the same host and prefix"));
-                else if (takesJobsOf(second.prefix_, queue.prefix_))
+                else if (isEarlier && second.name_ == queue.name_)
+                    add(FindingSeverity::Warning, place, concat("routes[", other, "] has the same name: run times, shares of room and metrics of both are counted together"));
+                if (isSameHost && takesJobsOf(second.prefix_, queue.prefix_))
                     add(FindingSeverity::Warning, place, concat("requests for jobs whose id begins with ", second.prefix_.substr(queue.prefix_.size()), " go to routes[", other, "], where they are malformed"));
             }
         }
@@ -106,6 +108,8 @@
             const Tuning tuning;
             if (queue.stretch_ < 0)
                 add(FindingSeverity::Error, place, concat("stretch is ", queue.stretch_, "; expected 0 or more"));
+            else if (queue.stretch_ == 0 && queue.targetLatency_ == Duration(0))
+                add(FindingSeverity::Warning, place, "no objective, as stretch and target latency are 0: each of its jobs counts as too late from the begin and runs after all others of its priority");
             else if (queue.stretch_ < 1 && queue.targetLatency_ == Duration(0))
                 add(FindingSeverity::Warning, place, concat("no job can meet the objective of ", queue.stretch_, " times its own run time without a target latency"));
             if (queue.maxAttempts_ == 0)
--- a/workflow/tests/CatalogCheckTest.cpp
+++ b/workflow/tests/CatalogCheckTest.cpp
@@ -5,9 +5,9 @@
 
 namespace persimmondoor::workflow {
 
-static Queue queueAt(std::string prefix)
+static Queue queueAt(const std::string& prefix)
 {
-    return { "q", "host.example", std::move(prefix), "packs", 0, 3, 1.5, std::chrono::milliseconds(300), std::chrono::milliseconds(3000) };
+    return { prefix, "host.example", prefix, "packs", 0, 3, 1.5, std::chrono::milliseconds(300), std::chrono::milliseconds(3000) };
 }
 
 static Catalog catalogOf(std::vector<Queue> queues)
@@ -69,6 +69,27 @@
     BOOST_TEST(std::is_sorted(findings.begin(), findings.end(), [](const auto& left, const auto& right) { return left.severity_ < right.severity_; }));
 }
 
+// Guards against a queue without an objective that is reported as one that cannot meet it.
+BOOST_AUTO_TEST_CASE(queue_without_an_objective_is_reported_as_such)
+{
+    Queue queue = queueAt("/tests/");
+    queue.stretch_ = 0;
+    queue.targetLatency_ = Duration(0);
+    auto findings = checkCatalog(catalogOf({ queue }));
+    BOOST_TEST(findings.size() == 1U);
+    BOOST_TEST(hasFinding(findings, FindingSeverity::Warning, "routes[0]", "no objective"));
+}
+
+// Run times, shares and metrics are kept by the names of queues.
+BOOST_AUTO_TEST_CASE(queues_of_one_name_are_reported)
+{
+    Queue other = queueAt("/plans/");
+    other.name_ = queueAt("/tests/").name_;
+    auto findings = checkCatalog(catalogOf({ queueAt("/tests/"), other }));
+    BOOST_TEST(findings.size() == 1U);
+    BOOST_TEST(hasFinding(findings, FindingSeverity::Warning, "routes[1]", "routes[0] has the same name"));
+}
+
 BOOST_AUTO_TEST_CASE(version_that_is_not_higher_would_be_ignored)
 {
     Catalog inForce = catalogOf({ queueAt("/tests/") });
