A session that ends with an exception is closed and no longer counted

A response that cannot be encoded threw out of serveOne. Its session stayed in the ledger as one that is served, which is never closed for another, and its request stayed in flight, for which a shutdown waits.

A session is closed at the end of its coroutine, and a request is in flight until the end of its scope, however they end. http_server/response_that_cannot_be_encoded_leaves_no_connection_behind fails on the former code: with a limit of one connection the next one is closed.

--- a/http/src/Server.cpp
+++ b/http/src/Server.cpp
@@ -94,6 +94,49 @@
     state.sessions_.erase(found);
 }
 
+// Closes a session at the end of its coroutine, also if that ends with an exception.
+template <typename State>
+class OpenSession {
+public:
+    OpenSession(std::shared_ptr<State> state, ConnectionNumber number)
+        : state_(std::move(state))
+        , number_(number)
+    {
+    }
+    ~OpenSession() { closeSession(*state_, number_); }
+    OpenSession(const OpenSession&) = delete;
+    OpenSession& operator=(const OpenSession&) = delete;
+
+private:
+    std::shared_ptr<State> state_;
+    ConnectionNumber number_;
+};
+
+// Counts a request from its last byte to the end of its response, or to an exception.
+template <typename State>
+class RequestInFlight {
+public:
+    RequestInFlight(std::shared_ptr<State> state, std::shared_ptr<Session> session)
+        : state_(std::move(state))
+        , session_(std::move(session))
+    {
+        session_->isIdle_ = false;
+        ++state_->inFlight_;
+        state_->ledger_.serve(session_->number_);
+    }
+    ~RequestInFlight()
+    {
+        --state_->inFlight_;
+        session_->isIdle_ = true;
+    }
+    RequestInFlight(const RequestInFlight&) = delete;
+    RequestInFlight& operator=(const RequestInFlight&) = delete;
+
+private:
+    std::shared_ptr<State> state_;
+    std::shared_ptr<Session> session_;
+};
+
 // Closes connections until `ask` finds room. Returns whether there is room now.
 template <typename State, typename Ask>
 static bool makeRoom(State& state, Ask ask)
@@ -230,14 +273,13 @@
         co_return false;
     }
     bool keepAlive = decoder.keep_alive();
-    session->isIdle_ = false;
-    ++state->inFlight_;
-    state->ledger_.serve(session->number_);
-    std::optional<Response> response = co_await handle(state, session, decoder.release());
-    keepAlive = keepAlive && !state->isStopping_ && response;
-    bool written = response && response->status_ != noAnswerStatus && co_await writeResponse(state, session, *std::move(response), keepAlive);
-    --state->inFlight_;
-    session->isIdle_ = true;
+    bool written = false;
+    {
+        RequestInFlight<State> inFlight(state, session);
+        std::optional<Response> response = co_await handle(state, session, decoder.release());
+        keepAlive = keepAlive && !state->isStopping_ && response;
+        written = response && response->status_ != noAnswerStatus && co_await writeResponse(state, session, *std::move(response), keepAlive);
+    }
     if (session->buffer_.size() == 0 && session->buffer_.capacity() > idleBufferBytes)
         session->buffer_.shrink_to_fit();
     co_return written&& keepAlive;
@@ -246,11 +288,11 @@
 template <typename State>
 static asio::awaitable<void> serveSession(std::shared_ptr<State> state, std::shared_ptr<Session> session)
 {
+    OpenSession<State> open(state, session->number_);
     while (co_await serveOne(state, session)) {
     }
     boost::system::error_code ignored;
     session->stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored); // NOLINT(bugprone-unused-return-value)
-    closeSession(*state, session->number_);
 }
 
 template <typename State>
--- a/http/tests/ServerTest.cpp
+++ b/http/tests/ServerTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/streambuf.hpp>
@@ -55,8 +56,45 @@
     co_return answer;
 }
 
+// Sends `request` on a new connection and returns what the server sends until it closes.
+static asio::awaitable<std::string> exchangeText(Address address, std::string request)
+{
+    asio::ip::tcp::socket socket(co_await asio::this_coro::executor, asio::ip::tcp::v4());
+    co_await socket.async_connect({ asio::ip::make_address(address.ip()), address.port() }, asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+    std::string answer;
+    boost::system::error_code error;
+    co_await asio::async_read(socket, asio::dynamic_buffer(answer), asio::redirect_error(asio::use_awaitable, error));
+    co_return answer;
+}
+
 BOOST_AUTO_TEST_SUITE(http_server)
 
+// Guards against connections that stay counted after an error of the process, until none is accepted any more.
+BOOST_AUTO_TEST_CASE(response_that_cannot_be_encoded_leaves_no_connection_behind)
+{
+    asio::io_context context;
+    Limits limits;
+    limits.connections_ = 1;
+    auto handler = [](Request request) -> asio::awaitable<Response> {
+        if (request.target_ == "/")
+            co_return Response { 200, {}, "" };
+        // A field name that exceeds what the encoder accepts.
+        co_return Response { 200, { { std::string(100'000, 'a'), "b" } }, "" };
+    };
+    auto server = Server::listen(context.get_executor(), *Address::parse("127.0.0.1:0"), limits, handler);
+    BOOST_REQUIRE(server.ok());
+    std::string answer;
+    auto run = [&]() -> asio::awaitable<void> {
+        (void)co_await exchangeText((*server)->address(), "GET /long HTTP/1.1\r\nHost: h\r\n\r\n");
+        BOOST_TEST((*server)->inFlight() == 0U);
+        answer = co_await exchangeText((*server)->address(), "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    };
+    asio::co_spawn(context, run(), [&](const std::exception_ptr&) { context.stop(); });
+    context.run_for(std::chrono::seconds(5));
+    BOOST_TEST(answer.substr(0, 12) == "HTTP/1.1 200");
+}
+
 // Guards against a process that accepts no connection any more after one could not be accepted.
 BOOST_AUTO_TEST_CASE(server_accepts_again_once_there_are_file_descriptors)
 {
