A body that does not arrive in time is answered with 408

The time-out of Beast's stream closes the socket, so that a client whose body came too slowly could not tell it from a process that had ended. The time of a message now ends its reads and leaves the stream open. 408 promises nothing about earlier attempts; headers that stop, and requests without memory, still get no answer. A message that arrives in one piece starts no timer.

http_server/body_that_stops_is_answered_with_408_and_header_that_stops_is_not.

--- a/http/include/persimmondoor/http/Server.h
+++ b/http/include/persimmondoor/http/Server.h
@@ -52,8 +52,9 @@
 class Server {
 public:
     /// Listens on `address`; port 0 picks a free one. A malformed request is answered with 400, an oversized
-    /// header with 431 and an oversized body or framing with 413, all with a JSON error, and the connection is closed. A
-    /// connection whose client exceeds a time, or for which there is no memory, is closed without an answer.
+    /// header with 431, an oversized body or framing with 413 and a body that does not arrive in time with 408, all with a JSON
+    /// error, and the connection is closed. A connection whose client exceeds another time, or for which there is no memory, is
+    /// closed without an answer.
     /// \return the server, or Unavailable with the system's error.
     static absl::StatusOr<std::unique_ptr<Server>> listen(const boost::asio::any_io_executor&, const Address&, Limits, Handler);
 
--- a/http/src/ReadMessage.h
+++ b/http/src/ReadMessage.h
@@ -7,11 +7,14 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace persimmondoor::http {
@@ -27,12 +30,37 @@
     Duration message_;
 };
 
+// Ends the reads of a stream after a time, and leaves the stream open for an answer. Does nothing until it is started.
+class ReadDeadline {
+public:
+    // Does nothing if it has been started.
+    void start(boost::beast::tcp_stream* stream, Duration limit)
+    {
+        if (timer_)
+            return;
+        timer_.emplace(stream->get_executor(), limit);
+        timer_->async_wait([stream, weak = std::weak_ptr(hasPassed_)](const boost::system::error_code& error) {
+            auto hasPassed = weak.lock();
+            if (error || !hasPassed)
+                return;
+            *hasPassed = true;
+            stream->cancel();
+        });
+    }
+    bool hasPassed() const { return *hasPassed_; }
+
+private:
+    // Gone once the reads are over.
+    std::shared_ptr<bool> hasPassed_ { std::make_shared<bool>(false) };
+    std::optional<boost::asio::steady_timer> timer_;
+};
+
 // Asked before the bytes held for a message rise to the given number. Returns false to stop reading.
 using Admission = std::function<bool(size_t bytes)>;
 
 // Reads until `decoder` has decoded a message. Bytes of the next message stay in `buffer`. All pointers must stay valid.
-// `times` sets the stream's time-outs; without them those set by the caller hold.
-// Returns OK, an error of the stream or of the decoder, end_of_stream if the peer closed before the first byte,
+// `times` sets the time-outs; without them those set by the caller hold.
+// Returns OK, an error of the stream or of the decoder, timeout, after which the stream is open if the message has begun, end_of_stream if the peer closed before the first byte,
 // partial_message if it closed within the message, or no_buffer_space if `admission` refused.
 template <typename Decoder>
 boost::asio::awaitable<boost::system::error_code> readMessage(
@@ -42,8 +70,9 @@
     using HTTPError = boost::beast::http::error;
     buffer->max_size(decoder->maximumUnusedBytes() + bodyPieceBytes);
     bool hasStarted = buffer->size() > 0;
-    if (times)
-        stream->expires_after(hasStarted ? times->message_ : times->idle_);
+    ReadDeadline deadline;
+    if (times && !hasStarted)
+        stream->expires_after(times->idle_);
     boost::system::error_code error = HTTPError::need_more;
     for (;;) {
         if (buffer->size() > 0) {
@@ -55,15 +84,19 @@
         }
         if (buffer->size() > decoder->maximumUnusedBytes())
             co_return HTTPError::buffer_overflow;
+        if (hasStarted && times)
+            deadline.start(stream, times->message_);
         size_t piece = std::min(decoder->is_header_done() ? bodyPieceBytes : headerPieceBytes, buffer->max_size() - buffer->size());
         size_t size = co_await stream->async_read_some(buffer->prepare(piece), asio::redirect_error(asio::use_awaitable, error));
+        if (deadline.hasPassed())
+            co_return boost::beast::error::timeout;
         if (error == asio::error::eof)
             co_return hasStarted ? HTTPError::partial_message : HTTPError::end_of_stream;
         if (error)
             co_return error;
         buffer->commit(size);
         if (!hasStarted && times)
-            stream->expires_after(times->message_);
+            stream->expires_never();
         hasStarted = true;
     }
 }
--- a/http/src/Server.cpp
+++ b/http/src/Server.cpp
@@ -251,6 +251,10 @@
     } else if (error == asio::error::no_buffer_space) {
         // Without an answer, which would promise something about earlier attempts of the same request.
         reportOverLimit(*state, "request.no_memory", "no memory is left for the request");
+    } else if (error == beast::error::timeout && isHeaderComplete) {
+        // Promises nothing about earlier attempts, unlike 503.
+        reportOverLimit(*state, "request.timed_out", "the body did not arrive in time");
+        co_await writeResponse(state, session, errorResponse(408, "timeout", "the body did not arrive in time"), false);
     } else if (error == beast::error::timeout) {
         logDebug("connection.timed_out", { { "address", addressText(*state) } });
     }
@@ -269,6 +273,8 @@
     boost::system::error_code error = co_await readMessage(&session->stream_, &session->buffer_, &decoder, times, admission);
     session->stream_.expires_never();
     if (error) {
+        // Frees what has arrived, which the ledger no longer counts.
+        (void)decoder.release();
         co_await refuse(state, session, error, decoder.is_header_done());
         co_return false;
     }
--- a/http/tests/ServerTest.cpp
+++ b/http/tests/ServerTest.cpp
@@ -110,6 +110,27 @@
     BOOST_TEST(answer.substr(0, 12) == "HTTP/1.1 200");
 }
 
+// Guards against clients that cannot tell a body that came too slowly from a process that has ended. 503 would promise that no
+// earlier attempt runs.
+BOOST_AUTO_TEST_CASE(body_that_stops_is_answered_with_408_and_header_that_stops_is_not)
+{
+    asio::io_context context;
+    Limits limits;
+    limits.requestTimeout_ = std::chrono::milliseconds(50);
+    auto server = Server::listen(context.get_executor(), *Address::parse("127.0.0.1:0"), limits, [](Request) -> asio::awaitable<Response> { co_return Response { 200, {}, "" }; });
+    BOOST_REQUIRE(server.ok());
+    std::string toBody;
+    std::string toHeader = "no connection";
+    auto run = [&]() -> asio::awaitable<void> {
+        toBody = co_await exchangeText((*server)->address(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+        toHeader = co_await exchangeText((*server)->address(), "POST / HTTP/1.1\r\nHost: h\r\n");
+    };
+    asio::co_spawn(context, run(), [&](const std::exception_ptr&) { context.stop(); });
+    context.run_for(std::chrono::seconds(5));
+    BOOST_TEST(toBody.substr(0, 12) == "HTTP/1.1 408");
+    BOOST_TEST(toHeader.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::http
