Who is put behind whom is told by job; state by service

Cause: job.waits told why no worker has room for a job, but not which jobs are served before it. The next line on a shortfall was delayed for all services once one had been logged, and the state of the admission kept each queue and service that was ever configured; with 256 queues of the past, the estimates of new ones found no place.

Change: WaitOrder names, for a job that waits for room, the jobs of its service that placement serves before it, the first difference in their urgency as the reason, and when at the latest a rush that puts it behind them ends. rush.short is limited by service. A change of the configuration drops what the admission knows of queues and services that are gone.

--- a/workflow/include/persimmondoor/workflow/UrgentRoom.h
+++ b/workflow/include/persimmondoor/workflow/UrgentRoom.h
@@ -82,8 +82,8 @@
     /// Long-running tasks that were stopped to make room, and when; kept for `Tuning::minimumTimeBetweenStops_`, and for as long as
     /// they wait.
     std::map<TaskKey, Instant> stoppedAt_;
-    /// When the next line on a remaining shortfall may be logged.
-    Instant nextReportAt_;
+    /// When the next line on a remaining shortfall may be logged, by service; services that are calm are left out.
+    std::map<std::string, Instant> nextReportAt_;
     bool operator==(const UrgentRoom&) const = default;
 
     /// The rush of the service, or null if there is none.
--- a/workflow/src/decisions/AdmissionSurvey.cpp
+++ b/workflow/src/decisions/AdmissionSurvey.cpp
@@ -4,6 +4,7 @@
 #include "persimmondoor/workflow/Urgency.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace persimmondoor::workflow {
@@ -46,6 +47,18 @@
         admission.runTimes_ = observeRun(std::move(admission.runTimes_), job.queue_.name_, step.estimate_, held);
 }
 
+void forgetRemovedQueues(LeaderState& state)
+{
+    std::set<std::string> queues;
+    std::set<std::string> services;
+    for (const Queue& queue : state.catalog_.queues_) {
+        queues.insert(queue.name_);
+        services.insert(queue.service_);
+    }
+    std::erase_if(state.admission_.runTimes_.byQueue_, [&](const auto& entry) { return queues.count(entry.first) == 0; });
+    std::erase_if(state.admission_.services_, [&](const auto& entry) { return services.count(entry.first) == 0; });
+}
+
 static DueWork placeOf(const Job& job)
 {
     const JobSpec& spec = job.record_.spec_;
--- a/workflow/src/decisions/AdmissionSurvey.h
+++ b/workflow/src/decisions/AdmissionSurvey.h
@@ -14,4 +14,8 @@
 // \return the refusal; empty if the job is admitted.
 std::optional<NotAccepted> refuseHopelessJob(const DecisionContext&, Job&);
 
+// Drops what is known of queues and services that the configuration no longer holds. What their open jobs still teach is kept
+// until the next change.
+void forgetRemovedQueues(LeaderState&);
+
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/JobWaits.cpp
+++ b/workflow/src/decisions/JobWaits.cpp
@@ -1,4 +1,5 @@
 #include "DemandSurvey.h"
+#include "WaitOrder.h"
 
 #include "persimmondoor/core/Text.h"
 
@@ -287,7 +288,7 @@
     return count == 0 ? "" : concat("; unlisted runs: ", count, ": ", text);
 }
 
-static std::string describeWait(const LeaderState& state, const Job& job, DemandSurveys& surveys, Instant now)
+static std::string describeWait(const LeaderState& state, const Job& job, DemandSurveys& surveys, const WaitOrder& order, Instant now)
 {
     LongestStep longest = longestStepOf(state, job);
     const TaskKey& key = longest.task_;
@@ -299,7 +300,7 @@
     if (!job.standstill_->isDue_)
         text += concat("; due in ", dueInMs(state, job, key.occurrence_), " ms");
     else if (waiting > 0)
-        text += concat("; ", describe(surveys.of(job, key), step.demand_));
+        text += concat("; ", describe(surveys.of(job, key), step.demand_), state.readyJobs_.count(key.job_) > 0 ? describe(order.aheadOf(job), now) : "");
     if (const NearWait* wait = nearWaitOf(state, step, key, now))
         text += concat("; waits for a near place until ", milliseconds(wait->until_ - now), " ms from now");
     return text + describeUnlistedRuns(state, job, now);
@@ -322,8 +323,9 @@
     size_t reported = std::min(jobs.size(), state.tuning_.maximumReportedJobs_);
     // The first that is left out is in its place too.
     std::partial_sort(jobs.begin(), jobs.begin() + static_cast<std::ptrdiff_t>(std::min(jobs.size(), reported + 1)), jobs.end());
+    const WaitOrder order(state);
     for (size_t number = 0; number < reported; ++number)
-        context.logEvent("job.waits", jobs[number].id_->value(), describeWait(state, state.jobs_.at(*jobs[number].id_), surveys, context.now_));
+        context.logEvent("job.waits", jobs[number].id_->value(), describeWait(state, state.jobs_.at(*jobs[number].id_), surveys, order, context.now_));
     if (reported < jobs.size())
         context.logEvent("job.waits_omitted", concat(jobs.size() - reported, " jobs"), concat("the longest of them has had nothing running for ", milliseconds(context.now_ - jobs[reported].since_), " ms"));
 }
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -1,5 +1,6 @@
 #include "persimmondoor/workflow/Leader.h"
 
+#include "AdmissionSurvey.h"
 #include "DemandSurvey.h"
 #include "PlacementRound.h"
 #include "UnplaceableDemands.h"
@@ -206,6 +207,7 @@
                 return;
             context_.logEvent("configuration.changed", concat("version ", message.catalog_.version_), concat(message.catalog_.queues_.size(), " queues"));
             context_.state_.catalog_ = message.catalog_;
+            forgetRemovedQueues(context_.state_);
             for (const JobId& id : context_.state_.openJobs_)
                 applyCatalog(context_.state_.catalog_, context_.state_.jobs_.at(id));
             withdrawForbiddenStarts(context_);
--- a/workflow/src/decisions/RoomStops.cpp
+++ b/workflow/src/decisions/RoomStops.cpp
@@ -168,10 +168,10 @@
 // Logs, once per `Tuning::waitReportInterval_`, why no more tasks are stopped.
 static void reportShortfall(const DecisionContext& context, const std::string& service, const Rush& rush, const Resources& shortfall, const StopCandidates& candidates, size_t stopped)
 {
-    UrgentRoom& room = context.state_.urgentRoom_;
-    if (context.now_ < room.nextReportAt_)
+    Instant& nextReportAt = context.state_.urgentRoom_.nextReportAt_[service];
+    if (context.now_ < nextReportAt)
         return;
-    room.nextReportAt_ = context.now_ + context.state_.tuning_.waitReportInterval_;
+    nextReportAt = context.now_ + context.state_.tuning_.waitReportInterval_;
     std::string text = concat("queue ", rush.queue_, "; short of ", shortfall.milliCores(), " thousandths of a core, ", shortfall.memoryBytes(), " bytes; stopped and not back ", stopped, "; long-running tasks:");
     for (size_t obstacle = 0; obstacle < stopObstacleCount; ++obstacle)
         text += concat(obstacle == 0 ? " " : ", ", candidates.byObstacle_.at(obstacle), " ", describe(static_cast<StopObstacle>(obstacle)));
--- a/workflow/src/decisions/UrgentRoom.cpp
+++ b/workflow/src/decisions/UrgentRoom.cpp
@@ -110,8 +110,10 @@
         room = next;
         if (const auto* rush = std::get_if<Rush>(&room); rush && work != waiting.end() && work->second.isExampleOnTime_)
             makeUrgentRoom(context, service, *rush, demand, work->second.example_);
-        if (std::holds_alternative<Calm>(room))
+        if (std::holds_alternative<Calm>(room)) {
             state.urgentRoom_.services_.erase(service);
+            state.urgentRoom_.nextReportAt_.erase(service);
+        }
     }
 }
 
--- a/workflow/tests/JobAdmissionTest.cpp
+++ b/workflow/tests/JobAdmissionTest.cpp
@@ -196,6 +196,24 @@
     BOOST_TEST(successor.submitBurst(40, 100) == 0U);
 }
 
+// Guards against state that grows with each queue and service that was ever configured; the estimates of new queues would then
+// find no place.
+BOOST_AUTO_TEST_CASE(queues_and_services_that_go_are_forgotten)
+{
+    BurstWorld world;
+    world.learnRunTimes();
+    world.submitBurst(12, 100);
+    world.state_.admission_.runTimes_.byQueue_["books"] = { 1, 1, 16 };
+    world.state_.admission_.services_["presses"] = {};
+    Catalog catalog = world.state_.catalog_;
+    ++catalog.version_;
+    world.handle(CatalogChanged { catalog }, 200);
+    BOOST_TEST(world.state_.admission_.runTimes_.byQueue_.size() == 1U);
+    BOOST_TEST(world.state_.admission_.services_.size() == 1U);
+    BOOST_TEST(world.state_.admission_.runTimes_.isKnown("tests"));
+    BOOST_TEST(world.state_.admission_.services_.count("packs") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(job_that_comes_back_early_keeps_its_first_time_and_its_turn)
 {
     BurstWorld world;
--- a/workflow/tests/UrgentRoomTest.cpp
+++ b/workflow/tests/UrgentRoomTest.cpp
@@ -102,6 +102,17 @@
     BOOST_TEST(world.logged("rush.short").front().find("stopped and not back 2") != std::string::npos);
 }
 
+// Guards against a shortfall that goes untold because another service has just told its own.
+BOOST_AUTO_TEST_CASE(each_service_reports_its_own_shortfall)
+{
+    WatchedWorld world(2);
+    world.state_.urgentRoom_.nextReportAt_["presses"] = at(60'000);
+    world.pass(200, 4000, { 0, 1, 2, 3 });
+    world.submitUrgent(4, 4050);
+    world.pass(4100, 4900, { 0, 1, 2, 3 });
+    BOOST_TEST(world.logged("rush.short").size() == 1U);
+}
+
 // Guards against more stops than the waiting work needs.
 BOOST_AUTO_TEST_CASE(one_urgent_job_takes_the_room_of_one_task)
 {
