Ended runs that wait for a worker's next reading are bounded

Cause: a worker whose readings stop could list ends without end, each of which was kept. Change: at most 64 are. All of test_workflow passes.

--- a/workflow/src/decisions/SlowWorkers.cpp
+++ b/workflow/src/decisions/SlowWorkers.cpp
@@ -8,6 +8,9 @@
 
 namespace persimmondoor::workflow {
 
+// Bound on the ended runs that wait for the worker's next reading; more tell nothing new.
+static constexpr size_t maximumEndedRuns = 64;
+
 // Filling tasks run at the pace that other tasks leave, gangs at that of their slowest member, and long-running tasks have no end.
 static bool tellsSpeed(const Step& step)
 {
@@ -78,7 +81,7 @@
 
 void observeEndedPace(const DecisionContext& context, Job& job, const TaskKey& key, Task& task, Worker& worker)
 {
-    if (!tellsSpeed(stepOf(job, key)))
+    if (!tellsSpeed(stepOf(job, key)) || worker.speed_.ended_.size() >= maximumEndedRuns)
         return;
     // Of a run that went on from a checkpoint the share that was left is not known before its first reading.
     if (!task.runProgress_.readAt_ && task.progress_.checkpoint_.empty())
