Soak: near places, gangs on one rack, rushes and refusals

Change: the jobs are drawn by decisions of their own (JobDraws), from a generator that nothing else uses; among them are tasks with data on a rack and gangs that ask for one, under a far_factor of 3, and a rush of 60 short jobs beside long-running ones. The promises are the same.

--- a/soak/src/Clients.cpp
+++ b/soak/src/Clients.cpp
@@ -1,13 +1,12 @@
 #include "Clients.h"
 
 #include "WorkerStandin.h"
+#include "decisions/JobDraws.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/http/Pool.h"
 
-#include <absl/strings/str_format.h>
 #include <boost/json/parse.hpp>
-#include <random>
 
 namespace persimmondoor::soak {
 
@@ -20,70 +19,33 @@
 static constexpr Duration repeatInterval = std::chrono::milliseconds(300);
 static constexpr Duration returnInterval = std::chrono::milliseconds(1000);
 static constexpr uint32_t maximumAttempts = 5;
-static constexpr int64_t bytesPerMegabyte = 1'000'000;
-
-// What the client of one job does.
-struct JobPlan {
-    JobId id_;
-    workflow::JobSpec spec_;
-    std::string body_;
-    bool isCancelled_ { false };
-    Duration cancelAfter_ { 0 };
-};
+static constexpr Duration rushInterval = std::chrono::milliseconds(20);
+static constexpr uint32_t rushJobs = 60;
 
 struct Clients::State {
     State(const asio::any_io_executor& executor, ClientOptions options, std::shared_ptr<Recorder> recorder)
         : executor_(executor)
         , options_(std::move(options))
         , recorder_(std::move(recorder))
-        , generator_(options_.seed_)
+        , jobDraws_(options_.seed_, options_.racks_)
+        , entryDraws_(options_.seed_)
     {
         for (const Address& entry : options_.entries_)
             pools_.push_back(http::Pool::create(executor, entry));
     }
 
-    uint32_t below(uint32_t bound) { return static_cast<uint32_t>(generator_() % bound); }
-    const http::Pool& nextEntry() { return pools_[below(static_cast<uint32_t>(pools_.size()))]; }
-    JobPlan drawJob();
+    const http::Pool& nextEntry() { return pools_[entryDraws_.below(static_cast<uint32_t>(pools_.size()))]; }
 
     asio::any_io_executor executor_;
     ClientOptions options_;
     std::shared_ptr<Recorder> recorder_;
-    std::mt19937_64 generator_;
+    JobDraws jobDraws_;
+    Draws entryDraws_;
     std::vector<http::Pool> pools_;
-    uint64_t jobs_ { 0 };
     bool isSubmitting_ { true };
     bool isOver_ { false };
 };
 
-JobPlan Clients::State::drawJob()
-{
-    JobPlan plan;
-    plan.id_ = JobId::of(absl::StrFormat("%08x%08x", static_cast<uint32_t>(generator_()), ++jobs_));
-    bool isLongRunning = below(12) == 0;
-    uint32_t stepCount = isLongRunning ? 1 : 1 + below(2);
-    std::vector<workflow::Step> steps;
-    std::vector<platform::TaskBehaviour> behaviours;
-    for (uint32_t number = 0; number < stepCount; ++number) {
-        workflow::Step step;
-        step.count_ = 1 + below(4);
-        step.longRunning_ = isLongRunning;
-        if (number > 0)
-            step.dependencies_.push_back(number - 1);
-        platform::TaskBehaviour behaviour;
-        behaviour.work_ = isLongRunning ? Duration(0) : std::chrono::milliseconds(200 + below(800));
-        behaviour.demand_ = *Resources::create(200 + below(800), (100 + below(400)) * bytesPerMegabyte, 0);
-        behaviour.failsFirst_ = !isLongRunning && below(20) == 0;
-        steps.push_back(step);
-        behaviours.push_back(behaviour);
-    }
-    plan.body_ = platform::encodeSubmission(steps, behaviours);
-    plan.spec_ = *workflow::JobSpec::create(platform::encodePayload(behaviours), steps, {});
-    plan.isCancelled_ = below(isLongRunning ? 2 : 10) == 0;
-    plan.cancelAfter_ = std::chrono::milliseconds(below(3000));
-    return plan;
-}
-
 namespace {
 
     // Answer of one call; status 0 if there is none.
@@ -125,10 +87,11 @@
 template <typename State>
 static asio::awaitable<bool> submit(std::shared_ptr<State> state, std::shared_ptr<JobPlan> plan)
 {
+    const std::string body = platform::encodeSubmission(plan->steps_, plan->behaviours_);
     bool isOutcomeKnown = true;
     uint32_t refusals = 0;
     for (uint32_t attempt = 0; attempt < maximumAttempts && !state->isOver_; ++attempt) {
-        CallAnswer answer = co_await call(state, "POST", plan->id_.value(), plan->body_);
+        CallAnswer answer = co_await call(state, "POST", plan->id_.value(), body);
         if (answer.status_ >= 200 && answer.status_ < 300) {
             state->recorder_->record(JobAccepted { plan->id_ });
             ++state->recorder_->tally().accepted_;
@@ -182,7 +145,7 @@
 template <typename State>
 static asio::awaitable<void> followJob(std::shared_ptr<State> state, std::shared_ptr<JobPlan> plan)
 {
-    state->recorder_->record(JobSubmitted { plan->id_, plan->spec_ });
+    state->recorder_->record(JobSubmitted { plan->id_, *workflow::JobSpec::create(platform::encodePayload(plan->behaviours_), plan->steps_, {}) });
     ++state->recorder_->tally().submitted_;
     if (!co_await submit(state, plan))
         co_return;
@@ -206,12 +169,25 @@
 static asio::awaitable<void> submitJobs(std::shared_ptr<State> state)
 {
     while (state->isSubmitting_) {
-        auto plan = std::make_shared<JobPlan>(state->drawJob());
+        auto plan = std::make_shared<JobPlan>(state->jobDraws_.next());
         spawn(state->executor_, "job", followJob(state, plan));
         co_await sleepFor(submissionInterval);
     }
 }
 
+template <typename State>
+static asio::awaitable<void> submitRush(std::shared_ptr<State> state, std::vector<JobPlan> plans)
+{
+    co_await sleepFor(state->jobDraws_.rushBegin());
+    for (JobPlan& drawn : plans) {
+        if (!state->isSubmitting_)
+            co_return;
+        auto plan = std::make_shared<JobPlan>(std::move(drawn));
+        spawn(state->executor_, "job", followJob(state, plan));
+        co_await sleepFor(rushInterval);
+    }
+}
+
 Clients::Clients(std::shared_ptr<State> state)
     : state_(std::move(state))
 {
@@ -226,7 +202,11 @@
 std::unique_ptr<Clients> Clients::start(const asio::any_io_executor& executor, ClientOptions options, std::shared_ptr<Recorder> recorder)
 {
     auto state = std::make_shared<State>(executor, std::move(options), std::move(recorder));
+    std::vector<JobPlan> rush;
+    for (uint32_t job = 0; job < rushJobs; ++job)
+        rush.push_back(state->jobDraws_.nextOfRush());
     spawn(executor, "clients", submitJobs(state));
+    spawn(executor, "rush", submitRush(state, std::move(rush)));
     return std::unique_ptr<Clients>(new Clients(std::move(state)));
 }
 
--- a/soak/src/Clients.h
+++ b/soak/src/Clients.h
@@ -17,6 +17,8 @@
     // Host and path prefix of the queue.
     std::string host_;
     std::string prefix_;
+    // Racks of the workers, on which data of tasks lies.
+    std::vector<std::string> racks_;
     uint64_t seed_ { 0 };
     bool operator==(const ClientOptions&) const = default;
 };
--- a/soak/src/Soak.cpp
+++ b/soak/src/Soak.cpp
@@ -36,6 +36,7 @@
 static constexpr std::array<std::string_view, 3> domainNames { "north", "south", "west" };
 // Time for the processes to find each other before traffic begins.
 static constexpr Duration startup = std::chrono::milliseconds(3000);
+static constexpr uint32_t workersPerRack = 2;
 static constexpr Duration restartDelay = std::chrono::milliseconds(500);
 static constexpr Duration workerAbsence = std::chrono::milliseconds(2000);
 static constexpr Duration stopLimit = std::chrono::milliseconds(6000);
@@ -75,6 +76,7 @@
         Address storeProxyAddress(uint32_t process) const { return addressOf("3", process + 1, storePort); }
         Address workerProxyAddress(uint32_t worker) const { return addressOf("4", worker, workerPort); }
         uint32_t processCount() const { return options_.fleet_.entries_ + options_.fleet_.agents_; }
+        static std::string rackOf(uint32_t worker) { return concat("rack-", worker / workersPerRack); }
         static std::string_view domainOf(uint32_t index) { return domainNames.at(index % domainNames.size()); }
 
         absl::Status prepare()
@@ -106,7 +108,7 @@
         absl::Status prepareWorker(uint32_t index)
         {
             platform::WorkerStandinOptions worker { concat("worker-", index), std::string(serviceName), std::string(domainOf(index)), agentAddress(index, workerPort), workerProxyAddress(index), agentAddress(index, controlPort),
-                *Resources::create(4000, 4'000'000'000, 0), { "a", concat("rack-", index / 2) } };
+                *Resources::create(4000, 4'000'000'000, 0), { "a", rackOf(index) } };
             auto proxy = Proxy::start(context_.get_executor(), worker.announcedAddress_, worker.address_);
             if (!proxy.ok())
                 return proxy.status();
@@ -142,7 +144,7 @@
             for (uint32_t entry = 0; entry < options_.fleet_.entries_; ++entry)
                 seeds.emplace_back(entryAddress(entry, controlPort).text());
             Address control = isEntry ? entryAddress(index, controlPort) : agentAddress(index, controlPort);
-            json::object bounds { { "shutdown_ms", stopLimit.count() / 1000 }, { "status_retention_ms", 120'000 }, { "longest_lease_ms", 10'000 }, { "harm_ms", 4000 } };
+            json::object bounds { { "shutdown_ms", stopLimit.count() / 1000 }, { "status_retention_ms", 120'000 }, { "longest_lease_ms", 10'000 }, { "harm_ms", 4000 }, { "far_factor", platform::farFactor } };
             json::object deployment { { "name", name }, { "domain", domainOf(index) }, { "domains", std::move(domains) }, { "host", control.ip() }, { "internal_port", internalPort }, { "workers", control.text() },
                 { "seeds", std::move(seeds) }, { "store", storeProxyAddress(process).text() }, { "processors", 1.0 }, { "bounds", std::move(bounds) } };
             if (isEntry) {
@@ -160,6 +162,8 @@
                 clients.entries_.push_back(entryAddress(entry, clientPort));
             clients.host_ = hostName;
             clients.prefix_ = queuePrefix;
+            for (uint32_t worker = 0; worker < options_.fleet_.agents_; worker += workersPerRack)
+                clients.racks_.push_back(rackOf(worker));
             clients.seed_ = seed_;
             clients_ = Clients::start(context_.get_executor(), std::move(clients), recorder_);
             Duration begin = recorder_->elapsed();
--- a/soak/src/decisions/FaultPlan.cpp
+++ b/soak/src/decisions/FaultPlan.cpp
@@ -1,10 +1,10 @@
 #include "persimmondoor/soak/FaultPlan.h"
 
+#include "Draws.h"
 #include "persimmondoor/core/Text.h"
 
 #include <algorithm>
 #include <array>
-#include <random>
 #include <string_view>
 
 namespace persimmondoor::soak {
@@ -15,25 +15,6 @@
 static constexpr uint32_t longestSeries = 3;
 static constexpr uint32_t kinds = 7;
 
-namespace {
-
-    // Draws from a generator whose sequence the standard fixes; its distributions differ between libraries.
-    class Draws {
-    public:
-        explicit Draws(uint64_t seed)
-            : generator_(seed)
-        {
-        }
-
-        uint32_t below(uint32_t bound) { return static_cast<uint32_t>(generator_() % bound); }
-        Duration between(Duration least, Duration most) { return least + Duration(static_cast<int64_t>(generator_() % static_cast<uint64_t>((most - least).count() + 1))); }
-
-    private:
-        std::mt19937_64 generator_;
-    };
-
-} // namespace
-
 static Fault drawFault(Draws& draws, const Fleet& fleet)
 {
     uint32_t kind = draws.below(kinds);
