Moves of slowed filling tasks count each place once

Cause: a check stopped up to four slowed tasks for one free place, and later checks did so again while the stops were under way (0.1 to 0.9 s), as the place still looked free.

Change: the moves have a module of their own, SlowedRuns. Within a check each move claims its place, and tasks that are being stopped for a move claim theirs first.

Measured: tests slowed_runs, two of whose three cases fail without the claims.

--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -1,8 +1,7 @@
 #include "persimmondoor/workflow/Leader.h"
 
 #include "DemandSurvey.h"
-#include "PlacementRound.h"
-#include "UnplaceableDemands.h"
+#include "SlowedRuns.h"
 #include "persimmondoor/core/Text.h"
 
 #include <algorithm>
@@ -114,44 +113,6 @@
     }
 }
 
-// A task without checkpoints is not moved once this share of its work is done, in percent, as a move loses that work.
-static constexpr uint32_t maximumLostPercent = 50;
-
-static bool isSlowed(const DecisionContext& context, const Task& task, const Step& step)
-{
-    bool isRunning = task.progress_.phase_ == TaskPhase::Assigned && task.isOnWorker_ && !task.isStopping_;
-    if (!isRunning || !task.slowedSince_ || context.now_ - *task.slowedSince_ < context.state_.tuning_.moveSlowedTaskAfter_)
-        return false;
-    return step.savesProgress_ || task.progressPercent_ < maximumLostPercent;
-}
-
-// Stops slowed filling tasks that another worker can run.
-static void moveSlowedRuns(const DecisionContext& context)
-{
-    uint32_t moved = 0;
-    PlacementRound round(context.state_, context.now_);
-    UnplaceableDemands unplaceable;
-    for (const JobId& id : context.state_.openJobs_) {
-        context.noteJob(id);
-        Job& job = context.state_.jobs_.at(id);
-        for (uint32_t number = 0; number < job.tasks_.size() && moved < context.state_.tuning_.maximumMovesPerCheck_; ++number) {
-            Task& task = job.tasks_[number];
-            TaskKey key = keyOf(job, number);
-            const Step& step = stepOf(job, key);
-            if (!isSlowed(context, task, step) || unplaceable.contains(job, step, Disturbance::Avoided))
-                continue;
-            auto better = round.chooseWorker(job, key, Disturbance::Avoided);
-            if (!better)
-                unplaceable.add(job, step, Disturbance::Avoided);
-            if (!better || *better == task.progress_.worker_)
-                continue;
-            task.avoidedWorker_ = task.progress_.worker_.name_;
-            orderStop(context, key, task, "slowed down");
-            ++moved;
-        }
-    }
-}
-
 static void removeExpiredJobs(const DecisionContext& context)
 {
     std::vector<JobId> expired;
--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -14,7 +14,7 @@
     candidates_.reserve(state.workers_.size());
     for (const auto& [incarnation, worker] : state.workers_) {
         if (stateObstacle(state, worker, now) == WorkerObstacle::None)
-            candidates_.push_back({ &incarnation, &worker, now < worker.lastChoiceUntil_, isQuarantined(worker, now), {} });
+            candidates_.push_back({ &incarnation, &worker, now < worker.lastChoiceUntil_, isQuarantined(worker, now), {}, {} });
     }
     refreshImages();
 }
@@ -52,6 +52,25 @@
     return std::none_of(candidate.images_.begin(), candidate.images_.end(), [&](size_t position) { return disturbed[position]; });
 }
 
+void PlacementRound::claim(const WorkerIncarnation& incarnation, const Resources& demand)
+{
+    auto candidate = std::find_if(candidates_.begin(), candidates_.end(), [&](const Candidate& other) { return *other.incarnation_ == incarnation; });
+    if (candidate != candidates_.end())
+        candidate->claimed_ = candidate->claimed_ + demand;
+}
+
+bool PlacementRound::hasUnclaimedRoom(const Candidate& candidate, const Step& step)
+{
+    if (candidate.claimed_ == Resources())
+        return true;
+    const Worker& worker = *candidate.worker_;
+    Resources wanted = candidate.claimed_ + step.demand_;
+    int64_t milliCores = step.isFilling_ ? spareMilliCores(worker) : freeMilliCores(worker);
+    Resources reserved = worker.reserved_ + wanted;
+    const Resources& capacity = worker.traits_.capacity_;
+    return wanted.milliCores() <= milliCores && reserved.memoryBytes() <= capacity.memoryBytes() && reserved.accelerators() <= capacity.accelerators();
+}
+
 bool PlacementRound::hasHarmlessWorker(const Job& job, const Step& step)
 {
     const std::vector<bool>& disturbed = disturbedBy(step.image_);
@@ -100,7 +119,7 @@
         bool isHarmlessHere = !disturbed || isHarmless(candidate, *disturbed);
         if (!isHarmlessHere && !mayCauseInterference)
             continue;
-        if (taskObstacle(job, key, worker, disturbance, now_) != WorkerObstacle::None || mustBeIsolated(state_, job, key, worker, now_))
+        if (taskObstacle(job, key, worker, disturbance, now_) != WorkerObstacle::None || mustBeIsolated(state_, job, key, worker, now_) || !hasUnclaimedRoom(candidate, step))
             continue;
         if (!isHarmlessHere && !ignoresInterference && paceAt(state_, step, worker) < minimumPace)
             continue;
--- a/workflow/src/decisions/PlacementRound.h
+++ b/workflow/src/decisions/PlacementRound.h
@@ -18,6 +18,8 @@
     // The worker with the best score for the task, or nothing if the task has to wait.
     // \param rack the only rack that may be chosen; empty for any.
     std::optional<WorkerIncarnation> chooseWorker(const Job&, const TaskKey&, Disturbance, const std::string& rack = {});
+    // Makes later choices leave this room on the worker to a task that will be started there.
+    void claim(const WorkerIncarnation&, const Resources& demand);
     // `Disturbance::Avoided` unless nothing of the job has run for long and no run of it may be at work.
     Disturbance disturbanceOf(const Job&);
     // True if most of the capacity of the service is free, without regard to the cores of filling tasks.
@@ -38,11 +40,14 @@
         bool isQuarantined_ { false };
         // Positions in `longRunningImages_`.
         std::vector<size_t> images_;
+        Resources claimed_;
     };
 
     size_t positionOf(const std::string& longRunningImage);
     // For each long-running image of the round, whether the filling image disturbs it.
     const std::vector<bool>& disturbedBy(const std::string& fillingImage);
+    // True if the worker has room for the task beside the claims on it; without any it has been checked otherwise.
+    static bool hasUnclaimedRoom(const Candidate&, const Step&);
     static bool isHarmless(const Candidate&, const std::vector<bool>& disturbed);
 
     const LeaderState& state_;
