Calls that are never finished and answers that are not read are bounded

A peer that started RPC calls and never finished them, or did not read their answers, made a process keep each: calls were bounded by the bytes of those without an answer, and answers by nothing.

The server follows calls, returns and finishes of each connection and accounts for open calls and for messages that wait to be sent, with 10 KiB for each beside its bytes (decisions/PeerLedger). Beyond M/4 the connection that holds most is closed; a connection that does neither stays open. Further: a larger message may arrive for as long as 64 KiB of it come in 20 s, where a message that was not complete after 20 s ended its connection; and what peers do beyond the limits is logged as summaries, so that none fills the log.

--- a/app/tests/hostile_clients.py
+++ b/app/tests/hostile_clients.py
@@ -265,6 +265,72 @@
     return held(b"", address, _, LEFT_CONNECTIONS)
 
 
+def rpc_message(*words):
+    """A message of one segment."""
+    return struct.pack(f"<II{len(words)}Q", 0, len(words), *words)
+
+
+def struct_pointer(offset, data, pointers):
+    return offset << 2 | data << 32 | pointers << 48
+
+
+DIRECTORY = 0x924f1096619f2cab
+TO_MESSAGE, TO_CALL = struct_pointer(0, 1, 1), struct_pointer(0, 3, 3)
+
+
+def rpc_bootstrap(question):
+    return rpc_message(TO_MESSAGE, 8, struct_pointer(0, 1, 1), question, 0)
+
+
+def rpc_call(question):
+    """Asks the directory, which is the answer to question 0, for an interface without a name."""
+    target = [1 << 32, struct_pointer(0, 1, 1), 0, 0]
+    return rpc_message(TO_MESSAGE, 2, TO_CALL, question, DIRECTORY, 0, struct_pointer(2, 1, 1), struct_pointer(5, 0, 2), 0, *target,
+                       struct_pointer(1, 0, 1), 0, 0)
+
+
+def rpc_finish(question):
+    return rpc_message(TO_MESSAGE, 4, struct_pointer(0, 1, 0), question)
+
+
+def drain(connection):
+    """Reads what the server sends until it closes."""
+    connection.settimeout(None)
+    try:
+        while connection.recv(65_536):
+            pass
+    except OSError:
+        pass
+
+
+def rpc_calls(address, finishes, reads):
+    """SENDERS connections that each start calls without end, and finish each after some later ones or never."""
+    def run(connection):
+        question, sent = 1, 0
+        pieces = [rpc_bootstrap(0)]
+        while sent < TOTAL_BYTES // SENDERS and send(connection, b"".join(pieces)):
+            sent += sum(map(len, pieces))
+            pieces = [rpc_call(number) + (rpc_finish(number - 300) if finishes and number > 300 else b"") for number in range(question, question + 200)]
+            question += 200
+    crowd = [connection for connection in (connect(address) for _ in range(SENDERS)) if connection]
+    threads = [threading.Thread(target=run, args=(connection,)) for connection in crowd]
+    for connection in crowd if reads else []:
+        threading.Thread(target=drain, args=(connection,), daemon=True).start()
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return crowd
+
+
+def rpc_calls_not_finished(address, _):
+    return rpc_calls(address, False, True)
+
+
+def rpc_answers_not_read(address, _):
+    return rpc_calls(address, True, False)
+
+
 class EndlessStore:
     """Answers each request with a chunked body whose trailers do not end."""
 
@@ -300,7 +366,7 @@
 
 HTTP_SHAPES = [endless_trailers, endless_chunk_extension, trailers_in_many_lines, chunk_size_of_zeros, one_byte_chunks, headers_of_many_lines,
                pipelined_requests, answers_not_read, bodies_that_stop, connections_left_open, all_at_once]
-RPC_SHAPES = [rpc_messages_that_stop, rpc_connections_left_open]
+RPC_SHAPES = [rpc_messages_that_stop, rpc_connections_left_open, rpc_calls_not_finished, rpc_answers_not_read]
 
 
 @contextlib.contextmanager
--- a/rpc/include/persimmondoor/rpc/Server.h
+++ b/rpc/include/persimmondoor/rpc/Server.h
@@ -37,7 +37,8 @@
     /// message first.
     size_t connections_ { 1024 };
     /// Bytes of all larger messages that are being received. One that finds no room closes the connection of one that is at
-    /// least as large, or else its own.
+    /// least as large, or else its own. Also bounds what is held for calls, until they are answered and finished, and for answers
+    /// that are being sent; beyond it the connection that holds most is closed.
     size_t memoryBytes_ { 32 * 1024 * 1024 };
     bool operator==(const Limits&) const = default;
 };
--- a/rpc/src/ReceiveBudget.h
+++ b/rpc/src/ReceiveBudget.h
@@ -16,8 +16,9 @@
 
 // Shorter reads are bounded by the number of connections alone.
 inline constexpr size_t smallReadBytes = 16 * 1024;
-// Longest time for a message to arrive once its size is known. The connection is closed afterwards.
-inline constexpr Duration messageArrivalTimeout = std::chrono::seconds(20);
+// Longest time for so many bytes of a larger message to arrive, or for its rest. The connection is closed afterwards.
+inline constexpr Duration progressTimeout = std::chrono::seconds(20);
+inline constexpr size_t progressBytes = 64 * 1024;
 
 // Identifies a read within its budget.
 using ReadNumber = uint64_t;
--- a/rpc/src/Server.cpp
+++ b/rpc/src/Server.cpp
@@ -3,6 +3,7 @@
 #include "Directory.capnp.h"
 #include "LimitedMessageStream.h"
 #include "SocketStream.h"
+#include "decisions/PeerLedger.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/EventSummary.h"
 #include "persimmondoor/core/Log.h"
@@ -51,9 +52,9 @@
 
     // One accepted connection.
     struct Connection {
-        Connection(asio::ip::tcp::socket socket, std::string peer, capnp::Capability::Client directory, std::shared_ptr<ReceiveBudget> budget, const Limits& limits)
+        Connection(asio::ip::tcp::socket socket, std::string peer, capnp::Capability::Client directory, std::shared_ptr<ReceiveBudget> budget, const Limits& limits, std::function<void()> onMessage)
             : stream_(std::move(socket), std::move(budget))
-            , messages_(stream_, std::move(peer))
+            , messages_(stream_, std::move(peer), std::move(onMessage))
             , network_(messages_, capnp::rpc::twoparty::Side::SERVER, optionsFor(limits))
             , system_(capnp::makeRpcServer(network_, kj::mv(directory)))
         {
@@ -68,6 +69,9 @@
             return options;
         }
 
+        // What the peer makes this process hold.
+        size_t heldBytes() { return messages_.openCallBytes() + network_.getCurrentQueueSize() + network_.getCurrentQueueCount() * messageOverheadBytes; }
+
         SocketStream stream_;
         LimitedMessageStream messages_;
         capnp::TwoPartyVatNetwork network_;
@@ -81,7 +85,7 @@
             , limits_(limits)
             , budget_(std::make_shared<ReceiveBudget>(limits.memoryBytes_))
             , directory_(kj::heap<DirectoryServer>(std::make_shared<const Interfaces>(std::move(interfaces))))
-            , connections_(std::make_shared<ConnectionMap>())
+            , connections_(std::make_shared<Connections>(limits.memoryBytes_))
         {
             endpoint_ = acceptor_.local_endpoint();
         }
@@ -95,7 +99,7 @@
         {
             boost::system::error_code ignored;
             acceptor_.close(ignored); // NOLINT(bugprone-unused-return-value)
-            connections_->clear();
+            std::map<PeerNumber, Entry>().swap(connections_->open_);
         }
 
         asio::awaitable<void> run(std::shared_ptr<TCPServer> self)
@@ -123,37 +127,75 @@
             std::unique_ptr<Connection> connection_;
             kj::Promise<void> end_;
         };
-        using ConnectionMap = std::map<uint64_t, Entry>;
+        struct Connections {
+            explicit Connections(size_t bytes)
+                : ledger_(bytes)
+            {
+            }
+            void erase(PeerNumber number)
+            {
+                ledger_.close(number);
+                // Taken out first, as the end of a connection may send messages.
+                open_.extract(number);
+            }
+
+            std::map<PeerNumber, Entry> open_;
+            PeerLedger ledger_;
+        };
 
         // If the limit is reached, closes the connection whose last message is the oldest, one without any message first.
         void makeRoom()
         {
-            if (connections_->size() < limits_.connections_)
+            if (connections_->open_.size() < limits_.connections_)
                 return;
-            auto oldest = std::min_element(connections_->begin(), connections_->end(),
+            auto oldest = std::min_element(connections_->open_.begin(), connections_->open_.end(),
                 [](const auto& left, const auto& right) { return left.second.connection_->messages_.lastMessage() < right.second.connection_->messages_.lastMessage(); });
-            logDebug("connection.displaced", { { "port", std::to_string(endpoint_.port()) } });
+            reportDisplaced("its last message is the oldest");
+            connections_->erase(oldest->first);
+        }
+
+        void reportDisplaced(std::string_view reason)
+        {
+            logDebug("connection.displaced", { { "port", std::to_string(endpoint_.port()) }, { "reason", std::string(reason) } });
             if (auto events = report_.add(now(SteadyClock())))
-                logWarning("connections.over_limit", { { "address", address().text() }, { "events", std::to_string(*events) }, { "connections", std::to_string(connections_->size()) } });
-            connections_->erase(oldest);
+                logWarning("connections.over_limit", { { "address", address().text() }, { "events", std::to_string(*events) }, { "reason", std::string(reason) }, { "connections", std::to_string(connections_->open_.size()) }, { "held_bytes", std::to_string(connections_->ledger_.heldBytes()) } });
+        }
+
+        // Accounts for what a connection holds now. If all hold too much, closes the one that holds most.
+        void account(PeerNumber number)
+        {
+            auto found = connections_->open_.find(number);
+            if (found == connections_->open_.end())
+                return;
+            connections_->ledger_.hold(number, found->second.connection_->heldBytes());
+            while (auto closing = connections_->ledger_.connectionToClose()) {
+                reportDisplaced("it held most for calls and answers");
+                connections_->ledger_.close(*closing);
+                // It may be the one whose message is being handled.
+                spawn(acceptor_.get_executor(), "rpc connection end", erase(connections_, *closing));
+            }
         }
 
         void adopt(asio::ip::tcp::socket socket)
         {
-            uint64_t number = nextNumber_++;
+            PeerNumber number = nextNumber_++;
             asio::any_io_executor executor = socket.get_executor();
             // Names the peer in log lines only; it may have gone already.
             boost::system::error_code ignored;
             std::string peer = socket.remote_endpoint(ignored).address().to_string();
-            auto connection = std::make_unique<Connection>(std::move(socket), std::move(peer), directory_, budget_, limits_);
+            auto connection = std::make_unique<Connection>(std::move(socket), std::move(peer), directory_, budget_, limits_, [this, number, alive = std::weak_ptr(connections_)] {
+                if (!alive.expired())
+                    account(number);
+            });
             // The entry cannot be erased inside its own promise, so the erasure is posted.
             kj::Promise<void> end = connection->network_.onDisconnect().then([executor, number, weak = std::weak_ptr(connections_)] {
                 spawn(executor, "rpc connection end", erase(weak, number));
             });
-            connections_->emplace(number, Entry { std::move(connection), end.eagerlyEvaluate([](kj::Exception&&) {}) });
+            connections_->ledger_.open(number);
+            connections_->open_.emplace(number, Entry { std::move(connection), end.eagerlyEvaluate([](kj::Exception&&) {}) });
         }
 
-        static asio::awaitable<void> erase(std::weak_ptr<ConnectionMap> weak, uint64_t number)
+        static asio::awaitable<void> erase(std::weak_ptr<Connections> weak, PeerNumber number)
         {
             co_await sleepFor(Duration(0));
             if (auto connections = weak.lock())
@@ -166,8 +208,8 @@
         std::shared_ptr<ReceiveBudget> budget_;
         EventSummary report_;
         wire::Directory::Client directory_;
-        std::shared_ptr<ConnectionMap> connections_;
-        uint64_t nextNumber_ { 0 };
+        std::shared_ptr<Connections> connections_;
+        PeerNumber nextNumber_ { 0 };
     };
 
     // Lets the caller hold a unique_ptr to the server while the accept loop shares it.
--- a/rpc/src/SocketStream.cpp
+++ b/rpc/src/SocketStream.cpp
@@ -1,6 +1,7 @@
 #include "SocketStream.h"
 
-#include "persimmondoor/core/Log.h"
+#include "OverLimitReport.h"
+#include "persimmondoor/core/Text.h"
 
 #include <boost/asio/completion_condition.hpp>
 #include <boost/asio/error.hpp>
@@ -54,32 +55,50 @@
         auto open = socket.lock();
         if (!open)
             return;
-        logWarning("message.not_received", { { "reason", std::string(reason) } });
+        reportOverLimit("message.not_received", std::string(reason));
         boost::system::error_code ignored;
         open->close(ignored); // NOLINT(bugprone-unused-return-value)
     }
 
-    // A large read that the budget has room for, while it lasts. Closes the socket if it lasts too long.
+    // A large read that the budget has room for, while it lasts. Closes the socket if it makes too little progress.
     class LargeRead {
     public:
         LargeRead(const std::shared_ptr<asio::ip::tcp::socket>& socket, std::shared_ptr<ReceiveBudget> budget, ReadNumber number)
             : budget_(std::move(budget))
             , number_(number)
-            , timer_(socket->get_executor(), messageArrivalTimeout)
+            , socket_(socket)
+            , timer_(socket->get_executor())
         {
-            timer_.async_wait([weak = std::weak_ptr(socket)](const boost::system::error_code& error) {
-                if (!error)
-                    abandon(weak, "the message did not arrive in time");
-            });
+            awaitProgress();
         }
         ~LargeRead() { budget_->giveBack(number_); }
         LargeRead(const LargeRead&) = delete;
         LargeRead& operator=(const LargeRead&) = delete;
 
+        // `bytes` of the message have arrived.
+        void reach(size_t bytes)
+        {
+            if (bytes < awaitedBytes_)
+                return;
+            awaitedBytes_ = bytes + progressBytes;
+            awaitProgress();
+        }
+
     private:
+        void awaitProgress()
+        {
+            timer_.expires_after(progressTimeout);
+            timer_.async_wait([weak = socket_](const boost::system::error_code& error) {
+                if (!error)
+                    abandon(weak, "the message did not arrive in time");
+            });
+        }
+
         std::shared_ptr<ReceiveBudget> budget_;
         ReadNumber number_;
+        std::weak_ptr<asio::ip::tcp::socket> socket_;
         asio::steady_timer timer_;
+        size_t awaitedBytes_ { progressBytes };
     };
 
 } // namespace
@@ -90,13 +109,18 @@
     if (budget_ && minimumBytes > smallReadBytes) {
         auto number = budget_->take(minimumBytes, [weak = std::weak_ptr(socket_)] { abandon(weak, "another message needs the memory"); });
         if (!number) {
-            logWarning("message.no_memory", { { "bytes", std::to_string(minimumBytes) }, { "reason", "other messages are being received" } });
+            reportOverLimit("message.no_memory", concat("other messages are being received, got one of ", minimumBytes, " bytes"));
             return disconnected(asio::error::no_buffer_space);
         }
         large = std::make_shared<LargeRead>(socket_, budget_, *number);
     }
     auto pair = kj::newPromiseAndFulfiller<size_t>();
-    asio::async_read(*socket_, asio::buffer(buffer, maximumBytes), asio::transfer_at_least(minimumBytes),
+    auto isComplete = [large, enough = asio::transfer_at_least(minimumBytes)](const boost::system::error_code& error, size_t size) mutable {
+        if (large)
+            large->reach(size);
+        return enough(error, size);
+    };
+    asio::async_read(*socket_, asio::buffer(buffer, maximumBytes), std::move(isComplete),
         [socket = socket_, large = std::move(large), fulfiller = kj::mv(pair.fulfiller)](const boost::system::error_code& error, size_t size) mutable {
             threadStreamBytes().received_ += size;
             if (!error || error == asio::error::eof)
