A body that has arrived is not refused as late

After a pause of the process itself, the time of a request ended its reads while the rest of its body waited in the socket, and the client was told with 408 that it had not arrived.

Once the time has passed, what has arrived is still read, and the request is refused only if nothing waits. The bounds on a message hold as before.

http_server/body_that_arrives_while_the_process_is_held_up_is_served got 408 on the former code.

--- a/http/src/ReadMessage.h
+++ b/http/src/ReadMessage.h
@@ -5,8 +5,11 @@
 
 #include <algorithm>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/socket_base.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
@@ -55,13 +58,23 @@
     std::optional<boost::asio::steady_timer> timer_;
 };
 
+// Whether bytes wait to be read.
+inline bool hasInput(boost::asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    return socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error) > 0 && !error;
+}
+
 // Asked before the bytes held for a message rise to the given number. Returns false to stop reading.
 using Admission = std::function<bool(size_t bytes)>;
 
 // Reads until `decoder` has decoded a message. Bytes of the next message stay in `buffer`. All pointers must stay valid.
 // `times` sets the time-outs; without them those set by the caller hold.
-// Returns OK, an error of the stream or of the decoder, timeout, after which the stream is open if the message has begun, end_of_stream if the peer closed before the first byte,
-// partial_message if it closed within the message, or no_buffer_space if `admission` refused.
+// Returns OK, an error of the stream or of the decoder, timeout, after which the stream is open if the message has begun,
+// end_of_stream if the peer closed before the first byte, partial_message if it closed within the message, or no_buffer_space
+// if `admission` refused.
 template <typename Decoder>
 boost::asio::awaitable<boost::system::error_code> readMessage(
     boost::beast::tcp_stream* stream, boost::beast::flat_buffer* buffer, Decoder* decoder, std::optional<ReadTimes> times, Admission admission)
@@ -86,10 +99,13 @@
             co_return HTTPError::buffer_overflow;
         if (hasStarted && times)
             deadline.start(stream, times->message_);
+        // What has arrived is read, as the process itself may have been held up.
+        if (deadline.hasPassed() && !hasInput(stream->socket()))
+            co_return boost::beast::error::timeout;
         size_t piece = std::min(decoder->is_header_done() ? bodyPieceBytes : headerPieceBytes, buffer->max_size() - buffer->size());
         size_t size = co_await stream->async_read_some(buffer->prepare(piece), asio::redirect_error(asio::use_awaitable, error));
-        if (deadline.hasPassed())
-            co_return boost::beast::error::timeout;
+        if (error == asio::error::operation_aborted && deadline.hasPassed())
+            continue;
         if (error == asio::error::eof)
             co_return hasStarted ? HTTPError::partial_message : HTTPError::end_of_stream;
         if (error)
--- a/http/tests/ServerTest.cpp
+++ b/http/tests/ServerTest.cpp
@@ -1,6 +1,7 @@
 #include "persimmondoor/http/Server.h"
 
 #include "persimmondoor/core/Coroutine.h"
+#include "persimmondoor/core/Text.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
@@ -14,6 +15,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <sys/resource.h>
+#include <thread>
 #include <unistd.h>
 
 namespace persimmondoor::http {
@@ -131,6 +133,34 @@
     BOOST_TEST(toHeader.empty());
 }
 
+// Guards against a process that was held up itself and tells its client that a body, which waits to be read, did not arrive.
+BOOST_AUTO_TEST_CASE(body_that_arrives_while_the_process_is_held_up_is_served)
+{
+    asio::io_context context;
+    Limits limits;
+    limits.requestTimeout_ = std::chrono::milliseconds(500);
+    const std::string body(48 * 1024, 'a');
+    auto server = Server::listen(context.get_executor(), *Address::parse("127.0.0.1:0"), limits, [&](Request request) -> asio::awaitable<Response> { co_return Response { request.body_ == body ? 200 : 500, {}, "" }; });
+    BOOST_REQUIRE(server.ok());
+    std::string answer;
+    auto run = [&]() -> asio::awaitable<void> {
+        Address address = (*server)->address();
+        asio::ip::tcp::socket socket(context);
+        co_await socket.async_connect({ asio::ip::make_address(address.ip()), address.port() }, asio::use_awaitable);
+        std::string header = concat("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: ", body.size(), "\r\n\r\n");
+        co_await asio::async_write(socket, asio::buffer(header), asio::use_awaitable);
+        co_await sleepFor(std::chrono::milliseconds(20));
+        // Client and server share the thread, which does nothing else until the time of the request has passed.
+        asio::write(socket, asio::buffer(body));
+        std::this_thread::sleep_for(limits.requestTimeout_);
+        boost::system::error_code error;
+        co_await asio::async_read(socket, asio::dynamic_buffer(answer), asio::redirect_error(asio::use_awaitable, error));
+    };
+    asio::co_spawn(context, run(), [&](const std::exception_ptr&) { context.stop(); });
+    context.run_for(std::chrono::seconds(5));
+    BOOST_TEST(answer.substr(0, 12) == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::http
