An RPC event beyond the limits is counted once

Such an event was logged at level debug and, as a summary, once more under the same name, so that the event's counter in the metrics included the summaries.

--- a/rpc/src/OverLimitReport.h
+++ b/rpc/src/OverLimitReport.h
@@ -6,7 +6,7 @@
 
 namespace persimmondoor::rpc {
 
-// Counts an event of this thread, and logs a summary of the events of that name now and then. Each is logged at level debug.
+// Counts an event of this thread, and logs a summary of all such events now and then. Each is logged at level debug.
 void reportOverLimit(std::string_view event, std::string reason);
 
 } // namespace persimmondoor::rpc
--- a/rpc/tests/LoopTest.cpp
+++ b/rpc/tests/LoopTest.cpp
@@ -1,5 +1,6 @@
 #include "persimmondoor/rpc/Loop.h"
 #include "Directory.capnp.h"
+#include "OverLimitReport.h"
 #include "persimmondoor/core/Coroutine.h"
 #include "persimmondoor/core/Log.h"
 #include "persimmondoor/rpc/Call.h"
@@ -103,4 +104,12 @@
     BOOST_TEST(timesLogged("connection.displaced") == closedBefore);
 }
 
+// Guards against rates in the metrics that include the summaries in the log.
+BOOST_AUTO_TEST_CASE(event_beyond_the_limits_is_counted_once)
+{
+    uint64_t before = timesLogged("message.not_received");
+    rpc::reportOverLimit("message.not_received", "the message did not arrive in time");
+    BOOST_TEST(timesLogged("message.not_received") == before + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
