--- a/app/src/ctl/Check.cpp
+++ b/app/src/ctl/Check.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-    // What the check has found. There are no differences if nothing is in force.
+    // What the check has found. There are no differences if no store was asked; all entries are new if nothing is in force.
     struct CheckResult {
         std::vector<workflow::CatalogFinding> findings_;
         std::vector<workflow::CatalogDifference> differences_;
