Soak: a gang is done once a member is; draws in a fixed order

Cause (review): the done end of one member stands for its gang, and the scheduler stops the others; a member whose start was held up by a fault was then taken for a job shown as completed too early. Two draws were arguments of one call, whose order differs between compilers, so that one seed gave other jobs on other machines. No long-running task of the soak could be missed, so that none could be stopped in a rush.

Change: the promise follows the platform's rule for gangs; each draw is a statement; one task of long-running steps of two and more may be missed, and the rush begins 5 to 9 s after the clients, as tasks are stopped after 3 s at work at the earliest.

--- a/soak/src/decisions/JobDraws.cpp
+++ b/soak/src/decisions/JobDraws.cpp
@@ -8,8 +8,8 @@
 using std::chrono::milliseconds;
 
 static constexpr int64_t bytesPerMegabyte = 1'000'000;
-static constexpr Duration earliestRush = milliseconds(2000);
-static constexpr Duration latestRush = milliseconds(6000);
+static constexpr Duration earliestRush = milliseconds(5000);
+static constexpr Duration latestRush = milliseconds(9000);
 static constexpr uint32_t rushTasks = 4;
 static constexpr int64_t rushMilliCores = 1000;
 static constexpr Duration rushWork = milliseconds(600);
@@ -26,7 +26,10 @@
 {
     platform::TaskBehaviour behaviour;
     behaviour.work_ = milliseconds(200 + draws.below(800));
-    behaviour.demand_ = *Resources::create(200 + draws.below(800), (100 + draws.below(400)) * bytesPerMegabyte, 0);
+    // One draw after the other: the order in which arguments are evaluated differs between compilers.
+    int64_t milliCores = 200 + draws.below(800);
+    int64_t megabytes = 100 + draws.below(400);
+    behaviour.demand_ = *Resources::create(milliCores, megabytes * bytesPerMegabyte, 0);
     return behaviour;
 }
 
@@ -54,7 +57,9 @@
 JobDraws::Steps JobDraws::drawLongRunning()
 {
     Steps drawn { { drawStep(draws_) }, { drawBehaviour(draws_) } };
-    drawn.steps_.front().longRunning_ = true;
+    workflow::Step& step = drawn.steps_.front();
+    step.longRunning_ = true;
+    step.mayMiss_ = step.count_ > 1 ? 1 : 0;
     drawn.behaviours_.front().work_ = Duration(0);
     return drawn;
 }
--- a/soak/src/decisions/Promises.cpp
+++ b/soak/src/decisions/Promises.cpp
@@ -3,6 +3,7 @@
 #include "persimmondoor/core/Text.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace persimmondoor::soak {
 
@@ -20,14 +21,12 @@
     return std::any_of(spec.steps().begin(), spec.steps().end(), [](const workflow::Step& step) { return step.longRunning_; });
 }
 
+// The done end of one member stands for those of its gang.
 static bool isStepDone(const JobHistory& job, uint32_t step)
 {
-    for (uint32_t index = 0; index < job.spec_.steps()[step].count_; ++index) {
-        auto task = std::find_if(job.tasks_.begin(), job.tasks_.end(), [&](const auto& entry) { return entry.first.step_ == step && entry.first.index_ == index; });
-        if (task == job.tasks_.end() || !task->second.isDone_)
-            return false;
-    }
-    return true;
+    const workflow::Step& known = job.spec_.steps()[step];
+    auto done = std::count_if(job.tasks_.begin(), job.tasks_.end(), [&](const auto& entry) { return entry.first.step_ == step && entry.first.index_ < known.count_ && entry.second.isDone_; });
+    return done >= (known.gang_ ? 1 : static_cast<std::ptrdiff_t>(known.count_));
 }
 
 static bool isDone(const JobHistory& job)
--- a/soak/tests/PromisesTest.cpp
+++ b/soak/tests/PromisesTest.cpp
@@ -171,6 +171,24 @@
     BOOST_TEST(world.broken_ == Names { "state" });
 }
 
+// Late starts: a member whose start was held up is stopped once another one has ended.
+BOOST_AUTO_TEST_CASE(gang_is_done_once_a_member_is_done)
+{
+    workflow::Step gang;
+    gang.count_ = 2;
+    gang.gang_ = true;
+    World world;
+    world.see(JobSubmitted { job, *workflow::JobSpec::create("payload", { gang }, {}) });
+    world.begin(runOf(0, 0, 1), "a");
+    world.begin(runOf(0, 1, 1), "b");
+    world.see(StateShown { job, ShownState::Completed });
+    BOOST_TEST(world.broken_ == Names { "state" });
+    world.end(runOf(0, 0, 1), "a", RunEnd::Done);
+    world.end(runOf(0, 1, 1), "b", RunEnd::Stopped);
+    world.see(StateShown { job, ShownState::Completed });
+    BOOST_TEST(world.broken_ == Names { "state" });
+}
+
 BOOST_AUTO_TEST_CASE(accepted_job_that_is_forgotten_or_left_breaks_accepted)
 {
     World world;
