--- a/soak/src/Soak.cpp
+++ b/soak/src/Soak.cpp
@@ -37,6 +37,8 @@
 // Time for the processes to find each other before traffic begins.
 static constexpr Duration startup = std::chrono::milliseconds(3000);
 static constexpr uint32_t workersPerRack = 2;
+// Part of a rush can be served on time, and part of it cannot.
+static constexpr Duration targetLatency = std::chrono::milliseconds(1000);
 static constexpr Duration restartDelay = std::chrono::milliseconds(500);
 static constexpr Duration workerAbsence = std::chrono::milliseconds(2000);
 static constexpr Duration stopLimit = std::chrono::milliseconds(6000);
@@ -85,7 +87,7 @@
             if (!store.ok())
                 return store.status();
             store_ = *std::move(store);
-            store_->configure(std::string(hostName), std::string(queuePrefix), std::string(serviceName));
+            store_->configure(std::string(hostName), std::string(queuePrefix), std::string(serviceName), targetLatency);
             for (uint32_t process = 0; process < processCount(); ++process) {
                 auto proxy = Proxy::start(context_.get_executor(), storeProxyAddress(process), store_->address());
                 if (!proxy.ok())
