Very long declared times do not overflow in the decision to move a run

Cause: the comparison multiplied both times by percents, beyond 64 bits for declared times near their bound. Change: one of them is scaled instead. Test: longest_declared_time_is_compared_without_overflow, failed before.

--- a/workflow/src/decisions/WorkerSpeeds.cpp
+++ b/workflow/src/decisions/WorkerSpeeds.cpp
@@ -116,7 +116,7 @@
     const int64_t left = 100 - std::min(run.percent_, 100U);
     const Duration here = scaled(run.runTime_ * left / 100, run.slowdown_);
     const Duration elsewhere = tuning.moveTime_ + (run.savesProgress_ ? run.runTime_ * left / 100 : run.runTime_);
-    return here * 100 >= elsewhere * tuning.movePaysPercent_;
+    return here >= scaled(elsewhere, static_cast<double>(tuning.movePaysPercent_) / 100);
 }
 
 } // namespace persimmondoor::workflow
--- a/workflow/tests/WorkerSpeedsTest.cpp
+++ b/workflow/tests/WorkerSpeedsTest.cpp
@@ -158,6 +158,14 @@
     BOOST_TEST(paysToMove({ 50, true, runTime, 8 }, Tuning()));
 }
 
+BOOST_AUTO_TEST_CASE(longest_declared_time_is_compared_without_overflow)
+{
+    // The bound on declared times, twice over, as a queue whose runs take twice as long as declared corrects it.
+    const Duration runTime = std::chrono::microseconds(int64_t(1) << 54);
+    BOOST_TEST(paysToMove({ 0, false, runTime, 8 }, Tuning()));
+    BOOST_TEST(!paysToMove({ 0, false, runTime, 1.9 }, Tuning()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
