Queues whose runs take far longer than declared are learned

Cause: runs on slow workers did not correct the run times of their queue. If all runs of a queue take six times their declared time, all its workers counted as slow before the queue was known, so that it was never learned and they stayed slow. Change: such runs are left out only while most of the service's workers are not slow. Test: queue_whose_runs_take_far_longer_than_declared_is_learned, failed before. All of test_workflow passes.

--- a/workflow/src/decisions/AdmissionSurvey.cpp
+++ b/workflow/src/decisions/AdmissionSurvey.cpp
@@ -1,5 +1,7 @@
 #include "AdmissionSurvey.h"
 
+#include "SlowWorkers.h"
+
 #include "persimmondoor/core/Text.h"
 #include "persimmondoor/workflow/Urgency.h"
 
@@ -42,7 +44,7 @@
     drained = addDrained(drained, coreSeconds(step, held), context.state_.tuning_.drainWindow_, context.now_);
     // Of a run that a predecessor assigned, the beginning is not known.
     bool isWhole = task.times_.releasedAt_.has_value();
-    if (isWhole && task.times_.slowed_ == Duration(0) && !isUnproven(worker) && !worker.speed_.isSlow_ && worker.consecutiveFailures_ == 0)
+    if (isWhole && task.times_.slowed_ == Duration(0) && !isUnproven(worker) && worker.consecutiveFailures_ == 0 && !isSlowAmongOthers(context.state_, worker, context.now_))
         admission.runTimes_ = observeRun(std::move(admission.runTimes_), job.queue_.name_, step.estimate_, held);
 }
 
--- a/workflow/src/decisions/SlowWorkers.cpp
+++ b/workflow/src/decisions/SlowWorkers.cpp
@@ -110,6 +110,20 @@
     return tally;
 }
 
+static bool areOthersTheRule(const SlowTally& tally, const Tuning& tuning)
+{
+    return tally.slowWorkers_ * 100 <= tally.workers_ * tuning.maximumSlowWorkersPercent_;
+}
+
+bool isSlowAmongOthers(const LeaderState& state, const Worker& worker, Instant now)
+{
+    if (!worker.speed_.isSlow_)
+        return false;
+    const std::map<std::string, SlowTally> tally = tallySlowWorkers(state, now);
+    auto service = tally.find(worker.traits_.service_);
+    return service == tally.end() || areOthersTheRule(service->second, state.tuning_);
+}
+
 void moveRunsFromSlowWorkers(const DecisionContext& context)
 {
     LeaderState& state = context.state_;
@@ -122,7 +136,7 @@
     UnplaceableDemands unplaceable;
     for (const auto& [incarnation, worker] : state.workers_) {
         auto service = tally.find(worker.traits_.service_);
-        bool mayMove = worker.speed_.isSlow_ && isUp(state, worker, context.now_) && service != tally.end() && service->second.slowWorkers_ * 100 <= service->second.workers_ * state.tuning_.maximumSlowWorkersPercent_;
+        bool mayMove = worker.speed_.isSlow_ && isUp(state, worker, context.now_) && service != tally.end() && areOthersTheRule(service->second, state.tuning_);
         if (!mayMove)
             continue;
         for (const TaskKey& key : worker.assignedTasks_) {
--- a/workflow/src/decisions/SlowWorkers.h
+++ b/workflow/src/decisions/SlowWorkers.h
@@ -13,6 +13,8 @@
 void observeSpeed(const DecisionContext&, const WorkerReport&, Worker&);
 // Adds the task's run, which has ended as done, to the worker's next reading.
 void observeEndedPace(const DecisionContext&, Job&, const TaskKey&, Task&, Worker&);
+// True if the worker is slow and most others of its service are not. Its runs then tell nothing about those of their queues.
+bool isSlowAmongOthers(const LeaderState&, const Worker&, Instant now);
 // Stops runs on slow workers that end sooner elsewhere, where another worker has room now.
 void moveRunsFromSlowWorkers(const DecisionContext&);
 
--- a/workflow/tests/SlowWorkersTest.cpp
+++ b/workflow/tests/SlowWorkersTest.cpp
@@ -241,6 +241,17 @@
     BOOST_TEST(world.movesFromSlow() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(queue_whose_runs_take_far_longer_than_declared_is_learned)
+{
+    SpeedWorld world({ { "w-1", 6 }, { "w-2", 6 }, { "w-3", 6 } });
+    for (uint32_t number = 10; number < 70; ++number)
+        world.submit("00000000000001" + std::to_string(number), taskOf(1, 500));
+    world.pass(20'000);
+    BOOST_TEST(world.leader().state_.admission_.runTimes_.isKnown(world.leader().state_.jobs_.begin()->second.queue_.name_));
+    for (const auto& [worker, slowdown] : world.slowdowns_)
+        BOOST_TEST(!world.isSlow(worker));
+}
+
 BOOST_AUTO_TEST_CASE(no_run_is_moved_while_the_store_fails)
 {
     SpeedWorld world({ { "w-1", 1 }, { "w-2", 1 }, { "w-3", 1 } });
