Each run that leaves a slow worker has room of its own elsewhere

Cause: all runs that were stopped at one check, and at the checks until the stopped runs had ended, were promised the same free room. With room for one task, four runs were stopped and three of them lost their work and waited. Change: the room of moves under way counts as taken. Test: room_for_one_run_moves_one_run, failed before with four moves. All of test_workflow passes.

--- a/workflow/include/persimmondoor/workflow/JobState.h
+++ b/workflow/include/persimmondoor/workflow/JobState.h
@@ -53,7 +53,9 @@
     std::optional<Instant> withoutRunSince_;
     /// Progress of the newest run from one reading to the next.
     RunProgress runProgress_;
-    /// Since when only slow workers have had room for the waiting task; empty if others had, or none.
+    /// The worker whose room the run is to use next, once it has been stopped on a slow worker; empty otherwise.
+    std::optional<WorkerIncarnation> movesTo_;
+    /// Since when the waiting task has waited for a worker that is not slow, although a slow one had room; empty if it has not.
     std::optional<Instant> onlySlowSince_;
     /// Delays due to all runs that have ended under this leader.
     Delays delays_;
--- a/workflow/src/decisions/SlowWorkers.cpp
+++ b/workflow/src/decisions/SlowWorkers.cpp
@@ -124,6 +124,49 @@
     return service == tally.end() || areOthersTheRule(service->second, state.tuning_);
 }
 
+namespace {
+
+    // Room that is reserved for moved runs on their next workers, as long as the object lives, so that the same room is not
+    // offered to several of them.
+    class ClaimedRoom {
+    public:
+        // Claims the room of all runs whose move is under way.
+        explicit ClaimedRoom(LeaderState& state)
+            : state_(state)
+        {
+            for (const auto& [incarnation, worker] : state.workers_) {
+                for (const TaskKey& key : worker.assignedTasks_) {
+                    const Job& job = state.jobs_.at(key.job_);
+                    const Task& task = job.tasks_[taskNumber(job, key)];
+                    if (task.isStopping_ && task.movesTo_ && state.workers_.count(*task.movesTo_) > 0)
+                        claim(*task.movesTo_, stepOf(job, key).demand_);
+                }
+            }
+        }
+        ClaimedRoom(const ClaimedRoom&) = delete;
+        ClaimedRoom& operator=(const ClaimedRoom&) = delete;
+        ClaimedRoom(ClaimedRoom&&) = delete;
+        ClaimedRoom& operator=(ClaimedRoom&&) = delete;
+        ~ClaimedRoom()
+        {
+            for (const auto& [worker, demand] : claims_)
+                worker->reserved_ = worker->reserved_ - demand;
+        }
+
+        void claim(const WorkerIncarnation& incarnation, const Resources& demand)
+        {
+            Worker& worker = state_.workers_.at(incarnation);
+            worker.reserved_ = worker.reserved_ + demand;
+            claims_.emplace_back(&worker, demand);
+        }
+
+    private:
+        LeaderState& state_;
+        std::vector<std::pair<Worker*, Resources>> claims_;
+    };
+
+} // namespace
+
 void moveRunsFromSlowWorkers(const DecisionContext& context)
 {
     LeaderState& state = context.state_;
@@ -132,6 +175,7 @@
     if (tally.empty() || state.storeFailedAt_)
         return;
     uint32_t moved = 0;
+    ClaimedRoom claimed(state);
     PlacementRound round(state, context.now_);
     UnplaceableDemands unplaceable;
     for (const auto& [incarnation, worker] : state.workers_) {
@@ -156,6 +200,8 @@
                 continue;
             }
             task.avoidedWorker_ = incarnation.name_;
+            task.movesTo_ = better;
+            claimed.claim(*better, step.demand_);
             orderStop(context, key, task, concat("its worker is slow; ", task.progressPercent_, " percent done"));
             ++moved;
         }
--- a/workflow/src/decisions/SlowWorkers.h
+++ b/workflow/src/decisions/SlowWorkers.h
@@ -15,7 +15,7 @@
 void observeEndedPace(const DecisionContext&, Job&, const TaskKey&, Task&, Worker&);
 // True if the worker is slow and most others of its service are not. Its runs then tell nothing about those of their queues.
 bool isSlowAmongOthers(const LeaderState&, const Worker&, Instant now);
-// Stops runs on slow workers that end sooner elsewhere, where another worker has room now.
+// Stops runs on slow workers that end sooner elsewhere, where another worker has room now for each of them.
 void moveRunsFromSlowWorkers(const DecisionContext&);
 
 // The slow workers of one service.
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -44,6 +44,7 @@
     task.throttledMilliCores_ = 0;
     task.slowedSince_.reset();
     task.runProgress_ = {};
+    task.movesTo_.reset();
     task.times_ = RunTimes { context.now_, std::nullopt, std::nullopt, std::nullopt, Duration(0) };
     task.lastProgressAt_ = context.now_;
     Worker& worker = context.state_.workers_.at(incarnation);
--- a/workflow/tests/SlowWorkersTest.cpp
+++ b/workflow/tests/SlowWorkersTest.cpp
@@ -241,6 +241,23 @@
     BOOST_TEST(world.movesFromSlow() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(room_for_one_run_moves_one_run)
+{
+    SpeedWorld world({ { "w-1", 1 }, { "w-2", 1 }, { "w-3", 1 } }, 4000);
+    Step large = taskOf(1, 60'000);
+    large.demand_ = *Resources::create(4000, 1000, 0);
+    world.submit("00000000000000b1", large);
+    large.demand_ = *Resources::create(3000, 1000, 0);
+    world.submit("00000000000000b2", large);
+    for (auto& [worker, slowdown] : world.slowdowns_)
+        slowdown = world.runsOn(worker, "00000000000000b1") + world.runsOn(worker, "00000000000000b2") == 0 ? 8 : 1;
+    // One of the tasks runs beside the smaller of the two and leaves its room to one of the four others.
+    world.submit(firstJob, taskOf(5, 4000));
+    world.pass(7000);
+    BOOST_TEST(world.movesFromSlow() == 1U);
+    BOOST_TEST(world.doubledRuns_ == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(queue_whose_runs_take_far_longer_than_declared_is_learned)
 {
     SpeedWorld world({ { "w-1", 6 }, { "w-2", 6 }, { "w-3", 6 } });
