A job whose starts are not carried out takes the slow worker

Cause: a start that no worker had listed counted as work of the job, so that its other tasks waited for a steady worker for up to 10 s while nothing ran and the service was mostly free. Change: only listed runs count, as in waits for near places. Test: job_whose_starts_are_not_carried_out_takes_the_slow_worker, failed before. All of test_workflow passes.

--- a/workflow/src/decisions/SlowWorkers.cpp
+++ b/workflow/src/decisions/SlowWorkers.cpp
@@ -215,6 +215,12 @@
 {
 }
 
+// A start that is not carried out does not count as work, as such starts may follow each other without end.
+static Duration standstillOf(const LeaderState& state, const Job& job, Instant now)
+{
+    return job.idleSince_ && !hasListedRunAtWork(state, job, now) ? now - *job.idleSince_ : Duration(0);
+}
+
 bool SlowStarts::decide(const Job& job, const TaskKey& key, Task& task, double slowdown)
 {
     const LeaderState& state = context_.state_;
@@ -224,7 +230,7 @@
     offer.runTime_ = expectedOf(state, job, key, job.stepTimes_[key.occurrence_ * job.record_.spec_.steps().size() + key.step_].progress_);
     offer.slowdown_ = slowdown;
     offer.since_ = task.onlySlowSince_.value_or(context_.now_);
-    offer.standstill_ = round_.isMostlyFree(job.queue_.service_) ? idleTimeOf(state, job, context_.now_) : Duration(0);
+    offer.standstill_ = round_.isMostlyFree(job.queue_.service_) ? standstillOf(state, job, context_.now_) : Duration(0);
     offer.slowWorkers_ = tally.slowWorkers_;
     offer.workers_ = tally.workers_;
     if (!paysToWait(offer, state.tuning_))
--- a/workflow/tests/SlowWorkersTest.cpp
+++ b/workflow/tests/SlowWorkersTest.cpp
@@ -54,6 +54,13 @@
     {
         return leader_->state_.workers_.at({ worker, leader_->bornMs_, "" }).speed_.isSlow_;
     }
+    void makeSlow(const std::string& worker)
+    {
+        WorkerSpeed& speed = leader_->state_.workers_.at({ worker, leader_->bornMs_, "" }).speed_;
+        speed.weight_ = 5;
+        speed.sum_ = 3 * speed.weight_;
+        speed.isSlow_ = true;
+    }
     bool isDone(const std::string& job) const { return leader_->state_.openJobs_.count(JobId::of(job)) == 0; }
     size_t movesFromSlow() const
     {
@@ -72,6 +79,8 @@
     size_t doubledRuns_ { 0 };
     // No write becomes durable.
     bool isStoreDown_ { false };
+    // Workers that carry out no orders.
+    std::set<std::string> idleWorkers_;
 
 private:
     static constexpr int64_t stepMs = 100;
@@ -85,7 +94,8 @@
         for (const auto& [worker, slowdown] : slowdowns_) {
             work(worker, slowdown);
             report(worker);
-            carryOut(worker);
+            if (idleWorkers_.count(worker) == 0)
+                carryOut(worker);
         }
         std::set<TaskKey> tasks;
         for (const auto& [worker, runs] : runs_) {
@@ -215,6 +225,26 @@
     BOOST_TEST(world.doubledRuns_ == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(job_whose_starts_are_not_carried_out_takes_the_slow_worker)
+{
+    SpeedWorld world({ { "w-1", 1 }, { "w-2", 1 }, { "w-3", 1 } }, 4000);
+    Step large = taskOf(1, 60'000);
+    large.demand_ = *Resources::create(1500, 1000, 0);
+    world.pass(1000);
+    world.makeSlow("w-3");
+    world.submit("00000000000000b1", large);
+    world.submit("00000000000000b2", large);
+    world.pass(200);
+    world.idleWorkers_ = { "w-1", "w-2" };
+    Step step = taskOf(3, 3000);
+    step.demand_ = *Resources::create(2000, 1000, 0);
+    world.submit(firstJob, step);
+    world.pass(400);
+    BOOST_TEST(world.runsOn("w-3", firstJob) == 0);
+    world.pass(1000);
+    BOOST_TEST(world.runsOn("w-3", firstJob) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(run_on_a_worker_that_turns_slow_is_moved_once)
 {
     SpeedWorld world({ { "w-1", 1 }, { "w-2", 1 }, { "w-3", 1 } });
