--- a/workflow/src/decisions/SlowWorkers.cpp
+++ b/workflow/src/decisions/SlowWorkers.cpp
@@ -113,6 +113,63 @@
     return tally;
 }
 
+static bool areOthersTheRule(const SlowTally& tally, const Tuning& tuning)
+{
+    return tally.slowWorkers_ * 100 <= tally.workers_ * tuning.maximumSlowWorkersPercent_;
+}
+
+bool isSlowAmongOthers(const LeaderState& state, const Worker& worker, Instant now)
+{
+    if (!worker.speed_.isSlow_)
+        return false;
+    const std::map<std::string, SlowTally> tally = tallySlowWorkers(state, now);
+    auto service = tally.find(worker.traits_.service_);
+    return service == tally.end() || areOthersTheRule(service->second, state.tuning_);
+}
+
+namespace {
+
+    // Room that is reserved for moved runs on their next workers, as long as the object lives, so that the same room is not
+    // offered to several of them.
+    class ClaimedRoom {
+    public:
+        // Claims the room of all runs whose move is under way.
+        explicit ClaimedRoom(LeaderState& state)
+            : state_(state)
+        {
+            for (const auto& [incarnation, worker] : state.workers_) {
+                for (const TaskKey& key : worker.assignedTasks_) {
+                    const Job& job = state.jobs_.at(key.job_);
+                    const Task& task = job.tasks_[taskNumber(job, key)];
+                    if (task.isStopping_ && task.movesTo_ && state.workers_.count(*task.movesTo_) > 0)
+                        claim(*task.movesTo_, stepOf(job, key).demand_);
+                }
+            }
+        }
+        ClaimedRoom(const ClaimedRoom&) = delete;
+        ClaimedRoom& operator=(const ClaimedRoom&) = delete;
+        ClaimedRoom(ClaimedRoom&&) = delete;
+        ClaimedRoom& operator=(ClaimedRoom&&) = delete;
+        ~ClaimedRoom()
+        {
+            for (const auto& [worker, demand] : claims_)
+                worker->reserved_ = worker->reserved_ - demand;
+        }
+
+        void claim(const WorkerIncarnation& incarnation, const Resources& demand)
+        {
+            Worker& worker = state_.workers_.at(incarnation);
+            worker.reserved_ = worker.reserved_ + demand;
+            claims_.emplace_back(&worker, demand);
+        }
+
+    private:
+        LeaderState& state_;
+        std::vector<std::pair<Worker*, Resources>> claims_;
+    };
+
+} // namespace
+
 void moveRunsFromSlowWorkers(const DecisionContext& context)
 {
     LeaderState& state = context.state_;
@@ -121,11 +178,12 @@
     if (tally.empty() || state.storeFailedAt_)
         return;
     uint32_t moved = 0;
+    ClaimedRoom claimed(state);
     PlacementRound round(state, context.now_);
     UnplaceableDemands unplaceable;
     for (const auto& [incarnation, worker] : state.workers_) {
         auto service = tally.find(worker.traits_.service_);
-        bool mayMove = worker.speed_.isSlow_ && isUp(state, worker, context.now_) && service != tally.end() && service->second.slowWorkers_ * 100 <= service->second.workers_ * state.tuning_.maximumSlowWorkersPercent_;
+        bool mayMove = worker.speed_.isSlow_ && isUp(state, worker, context.now_) && service != tally.end() && areOthersTheRule(service->second, state.tuning_);
         if (!mayMove)
             continue;
         for (const TaskKey& key : worker.assignedTasks_) {
@@ -145,6 +203,8 @@
                 continue;
             }
             task.avoidedWorker_ = incarnation.name_;
+            task.movesTo_ = better;
+            claimed.claim(*better, step.demand_);
             orderStop(context, key, task, concat("its worker is slow; ", task.progressPercent_, " percent done"));
             ++moved;
         }
@@ -158,6 +218,12 @@
 {
 }
 
+// A start that is not carried out does not count as work, as such starts may follow each other without end.
+static Duration standstillOf(const LeaderState& state, const Job& job, Instant now)
+{
+    return job.idleSince_ && !hasListedRunAtWork(state, job, now) ? now - *job.idleSince_ : Duration(0);
+}
+
 bool SlowStarts::decide(const Job& job, const TaskKey& key, Task& task, double slowdown)
 {
     const LeaderState& state = context_.state_;
@@ -167,7 +233,7 @@
     offer.runTime_ = expectedOf(state, job, key, job.stepTimes_[key.occurrence_ * job.record_.spec_.steps().size() + key.step_].progress_);
     offer.slowdown_ = slowdown;
     offer.since_ = task.onlySlowSince_.value_or(context_.now_);
-    offer.standstill_ = round_.isMostlyFree(job.queue_.service_) ? idleTimeOf(state, job, context_.now_) : Duration(0);
+    offer.standstill_ = round_.isMostlyFree(job.queue_.service_) ? standstillOf(state, job, context_.now_) : Duration(0);
     offer.slowWorkers_ = tally.slowWorkers_;
     offer.workers_ = tally.workers_;
     if (!paysToWait(offer, state.tuning_))
--- a/workflow/tests/SlowWorkersTest.cpp
+++ b/workflow/tests/SlowWorkersTest.cpp
@@ -54,6 +54,13 @@
     {
         return leader_->state_.workers_.at({ worker, leader_->bornMs_, "" }).speed_.isSlow_;
     }
+    void makeSlow(const std::string& worker)
+    {
+        WorkerSpeed& speed = leader_->state_.workers_.at({ worker, leader_->bornMs_, "" }).speed_;
+        speed.weight_ = 5;
+        speed.sum_ = 3 * speed.weight_;
+        speed.isSlow_ = true;
+    }
     bool isDone(const std::string& job) const { return leader_->state_.openJobs_.count(JobId::of(job)) == 0; }
     size_t movesFromSlow() const
     {
@@ -72,6 +79,8 @@
     size_t doubledRuns_ { 0 };
     // No write becomes durable.
     bool isStoreDown_ { false };
+    // Workers that carry out no orders.
+    std::set<std::string> idleWorkers_;
 
 private:
     static constexpr int64_t stepMs = 100;
@@ -85,7 +94,8 @@
         for (const auto& [worker, slowdown] : slowdowns_) {
             work(worker, slowdown);
             report(worker);
-            carryOut(worker);
+            if (idleWorkers_.count(worker) == 0)
+                carryOut(worker);
         }
         std::set<TaskKey> tasks;
         for (const auto& [worker, runs] : runs_) {
@@ -215,6 +225,26 @@
     BOOST_TEST(world.doubledRuns_ == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(job_whose_starts_are_not_carried_out_takes_the_slow_worker)
+{
+    SpeedWorld world({ { "w-1", 1 }, { "w-2", 1 }, { "w-3", 1 } }, 4000);
+    Step large = taskOf(1, 60'000);
+    large.demand_ = *Resources::create(1500, 1000, 0);
+    world.pass(1000);
+    world.makeSlow("w-3");
+    world.submit("00000000000000b1", large);
+    world.submit("00000000000000b2", large);
+    world.pass(200);
+    world.idleWorkers_ = { "w-1", "w-2" };
+    Step step = taskOf(3, 3000);
+    step.demand_ = *Resources::create(2000, 1000, 0);
+    world.submit(firstJob, step);
+    world.pass(400);
+    BOOST_TEST(world.runsOn("w-3", firstJob) == 0);
+    world.pass(1000);
+    BOOST_TEST(world.runsOn("w-3", firstJob) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(run_on_a_worker_that_turns_slow_is_moved_once)
 {
     SpeedWorld world({ { "w-1", 1 }, { "w-2", 1 }, { "w-3", 1 } });
@@ -241,6 +271,34 @@
     BOOST_TEST(world.movesFromSlow() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(room_for_one_run_moves_one_run)
+{
+    SpeedWorld world({ { "w-1", 1 }, { "w-2", 1 }, { "w-3", 1 } }, 4000);
+    Step large = taskOf(1, 60'000);
+    large.demand_ = *Resources::create(4000, 1000, 0);
+    world.submit("00000000000000b1", large);
+    large.demand_ = *Resources::create(3000, 1000, 0);
+    world.submit("00000000000000b2", large);
+    for (auto& [worker, slowdown] : world.slowdowns_)
+        slowdown = world.runsOn(worker, "00000000000000b1") + world.runsOn(worker, "00000000000000b2") == 0 ? 8 : 1;
+    // One of the tasks runs beside the smaller of the two and leaves its room to one of the four others.
+    world.submit(firstJob, taskOf(5, 4000));
+    world.pass(7000);
+    BOOST_TEST(world.movesFromSlow() == 1U);
+    BOOST_TEST(world.doubledRuns_ == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(queue_whose_runs_take_far_longer_than_declared_is_learned)
+{
+    SpeedWorld world({ { "w-1", 6 }, { "w-2", 6 }, { "w-3", 6 } });
+    for (uint32_t number = 10; number < 70; ++number)
+        world.submit("00000000000001" + std::to_string(number), taskOf(1, 500));
+    world.pass(20'000);
+    BOOST_TEST(world.leader().state_.admission_.runTimes_.isKnown(world.leader().state_.jobs_.begin()->second.queue_.name_));
+    for (const auto& [worker, slowdown] : world.slowdowns_)
+        BOOST_TEST(!world.isSlow(worker));
+}
+
 BOOST_AUTO_TEST_CASE(no_run_is_moved_while_the_store_fails)
 {
     SpeedWorld world({ { "w-1", 1 }, { "w-2", 1 }, { "w-3", 1 } });
