Speeds of workers are compared where the deployment asks: slow_factor

Cause: the comparison of workers acted on every deployment; what is new is to act only where a deployment's own configuration asks.

Change: slow_factor in the bounds of the deployment file, at least 2; without it no worker counts as slow, no task waits for another one and no run is moved for it. The template of the users' platform does not set it; the soak does.

--- a/app/src/Deployed.cpp
+++ b/app/src/Deployed.cpp
@@ -19,6 +19,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -138,6 +139,7 @@
     tuning.taskLease_ = std::min(tuning.taskLease_, deployment.bounds_.longestLease_ * 3 / 4);
     tuning.finishedJobRetention_ = deployment.bounds_.statusRetention_;
     tuning.farFactor_ = deployment.bounds_.farFactor_;
+    tuning.slowWorkerPercent_ = std::llround(deployment.bounds_.slowFactor_ * 100);
     return tuning;
 }
 
--- a/settings/include/persimmondoor/settings/Deployment.h
+++ b/settings/include/persimmondoor/settings/Deployment.h
@@ -30,6 +30,8 @@
     Duration harm_ { std::chrono::seconds(4) };
     /// How many times as long a task takes away from the rack of its data, or a gang on more than one rack; at least 1.
     double farFactor_ { 1 };
+    /// A worker on which runs take this many times as long as elsewhere counts as slow; 0 if the speeds of workers are not compared.
+    double slowFactor_ { 0 };
     auto operator<=>(const DeploymentBounds&) const = default;
 };
 
--- a/settings/src/Deployment.cpp
+++ b/settings/src/Deployment.cpp
@@ -14,6 +14,9 @@
 static constexpr int64_t maximumDescriptors = 1'000'000;
 static constexpr int64_t maximumBoundMs = 3'600'000;
 static constexpr double maximumFarFactor = 100;
+// Below it, workers would count as slow by the spread of their run times.
+static constexpr double minimumSlowFactor = 2;
+static constexpr double maximumSlowFactor = 100;
 
 static std::optional<Address> readOptionalAddress(const Reader& reader, std::string_view name)
 {
@@ -32,7 +35,7 @@
 static DeploymentBounds readBounds(const Reader& reader)
 {
     DeploymentBounds bounds;
-    if (!reader.expectObject({ "shutdown_ms", "status_retention_ms", "longest_lease_ms", "harm_ms", "far_factor" }))
+    if (!reader.expectObject({ "shutdown_ms", "status_retention_ms", "longest_lease_ms", "harm_ms", "far_factor", "slow_factor" }))
         return bounds;
     bounds.shutdown_ = readMilliseconds(reader, "shutdown_ms", bounds.shutdown_);
     bounds.statusRetention_ = readMilliseconds(reader, "status_retention_ms", bounds.statusRetention_);
@@ -40,6 +43,8 @@
     bounds.harm_ = readMilliseconds(reader, "harm_ms", bounds.harm_);
     if (reader.has("far_factor"))
         bounds.farFactor_ = reader.field("far_factor").number(1, maximumFarFactor);
+    if (reader.has("slow_factor"))
+        bounds.slowFactor_ = reader.field("slow_factor").number(minimumSlowFactor, maximumSlowFactor);
     return bounds;
 }
 
--- a/soak/src/Soak.cpp
+++ b/soak/src/Soak.cpp
@@ -146,7 +146,7 @@
             for (uint32_t entry = 0; entry < options_.fleet_.entries_; ++entry)
                 seeds.emplace_back(entryAddress(entry, controlPort).text());
             Address control = isEntry ? entryAddress(index, controlPort) : agentAddress(index, controlPort);
-            json::object bounds { { "shutdown_ms", stopLimit.count() / 1000 }, { "status_retention_ms", 120'000 }, { "longest_lease_ms", 10'000 }, { "harm_ms", 4000 }, { "far_factor", platform::farFactor } };
+            json::object bounds { { "shutdown_ms", stopLimit.count() / 1000 }, { "status_retention_ms", 120'000 }, { "longest_lease_ms", 10'000 }, { "harm_ms", 4000 }, { "far_factor", platform::farFactor }, { "slow_factor", 2.5 } };
             json::object deployment { { "name", name }, { "domain", domainOf(index) }, { "domains", std::move(domains) }, { "host", control.ip() }, { "internal_port", internalPort }, { "workers", control.text() },
                 { "seeds", std::move(seeds) }, { "store", storeProxyAddress(process).text() }, { "processors", 1.0 }, { "bounds", std::move(bounds) } };
             if (isEntry) {
--- a/workflow/src/decisions/SlowWorkers.cpp
+++ b/workflow/src/decisions/SlowWorkers.cpp
@@ -59,6 +59,8 @@
 
 void observeSpeed(const DecisionContext& context, const WorkerReport& report, Worker& worker)
 {
+    if (context.state_.tuning_.slowWorkerPercent_ == 0)
+        return;
     std::vector<PaceSample> samples;
     for (const ActiveRun& active : report.active_) {
         Task* task = findTask(context.state_, active.run_.task_);
@@ -81,7 +83,7 @@
 
 void observeEndedPace(const DecisionContext& context, Job& job, const TaskKey& key, Task& task, Worker& worker)
 {
-    if (!tellsSpeed(stepOf(job, key)) || worker.speed_.ended_.size() >= maximumEndedRuns)
+    if (context.state_.tuning_.slowWorkerPercent_ == 0 || !tellsSpeed(stepOf(job, key)) || worker.speed_.ended_.size() >= maximumEndedRuns)
         return;
     // Of a run that went on from a checkpoint the share that was left is not known before its first reading.
     if (!task.runProgress_.readAt_ && task.progress_.checkpoint_.empty())
