Lines on waiting jobs find a job's place in a long backlog by search

For each of up to 20 reported jobs, once a second, the whole backlog ahead of it was walked, with a look-up of each job by its id: with n ready jobs, 20 n look-ups in one step of the leader. The order is kept by service now; the count, the first jobs and the rush are found by binary search. Lines are unchanged: all 322 cases of test_workflow pass, as before.

--- a/workflow/src/decisions/WaitOrder.cpp
+++ b/workflow/src/decisions/WaitOrder.cpp
@@ -30,30 +30,32 @@
 WaitOrder::WaitOrder(const LeaderState& state)
     : state_(state)
 {
-    ready_.reserve(state.readyJobs_.size());
     for (const JobId& id : state.readyJobs_) {
         auto job = state.jobs_.find(id);
         if (job != state.jobs_.end())
-            ready_.push_back(urgencyOf(state, job->second));
+            ready_[job->second.queue_.service_].push_back(urgencyOf(state, job->second));
     }
-    std::sort(ready_.begin(), ready_.end());
+    for (auto& [service, ready] : ready_)
+        std::sort(ready.begin(), ready.end());
 }
 
 JobsAhead WaitOrder::aheadOf(const Job& job) const
 {
     JobsAhead ahead;
+    auto ready = ready_.find(job.queue_.service_);
+    if (ready == ready_.end())
+        return ahead;
     const Urgency own = urgencyOf(state_, job);
+    const auto begin = ready->second.begin();
+    const auto end = std::lower_bound(begin, ready->second.end(), own);
+    ahead.count_ = static_cast<size_t>(end - begin);
+    for (auto other = begin; other != end && ahead.first_.size() < maximumNamedJobs; ++other)
+        ahead.first_.push_back({ other->job_, state_.jobs_.at(other->job_).queue_.name_, precedenceOf(*other, own) });
+    // The reasons are in the order in which they are compared.
+    const auto behindRush = std::partition_point(begin, end, [&](const Urgency& other) { return precedenceOf(other, own) < Precedence::Rush; });
     const Rush* rush = state_.urgentRoom_.rushOf(job.queue_.service_);
-    for (auto other = ready_.begin(); other != ready_.end() && *other < own; ++other) {
-        const Job& otherJob = state_.jobs_.at(other->job_);
-        if (otherJob.queue_.service_ != job.queue_.service_)
-            continue;
-        Precedence reason = precedenceOf(*other, own);
-        if (rush && (reason == Precedence::Rush || reason == Precedence::QueueShare))
-            ahead.rushEndsBy_ = rush->since_ + state_.tuning_.maximumRush_;
-        if (++ahead.count_ <= maximumNamedJobs)
-            ahead.first_.push_back({ other->job_, otherJob.queue_.name_, reason });
-    }
+    if (rush && behindRush != end && precedenceOf(*behindRush, own) <= Precedence::QueueShare)
+        ahead.rushEndsBy_ = rush->since_ + state_.tuning_.maximumRush_;
     return ahead;
 }
 
--- a/workflow/src/decisions/WaitOrder.h
+++ b/workflow/src/decisions/WaitOrder.h
@@ -8,6 +8,8 @@
 
 #include "persimmondoor/workflow/Urgency.h"
 
+#include <map>
+
 namespace persimmondoor::workflow {
 
 // Why one job is served before another. In the order in which the reasons are compared.
@@ -47,7 +49,8 @@
 // Text for log lines; empty if no job is ahead.
 std::string describe(const JobsAhead&, Instant now);
 
-// The order of placement at one moment. The state must outlive it unchanged.
+// The order of placement at one moment. A job is found in it in logarithmic time, as the backlog may be long. The state must
+// outlive it unchanged.
 class WaitOrder {
 public:
     explicit WaitOrder(const LeaderState&);
@@ -56,8 +59,8 @@
 
 private:
     const LeaderState& state_;
-    // The jobs that wait for room, in the order of placement.
-    std::vector<Urgency> ready_;
+    // The jobs that wait for room, by service, in the order of placement.
+    std::map<std::string, std::vector<Urgency>> ready_;
 };
 
 } // namespace persimmondoor::workflow
