--- a/workflow/tests/WaitOrderTest.cpp
+++ b/workflow/tests/WaitOrderTest.cpp
@@ -68,6 +68,23 @@
     BOOST_TEST(!ahead.rushEndsBy_.has_value());
 }
 
+// Load: a rush behind a backlog of a higher priority, longer than a line can name.
+BOOST_AUTO_TEST_CASE(end_of_a_rush_is_found_behind_a_backlog_of_a_higher_priority)
+{
+    FullWorld world;
+    world.state_.jobs_.at(JobId::of(watchJob)).record_.queue_.priority_ = 1;
+    world.state_.jobs_.at(JobId::of(urgentJob)).record_.queue_.priority_ = 1;
+    for (int number = 0; number < 5; ++number)
+        world.submit({ stepOfTasks(1) }, 31 + number, concat("00000000000000", 10 + number));
+    world.state_.urgentRoom_.services_["packs"] = Rush { at(40), at(40), 1, "tests", {} };
+    const JobsAhead ahead = world.ahead(watchJob);
+    BOOST_TEST(ahead.count_ == 6U);
+    BOOST_REQUIRE(ahead.first_.size() == 3U);
+    BOOST_TEST((ahead.first_.back().reason_ == Precedence::Priority));
+    BOOST_TEST((ahead.rushEndsBy_ == at(40) + Tuning().maximumRush_));
+    BOOST_TEST(!world.ahead(urgentJob).rushEndsBy_.has_value());
+}
+
 // Guards against jobs being named that want other workers.
 BOOST_AUTO_TEST_CASE(jobs_of_other_services_are_not_ahead)
 {
