Claims of moves count for their step's bound on tasks per worker

Two tasks of a step that may have one task on a worker were both stopped for the same worker if it had room for two; one of them then waited. A claim now names its task. The new test fails without the bound; all cases of test_workflow pass.

--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -4,6 +4,7 @@
 #include "ServiceUse.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace persimmondoor::workflow {
 
@@ -14,7 +15,7 @@
     candidates_.reserve(state.workers_.size());
     for (const auto& [incarnation, worker] : state.workers_) {
         if (stateObstacle(state, worker, now) == WorkerObstacle::None)
-            candidates_.push_back({ &incarnation, &worker, now < worker.lastChoiceUntil_, isQuarantined(worker, now), {}, {} });
+            candidates_.push_back({ &incarnation, &worker, now < worker.lastChoiceUntil_, isQuarantined(worker, now), {}, {}, {} });
     }
     refreshImages();
 }
@@ -52,18 +53,23 @@
     return std::none_of(candidate.images_.begin(), candidate.images_.end(), [&](size_t position) { return disturbed[position]; });
 }
 
-void PlacementRound::claim(const WorkerIncarnation& incarnation, const Resources& demand)
+void PlacementRound::claim(const WorkerIncarnation& incarnation, const TaskKey& key, const Resources& demand)
 {
     auto candidate = std::find_if(candidates_.begin(), candidates_.end(), [&](const Candidate& other) { return *other.incarnation_ == incarnation; });
-    if (candidate != candidates_.end())
-        candidate->claimed_ = candidate->claimed_ + demand;
+    if (candidate == candidates_.end())
+        return;
+    candidate->claimed_ = candidate->claimed_ + demand;
+    candidate->claimants_.push_back(key);
 }
 
-bool PlacementRound::hasUnclaimedRoom(const Candidate& candidate, const Step& step)
+bool PlacementRound::hasUnclaimedRoom(const Candidate& candidate, const TaskKey& key, const Step& step)
 {
-    if (candidate.claimed_ == Resources())
+    if (candidate.claimants_.empty())
         return true;
     const Worker& worker = *candidate.worker_;
+    auto siblings = std::count_if(candidate.claimants_.begin(), candidate.claimants_.end(), [&](const TaskKey& other) { return std::tie(other.job_, other.occurrence_, other.step_) == std::tie(key.job_, key.occurrence_, key.step_); });
+    if (step.maxPerWorker_ > 0 && countSiblings(worker, key) + siblings >= step.maxPerWorker_)
+        return false;
     Resources wanted = candidate.claimed_ + step.demand_;
     int64_t milliCores = step.isFilling_ ? spareMilliCores(worker) : freeMilliCores(worker);
     Resources reserved = worker.reserved_ + wanted;
@@ -119,7 +125,7 @@
         bool isHarmlessHere = !disturbed || isHarmless(candidate, *disturbed);
         if (!isHarmlessHere && !mayCauseInterference)
             continue;
-        if (taskObstacle(job, key, worker, disturbance, now_) != WorkerObstacle::None || mustBeIsolated(state_, job, key, worker, now_) || !hasUnclaimedRoom(candidate, step))
+        if (taskObstacle(job, key, worker, disturbance, now_) != WorkerObstacle::None || mustBeIsolated(state_, job, key, worker, now_) || !hasUnclaimedRoom(candidate, key, step))
             continue;
         if (!isHarmlessHere && !ignoresInterference && paceAt(state_, step, worker) < minimumPace)
             continue;
--- a/workflow/src/decisions/PlacementRound.h
+++ b/workflow/src/decisions/PlacementRound.h
@@ -19,7 +19,7 @@
     // \param rack the only rack that may be chosen; empty for any.
     std::optional<WorkerIncarnation> chooseWorker(const Job&, const TaskKey&, Disturbance, const std::string& rack = {});
     // Makes later choices leave this room on the worker to a task that will be started there.
-    void claim(const WorkerIncarnation&, const Resources& demand);
+    void claim(const WorkerIncarnation&, const TaskKey&, const Resources& demand);
     // `Disturbance::Avoided` unless nothing of the job has run for long and no run of it may be at work.
     Disturbance disturbanceOf(const Job&);
     // True if most of the capacity of the service is free, without regard to the cores of filling tasks.
@@ -41,13 +41,15 @@
         // Positions in `longRunningImages_`.
         std::vector<size_t> images_;
         Resources claimed_;
+        // The tasks that claim it.
+        std::vector<TaskKey> claimants_;
     };
 
     size_t positionOf(const std::string& longRunningImage);
     // For each long-running image of the round, whether the filling image disturbs it.
     const std::vector<bool>& disturbedBy(const std::string& fillingImage);
     // True if the worker has room for the task beside the claims on it; without any it has been checked otherwise.
-    static bool hasUnclaimedRoom(const Candidate&, const Step&);
+    static bool hasUnclaimedRoom(const Candidate&, const TaskKey&, const Step&);
     static bool isHarmless(const Candidate&, const std::vector<bool>& disturbed);
 
     const LeaderState& state_;
--- a/workflow/src/decisions/SlowedRuns.cpp
+++ b/workflow/src/decisions/SlowedRuns.cpp
@@ -49,7 +49,7 @@
         moves.unplaceable_.add(job, step, Disturbance::Avoided);
     if (!better || *better == task.progress_.worker_)
         return std::nullopt;
-    moves.round_.claim(*better, step.demand_);
+    moves.round_.claim(*better, key, step.demand_);
     return better;
 }
 
--- a/workflow/tests/SlowedRunsTest.cpp
+++ b/workflow/tests/SlowedRunsTest.cpp
@@ -1,5 +1,6 @@
 #include "FillingWorld.h"
 
+#include "decisions/PlacementRound.h"
 #include "persimmondoor/core/Text.h"
 
 namespace persimmondoor::workflow {
@@ -71,6 +72,27 @@
     }
 }
 
+// Guards against more stops than the step may have tasks on the worker, although there is room for all.
+BOOST_AUTO_TEST_CASE(claims_count_for_the_bound_of_their_step)
+{
+    FillingWorld world;
+    Interference& interference = world.state_.interference_;
+    interference.sensitivities_["search"].factors_["heavy"] = 0.02;
+    interference.sensitivities_["ranking"].factors_["heavy"] = 3;
+    Step step = fillingStep(2, "heavy");
+    step.maxPerWorker_ = 1;
+    world.submit({ step }, 200, fillingJob);
+    interference.sensitivities_["search"].factors_["heavy"] = 3;
+    interference.sensitivities_["ranking"].factors_["heavy"] = 0.02;
+    const Job& job = world.state_.jobs_.at(JobId::of(fillingJob));
+    PlacementRound round(world.state_, at(201));
+    auto first = round.chooseWorker(job, runOf(fillingJob, 0).task_, Disturbance::Avoided);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(first->name_ == world.ranking_);
+    round.claim(*first, runOf(fillingJob, 0).task_, step.demand_);
+    BOOST_TEST(!round.chooseWorker(job, runOf(fillingJob, 1).task_, Disturbance::Avoided).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(slowed_tasks_stay_where_no_place_is_free)
 {
     PausedWorld world(3);
