Fingerprints of finished ids are kept in order

Cause: found in review. The unkeyed hash of a set lets a peer that chooses its ids fill one bucket. Change: an ordered set; a comment on the survey's interval names both of its parts.

--- a/admission/include/persimmondoor/admission/Gate.h
+++ b/admission/include/persimmondoor/admission/Gate.h
@@ -20,7 +20,6 @@
 #include <set>
 #include <string>
 #include <tuple>
-#include <unordered_set>
 #include <variant>
 
 namespace persimmondoor::admission {
@@ -165,7 +164,7 @@
 
     std::map<EndpointName, Endpoint> endpoints_;
     std::map<RequestId, InFlightRequest> inFlight_;
-    std::unordered_set<Fingerprint> finished_;
+    std::set<Fingerprint> finished_;
     std::deque<FinishedId> finishedInOrder_;
     size_t running_ { 0 };
     uint64_t nextArrivalNumber_ { 0 };
--- a/workflow/include/persimmondoor/workflow/JobAdmission.h
+++ b/workflow/include/persimmondoor/workflow/JobAdmission.h
@@ -108,7 +108,8 @@
 struct ServiceAdmission {
     DrainMeter drained_;
     ReturnPlan returns_;
-    /// Empty before the first survey. Surveys are repeated after `Tuning::surveyInterval_`; admitted jobs are added meanwhile.
+    /// Empty before the first survey. Surveys are repeated after `Tuning::surveyInterval_`, or later with many unfinished jobs
+    /// (`Tuning::surveyIntervalPerJob_`); admitted jobs are added meanwhile.
     std::optional<ServiceLoad> load_;
     Instant surveyedAt_;
     auto operator<=>(const ServiceAdmission&) const = default;
