--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -95,9 +95,25 @@
     return round.isMostlyFree(job.queue_.service_) ? Disturbance::AllowedOnSharedCores : Disturbance::Allowed;
 }
 
+// What one round of starts has found out so far.
+struct StartRound {
+    explicit StartRound(const DecisionContext& context)
+        : placement_(context.state_, context.now_)
+        , nearPlaces_(context)
+        , slowStarts_(context, placement_)
+    {
+    }
+
+    PlacementRound placement_;
+    NearPlaceRound nearPlaces_;
+    SlowStarts slowStarts_;
+    UnplaceableDemands unplaceable_;
+};
+
 // \return true if a task of the step still waits for free capacity.
-static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, PlacementRound& round, NearPlaceRound& nearPlaces, SlowStarts& slowStarts, UnplaceableDemands& unplaceable)
+static bool startStep(const DecisionContext& context, Job& job, uint32_t occurrence, uint32_t stepNumber, StartRound& starts)
 {
+    auto& [round, nearPlaces, slowStarts, unplaceable] = starts;
     const Step& step = job.record_.spec_.steps()[stepNumber];
     if (step.gang_)
         return startGang(context, job, occurrence, stepNumber, round, nearPlaces);
@@ -188,7 +204,7 @@
 }
 
 // \return true if the job stays ready: a task waits for free capacity or an occurrence is not due yet.
-static bool startTasksOf(const DecisionContext& context, Job& job, PlacementRound& round, NearPlaceRound& nearPlaces, SlowStarts& slowStarts, UnplaceableDemands& unplaceable)
+static bool startTasksOf(const DecisionContext& context, Job& job, StartRound& starts)
 {
     bool waits = false;
     const JobSpec& spec = job.record_.spec_;
@@ -203,7 +219,7 @@
                 continue;
             if (!job.stepTimes_[number].startableSince_)
                 job.stepTimes_[number].startableSince_ = context.now_;
-            waits = startStep(context, job, occurrence, step, round, nearPlaces, slowStarts, unplaceable) || waits;
+            waits = startStep(context, job, occurrence, step, starts) || waits;
         }
     }
     return waits;
@@ -233,19 +249,16 @@
             ready.push_back(urgencyOf(context.state_, job->second));
     }
     std::sort(ready.begin(), ready.end());
-    PlacementRound round(context.state_, context.now_);
-    NearPlaceRound nearPlaces(context);
-    SlowStarts slowStarts(context, round);
-    UnplaceableDemands unplaceable;
+    StartRound starts(context);
     for (const Urgency& urgency : ready) {
         context.noteJob(urgency.job_);
         Job& job = context.state_.jobs_.at(urgency.job_);
-        bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, round, nearPlaces, slowStarts, unplaceable);
+        bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, starts);
         updateIdleTime(context, job, waits);
         if (!waits)
             context.state_.readyJobs_.erase(urgency.job_);
     }
-    nearPlaces.endObsoleteWaits();
+    starts.nearPlaces_.endObsoleteWaits();
 }
 
 // Why a start that was decided earlier must not be released now; empty if it may.
