--- a/review/standins-3/world.cc
+++ b/review/standins-3/world.cc
@@ -510,6 +510,16 @@
 
 // ---------------------------------------------------------------- minions
 
+// Cores of the tasks of each step, in thousandths, by "job.occurrence.step"; clients enter them.
+static std::mutex demandsMutex;
+static std::map<std::string, int64_t> demands;
+static int64_t demandOf(const std::string& task)
+{
+    std::lock_guard lock(demandsMutex);
+    auto found = demands.find(task.substr(0, task.rfind('.')));
+    return found == demands.end() ? 0 : found->second;
+}
+
 struct Settings {
     std::string service_;
     int64_t cpu_ = 64000;
@@ -591,6 +601,15 @@
         }
         return false;
     }
+    // What the cores of the demands that `demandOf` knows leave free.
+    int64_t freeCores()
+    {
+        std::lock_guard lock(mutex_);
+        int64_t free = settings_.cpu_;
+        for (const auto& [key, run] : running_)
+            free -= demandOf(key.task_);
+        return free;
+    }
     json::object heartbeat(uint64_t sequence)
     {
         return { { "service", settings_.service_ }, { "addr", ip_ + ":" + std::to_string(appPort_) }, { "zone", zone_ }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "coldLeftMs", 0 },
@@ -858,6 +877,10 @@
     Answer submit(const Entry& entry, const std::string& id, const std::string& spec, json::array steps, int64_t limitMs = 3000)
     {
         record("POST " + id + " at " + entry.name_);
+        for (size_t number = 0; number < steps.size(); ++number) {
+            std::lock_guard lock(demandsMutex);
+            demands[id + ".0." + std::to_string(number)] = steps[number].at("cpu").to_number<int64_t>();
+        }
         Answer answer = call(entry.ip_, 8161, "POST", path_ + id, json::serialize(json::object { { "spec", spec }, { "steps", std::move(steps) } }), limitMs, host_, "Persimmondoor-Deadline-Ms: 3000\r\n");
         record("POST " + id + " at " + entry.name_ + " -> " + (answer.status_ ? std::to_string(answer.status_) : "no answer"));
         return answer;
