Agents confirm workers by their answers, not by heartbeats

Cause: each decodable heartbeat with a later birth replaced the known incarnation of the same name, host or address, before anything had answered as the later one.

Change: a heartbeat announces a worker. It is confirmed, reported and given leases once it has answered a list request with its name and birth; a confirmed worker ends only by what is heard at its own address. Heartbeats that contradict a confirmed worker, or name a service that the leader does not know, are ignored and logged. Announced workers without an answer are bounded.

Tests that expected a heartbeat alone to replace a worker let the later incarnation answer (`Agent::replaceWorker`); what they check after that is unchanged.

--- a/supervision/include/persimmondoor/supervision/Supervisor.h
+++ b/supervision/include/persimmondoor/supervision/Supervisor.h
@@ -55,6 +55,8 @@
     Duration endedWorkerRetention_ { std::chrono::seconds(10) };
     /// Bound on the reports in flight: one that waits for orders and one that carries changes.
     uint32_t maximumReportsInFlight_ { 2 };
+    /// Bound on the announced workers that have not answered yet; the one heard of least recently is dropped first.
+    size_t maximumUnconfirmedWorkers_ { 16 };
     bool operator==(const SupervisorTuning&) const = default;
 };
 
@@ -80,6 +82,12 @@
     workflow::WorkerTraits traits_;
     Address address_;
     uint64_t lastHeartbeat_ { 0 };
+    Instant lastHeardAt_;
+    /// When the worker first answered a list request as this incarnation; empty before. Any process can send a heartbeat, only the
+    /// worker can answer.
+    std::optional<Instant> answeredAt_;
+    /// The worker has answered, and no other one is left that it excludes. Others are not reported to the leader and get no lease.
+    bool isConfirmed_ { false };
     bool draining_ { false };
     Instant leavesAt_;
     /// When the last notice that a worker of this name leaves arrived; empty if none has.
@@ -162,6 +170,8 @@
     std::map<workflow::RunKey, workflow::RunTraits> traits_;
     /// The leader's interference estimates for the images on this host.
     workflow::Interference interference_;
+    /// The services that the leader knows; empty if it has not stated them.
+    std::set<std::string> services_;
     uint32_t reportsInFlight_ { 0 };
     /// The state has changed since the last report was sent.
     bool hasChanges_ { true };
--- a/supervision/src/decisions/LocalWorkers.cpp
+++ b/supervision/src/decisions/LocalWorkers.cpp
@@ -38,8 +38,11 @@
         context.state_.pendingStops_.erase(number);
         completeOrder(context, number);
     }
-    context.state_.endedWorkers_[incarnation] = context.now_;
-    context.state_.hasChanges_ = true;
+    // An unconfirmed worker may hold leases of an earlier process of the agent; only their expiry ends it for the leader.
+    if (removed.mapped().isConfirmed_ || end == WorkerEnd::LeasesExpired) {
+        context.state_.endedWorkers_[incarnation] = context.now_;
+        context.state_.hasChanges_ = true;
+    }
     context.addAction(RemoveWorker { incarnation });
     context.logEvent("worker.gone", describe(incarnation), std::string(reason));
 }
@@ -80,52 +83,6 @@
     context.addAction(CallList { incarnation, { context.state_.fence_, worker.durableEnd_, grantLease(context, worker), wait } });
 }
 
-// Bound on the end of all leases that a worker may hold when it is first seen. If another incarnation has answered this
-// process of the agent at the same address, the worker was born after that, so that no earlier process has granted it a
-// lease. Times of birth are not compared with the agent's start, as the time of day may step.
-static Instant boundOnLeases(const DecisionContext& context, const workflow::Heartbeat& heartbeat)
-{
-    auto first = context.state_.firstAnswers_.find(heartbeat.address_);
-    bool isBornUnderThisAgent = first != context.state_.firstAnswers_.end() && first->second != heartbeat.incarnation_;
-    return isBornUnderThisAgent ? context.state_.leaseHorizon_ : context.now_ + context.state_.tuning_.longestLease_;
-}
-
-void handleHeartbeat(const DecisionContext& context, const workflow::Heartbeat& heartbeat)
-{
-    std::vector<WorkerIncarnation> replaced;
-    for (const auto& [incarnation, worker] : context.state_.workers_) {
-        bool hasSameAddress = worker.address_ == heartbeat.address_;
-        if (incarnation.succeeds(heartbeat.incarnation_) || (hasSameAddress && incarnation.bornMs_ > heartbeat.incarnation_.bornMs_))
-            return;
-        if (heartbeat.incarnation_.succeeds(incarnation) || (hasSameAddress && incarnation.bornMs_ < heartbeat.incarnation_.bornMs_))
-            replaced.push_back(incarnation);
-    }
-    for (const WorkerIncarnation& incarnation : replaced)
-        removeWorker(context, incarnation, WorkerEnd::Replaced, concat("replaced by ", describe(heartbeat.incarnation_)));
-    if (context.state_.endedWorkers_.count(heartbeat.incarnation_) > 0 && context.state_.workers_.count(heartbeat.incarnation_) == 0 && heartbeat.draining_)
-        return;
-    auto [found, isNew] = context.state_.workers_.try_emplace(heartbeat.incarnation_);
-    LocalWorker& worker = found->second;
-    if (!isNew && heartbeat.sequence_ <= worker.lastHeartbeat_)
-        return;
-    if (isNew) {
-        worker.address_ = heartbeat.address_;
-        worker.leaseEnd_ = boundOnLeases(context, heartbeat);
-        context.state_.endedWorkers_.erase(heartbeat.incarnation_);
-        context.addAction(AddWorker { heartbeat.incarnation_, heartbeat.address_ });
-        context.logEvent("worker.seen", describe(heartbeat.incarnation_), concat("address ", heartbeat.address_.text(), ", service ", heartbeat.traits_.service_));
-    }
-    bool changed = isNew || worker.draining_ != heartbeat.draining_ || !(worker.traits_ == heartbeat.traits_);
-    if (heartbeat.draining_ && !worker.draining_)
-        context.logEvent("worker.draining", describe(heartbeat.incarnation_), concat(heartbeat.remainingMs_, " ms left"));
-    worker.lastHeartbeat_ = heartbeat.sequence_;
-    worker.traits_ = heartbeat.traits_;
-    worker.draining_ = heartbeat.draining_;
-    worker.leavesAt_ = context.now_ + std::chrono::milliseconds(heartbeat.remainingMs_);
-    context.state_.hasChanges_ = context.state_.hasChanges_ || changed;
-    requestLists(context, heartbeat.incarnation_, worker);
-}
-
 // The notice may concern an earlier incarnation, so the worker is removed only once its host refuses connections.
 void handleLeaving(const DecisionContext& context, const workflow::Leaving& message)
 {
@@ -175,13 +132,13 @@
     worker.isListed_ = true;
     if (lastEnd(worker.ended_) > worker.durableEnd_)
         worker.nextListAt_ = context.now_ + context.state_.tuning_.listInterval_;
-    context.state_.hasChanges_ = context.state_.hasChanges_ || changed;
+    context.state_.hasChanges_ = context.state_.hasChanges_ || (changed && worker.isConfirmed_);
 }
 
 // The leader places runs by what the last report says, so that a change is reported at once.
 static void setReachable(const DecisionContext& context, LocalWorker& worker, bool isReachable)
 {
-    context.state_.hasChanges_ = context.state_.hasChanges_ || worker.isReachable_ != isReachable;
+    context.state_.hasChanges_ = context.state_.hasChanges_ || (worker.isConfirmed_ && worker.isReachable_ != isReachable);
     worker.isReachable_ = isReachable;
 }
 
@@ -197,6 +154,7 @@
     worker.isListCallInFlight_ = false;
     if (lists.bornMs_ != 0)
         context.state_.firstAnswers_.try_emplace(worker.address_, message.worker_);
+    noteAnswer(context, message, worker);
     if (!worker.isReachable_)
         context.logEvent("worker.reached", describe(message.worker_), concat(lists.active_.size(), " runs"));
     setReachable(context, worker, true);
@@ -232,6 +190,7 @@
         removeWorker(context, failure.worker_, WorkerEnd::Replaced, "another worker answers at its address");
     else if (failure.isRefused_ && isLeaving)
         removeWorker(context, failure.worker_, WorkerEnd::Left, "the worker announced that it leaves, and its host refuses connections");
+    confirmSuccessorsOf(context, failure.worker_);
 }
 
 void dropExpiredWorkers(const DecisionContext& context)
--- a/supervision/src/decisions/Reporting.cpp
+++ b/supervision/src/decisions/Reporting.cpp
@@ -50,6 +50,8 @@
     ++state.reportsInFlight_;
     workflow::AgentReport report { state.name_, state.domain_, state.session_, state.epoch_, state.fence_, state.sequence_, state.lastCompletedOrder_, {}, {}, true, {}, completedOrdersOf(state) };
     for (auto& [incarnation, worker] : state.workers_) {
+        if (!worker.isConfirmed_)
+            continue;
         report.workers_.push_back(reportOf(state, incarnation, worker, context.now_));
         if (worker.firstReport_ == Sequence())
             worker.firstReport_ = state.sequence_;
--- a/supervision/src/decisions/Supervisor.cpp
+++ b/supervision/src/decisions/Supervisor.cpp
@@ -125,6 +125,7 @@
         requestLists(context, durable.worker_, worker->second);
     }
     context.state_.interference_ = reply.interference_;
+    context.state_.services_ = reply.services_;
     context.state_.traits_.clear();
     for (const workflow::RunTraits& traits : reply.traits_)
         context.state_.traits_[traits.run_] = traits;
--- a/supervision/src/decisions/SupervisorRules.h
+++ b/supervision/src/decisions/SupervisorRules.h
@@ -54,6 +54,10 @@
 void requestLists(const DecisionContext&, const workflow::WorkerIncarnation&, LocalWorker&);
 
 void handleHeartbeat(const DecisionContext&, const workflow::Heartbeat&);
+// Confirms the worker that has answered, if nothing speaks against it, or drops the announced workers that it refutes.
+void noteAnswer(const DecisionContext&, const ListArrived&, LocalWorker&);
+// Confirms the workers that have answered and exclude one that has become silent or was removed.
+void confirmSuccessorsOf(const DecisionContext&, const workflow::WorkerIncarnation& silent);
 void handleLeaving(const DecisionContext&, const workflow::Leaving&);
 void handleListArrived(const DecisionContext&, const ListArrived&);
 void handleListFailed(const DecisionContext&, const ListFailed&);
--- a/supervision/tests/AgentWorld.h
+++ b/supervision/tests/AgentWorld.h
@@ -69,6 +69,13 @@
         handle(ListArrived { incarnation, state_.fence_, at(milliseconds), { milliseconds, incarnation.bornMs_, std::move(active), std::move(ended) } }, milliseconds);
     }
 
+    // Announces a later incarnation, which answers at the worker's address.
+    void replaceWorker(int64_t milliseconds, const WorkerIncarnation& later)
+    {
+        sendHeartbeat(milliseconds, false, later);
+        handle(ListArrived { later, state_.fence_, at(milliseconds), { milliseconds, later.bornMs_, {}, {} } }, milliseconds);
+    }
+
     // Announces that the worker leaves, after which its host refuses connections.
     void leave(int64_t milliseconds)
     {
--- a/workflow/include/persimmondoor/workflow/Catalog.h
+++ b/workflow/include/persimmondoor/workflow/Catalog.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +55,8 @@
     const Queue* find(std::string_view host, std::string_view path) const;
     /// \return the queue with exactly this host and prefix, or null.
     const Queue* findExact(std::string_view host, std::string_view prefix) const;
+    /// \return the names of the services that have a policy or run the tasks of a queue.
+    std::set<std::string> serviceNames() const;
     bool operator==(const Catalog&) const = default;
 };
 
--- a/workflow/include/persimmondoor/workflow/Exchange.h
+++ b/workflow/include/persimmondoor/workflow/Exchange.h
@@ -166,6 +166,9 @@
     std::vector<RunTraits> traits_;
     /// Interference estimates for the images on the agent's workers.
     Interference interference_;
+    /// Names of the services that the configuration contains. Empty without a configuration; leaders of an earlier version state
+    /// none.
+    std::set<std::string> services_ {};
     bool operator==(const ReportReply&) const = default;
 };
 
--- a/workflow/schema/Workflow.capnp
+++ b/workflow/schema/Workflow.capnp
@@ -123,6 +123,8 @@
   durable @5 :List(DurableEnd);
   traits @6 :List(RunTraits);
   sensitivities @7 :List(Sensitivity);
+  # Names of the services that the configuration contains.
+  services @8 :List(Text);
 }
 
 struct ClientCall {
--- a/workflow/src/ExchangeCodec.cpp
+++ b/workflow/src/ExchangeCodec.cpp
@@ -295,6 +295,10 @@
         traits[index].setImage(toWire(reply.traits_[index].image_));
     }
     encode(reply.interference_, builder);
+    auto services = builder.initServices(static_cast<unsigned>(reply.services_.size()));
+    unsigned service = 0;
+    for (const std::string& name : reply.services_)
+        services.set(service++, toWire(name));
 }
 
 absl::StatusOr<ReportReply> decode(wire::Directive::Reader reader)
@@ -315,6 +319,8 @@
         reply.traits_.push_back({ *std::move(run), traits.getFills(), traits.getTargetTailMs(), fromWire(traits.getImage()), traits.getMilliCores() });
     }
     reply.interference_ = decodeInterference(reader);
+    for (auto service : reader.getServices())
+        reply.services_.insert(fromWire(service));
     return reply;
 }
 
--- a/workflow/src/decisions/Catalog.cpp
+++ b/workflow/src/decisions/Catalog.cpp
@@ -22,4 +22,14 @@
     return nullptr;
 }
 
+std::set<std::string> Catalog::serviceNames() const
+{
+    std::set<std::string> names;
+    for (const ServicePolicy& service : services_)
+        names.insert(service.name_);
+    for (const Queue& queue : queues_)
+        names.insert(queue.service_);
+    return names;
+}
+
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -306,6 +306,7 @@
     Agent& agent = state.agents_.at(name);
     ReportReply reply { state.epoch_, agent.fence_, agent.newestReport_, Duration(0), {}, {}, {}, {} };
     reply.lease_ = grantableLease(state, agent, now);
+    reply.services_ = state.catalog_.serviceNames();
     bool resend = isResendDue(state, agent, now);
     for (const Order& order : agent.pendingOrders_) {
         if (resend || numberOf(order) > agent.lastSentOrder_)
--- a/workflow/tests/ClientCallTest.cpp
+++ b/workflow/tests/ClientCallTest.cpp
@@ -32,6 +32,20 @@
     }
 }
 
+// Guards against an agent that takes the heartbeats of other systems for those of workers, as it does not learn the services.
+BOOST_AUTO_TEST_CASE(services_survive_the_encoding_of_a_reply)
+{
+    LeaderWorld world;
+    world.report("w-1", 10);
+    ReportReply reply = makeReportReply(world.state_, "w-1", at(20));
+    BOOST_TEST((reply.services_ == std::set<std::string> { "packs" }));
+    capnp::MallocMessageBuilder message;
+    encode(reply, message.initRoot<wire::Directive>());
+    auto decoded = decode(message.getRoot<wire::Directive>().asReader());
+    BOOST_REQUIRE(decoded.ok());
+    BOOST_TEST((*decoded == reply));
+}
+
 // Guards against an answer that is not recognised as one that denies an effect which an earlier attempt may have.
 BOOST_AUTO_TEST_CASE(denials_are_told_from_other_answers)
 {
