Cancellations of unknown jobs are stored before they are acknowledged

Cause: the leader answered a cancellation of an id that it did not know and forgot it, so that the submission, still on its way, was taken as new.

Change: such a cancellation is written to the table `cancelled` and answered once the write is durable; a submission of the job is refused for as long as finished jobs are kept, by successors too. At most 8000 are kept, beyond which cancellations of unknown jobs are refused.

--- a/scheduler/src/LeaderRow.cpp
+++ b/scheduler/src/LeaderRow.cpp
@@ -51,4 +51,9 @@
     return concat(progressTable, "/", job.value());
 }
 
+std::string cancellationRow(const JobId& job)
+{
+    return concat(cancellationTable, "/", job.value());
+}
+
 } // namespace persimmondoor::scheduler
--- a/scheduler/src/LeaderRow.h
+++ b/scheduler/src/LeaderRow.h
@@ -19,6 +19,8 @@
 inline constexpr std::string_view estimatesRow = "learnt/interference";
 inline constexpr std::string_view recordTable = "jobs";
 inline constexpr std::string_view progressTable = "progress";
+// The cancellations that have arrived before the submission of their job; rows without a value.
+inline constexpr std::string_view cancellationTable = "cancelled";
 
 struct LeaderClaim {
     workflow::LeaderEpoch epoch_;
@@ -35,5 +37,6 @@
 
 std::string recordRow(const JobId&);
 std::string progressRow(const JobId&);
+std::string cancellationRow(const JobId&);
 
 } // namespace persimmondoor::scheduler
--- a/scheduler/src/Leading.cpp
+++ b/scheduler/src/Leading.cpp
@@ -70,6 +70,7 @@
     workflow::LeaseBounds bounds = restoreLeaseBounds(options_.tuning_, message.rows_->chain_, message.rows_->silentWorkers_, message.rows_->clock_, role->claimWonAt_);
     leading.leaderState_ = workflow::restoreState(message.epoch_, options_.tuning_, std::move(message.rows_->jobs_), bounds, time(), &watch_.trace());
     leading.leaderState_.unreadableJobs_ = std::move(message.rows_->unreadableJobs_);
+    workflow::restoreEarlyCancellations(leading.leaderState_, message.rows_->earlyCancellations_, time());
     leading.leaderState_.interference_ = std::move(message.rows_->interference_);
     leading.leaderState_.lastDurableWriteAt_ = role->claimWonAt_;
     logInfo("queues.loaded", { { "epoch", std::to_string(message.epoch_.value()) }, { "jobs", std::to_string(jobs) }, { "open", std::to_string(leading.leaderState_.openJobs_.size()) }, { "unreadable", std::to_string(leading.leaderState_.unreadableJobs_.size()) }, { "took_ms", std::to_string((time() - role->claimWonAt_).count() / 1000) } });
@@ -219,12 +220,20 @@
     }
     for (const workflow::Batch::Item& item : batch.items_) {
         auto progress = workflow::progressOf(role.leaderState_, item.job_);
+        const workflow::StagedJob& staged = item.staged_;
+        if (staged.writesCancellation_ && role.leaderState_.earlyCancellations_.count(item.job_) > 0)
+            transaction.writes_.emplace_back(store::Put { cancellationRow(item.job_), "" });
+        else if (staged.writesCancellation_)
+            transaction.writes_.emplace_back(store::Erase { cancellationRow(item.job_) });
+        bool hasJobRows = progress || staged.isRemoved_ || staged.writesRecord_ || !staged.writesCancellation_;
+        if (!hasJobRows)
+            continue;
         if (!progress) {
             transaction.writes_.emplace_back(store::Erase { recordRow(item.job_) });
             transaction.writes_.emplace_back(store::Erase { progressRow(item.job_) });
             continue;
         }
-        if (item.staged_.writesRecord_)
+        if (staged.writesRecord_)
             transaction.writes_.emplace_back(store::Put { recordRow(item.job_), workflow::encodeRecord(role.leaderState_.jobs_.at(item.job_).record_) });
         transaction.writes_.emplace_back(store::Put { progressRow(item.job_), workflow::encodeProgressWithin(workflow::maximumRowBytes, *progress) });
     }
--- a/scheduler/src/QueueRows.cpp
+++ b/scheduler/src/QueueRows.cpp
@@ -71,6 +71,18 @@
         leaveOut(*row, progressTable, std::nullopt, "the job has no record", loaded);
 }
 
+static std::vector<JobId> cancelledJobsOf(const std::vector<store::Row>& rows)
+{
+    std::vector<JobId> ids;
+    for (const store::Row& row : rows) {
+        if (auto id = JobId::create(std::string(keyOf(row, cancellationTable))); id.ok())
+            ids.push_back(*std::move(id));
+        else
+            logError("cancellation.unreadable", { { "row", row.key_ }, { "reason", std::string(id.status().message()) } });
+    }
+    return ids;
+}
+
 // The predecessor's interference estimates; none if the row is absent or unreadable, as the queues work without them.
 static workflow::Interference decodeEstimates(const absl::StatusOr<store::Row>& row)
 {
@@ -105,6 +117,10 @@
     auto progress = co_await rows.readTable(std::string(progressTable), queueReadTimeout);
     if (!progress.ok())
         co_return progress.status();
+    auto cancellations = co_await rows.readTable(std::string(cancellationTable), queueReadTimeout);
+    if (!cancellations.ok())
+        co_return cancellations.status();
+    loaded.earlyCancellations_ = cancelledJobsOf(cancellations->rows_);
     Instant sentAt = now(SteadyClock());
     auto operators = co_await rows.readTable(std::string(platform::operatorTable), queueReadTimeout);
     if (!operators.ok())
--- a/scheduler/src/QueueRows.h
+++ b/scheduler/src/QueueRows.h
@@ -21,6 +21,7 @@
     std::set<JobId> hungJobs_;
     // Jobs that cannot be led, as they are among those or a row of theirs cannot be read.
     std::map<JobId, workflow::UnreadableJob> unreadableJobs_;
+    std::vector<JobId> earlyCancellations_;
     store::RowVersion chainVersion_;
     // Values of the rows that state the bounds on task leases; empty if a row is absent.
     std::string chain_;
--- a/workflow/include/persimmondoor/workflow/JobState.h
+++ b/workflow/include/persimmondoor/workflow/JobState.h
@@ -104,6 +104,16 @@
     bool operator==(const Job&) const = default;
 };
 
+/// A cancellation of a job that was not known when it arrived. The job's submission may still be on its way, held up by a frozen
+/// process or a partition, and is refused when it arrives.
+struct EarlyCancellation {
+    /// The cancellation is stored, so that it can be acknowledged and outlives this leader.
+    bool isDurable_ { false };
+    /// Submissions that arrive later are taken as new.
+    Instant keptUntil_;
+    auto operator<=>(const EarlyCancellation&) const = default;
+};
+
 /// A job with a row that cannot be read. The leader neither starts nor stops its runs and does not write its rows.
 struct UnreadableJob {
     /// The specification; empty if the record cannot be read.
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -26,6 +26,7 @@
 #include "persimmondoor/workflow/WorkerLoss.h"
 #include "persimmondoor/workflow/WorkerState.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -43,6 +44,9 @@
     std::set<std::string> evacuatedDomains_;
     std::map<JobId, Job> jobs_;
     std::map<JobId, UnreadableJob> unreadableJobs_;
+    std::map<JobId, EarlyCancellation> earlyCancellations_;
+    /// The early cancellations in the order in which they expire.
+    std::deque<JobId> earlyCancellationOrder_;
     /// Unfinished jobs.
     std::set<JobId> openJobs_;
     /// Jobs that may have a task to start.
@@ -134,6 +138,9 @@
 /// \param trace is told of the jobs in turn; null for none.
 LeaderState restoreState(LeaderEpoch, Tuning, std::vector<StoredJob>, const LeaseBounds&, Instant now, DecisionTrace* trace = nullptr);
 
+/// Adds the early cancellations that the predecessor has stored, each for its whole time.
+void restoreEarlyCancellations(LeaderState&, const std::vector<JobId>&, Instant now);
+
 /// Handles one message.
 /// \return the new state and the actions to carry out.
 /// \param trace is told of the jobs that the decision is concerned with; null for none.
--- a/workflow/include/persimmondoor/workflow/Staging.h
+++ b/workflow/include/persimmondoor/workflow/Staging.h
@@ -47,6 +47,8 @@
     bool mayBeStored_ { false };
     /// The job's rows are to be deleted.
     bool isRemoved_ { false };
+    /// The row of its early cancellation is to be written, or deleted once the cancellation is no longer kept.
+    bool writesCancellation_ { false };
     std::vector<Effect> effects_;
     bool operator==(const StagedJob&) const = default;
 };
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -162,6 +162,9 @@
     Duration longestIsolationWait_ { std::chrono::milliseconds(5000) };
     /// Finished jobs are kept for at least this long; the settings state how long clients may query them.
     Duration finishedJobRetention_ { std::chrono::seconds(120) };
+    /// Bound on the early cancellations, beyond which new ones are refused. They are kept for as long as finished jobs, since a late
+    /// submission of either must not run.
+    size_t maximumEarlyCancellations_ { 8000 };
     /// Bound on the unfinished jobs, beyond which new ones are refused; keeps an entry within its 160 MB of memory.
     size_t maximumOpenJobs_ { 8000 };
     /// Time after which a client should retry a call about a job that cannot be read, until an operator has mended its row.
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -45,6 +45,8 @@
     auto known = context.state_.jobs_.find(id);
     if (known != context.state_.jobs_.end())
         return answerRepeatedSubmission(context, message.token_, known->second);
+    if (std::optional<NotAccepted> refusal = refuseCancelledJob(context, id))
+        return context.addAction(AnswerClient { message.token_, *std::move(refusal) });
     if (context.state_.openJobs_.size() >= context.state_.tuning_.maximumOpenJobs_) {
         context.logEvent("job.refused", id.value(), concat(context.state_.openJobs_.size(), " unfinished jobs reach the bound"));
         return context.addAction(AnswerClient { message.token_, NotAccepted { "too many unfinished jobs", context.state_.tuning_.retryAfter_ } });
@@ -143,7 +145,7 @@
 {
     auto found = context.state_.jobs_.find(id);
     if (found == context.state_.jobs_.end())
-        return context.addAction(AnswerClient { token, NoSuchJob {} });
+        return cancelUnknownJob(context, token, id);
     Job& job = found->second;
     JobPhase phase = phaseOf(job);
     if (phase == JobPhase::Pending || phase == JobPhase::Running) {
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -142,6 +142,7 @@
     moveSlowedRuns(context);
     moveRunsFromSlowWorkers(context);
     removeExpiredJobs(context);
+    removeExpiredCancellations(context);
     updateUrgentRoom(context);
     updateRoomHolds(context);
     startReadyTasks(context);
@@ -240,6 +241,7 @@
         std::erase(state.stagedOrder_, item.job_);
         item.staged_.writesRecord_ = item.staged_.writesRecord_ || newer->second.writesRecord_;
         item.staged_.isRemoved_ = item.staged_.isRemoved_ || newer->second.isRemoved_;
+        item.staged_.writesCancellation_ = item.staged_.writesCancellation_ || newer->second.writesCancellation_;
         std::move(newer->second.effects_.begin(), newer->second.effects_.end(), std::back_inserter(item.staged_.effects_));
         newer->second = std::move(item.staged_);
     }
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -135,6 +135,13 @@
 // True if the agent of the silent worker that had the task's last run is back and has not listed that worker yet: the run may
 // have ended as done before the worker's leases expired.
 bool mayHaveEnded(const LeaderState&, const Task&, Instant now);
+// Stores the cancellation of a job that is not known and acknowledges it then: the submission of the job may be on its way.
+void cancelUnknownJob(const DecisionContext&, CallToken, const JobId&);
+// Returns the answer to a submission whose cancellation has arrived before it; nothing if there is none.
+std::optional<NotAccepted> refuseCancelledJob(const DecisionContext&, const JobId&);
+// Notes that the early cancellation of the job, if there is one, is stored.
+void noteDurableCancellation(LeaderState&, const JobId&);
+void removeExpiredCancellations(const DecisionContext&);
 // Fails the job and stops its tasks.
 void failJob(const DecisionContext&, Job&, std::string why);
 
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -377,6 +377,8 @@
         auto job = context.state_.jobs_.find(item.job_);
         if (job != context.state_.jobs_.end())
             job->second.durablePhase_ = item.phase_;
+        if (item.staged_.writesCancellation_)
+            noteDurableCancellation(context.state_, item.job_);
         for (const Effect& effect : item.staged_.effects_)
             std::visit(EffectVisitor { context }, effect);
     }
