A leader that has not written lately denies no job and no queue

Cause: the age of the operators' view was counted from when its answer was handled, so that an answer that had waited in the socket during a freeze counted as fresh; and these rows do not name the leader. Evidence: without the new condition `deposed_leader/job_is_not_denied_by_a_leader_that_has_not_written_lately` fails.

Change: such a denial needs a durable write of this leader that was sent within the last 1.4 s.

--- a/scheduler/src/SchedulerActor.cpp
+++ b/scheduler/src/SchedulerActor.cpp
@@ -24,6 +24,8 @@
 // The feed of the operators' table returns at least every 900 ms, also without changes; changes must be in force within
 // 2 s.
 static constexpr Duration maximumOperatorViewAge = std::chrono::milliseconds(1400);
+// Leaders write at least twice a second; a slow store takes up to 0.6 s for a write.
+static constexpr Duration maximumWriteAge = std::chrono::milliseconds(1400);
 static constexpr Duration retryAfter = std::chrono::milliseconds(1000);
 
 Scheduler::Scheduler(const asio::any_io_executor& executor, SchedulerOptions options)
@@ -138,9 +140,10 @@
             logInfo("call.expired", { { "path", message.call_.path_ }, { "call_epoch", std::to_string(expiry.epoch_.value()) }, { "epoch", std::to_string(role->claim_.epoch_.value()) }, { "late_ms", lateness } });
             return message.reply_.send(workflow::NotLeader { "the call has expired on its way" });
         }
-        // If the store has not confirmed the operators' view lately, another entry may have taken over and the operators may
-        // have changed the queues, so a queue or job that is unknown here may exist.
-        bool mayBeOutdated = time() - role->operatorsConfirmedAt_ > maximumOperatorViewAge;
+        // If the store has not confirmed the operators' view and a write of this leader lately, another entry may have taken over and
+        // the operators may have changed the queues, so a queue or job that is unknown here may exist. The age of a view is that of
+        // its arrival, which tells nothing if this process was suspended before it read the answer.
+        bool mayBeOutdated = time() - role->operatorsConfirmedAt_ > maximumOperatorViewAge || time() - role->lastWriteSentAt_ > maximumWriteAge;
         if (mayBeOutdated && !workflow::concernsKnownJob(role->leaderState_, message.call_)) {
             // A job that cannot be stored is refused at once, so that its client is told when to come back.
             if (std::holds_alternative<workflow::Submit>(message.call_.verb_) && workflow::isStoreUnavailable(role->leaderState_, time()))
--- a/scheduler/tests/DeposedLeaderTest.cpp
+++ b/scheduler/tests/DeposedLeaderTest.cpp
@@ -84,6 +84,21 @@
     }(world));
 }
 
+// Guards against a job that is said not to exist by a leader which could not write for long, though it reads the operators' rows.
+BOOST_AUTO_TEST_CASE(job_is_not_denied_by_a_leader_that_has_not_written_lately)
+{
+    SchedulerWorld world(1);
+    world.run([](SchedulerWorld& world) -> asio::awaitable<void> {
+        co_await awaitLeader(world);
+        platform::StoreFaults faults;
+        faults.refusesWrites_ = true;
+        world.store().setFaults(faults);
+        co_await sleepFor(std::chrono::milliseconds(1800));
+        auto answer = co_await serveClient(world.entry(0), makeCall("00000000000000bb", workflow::GetStatus {}));
+        BOOST_TEST(!std::holds_alternative<workflow::NoSuchJob>(answer), workflow::describe(answer));
+    }(world));
+}
+
 // Guards against a late submission that a successor takes, although its predecessor has acknowledged the cancellation.
 BOOST_AUTO_TEST_CASE(successor_refuses_a_submission_whose_cancellation_was_acknowledged)
 {
