A round of placement is bounded, and gangs that do not fit cost little

Cause: each round assigned all members that fit and took them back one by one; taking one back stopped its gang, which took back all others in the same way, so that the work grew with the square of the members and was repeated in each round and by each successor.

Change: members are taken back once, in one pass; the room for a gang is counted first; the workers are scored once for all members. A round ends after 100,000 looks at workers and the next begins with the jobs that are left.

Without the count of room `gangs_that_do_not_fit_cost_one_look_at_each_worker` and `first_round_after_a_takeover_is_bounded_too` fail, without the bound `round_ends_at_its_bound_and_the_next_goes_on`, with the staged write left `gang_that_waits_leaves_nothing_behind`.

--- a/bench/leader/Fleet.cpp
+++ b/bench/leader/Fleet.cpp
@@ -65,6 +65,33 @@
     handle(CallArrived { CallToken(jobs_), { "h.example", "/q/" + id, Submit { *JobSpec::create("spec", { std::move(step) }, {}) }, std::chrono::seconds(3) }, 1'000'000 });
 }
 
+void Fleet::submitWeightless(uint32_t tasks)
+{
+    Step step;
+    step.count_ = tasks;
+    step.estimate_ = std::chrono::seconds(5);
+    submit(std::move(step));
+}
+
+void Fleet::cancelLast()
+{
+    handle(CallArrived { CallToken(jobs_ + 1), { "h.example", "/q/" + jobName(jobs_), Cancel {}, std::chrono::seconds(3) }, 1'000'000 });
+}
+
+void Fleet::takeOver()
+{
+    std::vector<StoredJob> rows;
+    for (const auto& [id, job] : state_.jobs_)
+        rows.push_back({ job.record_, *progressOf(state_, id) });
+    Catalog catalog = state_.catalog_;
+    state_ = restoreState(state_.epoch_.next(), {}, std::move(rows), {}, now_);
+    state_.lastDurableWriteAt_ = now_ + std::chrono::hours(1);
+    state_.leasesEndBy_ = now_ + std::chrono::hours(1);
+    handle(CatalogChanged { std::move(catalog) });
+    completed_.clear();
+    reportAll();
+}
+
 void Fleet::submitFilling(uint32_t tasks, int64_t milliCores, int64_t memoryBytes)
 {
     Step step;
--- a/bench/leader/Fleet.h
+++ b/bench/leader/Fleet.h
@@ -10,6 +10,18 @@
 public:
     explicit Fleet(uint32_t workers);
 
+    // Submits a job of this step.
+    void submit(Step);
+    // Submits a job of tasks that demand nothing, so that any number of them has room on a worker.
+    void submitWeightless(uint32_t tasks);
+    // Cancels the job that was submitted last.
+    void cancelLast();
+    // The store fails from now on.
+    void failStore() { handle(StoreFailed {}); }
+    // A successor restores the state from the rows of this leader, and all agents report to it.
+    void takeOver();
+    // How often the last round of placement has looked at a worker.
+    uint64_t placementVisits() const { return state_.lastPlacementVisits_; }
     // Submits a job of one step.
     void submitFilling(uint32_t tasks, int64_t milliCores, int64_t memoryBytes = 13'000'000'000);
     // Submits a job of short tasks with data on a rack.
@@ -45,7 +57,6 @@
 
 private:
     void handle(LeaderMessage);
-    void submit(Step);
     // The agent's worker starts or stops the run of the order.
     void takeOrder(const std::string& agent, const Order&);
 
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -79,6 +79,10 @@
     bool hasNewlyReadyJobs_ { false };
     /// When ready jobs were last placed.
     Instant lastPlacementAt_;
+    /// How often the last round of placement has looked at a worker.
+    uint64_t lastPlacementVisits_ { 0 };
+    /// The job with which the next round of placement begins, as the last one has reached its bound; empty otherwise.
+    std::optional<JobId> placementResumesFrom_;
     /// When the periodic checks (`Tuning::checkInterval_`) are due next.
     Instant nextCheckAt_;
     /// When the backlog is logged next, if there is one.
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -90,6 +90,10 @@
     /// jobs and all workers, and under a backlog the order of the jobs matters more than milliseconds.
     size_t backlogThreshold_ { 20 };
     Duration placementInterval_ { std::chrono::milliseconds(20) };
+    /// Bound on the workers that one round looks at, beyond those of one job; the jobs that are left come first in the next round,
+    /// which is due after the second time. The leader answers other messages meanwhile.
+    uint64_t maximumPlacementVisits_ { 100'000 };
+    Duration cutPlacementInterval_ { std::chrono::milliseconds(120) };
     /// Without a backlog, jobs that found no worker are tried again at most once in this time.
     Duration retryPlacementInterval_ { std::chrono::milliseconds(5) };
     /// Interval of the checks for a failed store, expired leases, hung runs, slowed filling tasks and expired jobs. A tenth
--- a/workflow/src/decisions/GangStarts.cpp
+++ b/workflow/src/decisions/GangStarts.cpp
@@ -1,34 +1,47 @@
+#include "GangSearch.h"
 #include "Starts.h"
 
 #include <algorithm>
 
 namespace persimmondoor::workflow {
 
+// Withdraws the first members of the gang, which were assigned in this decision, and what was staged for them.
+static void withdrawMembers(const DecisionContext& context, Job& job, const TaskKey& first, uint32_t count, std::optional<StagedJob> before)
+{
+    for (uint32_t index = 0; index < count; ++index) {
+        TaskKey key { first.job_, first.occurrence_, first.step_, index };
+        releaseTask(context, job, key, job.tasks_[taskNumber(job, key)]);
+    }
+    LeaderState& state = context.state_;
+    if (before) {
+        state.staged_[first.job_] = *std::move(before);
+    } else if (state.staged_.erase(first.job_) > 0) {
+        std::erase(state.stagedOrder_, first.job_);
+    }
+}
+
 // Assigns all members of the gang or none.
 // \param rack the only rack that may be used; empty for any.
 // \return false if there is no room for all.
 static bool placeGang(const DecisionContext& context, Job& job, const TaskKey& first, uint32_t run, const std::string& rack, PlacementRound& round)
 {
     const Step& step = stepOf(job, first);
-    Disturbance disturbance = round.disturbanceOf(job);
-    StagedJob before = stage(context.state_, job.record_.id_);
+    if (round.roomForGang(job, first, rack) < step.count_)
+        return false;
+    auto staged = context.state_.staged_.find(first.job_);
+    std::optional<StagedJob> before = staged == context.state_.staged_.end() ? std::nullopt : std::optional(staged->second);
+    GangSearch search(round, job, round.disturbanceOf(job), rack);
     for (uint32_t index = 0; index < step.count_; ++index) {
         TaskKey key { first.job_, first.occurrence_, first.step_, index };
-        auto incarnation = round.chooseWorker(job, key, disturbance, rack);
-        if (incarnation) {
-            assign(context, job, key, *incarnation, run);
-            if (step.longRunning_)
-                round.refreshImages();
-            continue;
-        }
-        for (uint32_t placed = 0; placed < index; ++placed) {
-            TaskKey placedKey { first.job_, first.occurrence_, first.step_, placed };
-            unassign(context, job, placedKey, job.tasks_[taskNumber(job, placedKey)]);
+        auto incarnation = search.choose(key);
+        if (!incarnation) {
+            withdrawMembers(context, job, first, index, std::move(before));
+            round.refreshImages();
+            return false;
         }
-        round.refreshImages();
-        context.state_.staged_[job.record_.id_] = before;
-        return false;
+        assign(context, job, key, *incarnation, run);
     }
+    round.refreshImages();
     levelGang(job, first);
     return true;
 }
--- a/workflow/src/decisions/LeaderRules.h
+++ b/workflow/src/decisions/LeaderRules.h
@@ -78,7 +78,9 @@
 // Stops all assigned tasks of the job; starts that have not been released are withdrawn.
 void stopTasks(const DecisionContext&, Job&, std::string_view why);
 // Releases the task's resources on its worker, where its run has ended or never started, and makes the task wait again
-// unless it is done. Stops the other members of a gang.
+// unless it is done. The other members of a gang stay assigned.
+void releaseTask(const DecisionContext&, Job&, const TaskKey&, Task&);
+// Releases the task as above, and stops the other members of its gang.
 void unassign(const DecisionContext&, Job&, const TaskKey&, Task&);
 // Unassigns a task whose run is neither active on its worker nor reported as ended, so that the task is started again.
 void markRunLost(const DecisionContext&, Job&, const TaskKey&, Task&, std::string_view why);
--- a/workflow/src/decisions/PlacementRound.cpp
+++ b/workflow/src/decisions/PlacementRound.cpp
@@ -22,11 +22,15 @@
 
 void PlacementRound::refreshImages()
 {
-    for (Candidate& candidate : candidates_) {
-        candidate.images_.clear();
-        for (const auto& [image, count] : candidate.worker_->longRunningByImage_)
-            candidate.images_.push_back(positionOf(image));
-    }
+    for (Candidate& candidate : candidates_)
+        refreshImages(candidate);
+}
+
+void PlacementRound::refreshImages(Candidate& candidate)
+{
+    candidate.images_.clear();
+    for (const auto& [image, count] : candidate.worker_->longRunningByImage_)
+        candidate.images_.push_back(positionOf(image));
 }
 
 size_t PlacementRound::positionOf(const std::string& longRunningImage)
@@ -109,30 +113,42 @@
     return idle > state_.tuning_.ignoreInterferenceAfter_ ? Disturbance::Allowed : Disturbance::Avoided;
 }
 
-std::optional<WorkerIncarnation> PlacementRound::chooseWorker(const Job& job, const TaskKey& key, Disturbance disturbance, const std::string& rack)
+PlacementRound::Search PlacementRound::beginSearch(const Job& job, const TaskKey& key, Disturbance disturbance, const std::string& rack)
 {
-    const Candidate* best = nullptr;
-    int64_t bestScore = 0;
     const Step& step = stepOf(job, key);
     bool ignoresInterference = disturbance != Disturbance::Avoided || !step.isFilling_;
     // Filling tasks wait for a worker without interference if there is one, even if it has no free capacity now.
     bool mayCauseInterference = ignoresInterference || !hasHarmlessWorker(job, step);
-    const std::vector<bool>* disturbed = step.isFilling_ ? &disturbedBy(step.image_) : nullptr;
+    return { job, key, disturbance, rack, ignoresInterference, mayCauseInterference, step.isFilling_ ? &disturbedBy(step.image_) : nullptr };
+}
+
+int64_t PlacementRound::scoreAt(const Candidate& candidate, const Search& search)
+{
+    ++visits_;
+    const Worker& worker = *candidate.worker_;
+    if (!search.rack_.empty() && !hasLabel(worker, search.rack_))
+        return unsuitable;
+    bool isHarmlessHere = !search.disturbed_ || isHarmless(candidate, *search.disturbed_);
+    if (!isHarmlessHere && !search.mayCauseInterference_)
+        return unsuitable;
+    const Job& job = search.job_;
+    const Step& step = stepOf(job, search.key_);
+    if (taskObstacle(job, search.key_, worker, search.disturbance_, now_) != WorkerObstacle::None || mustBeIsolated(state_, job, search.key_, worker, now_) || !hasUnclaimedRoom(candidate, search.key_, step))
+        return unsuitable;
+    if (!isHarmlessHere && !search.ignoresInterference_ && paceAt(state_, step, worker) < minimumPace)
+        return unsuitable;
+    int64_t score = scoreOf(state_, job, search.key_, *candidate.incarnation_, worker, isHarmlessHere) - (candidate.isQuarantined_ ? quarantineWeight : 0) - (candidate.isLastChoice_ ? lastChoiceWeight : 0);
+    return step.longRunning_ ? score : score + candidate.speedScore_;
+}
+
+std::optional<WorkerIncarnation> PlacementRound::chooseWorker(const Job& job, const TaskKey& key, Disturbance disturbance, const std::string& rack)
+{
+    const Candidate* best = nullptr;
+    int64_t bestScore = unsuitable;
+    const Search search = beginSearch(job, key, disturbance, rack);
     for (const Candidate& candidate : candidates_) {
-        const Worker& worker = *candidate.worker_;
-        if (!rack.empty() && !hasLabel(worker, rack))
-            continue;
-        bool isHarmlessHere = !disturbed || isHarmless(candidate, *disturbed);
-        if (!isHarmlessHere && !mayCauseInterference)
-            continue;
-        if (taskObstacle(job, key, worker, disturbance, now_) != WorkerObstacle::None || mustBeIsolated(state_, job, key, worker, now_) || !hasUnclaimedRoom(candidate, key, step))
-            continue;
-        if (!isHarmlessHere && !ignoresInterference && paceAt(state_, step, worker) < minimumPace)
-            continue;
-        int64_t score = scoreOf(state_, job, key, *candidate.incarnation_, worker, isHarmlessHere) - (candidate.isQuarantined_ ? quarantineWeight : 0) - (candidate.isLastChoice_ ? lastChoiceWeight : 0);
-        if (!step.longRunning_)
-            score += candidate.speedScore_;
-        if (!best || score > bestScore) {
+        int64_t score = scoreAt(candidate, search);
+        if (score > bestScore) {
             best = &candidate;
             bestScore = score;
         }
@@ -140,4 +156,39 @@
     return best ? std::optional(*best->incarnation_) : std::nullopt;
 }
 
+static uint64_t timesThatFit(int64_t free, int64_t demand)
+{
+    return demand > 0 ? static_cast<uint64_t>(std::max<int64_t>(free, 0) / demand) : std::numeric_limits<uint64_t>::max();
+}
+
+// An upper bound on the tasks of the step that the worker can take, without regard to interference and held room.
+static uint64_t roomOn(const Worker& worker, const TaskKey& first, const Step& step)
+{
+    const Resources& capacity = worker.traits_.capacity_;
+    const Resources& demand = step.demand_;
+    if (isOvercommitted(worker) || !demand.fitsIn(capacity))
+        return 0;
+    // The cores of filling tasks are not counted against the capacity.
+    uint64_t room = step.isFilling_ ? std::numeric_limits<uint64_t>::max() : timesThatFit(freeMilliCores(worker), demand.milliCores());
+    room = std::min(room, timesThatFit(capacity.memoryBytes() - worker.reserved_.memoryBytes(), demand.memoryBytes()));
+    room = std::min(room, timesThatFit(capacity.accelerators() - worker.reserved_.accelerators(), demand.accelerators()));
+    return step.maxPerWorker_ == 0 ? room : std::min(room, static_cast<uint64_t>(std::max<int64_t>(0, int64_t(step.maxPerWorker_) - countSiblings(worker, first))));
+}
+
+uint64_t PlacementRound::roomForGang(const Job& job, const TaskKey& first, const std::string& rack)
+{
+    const Step& step = stepOf(job, first);
+    uint64_t room = 0;
+    for (const Candidate& candidate : candidates_) {
+        ++visits_;
+        const Worker& worker = *candidate.worker_;
+        bool isSuitable = worker.traits_.service_ == job.queue_.service_ && (rack.empty() || hasLabel(worker, rack)) && (step.requiredLabel_.empty() || hasLabel(worker, step.requiredLabel_));
+        if (isSuitable)
+            room += std::min<uint64_t>(roomOn(worker, first, step), step.count_ - room);
+        if (room == step.count_)
+            break;
+    }
+    return room;
+}
+
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/PlacementRound.h
+++ b/workflow/src/decisions/PlacementRound.h
@@ -8,6 +8,8 @@
 
 #include "LeaderRules.h"
 
+#include <limits>
+
 namespace persimmondoor::workflow {
 
 class PlacementRound {
@@ -18,6 +20,8 @@
     // The worker with the best score for the task, or nothing if the task has to wait.
     // \param rack the only rack that may be chosen; empty for any.
     std::optional<WorkerIncarnation> chooseWorker(const Job&, const TaskKey&, Disturbance, const std::string& rack = {});
+    // An upper bound on the members of the gang for which the workers have room together, at most as many as it has.
+    uint64_t roomForGang(const Job&, const TaskKey& first, const std::string& rack);
     // Makes later choices leave this room on the worker to a task that will be started there.
     void claim(const WorkerIncarnation&, const TaskKey&, const Resources& demand);
     // `Disturbance::Avoided` unless nothing of the job has run for long and no run of it may be at work.
@@ -30,8 +34,24 @@
     bool hasHarmlessWorker(const Job&, const Step&);
     // To be called after long-running tasks have been assigned to workers or removed from them.
     void refreshImages();
+    // The number of times that a worker has been looked at, which measures the cost of the round.
+    uint64_t visits() const { return visits_; }
 
 private:
+    friend class GangSearch;
+
+    // One search for a worker.
+    struct Search {
+        const Job& job_;
+        TaskKey key_;
+        Disturbance disturbance_ { Disturbance::Avoided };
+        const std::string& rack_;
+        bool ignoresInterference_ { false };
+        bool mayCauseInterference_ { false };
+        // For each long-running image of the round, whether the task disturbs it; null if it disturbs none.
+        const std::vector<bool>* disturbed_ { nullptr };
+    };
+
     struct Candidate {
         const WorkerIncarnation* incarnation_ { nullptr };
         const Worker* worker_ { nullptr };
@@ -47,6 +67,12 @@
         std::vector<TaskKey> claimants_;
     };
 
+    // The score of a worker that must not be chosen.
+    static constexpr int64_t unsuitable = std::numeric_limits<int64_t>::min();
+
+    Search beginSearch(const Job&, const TaskKey&, Disturbance, const std::string& rack);
+    int64_t scoreAt(const Candidate&, const Search&);
+    void refreshImages(Candidate&);
     size_t positionOf(const std::string& longRunningImage);
     // For each long-running image of the round, whether the filling image disturbs it.
     const std::vector<bool>& disturbedBy(const std::string& fillingImage);
@@ -60,6 +86,7 @@
     std::map<std::string, size_t> longRunningImages_;
     std::map<std::string, std::vector<bool>> disturbedByFilling_;
     std::map<std::string, bool> mostlyFreeByService_;
+    uint64_t visits_ { 0 };
 };
 
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -311,6 +311,24 @@
     }
 }
 
+void releaseTask(const DecisionContext& context, Job& job, const TaskKey& key, Task& task)
+{
+    context.noteJob(key.job_);
+    auto worker = context.state_.workers_.find(task.progress_.worker_);
+    if (worker != context.state_.workers_.end())
+        releaseResources(worker->second, key, stepOf(job, key), task, context.now_);
+    if (task.progress_.phase_ == TaskPhase::Assigned) {
+        recordRunEnd(job, key, task, false, context.now_);
+        task.progress_.phase_ = TaskPhase::Waiting;
+    }
+    task.isStartReleased_ = false;
+    task.isOnWorker_ = false;
+    task.isStopping_ = false;
+    task.lastOrder_ = OrderNumber();
+    if (task.progress_.phase_ == TaskPhase::Waiting)
+        makeReady(context.state_, job);
+}
+
 // Stops the assigned members of the task's gang, as either all members run or none.
 static void stopGang(const DecisionContext& context, Job& job, const TaskKey& key)
 {
@@ -325,27 +343,14 @@
         if (member.isStartReleased_)
             orderStop(context, memberKey, member, "another member of the gang is not running");
         else
-            unassign(context, job, memberKey, member);
+            releaseTask(context, job, memberKey, member);
     }
 }
 
 void unassign(const DecisionContext& context, Job& job, const TaskKey& key, Task& task)
 {
-    context.noteJob(key.job_);
-    auto worker = context.state_.workers_.find(task.progress_.worker_);
-    if (worker != context.state_.workers_.end())
-        releaseResources(worker->second, key, stepOf(job, key), task, context.now_);
-    if (task.progress_.phase_ == TaskPhase::Assigned) {
-        recordRunEnd(job, key, task, false, context.now_);
-        task.progress_.phase_ = TaskPhase::Waiting;
-    }
-    task.isStartReleased_ = false;
-    task.isOnWorker_ = false;
-    task.isStopping_ = false;
-    task.lastOrder_ = OrderNumber();
+    releaseTask(context, job, key, task);
     stopGang(context, job, key);
-    if (task.progress_.phase_ == TaskPhase::Waiting)
-        makeReady(context.state_, job);
 }
 
 void markRunLost(const DecisionContext& context, Job& job, const TaskKey& key, Task& task, std::string_view why)
--- a/workflow/src/decisions/Starts.cpp
+++ b/workflow/src/decisions/Starts.cpp
@@ -230,6 +230,8 @@
 static Duration placementIntervalOf(const LeaderState& state)
 {
     const Tuning& tuning = state.tuning_;
+    if (state.placementResumesFrom_)
+        return tuning.cutPlacementInterval_;
     if (state.readyJobs_.size() > tuning.backlogThreshold_)
         return tuning.placementInterval_;
     return state.hasNewlyReadyJobs_ ? Duration(0) : tuning.retryPlacementInterval_;
@@ -249,8 +251,18 @@
             ready.push_back(urgencyOf(context.state_, job->second));
     }
     std::sort(ready.begin(), ready.end());
+    if (std::optional<JobId> first = std::exchange(context.state_.placementResumesFrom_, std::nullopt)) {
+        auto resumed = std::find_if(ready.begin(), ready.end(), [&](const Urgency& urgency) { return urgency.job_ == *first; });
+        if (resumed != ready.end())
+            std::rotate(ready.begin(), resumed, ready.end());
+    }
     StartRound starts(context);
     for (const Urgency& urgency : ready) {
+        if (starts.placement_.visits() >= context.state_.tuning_.maximumPlacementVisits_) {
+            context.state_.placementResumesFrom_ = urgency.job_;
+            context.logEvent("placement.cut", urgency.job_.value(), concat(starts.placement_.visits(), " workers looked at for some of ", ready.size(), " jobs; the others come first in the next round"));
+            break;
+        }
         context.noteJob(urgency.job_);
         Job& job = context.state_.jobs_.at(urgency.job_);
         bool waits = !job.isCancelled_ && !job.hasFailed_ && startTasksOf(context, job, starts);
@@ -258,6 +270,7 @@
         if (!waits)
             context.state_.readyJobs_.erase(urgency.job_);
     }
+    context.state_.lastPlacementVisits_ = starts.placement_.visits();
     starts.nearPlaces_.endObsoleteWaits();
 }
 
