Decisions about many tasks grow with n log n at most

Change: demands without a worker are looked up by their constraints; orders of an agent are found by number and by run; runs that are being stopped are compared in one pass; jobs that are refused leave the order of writes together; the step of a task is found by binary search; whether any worker can hold a demand is asked once for each; log lines on waiting tasks, and the demands that they compare with all workers, are bounded; so are the tasks of all jobs, as memory would end one leader after another.

--- a/workflow/include/persimmondoor/workflow/Job.h
+++ b/workflow/include/persimmondoor/workflow/Job.h
@@ -11,6 +11,7 @@
 #include "persimmondoor/core/Time.h"
 
 #include <absl/status/statusor.h>
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -85,6 +86,9 @@
     uint32_t tasksPerOccurrence() const { return offsets_.empty() ? 0 : offsets_.back(); }
     /// Number of the first task of `step` within its occurrence.
     uint32_t offset(uint32_t step) const { return step == 0 ? 0 : offsets_[step - 1]; }
+    /// Number of the step that a task belongs to.
+    /// \param task number of the task within its occurrence, less than `tasksPerOccurrence`.
+    uint32_t stepAt(uint32_t task) const { return static_cast<uint32_t>(std::upper_bound(offsets_.begin(), offsets_.end(), task) - offsets_.begin()); }
     /// True if the job has a schedule.
     bool isTimed() const { return schedule_.occurrences_ > 0; }
     bool operator==(const JobSpec&) const = default;
--- a/workflow/include/persimmondoor/workflow/Leader.h
+++ b/workflow/include/persimmondoor/workflow/Leader.h
@@ -43,6 +43,8 @@
     Catalog catalog_;
     std::set<std::string> evacuatedDomains_;
     std::map<JobId, Job> jobs_;
+    /// Number of the tasks of all these jobs.
+    size_t taskCount_ { 0 };
     std::map<JobId, UnreadableJob> unreadableJobs_;
     std::map<JobId, EarlyCancellation> earlyCancellations_;
     /// The early cancellations in the order in which they expire.
--- a/workflow/include/persimmondoor/workflow/Tuning.h
+++ b/workflow/include/persimmondoor/workflow/Tuning.h
@@ -171,6 +171,9 @@
     size_t maximumEarlyCancellations_ { 8000 };
     /// Bound on the unfinished jobs, beyond which new ones are refused; keeps an entry within its 160 MB of memory.
     size_t maximumOpenJobs_ { 8000 };
+    /// Bound on the tasks of all jobs that are kept, beyond which new jobs are refused; keeps an entry within its 160 MB of memory,
+    /// also one that takes over.
+    size_t maximumTasks_ { 120'000 };
     /// Time after which a client should retry a call about a job that cannot be read, until an operator has mended its row.
     Duration retryUnreadableAfter_ { std::chrono::seconds(5) };
     /// The oldest held end of a worker is given up when this many ends have followed it: a worker lists its 500 oldest
--- a/workflow/include/persimmondoor/workflow/WorkerState.h
+++ b/workflow/include/persimmondoor/workflow/WorkerState.h
@@ -130,8 +130,9 @@
     bool hasReported_ { false };
     OrderNumber lastOrder_;
     OrderNumber lastCompletedOrder_;
-    /// Orders whose outcome has not been reported.
+    /// Orders whose outcome has not been reported, by their numbers, and how many of them concern each run.
     std::vector<Order> pendingOrders_;
+    std::map<RunKey, uint32_t> pendingRuns_;
     OrderNumber lastSentOrder_;
     Instant ordersSentAt_;
     /// A reply is due before the agent's next report.
--- a/workflow/src/decisions/AdmissionSurvey.cpp
+++ b/workflow/src/decisions/AdmissionSurvey.cpp
@@ -209,12 +209,16 @@
     return isAssessed(job) && !state.readyJobs_.empty() && state.admission_.runTimes_.isKnown(job.queue_.name_) && !isAwaitingWorkers(state, now);
 }
 
+// Bound on the steps that are compared with all workers; a job is not refused for a later one.
+static constexpr size_t maximumCheckedSteps = 32;
+
 // True if the last round of placement has left room for the tasks that the job begins with. The work ahead, which may be bound
 // to other workers, then does not delay them. Room that was freed since is for those that wait.
 static bool canBeginNow(const LeaderState& state, const Job& job, Instant now)
 {
     const std::vector<Step>& steps = job.record_.spec_.steps();
-    for (uint32_t number = 0; number < steps.size(); ++number) {
+    size_t count = std::min(steps.size(), maximumCheckedSteps);
+    for (uint32_t number = 0; number < count; ++number) {
         const TaskKey first { job.record_.id_, 0, number, 0 };
         auto hasRoom = [&](const auto& entry) { return entry.second.freedAt_ <= state.lastPlacementAt_ && obstacleAt(state, job, first, entry.second, now) == WorkerObstacle::None; };
         if (steps[number].dependencies_.empty() && std::none_of(state.workers_.begin(), state.workers_.end(), hasRoom))
--- a/workflow/src/decisions/Backlog.cpp
+++ b/workflow/src/decisions/Backlog.cpp
@@ -127,7 +127,12 @@
     state.nextBacklogReportAt_ = context.now_ + state.tuning_.backlogReportInterval_;
     size_t withoutCapacity = 0;
     size_t withInterference = 0;
+    size_t notCompared = 0;
     for (const auto& [demandClass, demand] : backlog.demands_) {
+        if (!surveys.hasRoom()) {
+            notCompared += demand.tasks_;
+            continue;
+        }
         bool isCapacity = surveys.of(*demand.job_, demand.key_).suitableWorkers() == 0;
         (isCapacity ? withoutCapacity : withInterference) += demand.tasks_;
     }
@@ -135,7 +140,7 @@
     auto jobsOf = [&](Prospect prospect) { return backlog.jobsByProspect_.at(static_cast<size_t>(prospect)); };
     size_t onTime = jobsOf(Prospect::OnTime) + jobsOf(Prospect::Yielding);
     context.logEvent("queues.backlog", concat(onTime + jobsOf(Prospect::Late) + jobsOf(Prospect::Worthless), " jobs"),
-        concat("on time ", onTime, ", late ", jobsOf(Prospect::Late), ", worthless ", jobsOf(Prospect::Worthless), "; tasks waiting for capacity ", withoutCapacity, ", for a worker without interference ", withInterference, "; filling cores, in thousandths: ", cores.assigned_, " assigned, ", cores.atWork_, " at work, ", cores.spare_, " spare; held: ", cores.holds_, " rooms, ", cores.held_, " thousandths of a core; ", describeUnusedCores(surveys, backlog)));
+        concat("on time ", onTime, ", late ", jobsOf(Prospect::Late), ", worthless ", jobsOf(Prospect::Worthless), "; tasks waiting for capacity ", withoutCapacity, ", for a worker without interference ", withInterference, notCompared > 0 ? concat(", not compared with the workers ", notCompared) : std::string(), "; filling cores, in thousandths: ", cores.assigned_, " assigned, ", cores.atWork_, " at work, ", cores.spare_, " spare; held: ", cores.holds_, " rooms, ", cores.held_, " thousandths of a core; ", describeUnusedCores(surveys, backlog)));
 }
 
 // The waiting tasks of a long-running step.
@@ -176,7 +181,8 @@
 }
 
 // Logs the task of the step whose assigned run has been absent from its worker's reports for longest.
-static void reportUnseenRuns(const DecisionContext& context, const Job& job, uint32_t occurrence, uint32_t stepNumber)
+// \return true if there is one.
+static bool reportUnseenRuns(const DecisionContext& context, const Job& job, uint32_t occurrence, uint32_t stepNumber)
 {
     const LeaderState& state = context.state_;
     size_t count = 0;
@@ -198,10 +204,11 @@
         }
     }
     if (!longest)
-        return;
+        return false;
     const Task& task = job.tasks_[taskNumber(job, *longest)];
     const Worker& worker = state.workers_.at(task.progress_.worker_);
     context.logEvent("run.unseen", describe(RunKey { *longest, task.progress_.run_ }), concat(milliseconds(longestAbsence), " ms, with ", count - 1, " others of its step; worker ", task.progress_.worker_.name_, ", ", task.isStartReleased_ ? "ordered" : "to be written", task.isStopping_ ? ", being stopped" : "", "; the worker's last report is ", milliseconds(context.now_ - worker.lastReportAt_), " ms old, its leases end in ", milliseconds(worker.leaseEnd_ - context.now_), " ms"));
+    return true;
 }
 
 // Text of the work that the long-running job has to let pass; empty if there is none.
@@ -219,6 +226,8 @@
     if (context.now_ < state.nextWaitReportAt_)
         return;
     state.nextWaitReportAt_ = context.now_ + state.tuning_.waitReportInterval_;
+    size_t reported = 0;
+    size_t omitted = 0;
     std::map<std::string, LongRunningRoom> roomByService;
     for (const JobId& id : state.openJobs_) {
         const Job& job = state.jobs_.at(id);
@@ -230,10 +239,15 @@
             if (!steps[step].longRunning_)
                 continue;
             auto occurrence = static_cast<uint32_t>(number / steps.size());
-            reportUnseenRuns(context, job, occurrence, step);
+            if (reported < state.tuning_.maximumReportedJobs_ && reportUnseenRuns(context, job, occurrence, step))
+                ++reported;
             WaitingTasks waiting = waitingTasksOf(job, occurrence, step, context.now_);
             if (!waiting.longest_ || waiting.longestWait_ < state.tuning_.reportWaitAfter_)
                 continue;
+            if (reported++ >= state.tuning_.maximumReportedJobs_) {
+                ++omitted;
+                continue;
+            }
             bool isReady = state.readyJobs_.count(id) > 0;
             const std::string& service = job.queue_.service_;
             if (roomByService.count(service) == 0)
@@ -241,6 +255,8 @@
             context.logEvent("task.waits", describe(*waiting.longest_), concat(milliseconds(waiting.longestWait_), " ms, with ", waiting.count_ - 1, " others of its step; job ", isReady ? "ready" : "not ready", ", priority ", job.record_.queue_.priority_, "; workers: ", describeWorkers(surveyWorkers(state, job, *waiting.longest_, context.now_), steps[step]), "; ", describe(roomByService[service]), describeYield(state, job, context.now_)));
         }
     }
+    if (omitted > 0)
+        context.logEvent("task.waits_omitted", concat(omitted, " steps"), concat("beside ", state.tuning_.maximumReportedJobs_, " that are logged"));
 }
 
 } // namespace persimmondoor::workflow
--- a/workflow/src/decisions/Clients.cpp
+++ b/workflow/src/decisions/Clients.cpp
@@ -58,6 +58,10 @@
         return context.addAction(AnswerClient { message.token_, refuseUnstorable(context.state_, context.now_) });
     }
     Job job = newJob({ id, queue, message.wallMs_, request.spec_ });
+    if (context.state_.taskCount_ + job.tasks_.size() > context.state_.tuning_.maximumTasks_) {
+        context.logEvent("job.refused", id.value(), concat(job.tasks_.size(), " tasks beside ", context.state_.taskCount_, " exceed the bound"));
+        return context.addAction(AnswerClient { message.token_, NotAccepted { "too many tasks", context.state_.tuning_.retryAfter_ } });
+    }
     if (std::optional<NotAccepted> refusal = refuseHopelessJob(context, job))
         return context.addAction(AnswerClient { message.token_, *std::move(refusal) });
     context.logEvent("job.taken", id.value(), concat("queue ", queue.name_, ", ", job.tasks_.size(), " tasks, configuration ", context.state_.catalog_.version_));
@@ -66,6 +70,7 @@
     staged.writesRecord_ = true;
     staged.effects_.emplace_back(AnswerClient { message.token_, Accepted {} });
     makeReady(context.state_, job);
+    context.state_.taskCount_ += job.tasks_.size();
     context.state_.jobs_.emplace(id, std::move(job));
     startReadyTasks(context);
 }
@@ -91,7 +96,8 @@
     return staged.writesRecord_ && !staged.mayBeStored_ && hasOnlySubmission;
 }
 
-// Removes a job of which nothing is stored, and gives the answer to all calls that wait for it.
+// Removes a job of which nothing is stored, and gives the answer to all calls that wait for it. Its place in the order of writes
+// stays for `dropUnstagedJobs`.
 static void removeUnstoredJob(const DecisionContext& context, const JobId& id, const ClientAnswer& answer, std::string why)
 {
     Job& job = context.state_.jobs_.at(id);
@@ -100,9 +106,9 @@
     stopTasks(context, job, "job refused");
     StagedJob staged = std::move(context.state_.staged_.at(id));
     context.state_.staged_.erase(id);
-    std::erase(context.state_.stagedOrder_, id);
     context.state_.openJobs_.erase(id);
     context.state_.readyJobs_.erase(id);
+    context.state_.taskCount_ -= job.tasks_.size();
     context.state_.jobs_.erase(id);
     for (const Effect& effect : staged.effects_) {
         if (const auto* waiting = std::get_if<AnswerClient>(&effect))
@@ -110,6 +116,12 @@
     }
 }
 
+// Removes the jobs that are no longer staged from the order of writes.
+static void dropUnstagedJobs(LeaderState& state)
+{
+    std::erase_if(state.stagedOrder_, [&](const JobId& id) { return state.staged_.count(id) == 0; });
+}
+
 void refuseUnsentJobs(const DecisionContext& context)
 {
     if (!isStoreUnavailable(context.state_, context.now_))
@@ -122,6 +134,7 @@
     Duration failing = context.now_ - *context.state_.storeFailedAt_;
     for (const JobId& id : unsent)
         removeUnstoredJob(context, id, refuseUnstorable(context.state_, context.now_), concat("the store has failed for ", failing.count() / 1000, " ms; the job was not sent to it"));
+    dropUnstagedJobs(context.state_);
 }
 
 void rejectSubmission(const DecisionContext& context, const JobId& id)
@@ -131,6 +144,7 @@
     if (staged == context.state_.staged_.end() || !isUnsentSubmission(staged->second))
         return;
     removeUnstoredJob(context, id, Malformed { "the store rejects the job's rows, which may be too large" }, "the store rejects its rows");
+    dropUnstagedJobs(context.state_);
 }
 
 static void cancelJob(const DecisionContext& context, Job& job)
--- a/workflow/src/decisions/DemandSurvey.h
+++ b/workflow/src/decisions/DemandSurvey.h
@@ -65,10 +65,14 @@
     }
 
     const DemandSurvey& of(const Job&, const TaskKey&);
+    // True until as many classes have been compared with all workers as the log needs at most.
+    bool hasRoom() const { return surveys_.size() < maximumSurveys; }
     // Number of searches through all workers so far.
     size_t searches() const { return surveys_.size(); }
 
 private:
+    static constexpr size_t maximumSurveys = 64;
+
     const LeaderState& state_;
     Instant now_;
     // By class, and by image for filling tasks, as it decides whom they disturb.
--- a/workflow/src/decisions/Leader.cpp
+++ b/workflow/src/decisions/Leader.cpp
@@ -71,6 +71,7 @@
             job.endedAt_ = now;
         }
         JobId id = job.record_.id_;
+        state.taskCount_ += job.tasks_.size();
         state.jobs_.emplace(std::move(id), std::move(job));
     }
     return state;
@@ -123,6 +124,7 @@
             expired.push_back(id);
     }
     for (const JobId& id : expired) {
+        context.state_.taskCount_ -= context.state_.jobs_.at(id).tasks_.size();
         context.state_.jobs_.erase(id);
         stage(context.state_, id).isRemoved_ = true;
     }
--- a/workflow/src/decisions/Reports.cpp
+++ b/workflow/src/decisions/Reports.cpp
@@ -242,6 +242,18 @@
         stopRunsOnDrainingWorker(context, worker);
 }
 
+static void dropCompletedOrders(Agent& agent, const std::set<OrderNumber>& completed)
+{
+    std::erase_if(agent.pendingOrders_, [&](const Order& order) {
+        if (numberOf(order) > agent.lastCompletedOrder_ && completed.count(numberOf(order)) == 0)
+            return false;
+        auto run = agent.pendingRuns_.find(runOf(order));
+        if (--run->second == 0)
+            agent.pendingRuns_.erase(run);
+        return true;
+    });
+}
+
 void handleReport(const DecisionContext& context, const AgentReport& report)
 {
     Agent& agent = context.state_.agents_[report.agent_];
@@ -259,7 +271,7 @@
     agent.hasReported_ = true;
     agent.newestReportAt_ = context.now_;
     agent.lastCompletedOrder_ = std::max(agent.lastCompletedOrder_, report.lastCompletedOrder_);
-    std::erase_if(agent.pendingOrders_, [&](const Order& order) { return numberOf(order) <= agent.lastCompletedOrder_ || report.completedOrders_.count(numberOf(order)) > 0; });
+    dropCompletedOrders(agent, report.completedOrders_);
     for (const WorkerIncarnation& incarnation : report.endedWorkers_) {
         countCrash(context, incarnation, report.crashedRuns_, report.unconfirmedStarts_);
         countLoss(context, incarnation, report.crashedRuns_, report.unconfirmedStarts_);
--- a/workflow/src/decisions/Rules.cpp
+++ b/workflow/src/decisions/Rules.cpp
@@ -18,9 +18,7 @@
     const JobSpec& spec = job.record_.spec_;
     uint32_t occurrence = taskNumber / spec.tasksPerOccurrence();
     uint32_t within = taskNumber % spec.tasksPerOccurrence();
-    uint32_t step = 0;
-    while (within >= spec.offset(step) + spec.steps()[step].count_)
-        ++step;
+    uint32_t step = spec.stepAt(within);
     return { job.record_.id_, occurrence, step, within - spec.offset(step) };
 }
 
@@ -156,6 +154,7 @@
     auto agent = context.state_.agents_.find(name);
     if (agent == context.state_.agents_.end())
         return;
+    ++agent->second.pendingRuns_[runOf(order)];
     agent->second.pendingOrders_.push_back(std::move(order));
     context.addAction(AnswerAgent { name });
 }
@@ -172,13 +171,12 @@
 
 // Turns a pending order to start the run into one to stop it: the agent may receive its orders long after they were given,
 // and must not begin what is to end. An agent that has received the start ignores the stop, which has the same number.
-static void voidPendingStart(Agent& agent, const RunKey& run)
+static void voidPendingStart(Agent& agent, const RunKey& run, OrderNumber startOrder)
 {
-    for (Order& order : agent.pendingOrders_) {
-        const auto* start = std::get_if<StartRun>(&order);
-        if (start && start->run_ == run)
-            order = StopRun { start->number_, start->worker_, run };
-    }
+    auto order = std::lower_bound(agent.pendingOrders_.begin(), agent.pendingOrders_.end(), startOrder, [](const Order& other, OrderNumber number) { return numberOf(other) < number; });
+    const auto* start = order != agent.pendingOrders_.end() ? std::get_if<StartRun>(&*order) : nullptr;
+    if (start && start->run_ == run)
+        *order = StopRun { start->number_, start->worker_, run };
 }
 
 void orderStop(const DecisionContext& context, const TaskKey& key, Task& task, std::string_view why)
@@ -193,10 +191,10 @@
     task.isStopping_ = true;
     task.stopOrderedAt_ = context.now_;
     agent->lastOrder_ = agent->lastOrder_.next();
+    RunKey run { key, task.progress_.run_ };
+    voidPendingStart(*agent, run, task.lastOrder_);
     // The run's absence from the worker's lists shows that it was lost only once this order is completed too.
     task.lastOrder_ = agent->lastOrder_;
-    RunKey run { key, task.progress_.run_ };
-    voidPendingStart(*agent, run);
     addOrder(context, context.state_.workers_.at(incarnation).agent_, StopRun { agent->lastOrder_, incarnation, run });
     context.logEvent("run.stop", describe(run), concat(why, "; worker ", incarnation.name_));
 }
@@ -295,14 +293,18 @@
 {
     if (lastOrder <= agent.lastCompletedOrder_)
         return true;
-    return std::none_of(agent.pendingOrders_.begin(), agent.pendingOrders_.end(), [&](const Order& order) { return runOf(order) == run; });
+    return agent.pendingRuns_.count(run) == 0;
 }
 
 void releaseStoppedRuns(Worker& worker, const std::vector<ActiveRun>& active, const Agent& agent)
 {
+    std::set<RunKey> activeRuns;
+    for (const ActiveRun& other : active) {
+        if (worker.stoppingRuns_.count(other.run_) > 0)
+            activeRuns.insert(other.run_);
+    }
     for (auto run = worker.stoppingRuns_.begin(); run != worker.stoppingRuns_.end();) {
-        bool isActive = std::any_of(active.begin(), active.end(), [&](const ActiveRun& other) { return other.run_ == run->first; });
-        if (isActive || !areOrdersCompleted(agent, run->first, run->second.order_)) {
+        if (activeRuns.count(run->first) > 0 || !areOrdersCompleted(agent, run->first, run->second.order_)) {
             ++run;
             continue;
         }
--- a/workflow/src/decisions/UrgentDemand.cpp
+++ b/workflow/src/decisions/UrgentDemand.cpp
@@ -3,6 +3,8 @@
 #include "persimmondoor/workflow/Urgency.h"
 
 #include <algorithm>
+#include <string_view>
+#include <tuple>
 
 namespace persimmondoor::workflow {
 
@@ -61,28 +63,47 @@
     work.milliCoresByQueue_[job.queue_.name_] += demand.milliCores();
 }
 
-// How many more tasks of the step its bound admits to the workers that could hold one; 0 if none of them could.
+namespace {
+
+    // Whether any worker of a service can ever hold a task, by its demand. A survey asks this for each waiting step.
+    class HoldableDemands {
+    public:
+        bool contains(const std::string& service, const std::vector<const Worker*>& workers, const Step& step)
+        {
+            const Resources& demand = step.demand_;
+            auto [known, isNew] = demands_.try_emplace({ service, step.requiredLabel_, demand.milliCores(), demand.memoryBytes(), demand.accelerators() });
+            if (isNew)
+                known->second = std::any_of(workers.begin(), workers.end(), [&](const Worker* worker) { return canEverHold(*worker, step); });
+            return known->second;
+        }
+
+    private:
+        std::map<std::tuple<std::string_view, std::string_view, int64_t, int64_t, int64_t>, bool> demands_;
+    };
+
+} // namespace
+
+// The number of tasks of the step that the bound per worker lets the workers take, at most all of them.
 static uint32_t admissibleTasks(const std::vector<const Worker*>& workers, const TaskKey& first, const Step& step)
 {
+    if (step.maxPerWorker_ == 0)
+        return step.count_;
     int64_t tasks = 0;
-    for (const Worker* worker : workers) {
-        if (!canEverHold(*worker, step))
-            continue;
-        if (step.maxPerWorker_ == 0)
-            return step.count_;
-        tasks += std::max<int64_t>(0, int64_t(step.maxPerWorker_) - countSiblings(*worker, first));
+    for (auto worker = workers.begin(); worker != workers.end() && tasks < step.count_; ++worker) {
+        if (canEverHold(**worker, step))
+            tasks += std::max<int64_t>(0, int64_t(step.maxPerWorker_) - countSiblings(**worker, first));
     }
     return static_cast<uint32_t>(std::min<int64_t>(tasks, step.count_));
 }
 
-static void addWaitingTasks(const LeaderState& state, const Job& job, const std::vector<const Worker*>& workers, bool isOnTime, WaitingWork& work, Instant now)
+static void addWaitingTasks(const LeaderState& state, const Job& job, const std::vector<const Worker*>& workers, bool isOnTime, WaitingWork& work, HoldableDemands& holdable, Instant now)
 {
     const std::vector<Step>& steps = job.record_.spec_.steps();
     for (size_t number = 0; number < job.unfinishedTasks_.size(); ++number) {
         auto occurrence = static_cast<uint32_t>(number / steps.size());
         auto stepNumber = static_cast<uint32_t>(number % steps.size());
         const Step& step = steps[stepNumber];
-        if (step.isFilling_ || job.unfinishedTasks_[number] == 0 || !isStartable(state, job, occurrence, step))
+        if (step.isFilling_ || job.unfinishedTasks_[number] == 0 || !isStartable(state, job, occurrence, step) || !holdable.contains(job.queue_.service_, workers, step))
             continue;
         uint32_t admissible = admissibleTasks(workers, { job.record_.id_, occurrence, stepNumber, 0 }, step);
         for (uint32_t index = 0; index < step.count_ && admissible > 0; ++index) {
@@ -154,6 +175,7 @@
     if (state.readyJobs_.empty())
         return waiting;
     WorkersByService workers = workersBesideLongRunning(state, now);
+    HoldableDemands holdable;
     for (const JobId& id : state.readyJobs_) {
         const Job& job = state.jobs_.at(id);
         auto known = workers.find(job.queue_.service_);
@@ -162,7 +184,7 @@
             continue;
         Prospect prospect = urgencyOf(state, job).prospect_;
         if (prospect != Prospect::Worthless)
-            addWaitingTasks(state, job, known->second, prospect == Prospect::OnTime, waiting[job.queue_.service_], now);
+            addWaitingTasks(state, job, known->second, prospect == Prospect::OnTime, waiting[job.queue_.service_], holdable, now);
     }
     std::erase_if(waiting, [](const auto& entry) { return entry.second.demand_.tasks_ == 0; });
     for (auto& [service, work] : waiting)
--- a/workflow/tests/PlacementRoundTest.cpp
+++ b/workflow/tests/PlacementRoundTest.cpp
@@ -160,6 +160,57 @@
     BOOST_TEST(assignedTasks(successor) == 1U);
 }
 
+// Guards against jobs whose tasks fill the memory of one leader after another.
+BOOST_AUTO_TEST_CASE(tasks_of_all_jobs_are_bounded_after_a_takeover_too)
+{
+    LeaderWorld world;
+    world.state_.tuning_.maximumTasks_ = 2000;
+    for (uint32_t job = 0; job < 2; ++job)
+        world.submit({ stepOfTasks(1000) }, 20, jobName(job));
+    world.commit(25);
+    uint64_t refused = world.submit({ stepOfTasks(1) }, 30, jobName(2));
+    BOOST_TEST(world.answer(refused) == "not accepted: too many tasks");
+    BOOST_TEST(world.state_.jobs_.size() == 2U);
+    LeaderWorld successor(world.rows(), 2, world.storedBounds_);
+    successor.state_.tuning_.maximumTasks_ = 2000;
+    BOOST_TEST(successor.answer(successor.submit({ stepOfTasks(1) }, 30, jobName(2))) == "not accepted: too many tasks");
+    // Finished jobs are forgotten after a while.
+    for (uint32_t job = 0; job < 2; ++job)
+        successor.call(Cancel {}, 40, jobName(job));
+    successor.commit(50);
+    int64_t retentionMs = std::chrono::duration_cast<std::chrono::milliseconds>(successor.state_.tuning_.finishedJobRetention_).count();
+    successor.handle(Tick { 1'000'000 }, retentionMs + 1000);
+    BOOST_TEST(successor.state_.taskCount_ == 0U);
+    successor.commit(retentionMs + 1001);
+    uint64_t accepted = successor.submit({ stepOfTasks(1000) }, retentionMs + 1010, jobName(3));
+    successor.commit(retentionMs + 1020);
+    BOOST_TEST(successor.answer(accepted) == "accepted");
+}
+
+// Guards against log lines whose number and searches grow with the waiting jobs.
+BOOST_AUTO_TEST_CASE(log_lines_on_waiting_tasks_are_bounded)
+{
+    LeaderWorld world;
+    reportAll(world, 10);
+    for (uint32_t job = 0; job < 100; ++job) {
+        Step step = stepOfTasks(1);
+        step.longRunning_ = true;
+        step.image_ = "search";
+        step.demand_ = *Resources::create(65'000 + job, 1000, 0);
+        world.submit({ step }, 20, jobName(job));
+    }
+    while (!world.state_.stagedOrder_.empty())
+        world.commit(25);
+    reportAll(world, 500);
+    size_t before = world.logged("task.waits").size();
+    for (int64_t time = 1000; time < 3000; time += 200)
+        world.handle(Tick { 1'000'000 + time }, time);
+    size_t lines = world.logged("task.waits").size() - before;
+    BOOST_TEST(lines > 0U);
+    BOOST_TEST(lines <= 3 * world.state_.tuning_.maximumReportedJobs_);
+    BOOST_TEST(!world.logged("task.waits_omitted").empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace persimmondoor::workflow
