Room is held for long-running tasks as before

A task whose hold a sibling had used kept its mark, so that its step was searched for without end, and more room was held.

--- a/workflow/src/decisions/RoomHolds.cpp
+++ b/workflow/src/decisions/RoomHolds.cpp
@@ -68,22 +68,15 @@
 
 } // namespace
 
-// Adds the tasks of a long-running step that have waited long enough for room to be held; of the step, only as many as there are
-// holds at most, those that have waited longest.
+// Adds the tasks of a long-running step that have waited long enough for room to be held.
 static void addWaitingTasks(const DecisionContext& context, const Job& job, uint32_t occurrence, uint32_t stepNumber, std::vector<WaitingTask>& waiting)
 {
-    auto first = static_cast<std::ptrdiff_t>(waiting.size());
     for (uint32_t index = 0; index < job.record_.spec_.steps()[stepNumber].count_; ++index) {
         TaskKey key { job.record_.id_, occurrence, stepNumber, index };
         std::optional<Instant> since = waitingSince(job, key);
         if (since && context.now_ - *since >= context.state_.tuning_.holdRoomAfter_)
             waiting.push_back({ job.record_.queue_.priority_, *since, key });
     }
-    auto bound = static_cast<std::ptrdiff_t>(context.state_.tuning_.maximumHolds_);
-    if (static_cast<std::ptrdiff_t>(waiting.size()) - first <= bound)
-        return;
-    std::nth_element(waiting.begin() + first, waiting.begin() + first + bound, waiting.end());
-    waiting.resize(static_cast<size_t>(first + bound));
 }
 
 // The long-running tasks that wait for a worker, the most urgent first.
@@ -293,10 +286,8 @@
     size_t held = 0;
     FailedSearches failed(state.tuning_.maximumHoldSearches_);
     std::vector<WaitingTask> waitingTasks = collectWaitingTasks(context);
-    for (const auto& [key, place] : former) {
-        if (Task* task = findTask(state, key))
-            task->isRoomHeld_ = false;
-    }
+    for (const WaitingTask& waiting : waitingTasks)
+        findTask(state, waiting.key_)->isRoomHeld_ = false;
     std::erase_if(waitingTasks, [&](const WaitingTask& waiting) { return mustYield(state, waiting.key_); });
     std::optional<TaskKey> searchesFrom = std::exchange(state.holdSearchesFrom_, std::nullopt);
     bool isSearching = std::none_of(waitingTasks.begin(), waitingTasks.end(), [&](const WaitingTask& waiting) { return waiting.key_ == searchesFrom; });
