--- a/workflow/tests/EarlyCancellationTest.cpp
+++ b/workflow/tests/EarlyCancellationTest.cpp
@@ -94,6 +94,25 @@
     BOOST_TEST(world.answer(submission) == "accepted");
 }
 
+// Guards against an acknowledgement that is not stored yet: the row of an expired cancellation of the same job is being deleted.
+BOOST_AUTO_TEST_CASE(deletion_of_an_expired_cancellation_does_not_confirm_a_new_one, *boost::unit_test::disabled())
+{
+    LeaderWorld world;
+    int64_t retentionMs = std::chrono::duration_cast<std::chrono::milliseconds>(world.state_.tuning_.finishedJobRetention_).count();
+    world.call(Cancel {}, 10);
+    world.commit(20);
+    world.handle(Tick { 1'000'000 }, retentionMs + 1000);
+    Batch deletion = extractBatch(world.state_);
+    uint64_t again = world.call(Cancel {}, retentionMs + 1001);
+    world.handle(BatchDurable { std::move(deletion), at(retentionMs + 1000) }, retentionMs + 1010);
+    uint64_t repeated = world.call(Cancel {}, retentionMs + 1011);
+    BOOST_TEST(world.answer(again) == "none");
+    BOOST_TEST(world.answer(repeated) == "none");
+    world.commit(retentionMs + 1020);
+    BOOST_TEST(world.answer(again) == "no such job");
+    BOOST_TEST(world.answer(repeated) == "no such job");
+}
+
 // Guards against a flood of cancellations that fills the leader's memory or keeps clients from cancelling their jobs.
 BOOST_AUTO_TEST_CASE(cancellations_of_unknown_jobs_are_bounded)
 {
